--- /dev/null
+++ b/cmd/stoathitchd/main.go
@@ -0,0 +1,4 @@
+// Command stoathitchd is the daemon.
+package main
+
+func main() {}
