--- /dev/null
+++ b/pkg/coordinator/routing.go
@@ -0,0 +1,173 @@
+package coordinator
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+func (coordinator *Coordinator) apply(input Input) {
+	switch input := input.(type) {
+	case *PeerBatchArrived:
+		for index := range input.Batch.Messages {
+			coordinator.applyPeerMessage(input.From, &input.Batch.Messages[index])
+		}
+	case *PeerConnected:
+		coordinator.connectPeer(input.Host)
+	case *PeerDisconnected:
+		coordinator.disconnectPeer(input.Host)
+	case *ServerEvent:
+		coordinator.toDispatcher = append(coordinator.toDispatcher, input.Event)
+	case *CallerEvent:
+		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
+	case *ShutdownRequested:
+		coordinator.draining = true
+		coordinator.leads.resign()
+	}
+}
+
+func (coordinator *Coordinator) applyPeerMessage(from identifier.HostID, message *PeerMessage) {
+	switch {
+	case message.Forward != nil:
+		coordinator.acceptForward(from, message.Forward)
+	case message.Answer != nil:
+		coordinator.tellForwarder(&forwarder.AnswerArrived{From: from, Answer: message.Answer})
+	case message.AnswerReceipt != "":
+		coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: message.AnswerReceipt})
+	case message.CopyRequest != nil:
+		coordinator.tellForwarder(&forwarder.CopiesWanted{From: from, Records: message.CopyRequest})
+	case message.CopyReceipt != nil:
+		coordinator.tellForwarder(&forwarder.CopiesHeld{From: from, Submissions: message.CopyReceipt})
+	case message.AnswerCopy != nil:
+		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Answer: message.AnswerCopy})
+	case message.AnswerCopyReceipt != "":
+		coordinator.tellForwarder(&forwarder.AnswerCopyHeld{Submission: message.AnswerCopyReceipt})
+	case message.AnswerRequest != nil:
+		coordinator.tellForwarder(&forwarder.AnswerRequested{Request: *message.AnswerRequest})
+	case message.TakeoverQuery != nil:
+		coordinator.tellForwarder(&forwarder.TakeoverQueried{From: from, Query: *message.TakeoverQuery})
+	case message.TakeoverReply != nil:
+		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
+	case message.LeadNotice != nil:
+		coordinator.noticeLead(*message.LeadNotice)
+	case message.Lookup != nil:
+		coordinator.tellDispatcher(&dispatcher.LookupArrived{From: from, Lookup: *message.Lookup})
+	case message.Cancel != nil:
+		coordinator.tellDispatcher(&dispatcher.CancelArrived{From: from, Cancel: *message.Cancel})
+	}
+}
+
+func (coordinator *Coordinator) noticeLead(notice messenger.LeadNotice) {
+	coordinator.leads.noticed(notice)
+	offeredToSelf := notice.FailureDomain == coordinator.Self.FailureDomain && notice.Host == coordinator.Self.ID
+	if !offeredToSelf {
+		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+	}
+}
+
+func (coordinator *Coordinator) tellForwarder(input forwarder.Input) {
+	coordinator.toForwarder = append(coordinator.toForwarder, input)
+}
+
+func (coordinator *Coordinator) tellDispatcher(input dispatcher.Input) {
+	coordinator.toDispatcher = append(coordinator.toDispatcher, input)
+}
+
+func (coordinator *Coordinator) acceptForward(from identifier.HostID, forward *messenger.Forward) {
+	coordinator.tellDispatcher(&dispatcher.JobForwarded{
+		From:     from,
+		Job:      forward.Job,
+		Deadline: identifier.DeadlineFrom(coordinator.now, forward.Remaining),
+		Again:    forward.Again,
+		Age:      forward.Age,
+	})
+}
+
+func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
+	self := coordinator.Self.ID
+	switch output := output.(type) {
+	case *forwarder.AnswerCaller:
+		coordinator.outputs.add(&ToCaller{Answer: output})
+	case *forwarder.ForwardJob:
+		if output.To == self {
+			coordinator.acceptForward(self, &output.Forward)
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{Forward: &output.Forward})
+	case *forwarder.HoldCopies:
+		coordinator.outputs.toPeer(output.To, PeerMessage{CopyRequest: output.Records})
+	case *forwarder.ConfirmCopies:
+		coordinator.outputs.toPeer(output.To, PeerMessage{CopyReceipt: output.Submissions})
+	case *forwarder.ConfirmAnswer:
+		if output.To == self {
+			coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: output.Submission})
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
+	case *forwarder.HoldAnswer:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopy: output.Answer})
+	case *forwarder.ConfirmAnswerCopy:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopyReceipt: output.Submission})
+	case *forwarder.SendAnswer:
+		coordinator.sendAnswer(output.To, output.Answer)
+	case *forwarder.ForwardCancel:
+		if output.To == self {
+			coordinator.tellDispatcher(&dispatcher.CancelArrived{From: self, Cancel: output.Cancel})
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
+	case *forwarder.ForwardLookup:
+		if output.To == self {
+			coordinator.tellDispatcher(&dispatcher.LookupArrived{From: self, Lookup: output.Lookup})
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{Lookup: &output.Lookup})
+	case *forwarder.ReplyTakeover:
+		if output.To == self {
+			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverReply: &output.Reply})
+	}
+}
+
+func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
+	if to == coordinator.Self.ID {
+		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
+		return
+	}
+	coordinator.outputs.toPeer(to, PeerMessage{Answer: answer})
+}
+
+func (coordinator *Coordinator) routeDispatcherOutput(output dispatcher.Output) {
+	self := coordinator.Self.ID
+	switch output := output.(type) {
+	case *dispatcher.ToServer:
+		coordinator.outputs.add(&ToServer{Batch: output})
+	case *dispatcher.JobAnswered:
+		coordinator.sendAnswer(output.To, output.Answer)
+	case *dispatcher.AnswerWanted:
+		if output.Holder == self {
+			coordinator.tellForwarder(&forwarder.AnswerRequested{Request: output.Request})
+			return
+		}
+		coordinator.outputs.toPeer(output.Holder, PeerMessage{AnswerRequest: &output.Request})
+	case *dispatcher.ClaimWanted:
+		coordinator.claim(output)
+	case *dispatcher.TakeoverWanted:
+		if output.To == self {
+			coordinator.tellForwarder(&forwarder.TakeoverQueried{From: self, Query: output.Query})
+			return
+		}
+		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
+	case *dispatcher.EpochSeen:
+		coordinator.leads.sawEpoch(output.Cell, output.Epoch)
+	}
+}
+
+// claim refuses every claim until the keepers' claims are wired in: a
+// not-repeatable job must not run without one.
+func (coordinator *Coordinator) claim(wanted *dispatcher.ClaimWanted) {
+	coordinator.tellDispatcher(&dispatcher.ClaimDecided{Submission: wanted.Submission, Verdict: dispatcher.ClaimUnavailable})
+}
--- /dev/null
+++ b/pkg/dispatcher/answers.go
@@ -0,0 +1,196 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+func (dispatcher *Dispatcher) recordRefusals(input *TasksRefused) {
+	server := dispatcher.servers.Get(input.Server)
+	if server == nil {
+		return
+	}
+	cell := dispatcher.cells.Get(server.cell)
+	if cell == nil {
+		return
+	}
+	for _, refusal := range input.Refusals {
+		dispatcher.recordRefusal(cell, server, refusal)
+	}
+}
+
+func (dispatcher *Dispatcher) recordRefusal(cell *cell, server *server, refusal ServerRefusal) {
+	task := server.running[refusal.TaskKey]
+	if task == nil {
+		return
+	}
+	switch refusal.Kind {
+	case RefusalNoFreeSlot, RefusalStaleEpoch:
+		server.refusedFull = true
+	case RefusalLeaving:
+		server.leaving = true
+	}
+	dispatcher.returnToQueue(cell, server, task)
+}
+
+func (dispatcher *Dispatcher) recordAnswers(input *TasksAnswered) {
+	server := dispatcher.servers.Get(input.Server)
+	if server == nil {
+		return
+	}
+	cell := dispatcher.cells.Get(server.cell)
+	if cell == nil {
+		return
+	}
+	server.refusedFull = false
+	for _, answer := range input.Answers {
+		dispatcher.recordAnswer(cell, server, answer)
+	}
+}
+
+// recordAnswer takes the outcome of one task. An answer that comes twice, late,
+// or for a job that has ended is acknowledged and otherwise ignored.
+func (dispatcher *Dispatcher) recordAnswer(cell *cell, server *server, answer ServerAnswer) {
+	delete(server.running, answer.TaskKey)
+	cell.free.update(server)
+	job := dispatcher.jobs.Get(answer.Submission)
+	if job == nil {
+		answers := cell.orphanOf(answer.Submission).answers
+		answers[answer.Task] = orphanAnswer{server: server.id, answer: answer}
+		return
+	}
+	task := job.byID[answer.Task]
+	if job.state == jobFinished || task == nil || task.state == taskAnswered {
+		dispatcher.acknowledgeLate(job, server, answer.TaskKey)
+		return
+	}
+	if task.state == taskQueued {
+		dispatcher.takeFromQueue(cell, job, task)
+	}
+	dispatcher.resolve(task, server.id, answer)
+}
+
+func (dispatcher *Dispatcher) acknowledgeLate(job *job, server *server, key TaskKey) {
+	if job.state != jobFinished {
+		return
+	}
+	batch := dispatcher.outputs.toServer(server.id)
+	batch.Received = append(batch.Received, key)
+}
+
+// resolve gives a task its outcome and the job its answer once it is the last.
+func (dispatcher *Dispatcher) resolve(task *task, server identifier.BackendServerID, answer ServerAnswer) {
+	job := task.job
+	task.state = taskAnswered
+	task.server = server
+	task.result = answer.Result
+	job.anyStarted = true
+	job.unresolved--
+	if answer.Failed || answer.Cancelled {
+		dispatcher.failTask(task, answer)
+		return
+	}
+	if job.unresolved == 0 {
+		dispatcher.complete(job)
+	}
+}
+
+func (dispatcher *Dispatcher) failTask(task *task, answer ServerAnswer) {
+	detail := "task " + string(task.spec.Task) + " failed at " + string(task.server) + ": " + answer.Reason
+	dispatcher.failJob(task.job, messenger.ReasonTaskFailed, detail)
+}
+
+func (dispatcher *Dispatcher) complete(job *job) {
+	answer := &messenger.JobAnswer{
+		Submission: job.spec.Submission,
+		Outcome:    messenger.OutcomeComplete,
+		Answers:    make([]messenger.TaskAnswer, 0, len(job.tasks)),
+	}
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		answer.Answers = append(answer.Answers, messenger.TaskAnswer{Task: task.spec.Task, Result: task.result})
+	}
+	dispatcher.finish(job, answer)
+}
+
+// failJob ends a job that can't be complete any more. Where no task has started
+// or can have started, the answer is a true "not run".
+func (dispatcher *Dispatcher) failJob(job *job, reason messenger.Reason, detail string) {
+	if job.state == jobFinished {
+		return
+	}
+	mayHaveStarted := job.anyStarted || job.again || job.state == jobRecovering
+	if !mayHaveStarted {
+		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
+		return
+	}
+	dispatcher.finish(job, &messenger.JobAnswer{
+		Submission: job.spec.Submission,
+		Outcome:    messenger.OutcomeFailed,
+		Reason:     reason,
+		Detail:     detail,
+	})
+}
+
+// finish gives a job its one answer, sends it to all who wait, and stops what
+// still runs for it.
+func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
+	cell := dispatcher.cells.Get(job.cell)
+	dispatcher.leaveQueue(cell, job)
+	job.state = jobFinished
+	job.answer = answer
+	submission := job.spec.Submission
+	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
+	dispatcher.timers.Clear(timerKey{kind: timerUnknownWait, submission: submission})
+	forgetAt := dispatcher.now.Add(dispatcher.Settings.AnswerRetention)
+	dispatcher.timers.Set(timerKey{kind: timerForget, submission: submission}, forgetAt)
+	for _, holder := range job.holders {
+		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
+	}
+	dispatcher.stopRunning(job)
+}
+
+func (dispatcher *Dispatcher) leaveQueue(cell *cell, job *job) {
+	if cell == nil || job.state != jobRunning {
+		return
+	}
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if task.state == taskQueued {
+			cell.queuedTasks--
+			task.state = taskAnswered
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) stopRunning(job *job) {
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if task.state != taskStarted {
+			continue
+		}
+		batch := dispatcher.outputs.toServer(task.server)
+		batch.Cancels = append(batch.Cancels, task.key())
+	}
+}
+
+// releaseAnswers acknowledges the task answers of a finished job to the backend
+// servers, once a second host holds the answer of the whole job.
+func (dispatcher *Dispatcher) releaseAnswers(input *AnswerHeld) {
+	job := dispatcher.jobs.Get(input.Submission)
+	if job == nil || job.state != jobFinished || job.answerHeld {
+		return
+	}
+	job.answerHeld = true
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if task.server == "" || task.state != taskAnswered {
+			continue
+		}
+		batch := dispatcher.outputs.toServer(task.server)
+		batch.Received = append(batch.Received, task.key())
+	}
+	// The results now stand in the answer only.
+	job.tasks = nil
+	job.byID = nil
+}
--- /dev/null
+++ b/pkg/dispatcher/dispatcher.go
@@ -0,0 +1,137 @@
+// Package dispatcher decides, on the host that leads a cell, which backend
+// server starts which task, and keeps the record that makes every submission run
+// at most once and be answered exactly once.
+//
+// It is pure: time, messages and seed come in through Tick, messages to send go
+// out of it. The daemon, the trace replay and the fuzz tests run the same code.
+//
+// Four rules carry the promises:
+//   - A task is handed to a backend server once. It is started again only after
+//     a refusal or a report which proves that the first start never happened.
+//   - A new lead starts nothing before every backend server of the cell has
+//     reported under the new epoch, which fences the starts of earlier leads, and
+//     every host of the failure domain has told which submissions it knows.
+//   - Answers of tasks are acknowledged to the backend server only after a second
+//     host holds the answer of the whole job. Until then they can be had again.
+//   - A refusal says "not run" only when the record shows that no task started.
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/tabulator"
+)
+
+// Settings bounds what the dispatcher holds and how long it waits.
+type Settings struct {
+	// Cells is how many cells the failure domain's slots are divided into.
+	Cells int
+	// QueuedTasks bounds the tasks that wait for a slot, over all jobs of a cell.
+	QueuedTasks int
+	// UnknownTaskWait is how long a task of a lost backend server may stay
+	// unknown before its job fails; the job's deadline may come earlier.
+	UnknownTaskWait time.Duration
+	// AnswerRetention is how long a finished submission is remembered.
+	AnswerRetention time.Duration
+	// TakeoverTimeout is how long a new lead waits for reports before it goes on
+	// without the silent ones.
+	TakeoverTimeout time.Duration
+	// HeartbeatTimeout is how long a backend server may stay silent before it
+	// gets no new work and its tasks count as unknown.
+	HeartbeatTimeout time.Duration
+}
+
+// DefaultSettings returns the settings that the daemon starts from.
+func DefaultSettings() Settings {
+	return Settings{
+		Cells:            1,
+		QueuedTasks:      20_000,
+		UnknownTaskWait:  5 * time.Second,
+		AnswerRetention:  10 * time.Minute,
+		TakeoverTimeout:  500 * time.Millisecond,
+		HeartbeatTimeout: 3 * time.Second,
+	}
+}
+
+// Dispatcher holds the cells that this host leads. Set the exported fields
+// before the first Tick.
+type Dispatcher struct {
+	Self          identifier.HostID
+	FailureDomain identifier.FailureDomain
+	Settings      Settings
+
+	now     identifier.Moment
+	cells   *tabulator.Table[messenger.CellNumber, cell]
+	servers *tabulator.Table[identifier.BackendServerID, server]
+	jobs    *tabulator.Table[identifier.SubmissionID, job]
+	timers  *tabulator.Timers[timerKey]
+	outputs outbox
+}
+
+// Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
+// to free slots and returns the messages to send.
+func (dispatcher *Dispatcher) Tick(now identifier.Moment, inputs []Input) []Output {
+	dispatcher.prepare(now)
+	for _, input := range inputs {
+		dispatcher.apply(input)
+	}
+	dispatcher.expire()
+	dispatcher.assign()
+	return dispatcher.outputs.drain()
+}
+
+// NextDeadline returns when Tick must run even without inputs.
+func (dispatcher *Dispatcher) NextDeadline() identifier.Moment {
+	if dispatcher.timers == nil {
+		return identifier.Never
+	}
+	return dispatcher.timers.Next()
+}
+
+func (dispatcher *Dispatcher) prepare(now identifier.Moment) {
+	dispatcher.now = now
+	if dispatcher.cells != nil {
+		return
+	}
+	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
+	dispatcher.servers = tabulator.New[identifier.BackendServerID, server]()
+	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
+	dispatcher.timers = tabulator.NewTimers[timerKey]()
+}
+
+func (dispatcher *Dispatcher) apply(input Input) {
+	switch input := input.(type) {
+	case *LeadTaken:
+		dispatcher.takeLead(input)
+	case *LeadLost:
+		dispatcher.loseLead(input)
+	case *TakeoverReplied:
+		dispatcher.recordTakeoverReply(input)
+	case *JobForwarded:
+		dispatcher.admit(input)
+	case *CancelArrived:
+		dispatcher.cancel(input)
+	case *LookupArrived:
+		dispatcher.lookUp(input)
+	case *AnswerHeld:
+		dispatcher.releaseAnswers(input)
+	case *ClaimDecided:
+		dispatcher.decideClaim(input)
+	case *ServerAnnounced:
+		dispatcher.announceServer(input)
+	case *ServerReported:
+		dispatcher.recordReport(input)
+	case *ServerHeartbeat:
+		dispatcher.recordHeartbeat(input)
+	case *ServerLeaving:
+		dispatcher.markLeaving(input)
+	case *ServerLost:
+		dispatcher.loseServer(input)
+	case *TasksRefused:
+		dispatcher.recordRefusals(input)
+	case *TasksAnswered:
+		dispatcher.recordAnswers(input)
+	}
+}
--- /dev/null
+++ b/pkg/dispatcher/entities.go
@@ -0,0 +1,133 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// cell is a share of the failure domain's slots that this host leads.
+type cell struct {
+	number messenger.CellNumber
+	epoch  identifier.Epoch
+	// ready tells that the takeover is over and tasks may start.
+	ready bool
+	// awaitedHosts and awaitedServers have not yet answered the takeover.
+	awaitedHosts   map[identifier.HostID]bool
+	awaitedServers map[identifier.BackendServerID]bool
+	// recovered lists the submissions that other hosts knew at the takeover.
+	recovered map[identifier.SubmissionID]recoveredRecord
+	// orphans are the tasks that backend servers reported for submissions whose
+	// job has not been forwarded again yet.
+	orphans map[identifier.SubmissionID]*orphan
+	// queue holds the jobs with queued tasks, the oldest first.
+	queue       []*job
+	queuedTasks int
+	free        freeSlots
+}
+
+// recoveredRecord is what another host knew of a submission at the takeover.
+type recoveredRecord struct {
+	holder identifier.HostID
+	record messenger.CopyRecord
+	// knownSince is the record's moment on this host's clock.
+	knownSince identifier.Moment
+}
+
+// orphan gathers what backend servers told of a submission's tasks.
+type orphan struct {
+	running map[identifier.TaskID]identifier.BackendServerID
+	answers map[identifier.TaskID]orphanAnswer
+}
+
+type orphanAnswer struct {
+	server identifier.BackendServerID
+	answer ServerAnswer
+}
+
+// server is a backend server as this host sees it.
+type server struct {
+	id          identifier.BackendServerID
+	cell        messenger.CellNumber
+	incarnation uint64
+	rack        identifier.RackID
+	slots       identifier.Slots
+	connected   bool
+	// silent tells that heartbeats are missing although the stream is open.
+	silent  bool
+	leaving bool
+	// fenced tells that the server has reported under the cell's epoch.
+	fenced bool
+	// lostAt is when the stream ended or the server went silent.
+	lostAt identifier.Moment
+	// running holds the tasks that were started here and have not been resolved.
+	running map[TaskKey]*task
+	// refusedFull tells that the server refused for want of a slot; nothing more
+	// is sent until it next answers or sends a heartbeat.
+	refusedFull bool
+}
+
+// usable tells whether tasks may be started on the server now.
+func (server *server) usable() bool {
+	return server.connected && server.fenced && !server.silent && !server.leaving && !server.refusedFull
+}
+
+func (server *server) freeSlots() identifier.Slots {
+	return server.slots - identifier.Slots(len(server.running))
+}
+
+// job is a submission at the host that leads its cell.
+type job struct {
+	spec     *messenger.Job
+	cell     messenger.CellNumber
+	state    jobState
+	deadline identifier.Moment
+	// firstForwarded is when the job was first forwarded to any lead, on this
+	// host's clock.
+	firstForwarded identifier.Moment
+	// again tells that an earlier lead may have started tasks of the job.
+	again bool
+	// holders are the hosts that wait for the answer.
+	holders []identifier.HostID
+	tasks   []task
+	// byID finds tasks; it points into tasks.
+	byID       map[identifier.TaskID]*task
+	nextQueued int
+	unresolved int
+	anyStarted bool
+	answer     *messenger.JobAnswer
+	// releasable are the tasks whose answers a backend server still keeps.
+	answerHeld bool
+}
+
+// task is one task of a job.
+type task struct {
+	job    *job
+	spec   *messenger.Task
+	state  taskState
+	server identifier.BackendServerID
+	result []byte
+}
+
+func (task *task) key() TaskKey {
+	return TaskKey{Submission: task.job.spec.Submission, Task: task.spec.Task}
+}
+
+// timerKind tells which deadline a timer stands for.
+type timerKind int
+
+const (
+	timerJobDeadline timerKind = iota
+	timerUnknownWait
+	timerForget
+	timerServerSilence
+	timerServerForget
+	timerTakeover
+)
+
+// timerKey names one deadline.
+type timerKey struct {
+	kind       timerKind
+	submission identifier.SubmissionID
+	server     identifier.BackendServerID
+	cell       messenger.CellNumber
+}
--- /dev/null
+++ b/pkg/dispatcher/expiry.go
@@ -0,0 +1,69 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// expire handles every deadline that has been reached.
+func (dispatcher *Dispatcher) expire() {
+	for {
+		key, due := dispatcher.timers.PopDue(dispatcher.now)
+		if !due {
+			return
+		}
+		dispatcher.expireOne(key)
+	}
+}
+
+func (dispatcher *Dispatcher) expireOne(key timerKey) {
+	switch key.kind {
+	case timerJobDeadline:
+		dispatcher.giveUp(key.submission, messenger.ReasonDeadlinePassed, "the deadline passed before every task was answered")
+	case timerUnknownWait:
+		dispatcher.giveUpUnknown(key.submission)
+	case timerForget:
+		if job := dispatcher.jobs.Get(key.submission); job != nil {
+			dispatcher.forget(job)
+		}
+	case timerServerSilence:
+		dispatcher.silenceServer(key.server)
+	case timerServerForget:
+		dispatcher.forgetServer(key.server)
+	case timerTakeover:
+		if cell := dispatcher.cells.Get(key.cell); cell != nil && !cell.ready {
+			dispatcher.finishTakeover(cell)
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) giveUp(submission identifier.SubmissionID, reason messenger.Reason, detail string) {
+	if job := dispatcher.jobs.Get(submission); job != nil {
+		dispatcher.failJob(job, reason, detail)
+	}
+}
+
+// giveUpUnknown fails a job whose lost backend server did not come back in time.
+func (dispatcher *Dispatcher) giveUpUnknown(submission identifier.SubmissionID) {
+	job := dispatcher.jobs.Get(submission)
+	if job == nil || job.state == jobFinished {
+		return
+	}
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if task.state == taskUnknown {
+			dispatcher.failJob(job, messenger.ReasonTaskUnknown,
+				"nobody can tell what became of task "+string(task.spec.Task)+" at "+string(task.server))
+			return
+		}
+	}
+}
+
+// forget drops a submission with all its deadlines.
+func (dispatcher *Dispatcher) forget(job *job) {
+	submission := job.spec.Submission
+	for _, kind := range []timerKind{timerJobDeadline, timerUnknownWait, timerForget} {
+		dispatcher.timers.Clear(timerKey{kind: kind, submission: submission})
+	}
+	dispatcher.jobs.Remove(submission)
+}
--- /dev/null
+++ b/pkg/dispatcher/output.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// Output is a message that the owner of the dispatcher sends on.
+type Output interface{ isDispatcherOutput() }
+
+// ToServer is the batch of one tick for one backend server.
+type ToServer struct {
+	Server   identifier.BackendServerID
+	Lead     *Lead
+	Starts   []Start
+	Cancels  []TaskKey
+	Received []TaskKey
+}
+
+// Lead tells a backend server who leads its cell.
+type Lead struct {
+	Cell  messenger.CellNumber
+	Epoch identifier.Epoch
+}
+
+// Start asks a backend server to run a task.
+type Start struct {
+	TaskKey
+	Job      identifier.JobID
+	Cell     messenger.CellNumber
+	Epoch    identifier.Epoch
+	Payload  []byte
+	Deadline identifier.Moment
+}
+
+// JobAnswered carries the one answer of a submission to a host that waits for it.
+type JobAnswered struct {
+	To     identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// AnswerWanted asks the host that keeps an old answer to send it to ReplyTo.
+type AnswerWanted struct {
+	Holder  identifier.HostID
+	Request messenger.AnswerRequest
+}
+
+// ClaimWanted asks the keepers for the claim of a not-repeatable job.
+type ClaimWanted struct {
+	Submission identifier.SubmissionID
+	Caller     identifier.CallerID
+	Job        identifier.JobID
+}
+
+// TakeoverWanted asks a host which submissions of the cell it knows.
+type TakeoverWanted struct {
+	To    identifier.HostID
+	Query messenger.TakeoverQuery
+}
+
+// EpochSeen tells that a backend server has accepted a higher epoch than this
+// host's: another host leads the cell.
+type EpochSeen struct {
+	Cell  messenger.CellNumber
+	Epoch identifier.Epoch
+}
+
+func (*ToServer) isDispatcherOutput()       {}
+func (*JobAnswered) isDispatcherOutput()    {}
+func (*AnswerWanted) isDispatcherOutput()   {}
+func (*ClaimWanted) isDispatcherOutput()    {}
+func (*TakeoverWanted) isDispatcherOutput() {}
+func (*EpochSeen) isDispatcherOutput()      {}
+
+// outbox gathers the outputs of one tick, with one batch for each backend server.
+type outbox struct {
+	outputs  []Output
+	byServer map[identifier.BackendServerID]*ToServer
+}
+
+func (outbox *outbox) add(output Output) { outbox.outputs = append(outbox.outputs, output) }
+
+// toServer returns the batch of this tick for a backend server.
+func (outbox *outbox) toServer(id identifier.BackendServerID) *ToServer {
+	if batch, found := outbox.byServer[id]; found {
+		return batch
+	}
+	if outbox.byServer == nil {
+		outbox.byServer = make(map[identifier.BackendServerID]*ToServer)
+	}
+	batch := &ToServer{Server: id}
+	outbox.byServer[id] = batch
+	outbox.add(batch)
+	return batch
+}
+
+func (outbox *outbox) drain() []Output {
+	outputs := outbox.outputs
+	outbox.outputs = nil
+	clear(outbox.byServer)
+	return outputs
+}
--- /dev/null
+++ b/pkg/dispatcher/takeover.go
@@ -0,0 +1,202 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// takeLead begins the takeover of a cell.
+//
+// An earlier lead may have died with starts on their way. If this host started
+// the tasks that it does not see, they could run twice. It would show as one task
+// of a submission at two backend servers. Therefore every backend server must
+// first accept the new epoch, which makes it refuse starts of earlier leads, and
+// report what it has.
+func (dispatcher *Dispatcher) takeLead(input *LeadTaken) {
+	cell := &cell{
+		number:         input.Cell,
+		epoch:          input.Epoch,
+		awaitedHosts:   make(map[identifier.HostID]bool),
+		awaitedServers: make(map[identifier.BackendServerID]bool),
+		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
+		orphans:        make(map[identifier.SubmissionID]*orphan),
+		free:           newFreeSlots(),
+	}
+	dispatcher.cells.Put(input.Cell, cell)
+	for _, host := range input.Hosts {
+		cell.awaitedHosts[host] = true
+		query := messenger.TakeoverQuery{Cell: input.Cell, Epoch: input.Epoch}
+		dispatcher.outputs.add(&TakeoverWanted{To: host, Query: query})
+	}
+	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if server.cell == cell.number && server.connected {
+			dispatcher.fence(cell, server)
+			cell.awaitedServers[server.id] = true
+		}
+		return true
+	})
+	timeout := dispatcher.now.Add(dispatcher.Settings.TakeoverTimeout)
+	dispatcher.timers.Set(timerKey{kind: timerTakeover, cell: cell.number}, timeout)
+	dispatcher.finishTakeoverIfComplete(cell)
+}
+
+// fence tells the server who leads its cell; the server answers with a report.
+func (dispatcher *Dispatcher) fence(cell *cell, server *server) {
+	server.fenced = false
+	cell.free.remove(server)
+	dispatcher.outputs.toServer(server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
+}
+
+// loseLead forgets a cell that another host leads now. The hosts that wait for
+// answers forward their jobs to the new lead, which learns from the backend
+// servers what has started.
+func (dispatcher *Dispatcher) loseLead(input *LeadLost) {
+	if dispatcher.cells.Get(input.Cell) == nil {
+		return
+	}
+	dispatcher.cells.Remove(input.Cell)
+	dispatcher.timers.Clear(timerKey{kind: timerTakeover, cell: input.Cell})
+	dispatcher.jobs.Each(func(_ identifier.SubmissionID, job *job) bool {
+		if job.cell == input.Cell {
+			dispatcher.forget(job)
+		}
+		return true
+	})
+	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if server.cell == input.Cell {
+			server.fenced = false
+			clear(server.running)
+		}
+		return true
+	})
+}
+
+func (dispatcher *Dispatcher) recordTakeoverReply(input *TakeoverReplied) {
+	cell := dispatcher.cells.Get(input.Reply.Cell)
+	if cell == nil || cell.epoch != input.Reply.Epoch {
+		return
+	}
+	for _, record := range input.Reply.Records {
+		dispatcher.mergeRecord(cell, input.From, record)
+	}
+	delete(cell.awaitedHosts, input.From)
+	dispatcher.finishTakeoverIfComplete(cell)
+}
+
+// mergeRecord keeps the record that knows most: one with the answer goes before
+// one without, the older before the younger.
+func (dispatcher *Dispatcher) mergeRecord(cell *cell, holder identifier.HostID, record messenger.CopyRecord) {
+	knownSince := dispatcher.now.Add(-record.Age)
+	known, found := cell.recovered[record.Submission]
+	if found && knownSince > known.knownSince {
+		knownSince = known.knownSince
+	}
+	if found && known.record.Answered {
+		known.knownSince = knownSince
+		cell.recovered[record.Submission] = known
+		return
+	}
+	cell.recovered[record.Submission] = recoveredRecord{holder: holder, record: record, knownSince: knownSince}
+}
+
+func (dispatcher *Dispatcher) recordReport(input *ServerReported) {
+	server := dispatcher.servers.Get(input.Server)
+	cell := dispatcher.cells.Get(input.Cell)
+	if server == nil || cell == nil {
+		return
+	}
+	if input.Epoch > cell.epoch {
+		dispatcher.outputs.add(&EpochSeen{Cell: input.Cell, Epoch: input.Epoch})
+		return
+	}
+	if input.Epoch < cell.epoch {
+		return
+	}
+	server.fenced = true
+	dispatcher.reconcile(cell, server, input.Tasks, input.Unacknowledged)
+	cell.free.update(server)
+	delete(cell.awaitedServers, server.id)
+	dispatcher.finishTakeoverIfComplete(cell)
+}
+
+// reconcile compares a complete report with the starts that this host has sent.
+// A task that is absent was never started and goes back to the queue.
+func (dispatcher *Dispatcher) reconcile(cell *cell, server *server, tasks []TaskKey, answers []ServerAnswer) {
+	present := make(map[TaskKey]bool, len(tasks)+len(answers))
+	for _, key := range tasks {
+		present[key] = true
+		dispatcher.adoptRunning(cell, server, key)
+	}
+	for _, answer := range answers {
+		present[answer.TaskKey] = true
+		dispatcher.recordAnswer(cell, server, answer)
+	}
+	for _, task := range dispatcher.tasksOn(server) {
+		if !present[task.key()] {
+			dispatcher.returnToQueue(cell, server, task)
+		}
+	}
+}
+
+// tasksOn lists the unresolved tasks of a server in a fixed order.
+func (dispatcher *Dispatcher) tasksOn(server *server) []*task {
+	tasks := make([]*task, 0, len(server.running))
+	for _, task := range server.running {
+		tasks = append(tasks, task)
+	}
+	sortTasks(tasks)
+	return tasks
+}
+
+// adoptRunning notes that the server runs a task, whether this host started it
+// or an earlier lead did.
+func (dispatcher *Dispatcher) adoptRunning(cell *cell, server *server, key TaskKey) {
+	job := dispatcher.jobs.Get(key.Submission)
+	if job == nil {
+		running := cell.orphanOf(key.Submission).running
+		running[key.Task] = server.id
+		return
+	}
+	task := job.byID[key.Task]
+	if task == nil || task.state == taskAnswered {
+		return
+	}
+	if task.state == taskQueued {
+		dispatcher.takeFromQueue(cell, job, task)
+	}
+	task.state = taskStarted
+	task.server = server.id
+	job.anyStarted = true
+	server.running[key] = task
+}
+
+func (cell *cell) orphanOf(submission identifier.SubmissionID) *orphan {
+	found, exists := cell.orphans[submission]
+	if !exists {
+		found = &orphan{
+			running: make(map[identifier.TaskID]identifier.BackendServerID),
+			answers: make(map[identifier.TaskID]orphanAnswer),
+		}
+		cell.orphans[submission] = found
+	}
+	return found
+}
+
+func (dispatcher *Dispatcher) finishTakeoverIfComplete(cell *cell) {
+	if cell.ready || len(cell.awaitedHosts) > 0 || len(cell.awaitedServers) > 0 {
+		return
+	}
+	dispatcher.finishTakeover(cell)
+}
+
+// finishTakeover lets the cell start tasks and settles the jobs that waited.
+func (dispatcher *Dispatcher) finishTakeover(cell *cell) {
+	cell.ready = true
+	dispatcher.timers.Clear(timerKey{kind: timerTakeover, cell: cell.number})
+	dispatcher.jobs.Each(func(_ identifier.SubmissionID, job *job) bool {
+		if job.cell == cell.number && job.state == jobRecovering {
+			dispatcher.settleRecovered(cell, job)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/pkg/forwarder/copies.go
@@ -0,0 +1,127 @@
+package forwarder
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// holdCopies remembers submissions for a lead and confirms them in one message.
+func (forwarder *Forwarder) holdCopies(input *CopiesWanted) {
+	held := make([]identifier.SubmissionID, 0, len(input.Records))
+	for _, record := range input.Records {
+		if forwarder.copies.Get(record.Submission) == nil {
+			heldAt := forwarder.now.Add(-record.Age)
+			forwarder.copies.Put(record.Submission, &heldCopy{record: record, heldAt: heldAt})
+		}
+		forwarder.expireCopyLater(record.Submission)
+		held = append(held, record.Submission)
+	}
+	forwarder.add(&ConfirmCopies{To: input.From, Submissions: held})
+}
+
+func (forwarder *Forwarder) expireCopyLater(submission identifier.SubmissionID) {
+	due := forwarder.now.Add(forwarder.Settings.AnswerRetention)
+	forwarder.timers.Set(timerKey{kind: timerForgetCopy, submission: submission}, due)
+}
+
+// recordCopiesHeld forwards the jobs whose second copy stands now.
+func (forwarder *Forwarder) recordCopiesHeld(input *CopiesHeld) {
+	for _, submission := range input.Submissions {
+		front := forwarder.fronts.Get(submission)
+		if front == nil || front.copyHeld || front.copyAt != input.From {
+			continue
+		}
+		front.copyHeld = true
+		forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+		if front.answer == nil {
+			forwarder.route(front)
+		}
+	}
+}
+
+// replaceLostCopyHolders asks another host for the copies that a lost host was
+// asked for and has not confirmed.
+func (forwarder *Forwarder) replaceLostCopyHolders() {
+	living := make(map[identifier.HostID]bool, len(forwarder.living))
+	for _, host := range forwarder.living {
+		living[host] = true
+	}
+	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
+		waiting := front.copyAt != "" && !front.copyHeld && front.answer == nil
+		if waiting && !living[front.copyAt] {
+			forwarder.route(front)
+		}
+		return true
+	})
+}
+
+// holdAnswer keeps the second copy of an answer.
+func (forwarder *Forwarder) holdAnswer(input *AnswerCopyArrived) {
+	submission := input.Answer.Submission
+	held := forwarder.copies.Get(submission)
+	if held == nil {
+		held = &heldCopy{record: messenger.CopyRecord{Submission: submission}, heldAt: forwarder.now}
+		forwarder.copies.Put(submission, held)
+	}
+	held.answer = input.Answer
+	forwarder.expireCopyLater(submission)
+	forwarder.add(&ConfirmAnswerCopy{To: input.From, Submission: submission})
+}
+
+// sendKeptAnswer sends an answer that this host keeps, or says that it is lost.
+func (forwarder *Forwarder) sendKeptAnswer(input *AnswerRequested) {
+	answer := forwarder.keptAnswer(input.Request.Submission)
+	if answer == nil {
+		answer = messenger.RefuseUnknown(input.Request.Submission, messenger.ReasonAnswerLost,
+			"the submission had ended, but its answer is no longer kept")
+	}
+	forwarder.add(&SendAnswer{To: input.Request.ReplyTo, Answer: answer})
+}
+
+func (forwarder *Forwarder) keptAnswer(submission identifier.SubmissionID) *messenger.JobAnswer {
+	if front := forwarder.fronts.Get(submission); front != nil && front.answer != nil {
+		return front.answer
+	}
+	if held := forwarder.copies.Get(submission); held != nil {
+		return held.answer
+	}
+	return nil
+}
+
+// replyToTakeover lists the submissions of a cell of the own failure domain that
+// this host knows as a caller's host or as the holder of a second copy.
+func (forwarder *Forwarder) replyToTakeover(input *TakeoverQueried) {
+	reply := messenger.TakeoverReply{Cell: input.Query.Cell, Epoch: input.Query.Epoch}
+	wanted := cellKey{failureDomain: forwarder.FailureDomain, cell: input.Query.Cell}
+	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
+		if front.forwardedBefore && forwarder.cellOf(front.job) == wanted {
+			reply.Records = append(reply.Records, forwarder.recordOf(front))
+		}
+		return true
+	})
+	forwarder.copies.Each(func(_ identifier.SubmissionID, held *heldCopy) bool {
+		if messenger.CellOf(held.record.Submission, forwarder.Settings.Cells) == wanted.cell {
+			reply.Records = append(reply.Records, forwarder.recordOfCopy(held))
+		}
+		return true
+	})
+	forwarder.add(&ReplyTakeover{To: input.From, Reply: reply})
+}
+
+func (forwarder *Forwarder) recordOf(front *front) messenger.CopyRecord {
+	return messenger.CopyRecord{
+		Submission: front.job.Submission,
+		Caller:     front.job.Caller,
+		Job:        front.job.Job,
+		Cell:       messenger.CellOf(front.job.Submission, forwarder.Settings.Cells),
+		Age:        forwarder.now.Sub(front.arrivedAt),
+		Answered:   front.answer != nil,
+	}
+}
+
+func (forwarder *Forwarder) recordOfCopy(held *heldCopy) messenger.CopyRecord {
+	record := held.record
+	record.Age = forwarder.now.Sub(held.heldAt)
+	record.Answered = held.answer != nil
+	return record
+}
--- /dev/null
+++ b/pkg/forwarder/entities.go
@@ -0,0 +1,59 @@
+package forwarder
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// front is a submission of a caller that is connected to this host.
+type front struct {
+	job      *messenger.Job
+	deadline identifier.Moment
+	waiters  []WaiterID
+	// arrivedAt is when the first sending arrived at this host.
+	arrivedAt identifier.Moment
+	// forwardedTo is the lead that has the job; empty before it is forwarded.
+	forwardedTo identifier.HostID
+	// forwardedBefore tells that some lead has had the job.
+	forwardedBefore bool
+	// copyAt is the second host that was asked to hold a copy; only used where
+	// this host leads the job's cell.
+	copyAt   identifier.HostID
+	copyHeld bool
+	answer   *messenger.JobAnswer
+}
+
+// heldCopy is the second copy of a submission that another host leads.
+type heldCopy struct {
+	record messenger.CopyRecord
+	heldAt identifier.Moment
+	answer *messenger.JobAnswer
+}
+
+// cellKey names a cell among all failure domains.
+type cellKey struct {
+	failureDomain identifier.FailureDomain
+	cell          messenger.CellNumber
+}
+
+// lead is who leads a cell, as far as this host knows.
+type lead struct {
+	host  identifier.HostID
+	epoch identifier.Epoch
+	// unreachable tells that no message reaches the lead now.
+	unreachable bool
+}
+
+type timerKind int
+
+const (
+	timerHomeWait timerKind = iota
+	timerCopyWait
+	timerForgetFront
+	timerForgetCopy
+)
+
+type timerKey struct {
+	kind       timerKind
+	submission identifier.SubmissionID
+}
--- /dev/null
+++ b/pkg/forwarder/forwarder.go
@@ -0,0 +1,146 @@
+// Package forwarder decides, on the host that a caller is connected to, which
+// lead gets the job, and keeps the caller's side of it until the one answer is
+// there. It also holds the second copy of submissions that other hosts lead.
+//
+// It is pure: time and messages come in through Tick, messages to send go out.
+//
+// Before the first task of a submission starts, two hosts know it: the lead of
+// its cell, and either the host that the caller is connected to or, where that
+// is the lead itself, another host of the failure domain. Without the second
+// host, a resend after the lead's death would look like a new submission and its
+// tasks would run twice.
+package forwarder
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/tabulator"
+)
+
+// Settings bounds how long the forwarder waits and remembers.
+type Settings struct {
+	// Cells is how many cells each failure domain's slots are divided into.
+	Cells int
+	// HomeWait is how long a job waits for a lead of its home to be known before
+	// it is refused as not known to have run.
+	HomeWait time.Duration
+	// CopyWait is how long the lead waits for a second host to hold its copy
+	// before it asks another.
+	CopyWait time.Duration
+	// AnswerRetention is how long an answer or a copy is kept.
+	AnswerRetention time.Duration
+}
+
+// DefaultSettings returns the settings that the daemon starts from.
+func DefaultSettings() Settings {
+	return Settings{
+		Cells:           1,
+		HomeWait:        3 * time.Second,
+		CopyWait:        200 * time.Millisecond,
+		AnswerRetention: 10 * time.Minute,
+	}
+}
+
+// Forwarder holds the caller's side of submissions. Set the exported fields
+// before the first Tick.
+type Forwarder struct {
+	Self          identifier.HostID
+	FailureDomain identifier.FailureDomain
+	Settings      Settings
+
+	now     identifier.Moment
+	fronts  *tabulator.Table[identifier.SubmissionID, front]
+	copies  *tabulator.Table[identifier.SubmissionID, heldCopy]
+	leads   *tabulator.Table[cellKey, lead]
+	timers  *tabulator.Timers[timerKey]
+	living  []identifier.HostID
+	outputs []Output
+}
+
+// Tick applies the inputs in order, lets deadlines fall due and returns the
+// messages to send.
+func (forwarder *Forwarder) Tick(now identifier.Moment, inputs []Input) []Output {
+	forwarder.prepare(now)
+	for _, input := range inputs {
+		forwarder.apply(input)
+	}
+	forwarder.expire()
+	outputs := forwarder.outputs
+	forwarder.outputs = nil
+	return outputs
+}
+
+// NextDeadline returns when Tick must run even without inputs.
+func (forwarder *Forwarder) NextDeadline() identifier.Moment {
+	if forwarder.timers == nil {
+		return identifier.Never
+	}
+	return forwarder.timers.Next()
+}
+
+// Unanswered returns how many submissions of this host's callers have no answer.
+func (forwarder *Forwarder) Unanswered() int {
+	if forwarder.fronts == nil {
+		return 0
+	}
+	count := 0
+	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
+		if front.answer == nil {
+			count++
+		}
+		return true
+	})
+	return count
+}
+
+func (forwarder *Forwarder) prepare(now identifier.Moment) {
+	forwarder.now = now
+	if forwarder.fronts != nil {
+		return
+	}
+	forwarder.fronts = tabulator.New[identifier.SubmissionID, front]()
+	forwarder.copies = tabulator.New[identifier.SubmissionID, heldCopy]()
+	forwarder.leads = tabulator.New[cellKey, lead]()
+	forwarder.timers = tabulator.NewTimers[timerKey]()
+}
+
+func (forwarder *Forwarder) apply(input Input) {
+	switch input := input.(type) {
+	case *CallerSubmitted:
+		forwarder.submit(input)
+	case *CallerAsked:
+		forwarder.ask(input)
+	case *CallerCancelled:
+		forwarder.cancel(input)
+	case *AnswerArrived:
+		forwarder.recordAnswer(input)
+	case *AnswerRequested:
+		forwarder.sendKeptAnswer(input)
+	case *LeadKnown:
+		forwarder.recordLead(input)
+	case *HostsChanged:
+		forwarder.living = input.Living
+		forwarder.replaceLostCopyHolders()
+	case *HostReachable:
+		forwarder.recordReachability(input)
+	case *CopiesWanted:
+		forwarder.holdCopies(input)
+	case *CopiesHeld:
+		forwarder.recordCopiesHeld(input)
+	case *AnswerCopyArrived:
+		forwarder.holdAnswer(input)
+	case *AnswerCopyHeld:
+		forwarder.recordAnswerCopyHeld(input)
+	case *TakeoverQueried:
+		forwarder.replyToTakeover(input)
+	}
+}
+
+func (forwarder *Forwarder) add(output Output) { forwarder.outputs = append(forwarder.outputs, output) }
+
+// cellOf names the cell that keeps the record of a job.
+func (forwarder *Forwarder) cellOf(job *messenger.Job) cellKey {
+	return cellKey{failureDomain: job.Home(), cell: messenger.CellOf(job.Submission, forwarder.Settings.Cells)}
+}
--- /dev/null
+++ b/pkg/forwarder/input.go
@@ -0,0 +1,107 @@
+package forwarder
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// WaiterID names one request of a caller that waits for an answer.
+type WaiterID uint64
+
+// Input is a message or event that Tick applies.
+type Input interface{ isForwarderInput() }
+
+// CallerSubmitted brings a job from a caller, checked and with its home first in
+// MayRun.
+type CallerSubmitted struct {
+	Waiter   WaiterID
+	Job      *messenger.Job
+	Deadline identifier.Moment
+}
+
+// CallerAsked asks for the answer of an earlier submission.
+type CallerAsked struct {
+	Waiter     WaiterID
+	Caller     identifier.CallerID
+	Submission identifier.SubmissionID
+}
+
+// CallerCancelled asks to cancel a submission. Its waiter gets the submission's
+// answer.
+type CallerCancelled struct {
+	Waiter     WaiterID
+	Caller     identifier.CallerID
+	Submission identifier.SubmissionID
+}
+
+// AnswerArrived brings the answer of a submission from its lead, or from the
+// host that kept it.
+type AnswerArrived struct {
+	From   identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// AnswerRequested asks for an answer that this host keeps.
+type AnswerRequested struct {
+	Request messenger.AnswerRequest
+}
+
+// LeadKnown tells who leads a cell.
+type LeadKnown struct {
+	Notice messenger.LeadNotice
+}
+
+// HostsChanged lists the living hosts of the own failure domain, this one
+// included, in the order in which they are asked to hold copies.
+type HostsChanged struct {
+	Living []identifier.HostID
+}
+
+// HostReachable tells whether another host of the system can be reached.
+type HostReachable struct {
+	Host      identifier.HostID
+	Reachable bool
+}
+
+// CopiesWanted asks this host to hold the second copy of submissions.
+type CopiesWanted struct {
+	From    identifier.HostID
+	Records []messenger.CopyRecord
+}
+
+// CopiesHeld tells that a host holds the second copy of submissions.
+type CopiesHeld struct {
+	From        identifier.HostID
+	Submissions []identifier.SubmissionID
+}
+
+// AnswerCopyArrived asks this host to hold the second copy of an answer.
+type AnswerCopyArrived struct {
+	From   identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// AnswerCopyHeld tells that a host holds the second copy of an answer.
+type AnswerCopyHeld struct {
+	Submission identifier.SubmissionID
+}
+
+// TakeoverQueried asks which submissions of a cell this host knows.
+type TakeoverQueried struct {
+	From  identifier.HostID
+	Query messenger.TakeoverQuery
+}
+
+func (*CallerSubmitted) isForwarderInput()   {}
+func (*CallerAsked) isForwarderInput()       {}
+func (*CallerCancelled) isForwarderInput()   {}
+func (*AnswerArrived) isForwarderInput()     {}
+func (*AnswerRequested) isForwarderInput()   {}
+func (*LeadKnown) isForwarderInput()         {}
+func (*HostsChanged) isForwarderInput()      {}
+func (*HostReachable) isForwarderInput()     {}
+func (*CopiesWanted) isForwarderInput()      {}
+func (*CopiesHeld) isForwarderInput()        {}
+func (*AnswerCopyArrived) isForwarderInput() {}
+func (*AnswerCopyHeld) isForwarderInput()    {}
+func (*TakeoverQueried) isForwarderInput()   {}
--- /dev/null
+++ b/pkg/forwarder/output.go
@@ -0,0 +1,88 @@
+package forwarder
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// Output is a message that the owner of the forwarder sends on.
+type Output interface{ isForwarderOutput() }
+
+// AnswerCaller carries the one answer to a caller's request.
+type AnswerCaller struct {
+	Waiter WaiterID
+	Answer *messenger.JobAnswer
+}
+
+// ForwardJob hands a job to the lead of its cell, which may be this host.
+type ForwardJob struct {
+	To       identifier.HostID
+	Forward  messenger.Forward
+	Deadline identifier.Moment
+}
+
+// HoldCopies asks another host to hold the second copy of submissions.
+type HoldCopies struct {
+	To      identifier.HostID
+	Records []messenger.CopyRecord
+}
+
+// ConfirmCopies tells a lead that this host holds the copies.
+type ConfirmCopies struct {
+	To          identifier.HostID
+	Submissions []identifier.SubmissionID
+}
+
+// ConfirmAnswer tells a lead that a second host holds the answer.
+type ConfirmAnswer struct {
+	To         identifier.HostID
+	Submission identifier.SubmissionID
+}
+
+// HoldAnswer asks another host to hold the second copy of an answer.
+type HoldAnswer struct {
+	To     identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// ConfirmAnswerCopy tells the sender of a HoldAnswer that the copy is held.
+type ConfirmAnswerCopy struct {
+	To         identifier.HostID
+	Submission identifier.SubmissionID
+}
+
+// SendAnswer sends a kept answer to a host that asked for it.
+type SendAnswer struct {
+	To     identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// ForwardCancel hands a cancellation to a lead, which may be this host.
+type ForwardCancel struct {
+	To     identifier.HostID
+	Cancel messenger.Cancel
+}
+
+// ForwardLookup asks a lead, which may be this host, for a submission.
+type ForwardLookup struct {
+	To     identifier.HostID
+	Lookup messenger.Lookup
+}
+
+// ReplyTakeover tells a new lead which submissions of its cell this host knows.
+type ReplyTakeover struct {
+	To    identifier.HostID
+	Reply messenger.TakeoverReply
+}
+
+func (*AnswerCaller) isForwarderOutput()      {}
+func (*ForwardJob) isForwarderOutput()        {}
+func (*HoldCopies) isForwarderOutput()        {}
+func (*ConfirmCopies) isForwarderOutput()     {}
+func (*ConfirmAnswer) isForwarderOutput()     {}
+func (*HoldAnswer) isForwarderOutput()        {}
+func (*ConfirmAnswerCopy) isForwarderOutput() {}
+func (*SendAnswer) isForwarderOutput()        {}
+func (*ForwardCancel) isForwarderOutput()     {}
+func (*ForwardLookup) isForwarderOutput()     {}
+func (*ReplyTakeover) isForwarderOutput()     {}
--- /dev/null
+++ b/pkg/messenger/peer.go
@@ -0,0 +1,93 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// CellNumber numbers the cells of a failure domain, from 0.
+type CellNumber uint32
+
+// CellOf returns the cell that keeps the record of a submission.
+func CellOf(submission identifier.SubmissionID, cells int) CellNumber {
+	return cellOfKey(string(submission), cells)
+}
+
+// CellOfServer returns the cell whose lead starts tasks on a backend server.
+func CellOfServer(server identifier.BackendServerID, cells int) CellNumber {
+	return cellOfKey(string(server), cells)
+}
+
+func cellOfKey(key string, cells int) CellNumber {
+	if cells <= 1 {
+		return 0
+	}
+	return CellNumber(xxhash.Sum64String(key) % uint64(cells))
+}
+
+// Forward hands a job to the lead that keeps its record.
+type Forward struct {
+	Job *Job `cbor:"1,keyasint"`
+	// Remaining is the time until the deadline; nil when there is none.
+	Remaining *time.Duration `cbor:"2,keyasint,omitempty"`
+	// Again tells that an earlier lead may have started tasks of the job.
+	Again bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the sender forwarded the job for the first time.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// CopyRecord is what a second host remembers of a submission, so that it stays
+// known when the lead dies.
+type CopyRecord struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Caller     identifier.CallerID     `cbor:"2,keyasint"`
+	Job        identifier.JobID        `cbor:"3,keyasint"`
+	Cell       CellNumber              `cbor:"4,keyasint,omitempty"`
+	// Age is how long ago the record was made.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// Answered tells that the sender keeps the submission's answer.
+	Answered bool `cbor:"6,keyasint,omitempty"`
+}
+
+// AnswerRequest asks the keeper of an answer to send it to ReplyTo.
+type AnswerRequest struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	ReplyTo    identifier.HostID       `cbor:"2,keyasint"`
+}
+
+// TakeoverQuery asks every host of the failure domain which submissions of the
+// cell it knows. A new lead sends it before it starts anything.
+type TakeoverQuery struct {
+	Cell  CellNumber       `cbor:"1,keyasint"`
+	Epoch identifier.Epoch `cbor:"2,keyasint"`
+}
+
+// TakeoverReply answers a TakeoverQuery.
+type TakeoverReply struct {
+	Cell    CellNumber       `cbor:"1,keyasint"`
+	Epoch   identifier.Epoch `cbor:"2,keyasint"`
+	Records []CopyRecord     `cbor:"3,keyasint,omitempty"`
+}
+
+// LeadNotice tells who leads a cell.
+type LeadNotice struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint"`
+	Cell          CellNumber               `cbor:"2,keyasint"`
+	Host          identifier.HostID        `cbor:"3,keyasint"`
+	Epoch         identifier.Epoch         `cbor:"4,keyasint"`
+}
+
+// Lookup asks a lead for the state of a submission.
+type Lookup struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Caller     identifier.CallerID     `cbor:"2,keyasint"`
+}
+
+// Cancel asks a lead to cancel a submission on behalf of its caller.
+type Cancel struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Caller     identifier.CallerID     `cbor:"2,keyasint"`
+}
