Settle the shape of the settings

Cause: the daemon and the tool need one settings type before the reader stands. Conclusion: others can build against the type.

--- /dev/null
+++ b/pkg/loader/settings.go
@@ -0,0 +1,98 @@
+// Package loader reads the settings of one host of the system: a JSON file with
+// kebab case names. It checks the file strictly and reports every problem at
+// once, each with its line, its path and what would be right. The daemon and
+// `stoathitch settings check` use this same code.
+package loader
+
+import (
+	"net/netip"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// Settings is everything that one host learns at its start. Load and Parse fill
+// what the file leaves out from Defaults.
+type Settings struct {
+	// Host is this host's id, which no other host of the deployment has.
+	Host identifier.HostID `json:"host"`
+
+	// FailureDomain is where this host stands. It must be known: either another
+	// host of `hosts` stands in it, or it is this host's own.
+	FailureDomain identifier.FailureDomain `json:"failure-domain"`
+
+	// Region is the region of the failure domain.
+	Region Region `json:"region"`
+
+	// Roles lists what this host does: `entry` serves callers and backend servers,
+	// `keeper` holds the replicated log on its disk.
+	Roles []Role `json:"roles"`
+
+	// CallersAddress is the IP number and port where callers reach this host by
+	// HTTP, with its health paths and metrics.
+	CallersAddress netip.AddrPort `json:"callers-address"`
+
+	// BackendServersAddress is the IP number and port where backend servers open
+	// their gRPC stream.
+	BackendServersAddress netip.AddrPort `json:"backend-servers-address"`
+
+	// PeersAddress is the IP number and port where the other hosts reach this one
+	// by gRPC.
+	PeersAddress netip.AddrPort `json:"peers-address"`
+
+	// DataFolder is the folder of a keeper's files. A keeper needs it; it is made at
+	// the start if it is missing. A relative path starts from the working folder.
+	DataFolder string `json:"data-folder"`
+
+	// Hosts lists all hosts of the deployment. This host may be left out: it is then
+	// added from the keys above. If it is listed, the entry must say the same.
+	Hosts []Host `json:"hosts"`
+
+	// Log says what is logged.
+	Log Log `json:"log"`
+
+	// Limits bounds what callers may send and what this host holds in memory.
+	Limits Limits `json:"limits"`
+
+	// Timeouts holds the intervals after which something is given up or forgotten.
+	Timeouts Timeouts `json:"timeouts"`
+
+	// Dispatch says how tasks are spread over backend servers.
+	Dispatch Dispatch `json:"dispatch"`
+
+	// Teams lists the teams with their quotas. A team that is not listed gets the
+	// quota of a listed team without any limit, with weight 1.
+	Teams []Team `json:"teams"`
+
+	// Classes lists the urgency classes. A class that is not listed gets weight 1
+	// and is not urgent.
+	Classes []Class `json:"classes"`
+
+	// TLS names the files for mutual TLS between the hosts and to backend servers.
+	TLS TLS `json:"tls"`
+
+	// AllowInsecure lets this host speak without TLS. Without it, `tls` is needed
+	// unless all addresses are loopback ones.
+	AllowInsecure bool `json:"allow-insecure"`
+}
+
+// Region names a group of failure domains that lie near each other.
+type Region string
+
+// Self returns this host as an entry of the deployment's hosts.
+func (settings *Settings) Self() Host {
+	return Host{
+		Host:                  settings.Host,
+		FailureDomain:         settings.FailureDomain,
+		Region:                settings.Region,
+		Roles:                 settings.Roles,
+		CallersAddress:        settings.CallersAddress,
+		BackendServersAddress: settings.BackendServersAddress,
+		PeersAddress:          settings.PeersAddress,
+	}
+}
+
+// HasRole tells whether this host has the role.
+func (settings *Settings) HasRole(role Role) bool {
+	self := settings.Self()
+	return self.HasRole(role)
+}
--- /dev/null
+++ b/pkg/loader/timeouts.go
@@ -0,0 +1,29 @@
+package loader
+
+// Timeouts holds the intervals after which something is given up or forgotten.
+type Timeouts struct {
+	// UnknownTaskWait is how long a job waits for a task whose backend server was
+	// lost, in case the server comes back with the answer.
+	UnknownTaskWait Duration `json:"unknown-task-wait"`
+
+	// AnswerRetention is how long a finished answer is found again by its
+	// submission id.
+	AnswerRetention Duration `json:"answer-retention"`
+
+	// ClaimRetention is how long the claim of a not-repeatable job is kept. A
+	// resubmission that comes later than this is not recognized.
+	ClaimRetention Duration `json:"claim-retention"`
+
+	// HeartbeatInterval is the time between two heartbeats on a stream.
+	HeartbeatInterval Duration `json:"heartbeat-interval"`
+
+	// HeartbeatMissed is the number of heartbeats missed in a row after which the
+	// other side counts as lost.
+	HeartbeatMissed int `json:"heartbeat-missed"`
+
+	// ShutdownDeadline is how long a graceful shutdown waits for accepted jobs.
+	ShutdownDeadline Duration `json:"shutdown-deadline"`
+
+	// HeaderTimeout is how long a caller may take to send the header of a request.
+	HeaderTimeout Duration `json:"header-timeout"`
+}
