--- a/pkg/loader/host.go
+++ b/pkg/loader/host.go
@@ -16,7 +16,7 @@
 	FailureDomain identifier.FailureDomain `json:"failure-domain"`
 
 	// Region is the region of the failure domain.
-	Region Region `json:"region"`
+	Region Region `json:"region,omitzero"`
 
 	// Roles lists what the host does.
 	Roles []Role `json:"roles"`
@@ -25,7 +25,7 @@
 	CallersAddress netip.AddrPort `json:"callers-address"`
 
 	// BackendServersAddress is where backend servers reach it.
-	BackendServersAddress netip.AddrPort `json:"backend-servers-address"`
+	BackendServersAddress netip.AddrPort `json:"backend-servers-address,omitzero"`
 
 	// PeersAddress is where the other hosts reach it.
 	PeersAddress netip.AddrPort `json:"peers-address"`
--- a/pkg/loader/log.go
+++ b/pkg/loader/log.go
@@ -13,7 +13,7 @@
 
 const (
 	// LogLevelDebug logs everything.
-	LogLevelDebug LogLevel = iota
+	LogLevelDebug LogLevel = iota + 1
 	// LogLevelInfo logs each event of normal work.
 	LogLevelInfo
 	// LogLevelWarn logs only what may need an operator.
--- a/pkg/loader/loglevel_enumer.go
+++ b/pkg/loader/loglevel_enumer.go
@@ -14,8 +14,9 @@
 const _LogLevelLowerName = "debuginfowarnerror"
 
 func (i LogLevel) String() string {
+	i -= 1
 	if i < 0 || i >= LogLevel(len(_LogLevelIndex)-1) {
-		return fmt.Sprintf("LogLevel(%d)", i)
+		return fmt.Sprintf("LogLevel(%d)", i+1)
 	}
 	return _LogLevelName[_LogLevelIndex[i]:_LogLevelIndex[i+1]]
 }
@@ -24,10 +25,10 @@
 // Re-run the stringer command to generate them again.
 func _LogLevelNoOp() {
 	var x [1]struct{}
-	_ = x[LogLevelDebug-(0)]
-	_ = x[LogLevelInfo-(1)]
-	_ = x[LogLevelWarn-(2)]
-	_ = x[LogLevelError-(3)]
+	_ = x[LogLevelDebug-(1)]
+	_ = x[LogLevelInfo-(2)]
+	_ = x[LogLevelWarn-(3)]
+	_ = x[LogLevelError-(4)]
 }
 
 var _LogLevelValues = []LogLevel{LogLevelDebug, LogLevelInfo, LogLevelWarn, LogLevelError}
--- a/pkg/loader/role.go
+++ b/pkg/loader/role.go
@@ -7,7 +7,7 @@
 
 const (
 	// RoleEntry serves callers and backend servers.
-	RoleEntry Role = iota
+	RoleEntry Role = iota + 1
 	// RoleKeeper holds the replicated log on its disk.
 	RoleKeeper
 )
--- a/pkg/loader/role_enumer.go
+++ b/pkg/loader/role_enumer.go
@@ -14,8 +14,9 @@
 const _RoleLowerName = "entrykeeper"
 
 func (i Role) String() string {
+	i -= 1
 	if i < 0 || i >= Role(len(_RoleIndex)-1) {
-		return fmt.Sprintf("Role(%d)", i)
+		return fmt.Sprintf("Role(%d)", i+1)
 	}
 	return _RoleName[_RoleIndex[i]:_RoleIndex[i+1]]
 }
@@ -24,8 +25,8 @@
 // Re-run the stringer command to generate them again.
 func _RoleNoOp() {
 	var x [1]struct{}
-	_ = x[RoleEntry-(0)]
-	_ = x[RoleKeeper-(1)]
+	_ = x[RoleEntry-(1)]
+	_ = x[RoleKeeper-(2)]
 }
 
 var _RoleValues = []Role{RoleEntry, RoleKeeper}
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -16,12 +16,11 @@
 	// Host is this host's id, which no other host of the deployment has.
 	Host identifier.HostID `json:"host"`
 
-	// FailureDomain is where this host stands. It must be known: either another
-	// host of `hosts` stands in it, or it is this host's own.
+	// FailureDomain is where this host stands.
 	FailureDomain identifier.FailureDomain `json:"failure-domain"`
 
 	// Region is the region of the failure domain.
-	Region Region `json:"region"`
+	Region Region `json:"region,omitzero"`
 
 	// Roles lists what this host does: `entry` serves callers and backend servers,
 	// `keeper` holds the replicated log on its disk.
@@ -32,47 +31,53 @@
 	CallersAddress netip.AddrPort `json:"callers-address"`
 
 	// BackendServersAddress is the IP number and port where backend servers open
-	// their gRPC stream.
-	BackendServersAddress netip.AddrPort `json:"backend-servers-address"`
+	// their gRPC stream. Only an entry host needs it.
+	BackendServersAddress netip.AddrPort `json:"backend-servers-address,omitzero"`
 
 	// PeersAddress is the IP number and port where the other hosts reach this one
 	// by gRPC.
 	PeersAddress netip.AddrPort `json:"peers-address"`
 
 	// DataFolder is the folder of a keeper's files. A keeper needs it; it is made at
-	// the start if it is missing. A relative path starts from the working folder.
-	DataFolder string `json:"data-folder"`
+	// the start if it is missing. A relative path starts from the folder of the
+	// settings file.
+	DataFolder string `json:"data-folder,omitzero"`
+
+	// FailureDomains lists the failure domains of the deployment. Each host must
+	// stand in one of them, so that a misspelt name doesn't found a failure domain.
+	// Without the list, those of `hosts` are taken.
+	FailureDomains []identifier.FailureDomain `json:"failure-domains,omitzero"`
 
 	// Hosts lists all hosts of the deployment. This host may be left out: it is then
 	// added from the keys above. If it is listed, the entry must say the same.
 	Hosts []Host `json:"hosts"`
 
 	// Log says what is logged.
-	Log Log `json:"log"`
+	Log Log `json:"log,omitzero"`
 
 	// Limits bounds what callers may send and what this host holds in memory.
-	Limits Limits `json:"limits"`
+	Limits Limits `json:"limits,omitzero"`
 
 	// Timeouts holds the intervals after which something is given up or forgotten.
-	Timeouts Timeouts `json:"timeouts"`
+	Timeouts Timeouts `json:"timeouts,omitzero"`
 
 	// Dispatch says how tasks are spread over backend servers.
-	Dispatch Dispatch `json:"dispatch"`
+	Dispatch Dispatch `json:"dispatch,omitzero"`
 
 	// Teams lists the teams with their quotas. A team that is not listed gets the
 	// quota of a listed team without any limit, with weight 1.
-	Teams []Team `json:"teams"`
+	Teams []Team `json:"teams,omitzero"`
 
 	// Classes lists the urgency classes. A class that is not listed gets weight 1
 	// and is not urgent.
-	Classes []Class `json:"classes"`
+	Classes []Class `json:"classes,omitzero"`
 
 	// TLS names the files for mutual TLS between the hosts and to backend servers.
-	TLS TLS `json:"tls"`
+	TLS TLS `json:"tls,omitzero"`
 
 	// AllowInsecure lets this host speak without TLS. Without it, `tls` is needed
 	// unless all addresses are loopback ones.
-	AllowInsecure bool `json:"allow-insecure"`
+	AllowInsecure bool `json:"allow-insecure,omitzero"`
 }
 
 // Region names a group of failure domains that lie near each other.
