Count lines in the settings reader only for problems

Cause: each key's line was counted, which is quadratic in the length of a file. Change: the first offset of a key is kept instead. Conclusion: no change of what is reported; not measured.

--- a/pkg/loader/decoder.go
+++ b/pkg/loader/decoder.go
@@ -163,21 +163,20 @@
 		return
 	}
 	fields := fieldsByKey(target.Type())
-	firstLines := make(map[string]int)
+	firstOffsets := make(map[string]int64)
 	for _, member := range value.members {
-		line := decoder.reporter.lineAt(member.offset)
 		memberPath := joinPath(path, member.key)
 		index, known := fields[member.key]
 		if !known {
+			line := decoder.reporter.lineAt(member.offset)
 			decoder.unknownKey(line, memberPath, member.key, target.Type())
 			continue
 		}
-		if firstLine, again := firstLines[member.key]; again {
-			message := fmt.Sprintf("the key stands twice, first in line %d; keep one", firstLine)
-			decoder.reporter.addAt(line, memberPath, message)
+		if first, again := firstOffsets[member.key]; again {
+			decoder.doubleKey(first, member.offset, memberPath)
 			continue
 		}
-		firstLines[member.key] = line
+		firstOffsets[member.key] = member.offset
 		decoder.reporter.place(memberPath, member.offset)
 		decoder.decode(memberPath, member.value, target.Field(index))
 	}
@@ -192,6 +191,12 @@
 	decoder.reporter.addAt(line, path, "unknown key"+hint)
 }
 
+func (decoder *decoder) doubleKey(first, second int64, path string) {
+	reporter := decoder.reporter
+	message := fmt.Sprintf("the key stands twice, first in line %d; keep one", reporter.lineAt(first))
+	reporter.addAt(reporter.lineAt(second), path, message)
+}
+
 func joinPath(path, key string) string {
 	if path == "" {
 		return key
