Serve a job end to end in real processes

Cause: nothing ran yet; everything else grows on this path. Conclusion: the path stands; the parts can be built side by side.

--- a/cmd/stoathitch/main.go
+++ b/cmd/stoathitch/main.go
@@ -1,4 +1,10 @@
 // Command stoathitch is the command-line tool for callers and operators.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/stoathitch/stoathitch/pkg/commander"
+)
+
+func main() { os.Exit(commander.RunTool(os.Args[1:])) }
--- a/cmd/stoathitchd/main.go
+++ b/cmd/stoathitchd/main.go
@@ -1,4 +1,11 @@
-// Command stoathitchd is the daemon.
+// Command stoathitchd is the daemon: one process of the system, with the roles
+// that its settings name.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/stoathitch/stoathitch/pkg/commander"
+)
+
+func main() { os.Exit(commander.RunDaemon(os.Args[1:])) }
--- /dev/null
+++ b/pkg/assembler/daemon.go
@@ -0,0 +1,200 @@
+// Package assembler puts one daemon together from its settings: listeners,
+// connections, the coordinator and its runner. Nothing is decided here.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"google.golang.org/grpc"
+
+	"github.com/stoathitch/stoathitch/pkg/connector"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
+	"github.com/stoathitch/stoathitch/pkg/provider"
+	"github.com/stoathitch/stoathitch/pkg/receiver"
+	"github.com/stoathitch/stoathitch/pkg/runner"
+)
+
+// balancerGrace is how long the readiness path says "not ready" before new work
+// is refused, so that the platform's balancer can turn away first.
+const balancerGrace = time.Second
+
+// Daemon is one process of the system. Set the exported fields before Run.
+type Daemon struct {
+	*provider.Common
+
+	clock    *runner.Clock
+	runner   *runner.Runner[coordinator.Input, coordinator.Output]
+	peers    *connector.Peers
+	servers  *connector.Servers
+	receiver *receiver.Receiver
+	drained  chan struct{}
+}
+
+// Run serves until ctx is done, then shuts down gracefully: it turns unready,
+// refuses new work, and answers what it has accepted. A done hurry ends it at
+// once.
+func (daemon *Daemon) Run(ctx, hurry context.Context) error {
+	daemon.assemble()
+	listeners, err := daemon.listen()
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers := daemon.serve(listeners)
+	go daemon.runner.Run(running)
+	go daemon.peers.Run(running)
+	daemon.receiver.SetReady(true)
+	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
+		"backend-servers", listeners.backendServers.Addr(), "peers", listeners.peers.Addr())
+	<-ctx.Done()
+	daemon.drain(running, hurry)
+	servers.stop()
+	return nil
+}
+
+func (daemon *Daemon) assemble() {
+	daemon.clock = runner.NewClock()
+	daemon.drained = make(chan struct{})
+	daemon.runner = &runner.Runner[coordinator.Input, coordinator.Output]{
+		Decider: &coordinator.Coordinator{
+			Self:     coordinator.Host{ID: daemon.Settings.Host, FailureDomain: daemon.Settings.FailureDomain},
+			Settings: coordinatorSettings(daemon.Settings),
+		},
+		Deliver: daemon.deliver,
+		Clock:   daemon.clock,
+	}
+	daemon.runner.Prepare()
+	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: rand.Uint64() | 1}
+	daemon.peers.Prepare()
+	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
+	daemon.servers.Prepare()
+	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
+	daemon.receiver.Prepare()
+}
+
+// deliver carries the outputs of one tick out.
+func (daemon *Daemon) deliver(outputs []coordinator.Output) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case *coordinator.ToPeer:
+			daemon.peers.Send(output.Host, &output.Batch)
+		case *coordinator.ToServer:
+			daemon.servers.Send(output.Batch)
+		case *coordinator.ToCaller:
+			daemon.receiver.Answer(output.Answer)
+		case *coordinator.LeadChanged:
+			daemon.Log.Info("lead taken", "cell", output.Notice.Cell, "epoch", output.Notice.Epoch)
+		case *coordinator.Drained:
+			daemon.markDrained()
+		}
+	}
+}
+
+func (daemon *Daemon) markDrained() {
+	select {
+	case <-daemon.drained:
+	default:
+		close(daemon.drained)
+	}
+}
+
+// drain answers what has been accepted, within the settings' deadline.
+func (daemon *Daemon) drain(ctx, hurry context.Context) {
+	daemon.receiver.SetReady(false)
+	daemon.Log.Info("shutting down", "waiting", daemon.receiver.Waiting())
+	deadline, cancel := context.WithTimeout(hurry, daemon.Settings.Timeouts.ShutdownDeadline.Std())
+	defer cancel()
+	sleep(deadline, balancerGrace)
+	daemon.receiver.RefuseNew()
+	daemon.runner.Post(ctx, &coordinator.ShutdownRequested{})
+	select {
+	case <-daemon.drained:
+		daemon.Log.Info("shut down, every accepted job is answered")
+	case <-deadline.Done():
+		daemon.Log.Error("shut down early, requests lost", "waiting", daemon.receiver.Waiting())
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// servers are the serving sides of the listeners.
+type servers struct {
+	http           *http.Server
+	backendServers *grpc.Server
+	peers          *grpc.Server
+}
+
+func (daemon *Daemon) serve(listeners *listeners) *servers {
+	router := mux.NewRouter()
+	daemon.receiver.Register(router)
+	created := &servers{
+		http:           &http.Server{Handler: router, ReadHeaderTimeout: daemon.Settings.Timeouts.HeaderTimeout.Std()},
+		backendServers: grpc.NewServer(),
+		peers:          grpc.NewServer(),
+	}
+	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
+	peerv1.RegisterPeerServer(created.peers, daemon.peers)
+	go daemon.serveHTTP(created.http, listeners.callers)
+	go daemon.serveGRPC(created.backendServers, listeners.backendServers)
+	go daemon.serveGRPC(created.peers, listeners.peers)
+	return created
+}
+
+func (daemon *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		daemon.Log.Error("callers not served", "err", err)
+	}
+}
+
+func (daemon *Daemon) serveGRPC(server *grpc.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil {
+		daemon.Log.Error("not served", "address", listener.Addr(), "err", err)
+	}
+}
+
+// stop lets requests that have their answer finish writing it.
+func (servers *servers) stop() {
+	deadline, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = servers.http.Shutdown(deadline)
+	servers.backendServers.Stop()
+	servers.peers.Stop()
+}
+
+func coordinatorSettings(settings settingsSource) coordinator.Settings {
+	result := coordinator.DefaultSettings()
+	fillDispatcher(settings, &result.Dispatcher)
+	fillForwarder(settings, &result.Forwarder)
+	return result
+}
+
+func fillDispatcher(settings settingsSource, target *dispatcher.Settings) {
+	target.Cells = settings.Dispatch.Cells
+	target.QueuedTasks = settings.Limits.QueuedTasks
+	target.UnknownTaskWait = settings.Timeouts.UnknownTaskWait.Std()
+	target.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
+	target.HeartbeatTimeout = settings.Timeouts.HeartbeatInterval.Std() * time.Duration(settings.Timeouts.HeartbeatMissed)
+}
+
+func fillForwarder(settings settingsSource, target *forwarder.Settings) {
+	target.Cells = settings.Dispatch.Cells
+	target.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
+}
--- /dev/null
+++ b/pkg/commander/commander.go
@@ -0,0 +1,113 @@
+// Package commander reads the command lines of both programs and runs what they
+// ask for.
+//
+// Exit codes: 0 when all went well, 1 when something was found wanting (a missing
+// answer, bad settings, a broken promise), 2 when the command line or an input
+// file is malformed.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of both programs.
+const (
+	ExitSuccess   = 0
+	ExitFailure   = 1
+	ExitMalformed = 2
+)
+
+// exitError ends a command with an exit code. Its message, if any, has not been
+// printed yet.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error returns the message.
+func (failure *exitError) Error() string { return failure.message }
+
+func failed(format string, arguments ...any) error {
+	return &exitError{code: ExitFailure, message: fmt.Sprintf(format, arguments...)}
+}
+
+func malformed(format string, arguments ...any) error {
+	return &exitError{code: ExitMalformed, message: fmt.Sprintf(format, arguments...)}
+}
+
+// terminal is what a command talks to.
+type terminal struct {
+	context context.Context
+	output  io.Writer
+	errors  io.Writer
+}
+
+// commonOptions are the options that every command has.
+type commonOptions struct {
+	JSON bool `long:"json" description:"print JSON in place of a table"`
+
+	terminal *terminal
+}
+
+// RunTool runs the command-line tool and returns its exit code.
+func RunTool(arguments []string) int {
+	ctx, stop := interruptible()
+	defer stop()
+	terminal := &terminal{context: ctx, output: os.Stdout, errors: os.Stderr}
+	parser := newToolParser(terminal)
+	_, err := parser.ParseArgs(arguments)
+	return terminal.exitCode(err)
+}
+
+func newToolParser(terminal *terminal) *flags.Parser {
+	parser := flags.NewNamedParser("stoathitch", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Drives stoathitch, a dispatcher for sub-second tasks. Exit codes: 0 all well, 1 something was found wanting, 2 malformed input."
+	common := commonOptions{terminal: terminal}
+	addCommand(parser.Command, "try", "Try the whole system in one process",
+		"Starts entry hosts of three failure domains and stand-in backend servers on loopback, runs jobs through them and checks every answer.",
+		&tryCommand{commonOptions: common})
+	addCommand(parser.Command, "stand-in", "Run stand-in backend servers",
+		"Runs backend servers that follow the published protocol, sleep for the payload's run-time and answer with an echo.",
+		&standInCommand{commonOptions: common})
+	return parser
+}
+
+// addCommand registers a command. A mistake in its definition is one of the
+// program, so it panics.
+func addCommand(parent *flags.Command, name, short, long string, data any) *flags.Command {
+	command, err := parent.AddCommand(name, short, long, data)
+	if err != nil {
+		panic(err)
+	}
+	return command
+}
+
+// exitCode prints what is left to say of an error and returns the exit code.
+func (terminal *terminal) exitCode(err error) int {
+	if err == nil {
+		return ExitSuccess
+	}
+	var help *flags.Error
+	if errors.As(err, &help) {
+		if help.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(terminal.output, help.Message)
+			return ExitSuccess
+		}
+		_, _ = fmt.Fprintln(terminal.errors, help.Message)
+		return ExitMalformed
+	}
+	if err.Error() != "" {
+		_, _ = fmt.Fprintln(terminal.errors, "stoathitch: "+err.Error())
+	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailure
+}
--- /dev/null
+++ b/pkg/commander/standin.go
@@ -0,0 +1,89 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/stoathitch/stoathitch/pkg/executor"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+)
+
+// serversPerRack is how many stand-ins share a rack.
+const serversPerRack = 8
+
+// standInCommand runs stand-in backend servers of one failure domain.
+type standInCommand struct {
+	commonOptions
+	SettingsDir   string `long:"settings-dir" value-name:"DIR" required:"yes" description:"the folder with the settings of all hosts"`
+	FailureDomain string `long:"failure-domain" required:"yes" description:"where the backend servers stand"`
+	Count         int    `long:"count" default:"4" description:"how many backend servers to run"`
+	Slots         int    `long:"slots" default:"8" description:"how many tasks each runs at once"`
+	Record        string `long:"record" value-name:"FILE" description:"write one JSON line for each start to this file"`
+}
+
+// Execute runs the stand-ins until the process is interrupted.
+func (command *standInCommand) Execute(_ []string) error {
+	addresses, err := entryHostAddresses(command.SettingsDir, command.FailureDomain)
+	if err != nil {
+		return err
+	}
+	recorder, err := command.openRecorder()
+	if err != nil {
+		return err
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	var group sync.WaitGroup
+	for number := range command.Count {
+		standIn := &executor.Executor{
+			Name:          fmt.Sprintf("%s-%d", command.FailureDomain, number),
+			FailureDomain: command.FailureDomain,
+			Rack:          fmt.Sprintf("%s-rack-%d", command.FailureDomain, number/serversPerRack),
+			Slots:         command.Slots,
+			EntryHosts:    addresses,
+			Recorder:      recorder,
+			Log:           logger,
+		}
+		group.Go(func() { standIn.Run(command.terminal.context) })
+	}
+	logger.Info("stand-ins started", "count", command.Count, "failure-domain", command.FailureDomain)
+	group.Wait()
+	return nil
+}
+
+func (command *standInCommand) openRecorder() (*executor.Recorder, error) {
+	if command.Record == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(command.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, failed("the record can't be opened: %v", err)
+	}
+	return &executor.Recorder{Writer: file}, nil
+}
+
+// entryHostAddresses lists where backend servers of a failure domain attach,
+// from the settings of any of the hosts.
+func entryHostAddresses(folder, failureDomain string) ([]string, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
+	if err != nil || len(files) == 0 {
+		return nil, malformed("%s holds no settings files", folder)
+	}
+	settings, err := loader.Load(files[0])
+	if err != nil {
+		return nil, malformed("%v", err)
+	}
+	var addresses []string
+	for _, host := range settings.Hosts {
+		if string(host.FailureDomain) == failureDomain && host.BackendServersAddress.IsValid() {
+			addresses = append(addresses, host.BackendServersAddress.String())
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, malformed("the settings know no entry host in failure domain %q", failureDomain)
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/pkg/connector/errors.go
@@ -0,0 +1,44 @@
+// Package connector carries messages between processes over gRPC: batches
+// between hosts, and the published protocol with backend servers. It decides
+// nothing; what arrives goes to the coordinator.
+package connector
+
+import (
+	"github.com/rotisserie/eris"
+)
+
+//go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
+
+// ErrorKind tells what kind of thing went wrong.
+type ErrorKind int
+
+// The kinds of errors of this package.
+const (
+	// ErrorProtocol means that the other side broke the protocol.
+	ErrorProtocol ErrorKind = iota
+	// ErrorStream means that a stream ended or could not be opened.
+	ErrorStream
+	// ErrorCodec means that a message could not be encoded or decoded.
+	ErrorCodec
+	// ErrorListen means that an address could not be bound.
+	ErrorListen
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      ErrorKind
+	Err       error
+}
+
+// Error describes the operation, the kind and the cause.
+func (failure *Error) Error() string {
+	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (failure *Error) Unwrap() error { return failure.Err }
+
+func newError(operation string, kind ErrorKind, cause error) error {
+	return &Error{Operation: operation, Kind: kind, Err: eris.Wrap(cause, operation)}
+}
--- /dev/null
+++ b/pkg/connector/translation.go
@@ -0,0 +1,122 @@
+package connector
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+)
+
+func announced(announce *backendv1.Announce) *dispatcher.ServerAnnounced {
+	return &dispatcher.ServerAnnounced{
+		Server:         identifier.BackendServerID(announce.GetBackendServer()),
+		Incarnation:    announce.GetIncarnation(),
+		Rack:           identifier.RackID(announce.GetRack()),
+		Slots:          identifier.Slots(announce.GetSlots()),
+		Leaving:        announce.GetLeaving(),
+		Tasks:          taskKeys(announce.GetTasks()),
+		Unacknowledged: serverAnswers(announce.GetUnacknowledged()),
+	}
+}
+
+func taskKeys(states []*backendv1.TaskState) []dispatcher.TaskKey {
+	keys := make([]dispatcher.TaskKey, 0, len(states))
+	for _, state := range states {
+		keys = append(keys, taskKey(state.GetSubmission(), state.GetTask()))
+	}
+	return keys
+}
+
+func taskKey(submission, task string) dispatcher.TaskKey {
+	return dispatcher.TaskKey{Submission: identifier.SubmissionID(submission), Task: identifier.TaskID(task)}
+}
+
+func serverAnswers(answers []*backendv1.Answer) []dispatcher.ServerAnswer {
+	translated := make([]dispatcher.ServerAnswer, 0, len(answers))
+	for _, answer := range answers {
+		translated = append(translated, dispatcher.ServerAnswer{
+			TaskKey:   taskKey(answer.GetSubmission(), answer.GetTask()),
+			Failed:    answer.GetFailed(),
+			Cancelled: answer.GetCancelled(),
+			Result:    answer.GetResult(),
+			Reason:    answer.GetReason(),
+			RunTime:   time.Duration(answer.GetRunNanos()),
+		})
+	}
+	return translated
+}
+
+// serverEvents translates one batch into inputs, in the order that the protocol
+// gives to its parts.
+func serverEvents(id identifier.BackendServerID, message *backendv1.ServerMessage) []dispatcher.Input {
+	var events []dispatcher.Input
+	if report := message.GetReport(); report != nil {
+		events = append(events, &dispatcher.ServerReported{
+			Server:         id,
+			Cell:           messenger.CellNumber(report.GetCell()),
+			Epoch:          identifier.Epoch(report.GetEpoch()),
+			Tasks:          taskKeys(report.GetTasks()),
+			Unacknowledged: serverAnswers(report.GetUnacknowledged()),
+		})
+	}
+	if refusals := message.GetRefusals(); len(refusals) > 0 {
+		events = append(events, &dispatcher.TasksRefused{Server: id, Refusals: serverRefusals(refusals)})
+	}
+	if answers := message.GetAnswers(); len(answers) > 0 {
+		events = append(events, &dispatcher.TasksAnswered{Server: id, Answers: serverAnswers(answers)})
+	}
+	if heartbeat := message.GetHeartbeat(); heartbeat != nil {
+		events = append(events, &dispatcher.ServerHeartbeat{Server: id, Busy: identifier.Slots(heartbeat.GetBusy())})
+	}
+	if message.GetLeaving() != nil {
+		events = append(events, &dispatcher.ServerLeaving{Server: id})
+	}
+	return events
+}
+
+func serverRefusals(refusals []*backendv1.Refusal) []dispatcher.ServerRefusal {
+	translated := make([]dispatcher.ServerRefusal, 0, len(refusals))
+	for _, refusal := range refusals {
+		translated = append(translated, dispatcher.ServerRefusal{
+			TaskKey: taskKey(refusal.GetSubmission(), refusal.GetTask()),
+			Kind:    dispatcher.RefusalKind(refusal.GetKind()),
+		})
+	}
+	return translated
+}
+
+// hostMessage translates one tick's batch for a backend server.
+func hostMessage(now identifier.Moment, batch *dispatcher.ToServer) *backendv1.HostMessage {
+	message := &backendv1.HostMessage{}
+	if batch.Lead != nil {
+		message.Lead = &backendv1.Lead{Cell: uint32(batch.Lead.Cell), Epoch: uint64(batch.Lead.Epoch)}
+	}
+	for _, start := range batch.Starts {
+		message.Starts = append(message.Starts, startMessage(now, &start))
+	}
+	for _, key := range batch.Cancels {
+		message.Cancels = append(message.Cancels, &backendv1.Cancel{Submission: string(key.Submission), Task: string(key.Task)})
+	}
+	for _, key := range batch.Received {
+		received := &backendv1.AnswerReceived{Submission: string(key.Submission), Task: string(key.Task)}
+		message.Received = append(message.Received, received)
+	}
+	return message
+}
+
+func startMessage(now identifier.Moment, start *dispatcher.Start) *backendv1.Start {
+	message := &backendv1.Start{
+		Submission: string(start.Submission),
+		Job:        string(start.Job),
+		Task:       string(start.Task),
+		Cell:       uint32(start.Cell),
+		Epoch:      uint64(start.Epoch),
+		Payload:    start.Payload,
+	}
+	if remaining := start.Deadline.Remaining(now); remaining != nil {
+		message.RemainingNanos = max(int64(*remaining), 1)
+	}
+	return message
+}
--- /dev/null
+++ b/pkg/executor/executor.go
@@ -0,0 +1,143 @@
+// Package executor is a stand-in backend server and the reference of the
+// published protocol: it announces itself to entry hosts, runs tasks by sleeping
+// for the run time that their payload names, and answers with an echo. It is for
+// trying the system out and for its tests; nothing of the system runs on real
+// backend servers.
+package executor
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+)
+
+// Timing of a stand-in.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	reconnectPause    = 100 * time.Millisecond
+	// answerRetention is how long an answer is kept that nobody acknowledges.
+	answerRetention = 10 * time.Minute
+)
+
+// Executor is one stand-in backend server. Set the exported fields before Run.
+type Executor struct {
+	Name          string
+	FailureDomain string
+	Rack          string
+	Slots         int
+	Connections   int
+	// EntryHosts are the addresses of the entry hosts that it knows at first.
+	EntryHosts []string
+	// Recorder notes each start before the work begins; nil notes nothing.
+	Recorder *Recorder
+	Log      *log.Logger
+
+	mutex       sync.Mutex
+	incarnation uint64
+	epochs      map[uint32]uint64
+	leads       map[uint32]*link
+	tasks       map[taskKey]*runningTask
+	finished    map[taskKey]*finishedTask
+	cancelled   map[taskKey]time.Time
+	links       map[string]*link
+	leaving     bool
+	running     sync.WaitGroup
+}
+
+// taskKey names a task among all submissions.
+type taskKey struct {
+	submission string
+	task       string
+}
+
+// runningTask is a task that occupies a slot.
+type runningTask struct {
+	cell   uint32
+	cancel context.CancelFunc
+}
+
+// finishedTask is an answer that is kept until it is acknowledged.
+type finishedTask struct {
+	answer   *backendv1.Answer
+	forgetAt time.Time
+	cell     uint32
+}
+
+// Run serves until ctx is done.
+func (executor *Executor) Run(ctx context.Context) {
+	executor.prepare()
+	for _, address := range executor.EntryHosts {
+		executor.attach(ctx, address)
+	}
+	executor.beat(ctx)
+	executor.running.Wait()
+}
+
+func (executor *Executor) prepare() {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	executor.incarnation = rand.Uint64() | 1
+	executor.epochs = make(map[uint32]uint64)
+	executor.leads = make(map[uint32]*link)
+	executor.tasks = make(map[taskKey]*runningTask)
+	executor.finished = make(map[taskKey]*finishedTask)
+	executor.cancelled = make(map[taskKey]time.Time)
+	executor.links = make(map[string]*link)
+}
+
+// beat sends heartbeats and forgets what is too old.
+func (executor *Executor) beat(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	sequence := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			sequence++
+			executor.heartbeat(sequence)
+			executor.forgetOld(now)
+		}
+	}
+}
+
+func (executor *Executor) heartbeat(sequence uint64) {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	for _, link := range executor.links {
+		link.queue(&backendv1.ServerMessage{
+			Heartbeat: &backendv1.Heartbeat{Sequence: sequence, Busy: int32(len(executor.tasks))},
+		})
+	}
+}
+
+func (executor *Executor) forgetOld(now time.Time) {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	for key, finished := range executor.finished {
+		if now.After(finished.forgetAt) {
+			delete(executor.finished, key)
+		}
+	}
+	for key, forgetAt := range executor.cancelled {
+		if now.After(forgetAt) {
+			delete(executor.cancelled, key)
+		}
+	}
+}
+
+// Leave tells the entry hosts that the server takes no new start.
+func (executor *Executor) Leave() {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	executor.leaving = true
+	for _, link := range executor.links {
+		link.queue(&backendv1.ServerMessage{Leaving: &backendv1.Leaving{}})
+	}
+}
--- /dev/null
+++ b/pkg/provider/common.go
@@ -0,0 +1,36 @@
+// Package provider hands down what nearly every part of a process needs: the log
+// and the settings. It stands in for globals.
+package provider
+
+import (
+	"io"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/stoathitch/stoathitch/pkg/loader"
+)
+
+// Common is what the parts of one process share.
+type Common struct {
+	Log      *log.Logger
+	Settings *loader.Settings
+}
+
+// New returns a Common that logs one key=value line for each event to writer.
+func New(settings *loader.Settings, writer io.Writer) *Common {
+	logger := log.NewWithOptions(writer, log.Options{
+		Level:           logLevel(settings.Log.Level),
+		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000000Z07:00",
+		Formatter:       log.LogfmtFormatter,
+	})
+	return &Common{Log: logger.With("host", settings.Host), Settings: settings}
+}
+
+func logLevel(level loader.LogLevel) log.Level {
+	parsed, err := log.ParseLevel(level.String())
+	if err != nil {
+		return log.InfoLevel
+	}
+	return parsed
+}
--- /dev/null
+++ b/pkg/receiver/receiver.go
@@ -0,0 +1,92 @@
+// Package receiver serves callers over HTTP with JSON: it checks requests, hands
+// them to the coordinator and waits for their answers.
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"github.com/stoathitch/stoathitch/pkg/connector"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/provider"
+	"github.com/stoathitch/stoathitch/pkg/runner"
+)
+
+// Receiver serves the callers' HTTP paths. Set the exported fields before
+// Prepare.
+type Receiver struct {
+	*provider.Common
+	Post  connector.Poster
+	Clock *runner.Clock
+
+	ready      atomic.Bool
+	refusing   atomic.Bool
+	nextWaiter atomic.Uint64
+	mutex      sync.Mutex
+	waiters    map[forwarder.WaiterID]chan *messenger.JobAnswer
+}
+
+// Prepare makes the table of waiting requests.
+func (receiver *Receiver) Prepare() {
+	receiver.waiters = make(map[forwarder.WaiterID]chan *messenger.JobAnswer)
+}
+
+// Register adds the callers' paths to router.
+func (receiver *Receiver) Register(router *mux.Router) {
+	router.HandleFunc("/v1/jobs", receiver.submit).Methods(http.MethodPost)
+	router.HandleFunc("/v1/jobs/{submission}", receiver.show).Methods(http.MethodGet)
+	router.HandleFunc("/v1/jobs/{submission}", receiver.cancel).Methods(http.MethodDelete)
+	router.HandleFunc("/healthz", receiver.health).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", receiver.readiness).Methods(http.MethodGet)
+}
+
+// SetReady turns the readiness path on or off, for the platform's balancer.
+func (receiver *Receiver) SetReady(ready bool) { receiver.ready.Store(ready) }
+
+// RefuseNew makes every further submission a refusal, during a shutdown.
+func (receiver *Receiver) RefuseNew() { receiver.refusing.Store(true) }
+
+// Answer hands an answer to the request that waits for it. An answer for a
+// request whose caller hung up is dropped; a resend finds it.
+func (receiver *Receiver) Answer(answer *forwarder.AnswerCaller) {
+	receiver.mutex.Lock()
+	waiting, found := receiver.waiters[answer.Waiter]
+	delete(receiver.waiters, answer.Waiter)
+	receiver.mutex.Unlock()
+	if found {
+		waiting <- answer.Answer
+	}
+}
+
+// Waiting returns how many requests wait for an answer.
+func (receiver *Receiver) Waiting() int {
+	receiver.mutex.Lock()
+	defer receiver.mutex.Unlock()
+	return len(receiver.waiters)
+}
+
+// await posts an event for a new waiter and waits for the answer, or nil when the
+// caller hangs up. A caller that hangs up has not cancelled.
+func (receiver *Receiver) await(ctx context.Context, event func(forwarder.WaiterID) forwarder.Input) *messenger.JobAnswer {
+	waiter := forwarder.WaiterID(receiver.nextWaiter.Add(1))
+	waiting := make(chan *messenger.JobAnswer, 1)
+	receiver.mutex.Lock()
+	receiver.waiters[waiter] = waiting
+	receiver.mutex.Unlock()
+	receiver.Post(ctx, &coordinator.CallerEvent{Event: event(waiter)})
+	select {
+	case answer := <-waiting:
+		return answer
+	case <-ctx.Done():
+		receiver.mutex.Lock()
+		delete(receiver.waiters, waiter)
+		receiver.mutex.Unlock()
+		return nil
+	}
+}
--- /dev/null
+++ b/pkg/receiver/request.go
@@ -0,0 +1,127 @@
+package receiver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// maxIDLength bounds every id that a caller chooses.
+const maxIDLength = 256
+
+// jobBody is the JSON of a submitted job.
+type jobBody struct {
+	Submission identifier.SubmissionID    `json:"submission"`
+	Job        identifier.JobID           `json:"job"`
+	Caller     identifier.CallerID        `json:"caller"`
+	Team       identifier.TeamID          `json:"team"`
+	Class      identifier.ClassName       `json:"class"`
+	Repeatable bool                       `json:"repeatable"`
+	Deadline   *time.Time                 `json:"deadline"`
+	MayRun     []identifier.FailureDomain `json:"may-run"`
+	Tasks      []taskBody                 `json:"tasks"`
+}
+
+type taskBody struct {
+	Task            identifier.TaskID `json:"task"`
+	Payload         json.RawMessage   `json:"payload"`
+	DeclaredRunTime string            `json:"declared-run-time"`
+}
+
+// problem is a request that can't be accepted; nothing of it started.
+type problem struct {
+	status int
+	Kind   string `json:"error"`
+	Detail string `json:"detail"`
+	NotRun bool   `json:"not-run"`
+}
+
+func badRequest(kind, detail string) *problem {
+	return &problem{status: http.StatusBadRequest, Kind: kind, Detail: detail, NotRun: true}
+}
+
+// readJob reads and checks a submitted job.
+func (receiver *Receiver) readJob(writer http.ResponseWriter, request *http.Request) (*messenger.Job, identifier.Moment, *problem) {
+	limit := int64(receiver.Settings.Limits.RequestBody)
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, limit))
+	decoder.DisallowUnknownFields()
+	var body jobBody
+	if err := decoder.Decode(&body); err != nil {
+		return nil, 0, decodeProblem(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, 0, badRequest("trailing-content", "the body goes on after the job")
+	}
+	if problem := receiver.checkJob(&body); problem != nil {
+		return nil, 0, problem
+	}
+	deadline, problem := receiver.deadlineOf(&body)
+	if problem != nil {
+		return nil, 0, problem
+	}
+	return receiver.jobOf(&body), deadline, nil
+}
+
+func decodeProblem(cause error) *problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(cause, &tooLarge) {
+		return &problem{
+			status: http.StatusRequestEntityTooLarge, Kind: "body-too-large", NotRun: true,
+			Detail: "the body is over the limit of this entry host's settings",
+		}
+	}
+	return badRequest("malformed-body", cause.Error())
+}
+
+// deadlineOf turns the caller's instant into a moment of this host's clock. Only
+// the time that remains counts from here on.
+func (receiver *Receiver) deadlineOf(body *jobBody) (identifier.Moment, *problem) {
+	if body.Deadline == nil {
+		return identifier.Never, nil
+	}
+	remaining := time.Until(*body.Deadline)
+	if remaining <= 0 {
+		return 0, badRequest("deadline-past", "the deadline lies in the past")
+	}
+	return receiver.Clock.Now().Add(remaining), nil
+}
+
+// jobOf makes the job with its home first in MayRun.
+func (receiver *Receiver) jobOf(body *jobBody) *messenger.Job {
+	job := &messenger.Job{
+		Submission: body.Submission,
+		Job:        body.Job,
+		Caller:     body.Caller,
+		Team:       body.Team,
+		Class:      body.Class,
+		Repeatable: body.Repeatable,
+		MayRun:     body.MayRun,
+		Tasks:      make([]messenger.Task, 0, len(body.Tasks)),
+	}
+	if len(job.MayRun) == 0 {
+		job.MayRun = receiver.allFailureDomains()
+	}
+	for _, task := range body.Tasks {
+		// checkJob has parsed the duration; an empty one means none.
+		declared, _ := time.ParseDuration(task.DeclaredRunTime)
+		job.Tasks = append(job.Tasks, messenger.Task{Task: task.Task, Payload: task.Payload, DeclaredRunTime: declared})
+	}
+	return job
+}
+
+// allFailureDomains lists this host's own failure domain first, then the others.
+func (receiver *Receiver) allFailureDomains() []identifier.FailureDomain {
+	own := receiver.Settings.FailureDomain
+	all := []identifier.FailureDomain{own}
+	for _, failureDomain := range receiver.Settings.FailureDomains {
+		if failureDomain != own {
+			all = append(all, failureDomain)
+		}
+	}
+	return all
+}
