Keep claims and the shared configuration as state machines

Cause: a not-repeatable job must run at most once wherever it is resubmitted, and an accepted configuration must never revert; both need one agreed order. Old claims shrink to fingerprints that are never dropped: a false match refuses truthfully, forgetting one would allow a second run.

--- /dev/null
+++ b/pkg/claimer/snapshot.go
@@ -0,0 +1,86 @@
+package claimer
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+//go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
+
+// ErrorKind tells what kind of thing went wrong.
+type ErrorKind int
+
+// The kinds of errors of this package.
+const (
+	// ErrorSnapshot means that a snapshot could not be encoded or decoded.
+	ErrorSnapshot ErrorKind = iota
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      ErrorKind
+	Err       error
+}
+
+// Error describes the operation, the kind and the cause.
+func (failure *Error) Error() string {
+	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (failure *Error) Unwrap() error { return failure.Err }
+
+// snapshot is the durable form of a register.
+type snapshot struct {
+	Claims       []snapshotClaim `cbor:"1,keyasint,omitempty"`
+	Fingerprints []uint64        `cbor:"2,keyasint,omitempty"`
+}
+
+type snapshotClaim struct {
+	Claim
+	Index identifier.LogIndex `cbor:"9,keyasint"`
+}
+
+// Snapshot returns the whole state in a form that is the same on every keeper
+// which has applied the same entries.
+func (register *Register) Snapshot() ([]byte, error) {
+	register.prepare()
+	state := snapshot{}
+	register.claims.Each(func(key jobKey, held *heldClaim) bool {
+		claim := Claim{Caller: key.caller, Job: key.job, Submission: held.submission, Home: held.home}
+		state.Claims = append(state.Claims, snapshotClaim{Claim: claim, Index: held.index})
+		return true
+	})
+	for value := range register.fingerprints {
+		state.Fingerprints = append(state.Fingerprints, value)
+	}
+	slices.Sort(state.Fingerprints)
+	content, err := cbor.Marshal(&state)
+	if err != nil {
+		return nil, &Error{Operation: "encode snapshot", Kind: ErrorSnapshot, Err: eris.Wrap(err, "cbor")}
+	}
+	return content, nil
+}
+
+// Restore replaces the whole state by a snapshot.
+func (register *Register) Restore(content []byte) error {
+	var state snapshot
+	if err := cbor.Unmarshal(content, &state); err != nil {
+		return &Error{Operation: "decode snapshot", Kind: ErrorSnapshot, Err: eris.Wrap(err, "cbor")}
+	}
+	register.claims = nil
+	register.prepare()
+	for _, claim := range state.Claims {
+		key := jobKey{caller: claim.Caller, job: claim.Job}
+		register.claims.Put(key, &heldClaim{submission: claim.Submission, home: claim.Home, index: claim.Index})
+	}
+	for _, value := range state.Fingerprints {
+		register.fingerprints[value] = struct{}{}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/configurer/snapshot.go
@@ -0,0 +1,69 @@
+package configurer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// ErrorKind tells what kind of thing went wrong.
+type ErrorKind int
+
+// The kinds of errors of this package.
+const (
+	// ErrorSnapshot means that a snapshot could not be encoded or decoded.
+	ErrorSnapshot ErrorKind = iota
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Operation string
+	Kind      ErrorKind
+	Err       error
+}
+
+// Error describes the operation, the kind and the cause.
+func (failure *Error) Error() string {
+	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (failure *Error) Unwrap() error { return failure.Err }
+
+// snapshot is the durable form of a register.
+type snapshot struct {
+	Versions []Version `cbor:"1,keyasint,omitempty"`
+	Results  []Result  `cbor:"2,keyasint,omitempty"`
+}
+
+// Snapshot returns the whole state in a form that is the same on every keeper
+// which has applied the same entries.
+func (register *Register) Snapshot() ([]byte, error) {
+	register.prepare()
+	state := snapshot{Versions: register.versions}
+	register.results.Each(func(_ identifier.RequestID, result *Result) bool {
+		state.Results = append(state.Results, *result)
+		return true
+	})
+	content, err := cbor.Marshal(&state)
+	if err != nil {
+		return nil, &Error{Operation: "encode snapshot", Kind: ErrorSnapshot, Err: eris.Wrap(err, "cbor")}
+	}
+	return content, nil
+}
+
+// Restore replaces the whole state by a snapshot.
+func (register *Register) Restore(content []byte) error {
+	var state snapshot
+	if err := cbor.Unmarshal(content, &state); err != nil {
+		return &Error{Operation: "decode snapshot", Kind: ErrorSnapshot, Err: eris.Wrap(err, "cbor")}
+	}
+	register.versions = state.Versions
+	register.results = nil
+	register.prepare()
+	for index := range state.Results {
+		register.results.Put(state.Results[index].Request, &state.Results[index])
+	}
+	return nil
+}
