Read and write recorded traces

Cause: replay needs recorded traces, and a mistyped line must not replay as a fault that silently did not happen. Change: pkg/tracer, a strict parser whose errors name the line, one struct an event, and a writer that gives the same bytes back. encoding/json alone accepts other cases of a field and repeated fields, so fields are read by name.

--- /dev/null
+++ b/pkg/tracer/deployment.go
@@ -0,0 +1,68 @@
+package tracer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// Deployment is the first line of a trace: the hosts and the network that the
+// events happen to.
+type Deployment struct {
+	Head
+	FailureDomains             []identifier.FailureDomain
+	EntryHostsPerFailureDomain int
+	ExecutorsPerFailureDomain  int
+	// Slots and Connections are those of each executor.
+	Slots       identifier.Slots
+	Connections int
+	// OneWay is the delay between failure domains, ClientOneWay that between a
+	// caller and an entry host.
+	OneWay       time.Duration
+	ClientOneWay time.Duration
+	// Sync is the cost of one synced write.
+	Sync time.Duration
+	Seed uint64
+}
+
+// Executor returns the id of the numbered executor of a failure domain, from 0.
+func Executor(domain identifier.FailureDomain, number int) identifier.BackendServerID {
+	return identifier.BackendServerID(fmt.Sprintf("%s-%d", domain, number))
+}
+
+// EntryHost returns the id of the numbered entry host of a failure domain, from 0.
+func EntryHost(domain identifier.FailureDomain, number int) identifier.HostID {
+	return identifier.HostID(fmt.Sprintf("%s-entry-%d", domain, number))
+}
+
+// AllSlots returns the slots of all executors together.
+func (deployment *Deployment) AllSlots() identifier.Slots {
+	executors := len(deployment.FailureDomains) * deployment.ExecutorsPerFailureDomain
+	return identifier.Slots(executors) * deployment.Slots
+}
+
+func (deployment *Deployment) read(reader *fieldReader) {
+	deployment.At = reader.moment("at")
+	deployment.FailureDomains = names[identifier.FailureDomain](reader, "failure-domains")
+	deployment.EntryHostsPerFailureDomain = reader.count("entry-hosts-per-failure-domain")
+	deployment.ExecutorsPerFailureDomain = reader.count("executors-per-failure-domain")
+	deployment.Slots = identifier.Slots(reader.count("slots"))
+	deployment.Connections = reader.count("connections")
+	deployment.OneWay = reader.duration("one-way")
+	deployment.ClientOneWay = reader.duration("client-one-way")
+	deployment.Sync = reader.duration("sync")
+	deployment.Seed = reader.unsigned("seed")
+}
+
+func (deployment *Deployment) write(writer *fieldWriter) {
+	writeNames(writer, "failure-domains", deployment.FailureDomains)
+	writer.count("entry-hosts-per-failure-domain", deployment.EntryHostsPerFailureDomain)
+	writer.count("executors-per-failure-domain", deployment.ExecutorsPerFailureDomain)
+	writer.count("slots", int(deployment.Slots))
+	writer.count("connections", deployment.Connections)
+	writer.duration("one-way", deployment.OneWay)
+	writer.duration("client-one-way", deployment.ClientOneWay)
+	writer.duration("sync", deployment.Sync)
+	writer.unsigned("seed", deployment.Seed)
+}
