Check the promises from the callers' and back ends' view

Cause: a dispatcher that vouches for itself hides the start that it forgot. Conclusion: a second, different answer to a resend counts as a breach, also when it is a refusal that claims nothing.

--- /dev/null
+++ b/pkg/replayer/answerchecker.go
@@ -0,0 +1,146 @@
+package replayer
+
+import (
+	"slices"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/tracer"
+)
+
+// OutcomeCounts counts submissions by the answer that their caller got first.
+type OutcomeCounts struct {
+	Submissions, Tasks        int
+	Complete, Failed, Refused int
+}
+
+// OnCallerAnswer notes that a caller received an answer.
+func (checker *Checker) OnCallerAnswer(answer CallerAnswer, at identifier.Moment) {
+	submission := checker.submissions[answer.Submission]
+	if submission == nil {
+		checker.violate("every caller gets its own answer", answer.Submission, at,
+			"caller %s got an answer to what nobody sent", answer.Caller)
+		return
+	}
+	checker.checkCaller(submission, answer, at)
+	checker.checkComplete(submission, answer, at)
+	checker.checkNotRun(submission, answer, at)
+	checker.checkOneAnswer(submission, answer, at)
+}
+
+func (checker *Checker) checkCaller(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
+	if answer.Caller != submission.caller {
+		checker.violate("every caller gets its own answer", answer.Submission, at,
+			"caller %s got the answer of caller %s", answer.Caller, submission.caller)
+	}
+	for _, result := range answer.Answers {
+		if result.Submission != answer.Submission {
+			checker.violate("every caller gets its own answer", answer.Submission, at,
+				"the answer holds the result of task %s of submission %s", result.Task, result.Submission)
+		}
+	}
+}
+
+// checkComplete wants each task's result exactly once, and each task to have
+// started at a backend server: a result without a start would be made up.
+func (checker *Checker) checkComplete(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
+	if answer.Outcome != tracer.OutcomeComplete {
+		return
+	}
+	counts := make(map[identifier.TaskID]int, len(submission.tasks))
+	for _, result := range answer.Answers {
+		counts[result.Task]++
+	}
+	for _, task := range submission.tasks {
+		if counts[task] != 1 {
+			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
+				"task %s has %d results", task, counts[task])
+		}
+		if submission.starts[task] == 0 {
+			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
+				"task %s has never started", task)
+		}
+	}
+	if len(counts) > len(submission.tasks) {
+		checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
+			"%d results for %d tasks", len(answer.Answers), len(submission.tasks))
+	}
+}
+
+func (checker *Checker) checkNotRun(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
+	if !answer.NotRun {
+		return
+	}
+	if !submission.saidNoRun {
+		submission.saidNoRun = true
+		submission.notRunAt = at
+	}
+	if len(submission.starts) > 0 {
+		checker.violate("what was refused as not run did not run", answer.Submission, at,
+			"%d of its tasks had started", len(submission.starts))
+	}
+}
+
+// checkOneAnswer wants at most one answer for each sending, and the same answer
+// for all of them.
+func (checker *Checker) checkOneAnswer(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
+	submission.answers++
+	if submission.answers == 1 {
+		submission.first = answer
+		return
+	}
+	if submission.answers > submission.sendings {
+		checker.violate("exactly one answer for each submission", answer.Submission, at,
+			"%d answers to %d sendings", submission.answers, submission.sendings)
+	}
+	if !sameAnswer(submission.first, answer) {
+		checker.violate("exactly one answer for each submission", answer.Submission, at,
+			"the first answer was %s, this one is %s", describe(submission.first), describe(answer))
+	}
+}
+
+// Outcome returns the first answer that the submission's caller got.
+func (checker *Checker) Outcome(submission identifier.SubmissionID) (tracer.Outcome, bool) {
+	checked := checker.submissions[submission]
+	if checked == nil || checked.answers == 0 {
+		return 0, false
+	}
+	return checked.first.Outcome, true
+}
+
+// Counts returns how the submissions have ended so far.
+func (checker *Checker) Counts() OutcomeCounts {
+	var counts OutcomeCounts
+	for _, id := range checker.order {
+		submission := checker.submissions[id]
+		counts.Submissions++
+		counts.Tasks += len(submission.tasks)
+		if submission.answers > 0 {
+			counts.add(submission.first.Outcome)
+		}
+	}
+	return counts
+}
+
+func (counts *OutcomeCounts) add(outcome tracer.Outcome) {
+	switch outcome {
+	case tracer.OutcomeComplete:
+		counts.Complete++
+	case tracer.OutcomeFailed:
+		counts.Failed++
+	case tracer.OutcomeRefused:
+		counts.Refused++
+	}
+}
+
+func sameAnswer(first, second CallerAnswer) bool {
+	return first.Outcome == second.Outcome &&
+		first.NotRun == second.NotRun &&
+		slices.Equal(first.Answers, second.Answers)
+}
+
+func describe(answer CallerAnswer) string {
+	if answer.NotRun {
+		return answer.Outcome.String() + " as not run"
+	}
+	return answer.Outcome.String()
+}
--- /dev/null
+++ b/pkg/replayer/checker.go
@@ -0,0 +1,204 @@
+package replayer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/tracer"
+)
+
+// LeavingGrace is how long after its announcement a leaving backend server may
+// still receive new work.
+const LeavingGrace = 3 * time.Second
+
+// Checker checks the promises of the brief from what callers and backend servers
+// saw. Feed it in order of virtual time. Construct it with NewChecker.
+type Checker struct {
+	submissions map[identifier.SubmissionID]*checkedSubmission
+	order       []identifier.SubmissionID
+	runs        map[requestKey]identifier.SubmissionID
+	leaving     map[identifier.BackendServerID]identifier.Moment
+	started     int
+	violations  []string
+}
+
+// TaskStart is a start as the backend server saw it.
+type TaskStart struct {
+	BackendServer identifier.BackendServerID
+	Submission    identifier.SubmissionID
+	Job           identifier.JobID
+	Caller        identifier.CallerID
+	Task          identifier.TaskID
+	Repeatable    bool
+}
+
+// CallerAnswer is an answer as the caller saw it.
+type CallerAnswer struct {
+	Submission identifier.SubmissionID
+	// Caller is who received the answer, whoever it was meant for.
+	Caller  identifier.CallerID
+	Outcome tracer.Outcome
+	// NotRun is the claim that no task started; without it a refusal says that
+	// the job is not known to have run.
+	NotRun bool
+	// Answers are the results that came with the answer, as the backend servers
+	// labelled them.
+	Answers []TaskAnswer
+}
+
+// TaskAnswer is the label that a fake backend server puts into each result, by
+// which a result that reached the wrong answer is seen.
+type TaskAnswer struct {
+	Submission identifier.SubmissionID
+	Task       identifier.TaskID
+}
+
+type checkedSubmission struct {
+	caller    identifier.CallerID
+	tasks     []identifier.TaskID
+	sendings  int
+	starts    map[identifier.TaskID]int
+	answers   int
+	first     CallerAnswer
+	notRunAt  identifier.Moment
+	saidNoRun bool
+}
+
+// requestKey names a request over all its submissions.
+type requestKey struct {
+	caller identifier.CallerID
+	job    identifier.JobID
+}
+
+// NewChecker returns a checker that has seen nothing.
+func NewChecker() *Checker {
+	return &Checker{
+		submissions: make(map[identifier.SubmissionID]*checkedSubmission),
+		runs:        make(map[requestKey]identifier.SubmissionID),
+		leaving:     make(map[identifier.BackendServerID]identifier.Moment),
+	}
+}
+
+// OnSending notes that the caller sends the job; a resend is noted again.
+func (checker *Checker) OnSending(job *tracer.Job) {
+	submission := checker.submissions[job.Submission]
+	if submission == nil {
+		submission = &checkedSubmission{caller: job.Caller, tasks: TaskIDs(job), starts: make(map[identifier.TaskID]int)}
+		checker.submissions[job.Submission] = submission
+		checker.order = append(checker.order, job.Submission)
+	}
+	submission.sendings++
+}
+
+// TaskIDs returns the ids that the replay gives to the tasks of a job: their
+// numbers from 0, the same in each submission of the job.
+func TaskIDs(job *tracer.Job) []identifier.TaskID {
+	ids := make([]identifier.TaskID, 0, len(job.Tasks))
+	for number := range job.Tasks {
+		ids = append(ids, identifier.TaskID(fmt.Sprintf("t-%d", number)))
+	}
+	return ids
+}
+
+// OnTaskStarted notes that a backend server began to run a task.
+func (checker *Checker) OnTaskStarted(start TaskStart, at identifier.Moment) {
+	checker.started++
+	submission := checker.submissions[start.Submission]
+	if submission == nil || !slices.Contains(submission.tasks, start.Task) {
+		checker.violate("only work that a caller sent is started", start.Submission, at,
+			"task %s started at %s but nobody sent it", start.Task, start.BackendServer)
+		return
+	}
+	checker.checkSingleStart(submission, start, at)
+	checker.checkSingleRun(start, at)
+	checker.checkTrueRefusal(submission, start, at)
+	checker.checkLeaving(start, at)
+}
+
+func (checker *Checker) checkSingleStart(submission *checkedSubmission, start TaskStart, at identifier.Moment) {
+	submission.starts[start.Task]++
+	if count := submission.starts[start.Task]; count > 1 {
+		checker.violate("no task within a submission starts twice", start.Submission, at,
+			"task %s started for the %s time, at %s", start.Task, ordinal(count), start.BackendServer)
+	}
+}
+
+// checkSingleRun holds a not-repeatable request to the first submission that
+// started any of its tasks: two submissions that each ran a part would together
+// have run the request more than once.
+func (checker *Checker) checkSingleRun(start TaskStart, at identifier.Moment) {
+	if start.Repeatable {
+		return
+	}
+	key := requestKey{caller: start.Caller, job: start.Job}
+	first, ran := checker.runs[key]
+	if !ran {
+		checker.runs[key] = start.Submission
+		return
+	}
+	if first != start.Submission {
+		checker.violate("a not-repeatable request runs at most once", start.Submission, at,
+			"task %s of job %s of caller %s started at %s, after submission %s had started",
+			start.Task, start.Job, start.Caller, start.BackendServer, first)
+	}
+}
+
+func (checker *Checker) checkTrueRefusal(submission *checkedSubmission, start TaskStart, at identifier.Moment) {
+	if submission.saidNoRun {
+		checker.violate("what was refused as not run did not run", start.Submission, at,
+			"task %s started at %s, after the refusal at %s", start.Task, start.BackendServer, formatMoment(submission.notRunAt))
+	}
+}
+
+func (checker *Checker) checkLeaving(start TaskStart, at identifier.Moment) {
+	since, leaving := checker.leaving[start.BackendServer]
+	if leaving && at.Sub(since) > LeavingGrace {
+		checker.violate("a leaving backend server receives no new work", start.Submission, at,
+			"task %s started at %s, which said at %s that it leaves", start.Task, start.BackendServer, formatMoment(since))
+	}
+}
+
+// OnServerLeaving notes that a backend server announced that it leaves.
+func (checker *Checker) OnServerLeaving(server identifier.BackendServerID, at identifier.Moment) {
+	if _, already := checker.leaving[server]; !already {
+		checker.leaving[server] = at
+	}
+}
+
+// OnServerReturned notes that a backend server takes work again.
+func (checker *Checker) OnServerReturned(server identifier.BackendServerID) {
+	delete(checker.leaving, server)
+}
+
+// OnRequestCutOff notes that the connection of a caller that still waited was
+// closed by an entry host that was shutting down gracefully.
+func (checker *Checker) OnRequestCutOff(submission identifier.SubmissionID, host identifier.HostID, at identifier.Moment) {
+	checker.violate("a graceful shutdown cuts off no request in progress", submission, at,
+		"entry host %s ended before it answered", host)
+}
+
+// Violations returns one sentence for each breach, in the order of their moments.
+func (checker *Checker) Violations() []string { return checker.violations }
+
+// TasksStarted returns how many starts the backend servers saw.
+func (checker *Checker) TasksStarted() int { return checker.started }
+
+func (checker *Checker) violate(promise string, submission identifier.SubmissionID, at identifier.Moment, format string, arguments ...any) {
+	detail := fmt.Sprintf(format, arguments...)
+	checker.violations = append(checker.violations,
+		fmt.Sprintf("promise %q broken for submission %s at %s: %s", promise, submission, formatMoment(at), detail))
+}
+
+func ordinal(count int) string {
+	switch count {
+	case 2:
+		return "second"
+	case 3:
+		return "third"
+	}
+	return fmt.Sprintf("%dth", count)
+}
+
+func formatMoment(moment identifier.Moment) string { return time.Duration(moment).String() }
