--- a/pkg/tracer/fieldwriter.go
+++ b/pkg/tracer/fieldwriter.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -77,6 +78,11 @@
 // appendText appends a JSON string without the HTML escapes of json.Marshal,
 // which would change the bytes of a name that holds an ampersand.
 func appendText(line []byte, text string) []byte {
+	if strings.IndexFunc(text, needsEscape) < 0 {
+		line = append(line, '"')
+		line = append(line, text...)
+		return append(line, '"')
+	}
 	var buffer bytes.Buffer
 	encoder := json.NewEncoder(&buffer)
 	encoder.SetEscapeHTML(false)
@@ -86,6 +92,12 @@
 	return append(line, bytes.TrimSuffix(buffer.Bytes(), []byte("\n"))...)
 }
 
+// needsEscape is true of each character that a JSON string may not hold as it is,
+// and of the rarer ones that are left to the library.
+func needsEscape(character rune) bool {
+	return character < ' ' || character > '~' || character == '"' || character == '\\'
+}
+
 // durationUnits are the units that a written duration may have, largest first.
 var durationUnits = []struct {
 	unit time.Duration
