Count a cancellation as a request that is answered

Cause: the forwarder answers the request that cancels, too, with the submission's one answer; the checker took that for a second answer. Change: Checker.OnCancellation. A different answer is still a breach. Conclusion: the wording of one violation says requests instead of sendings.

--- a/pkg/replayer/answerchecker.go
+++ b/pkg/replayer/answerchecker.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// checkOneAnswer wants at most one answer for each sending, and the same answer
+// checkOneAnswer wants at most one answer for each request, and the same answer
 // for all of them.
 func (checker *Checker) checkOneAnswer(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
 	submission.answers++
@@ -88,9 +88,9 @@
 		submission.first = answer
 		return
 	}
-	if submission.answers > submission.sendings {
+	if submission.answers > submission.requests {
 		checker.violate("exactly one answer for each submission", answer.Submission, at,
-			"%d answers to %d sendings", submission.answers, submission.sendings)
+			"%d answers to %d requests", submission.answers, submission.requests)
 	}
 	if !sameAnswer(submission.first, answer) {
 		checker.violate("exactly one answer for each submission", answer.Submission, at,
--- a/pkg/replayer/checker.go
+++ b/pkg/replayer/checker.go
@@ -56,9 +56,10 @@
 }
 
 type checkedSubmission struct {
-	caller    identifier.CallerID
-	tasks     []identifier.TaskID
-	sendings  int
+	caller identifier.CallerID
+	tasks  []identifier.TaskID
+	// requests counts what may be answered: each sending and each cancellation.
+	requests  int
 	starts    map[identifier.TaskID]int
 	answers   int
 	first     CallerAnswer
@@ -89,7 +90,15 @@
 		checker.submissions[job.Submission] = submission
 		checker.order = append(checker.order, job.Submission)
 	}
-	submission.sendings++
+	submission.requests++
+}
+
+// OnCancellation notes that the caller cancels a submission. A cancellation is a
+// request of its own, which gets the submission's one answer too.
+func (checker *Checker) OnCancellation(id identifier.SubmissionID) {
+	if submission := checker.submissions[id]; submission != nil {
+		submission.requests++
+	}
 }
 
 // TaskIDs returns the ids that the replay gives to the tasks of a job: their
--- a/pkg/replayer/checker_test.go
+++ b/pkg/replayer/checker_test.go
@@ -45,6 +45,8 @@
 		checker.OnTaskStarted(start(words), at)
 	case "gets":
 		checker.OnCallerAnswer(answer(t, words), at)
+	case "cancels":
+		checker.OnCancellation(identifier.SubmissionID(subject))
 	case "leaves":
 		checker.OnServerLeaving(identifier.BackendServerID(subject), at)
 	case "returns":
