replicator: agree on one log among the keepers

Cause: configuration, claims and intents need a log that survives the loss of a host and a partition; no consensus library may be used. Stateful fuzz in virtual time against an oracle and porcupine.

--- /dev/null
+++ b/pkg/replicator/log.go
@@ -0,0 +1,95 @@
+package replicator
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// memoryLog holds the entries after base. The entry at base itself is covered by a
+// snapshot; only its term is kept, for the consistency check of appends.
+type memoryLog struct {
+	base     identifier.LogIndex
+	baseTerm identifier.Term
+	entries  []Entry
+}
+
+func (log *memoryLog) lastIndex() identifier.LogIndex {
+	return log.base + identifier.LogIndex(len(log.entries))
+}
+
+func (log *memoryLog) lastTerm() identifier.Term {
+	term, _ := log.term(log.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at index; false if the log does not know it.
+func (log *memoryLog) term(index identifier.LogIndex) (identifier.Term, bool) {
+	if index == log.base {
+		return log.baseTerm, true
+	}
+	if index < log.base || index > log.lastIndex() {
+		return 0, false
+	}
+	return log.entries[index-log.base-1].Term, true
+}
+
+func (log *memoryLog) matches(index identifier.LogIndex, term identifier.Term) bool {
+	held, known := log.term(index)
+	return known && held == term
+}
+
+// at returns the entry at index, which must lie in the log.
+func (log *memoryLog) at(index identifier.LogIndex) Entry {
+	return log.entries[index-log.base-1]
+}
+
+// from returns all entries from index on. The slice is capped, so that a later
+// append never writes into what was handed out.
+func (log *memoryLog) from(index identifier.LogIndex) []Entry {
+	if index > log.lastIndex() {
+		return nil
+	}
+	tail := log.entries[index-log.base-1:]
+	return tail[:len(tail):len(tail)]
+}
+
+func (log *memoryLog) append(entries ...Entry) {
+	log.entries = append(log.entries, entries...)
+}
+
+// truncateFrom removes the entries from index on. It copies what stays, since
+// slices of the removed entries may have been handed out.
+func (log *memoryLog) truncateFrom(index identifier.LogIndex) {
+	kept := log.entries[:index-log.base-1]
+	log.entries = append([]Entry(nil), kept...)
+}
+
+// compactTo forgets the entries up to and including index.
+func (log *memoryLog) compactTo(index identifier.LogIndex) {
+	if index <= log.base {
+		return
+	}
+	term, known := log.term(index)
+	if !known {
+		return
+	}
+	log.entries = append([]Entry(nil), log.entries[index-log.base:]...)
+	log.base = index
+	log.baseTerm = term
+}
+
+// reset empties the log, so that it goes on after a snapshot.
+func (log *memoryLog) reset(index identifier.LogIndex, term identifier.Term) {
+	*log = memoryLog{base: index, baseTerm: term}
+}
+
+// lastIndexBelowTermAt returns the last index before the run of entries that have
+// the same term as the one at index, which must be known.
+func (log *memoryLog) lastIndexBelowTermAt(index identifier.LogIndex) identifier.LogIndex {
+	conflicting, _ := log.term(index)
+	for index > log.base {
+		term, _ := log.term(index)
+		if term != conflicting {
+			break
+		}
+		index--
+	}
+	return index
+}
--- /dev/null
+++ b/pkg/replicator/proposing.go
@@ -0,0 +1,69 @@
+package replicator
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// pendingProposal waits at its index until the entry there is applied.
+type pendingProposal struct{ handle Handle }
+
+// propose appends a command, or refuses it with nothing appended.
+func (replicator *Replicator) propose(proposal Proposed) {
+	if refusal, refused := replicator.refusalNow(); refused {
+		replicator.refuseProposal(proposal.Handle, refusal)
+		return
+	}
+	if identifier.Bytes(len(proposal.Data)) > replicator.Settings.MaxEntryBytes {
+		replicator.refuseProposal(proposal.Handle, OutcomeTooLarge)
+		return
+	}
+	index := replicator.appendOwn(EntryCommand, proposal.Data)
+	replicator.pending.Put(index, &pendingProposal{handle: proposal.Handle})
+}
+
+// refusalNow tells why nothing can be appended now. Without a recent quorum a
+// leader refuses at once: what it took could not be accepted, and its proposer
+// would learn late that nobody knows.
+func (replicator *Replicator) refusalNow() (OutcomeKind, bool) {
+	if replicator.role != RoleLeader {
+		return OutcomeNotLeader, true
+	}
+	if replicator.leadership.transferTo != "" {
+		return OutcomeHandingOver, true
+	}
+	heard := max(replicator.leadership.since, replicator.quorumStamp())
+	if heard.Add(replicator.Settings.leaseDuration()).Due(replicator.now) {
+		return OutcomeNoQuorum, true
+	}
+	if int(replicator.log.lastIndex()-replicator.hard.Commit) >= replicator.Settings.MaxUncommittedEntries {
+		return OutcomeOverloaded, true
+	}
+	return OutcomeAccepted, false
+}
+
+func (replicator *Replicator) refuseProposal(handle Handle, kind OutcomeKind) {
+	replicator.emit(ProposalOutcome{Handle: handle, Kind: kind, LeaderHint: replicator.leader})
+}
+
+// applyCommitted applies what is committed, in order, and tells the proposers.
+func (replicator *Replicator) applyCommitted() {
+	for replicator.applied < replicator.hard.Commit {
+		entry := replicator.log.at(replicator.applied + 1)
+		var result []byte
+		if entry.Kind == EntryCommand {
+			result = replicator.StateMachine.Apply(entry.Index, entry.Data)
+		}
+		replicator.applied = entry.Index
+		replicator.emit(Applied{Entry: entry, Result: result})
+		proposal := replicator.pending.Get(entry.Index)
+		if proposal == nil {
+			continue
+		}
+		replicator.pending.Remove(entry.Index)
+		replicator.emit(ProposalOutcome{
+			Handle:     proposal.handle,
+			Kind:       OutcomeAccepted,
+			Index:      entry.Index,
+			Result:     result,
+			LeaderHint: replicator.leader,
+		})
+	}
+}
--- /dev/null
+++ b/pkg/replicator/sending.go
@@ -0,0 +1,90 @@
+package replicator
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// sendToPeers sends every peer what it lacks, as far as its window goes, and
+// heartbeats where they are due. Appends leave before the own disk has synced: the
+// leader counts itself only after that, so its sync and those of the others run at
+// the same time.
+func (replicator *Replicator) sendToPeers() {
+	if replicator.role != RoleLeader {
+		return
+	}
+	round := replicator.leadership.roundWanted
+	replicator.leadership.roundWanted = false
+	if round {
+		replicator.leadership.heartbeatDue = replicator.now.Add(replicator.Settings.HeartbeatInterval)
+	}
+	for _, host := range replicator.peers.Keys() {
+		peer := replicator.peers.Get(host)
+		sent := replicator.sendEntries(host, peer)
+		if round && !sent {
+			replicator.sendHeartbeat(host, peer)
+		}
+	}
+	replicator.finishTransfer()
+}
+
+// sendEntries fills the peer's window and tells whether anything was sent.
+func (replicator *Replicator) sendEntries(host identifier.HostID, peer *peer) bool {
+	sent := false
+	for replicator.mayPipeline(peer) {
+		if peer.next <= replicator.log.base {
+			return replicator.startSnapshot(host, peer) || sent
+		}
+		replicator.sendAppend(host, peer, replicator.nextBatch(peer))
+		sent = true
+	}
+	return sent
+}
+
+func (replicator *Replicator) mayPipeline(peer *peer) bool {
+	if peer.transfer != nil || peer.next > replicator.log.lastIndex() {
+		return false
+	}
+	inFlight := int(peer.next - max(peer.match+1, peer.windowStart))
+	return inFlight < replicator.Settings.MaxInFlightEntries
+}
+
+// nextBatch returns the entries of the next append, at least one.
+func (replicator *Replicator) nextBatch(peer *peer) []Entry {
+	entries := replicator.log.from(peer.next)
+	size := identifier.Bytes(0)
+	count := 0
+	for count < len(entries) && count < replicator.Settings.MaxBatchEntries {
+		size += identifier.Bytes(len(entries[count].Data))
+		if count > 0 && size > replicator.Settings.MaxBatchBytes {
+			break
+		}
+		count++
+	}
+	return entries[:count:count]
+}
+
+func (replicator *Replicator) sendAppend(host identifier.HostID, peer *peer, entries []Entry) {
+	previous := peer.next - 1
+	previousTerm, _ := replicator.log.term(previous)
+	message := Append{
+		PreviousIndex: previous,
+		PreviousTerm:  previousTerm,
+		Commit:        replicator.hard.Commit,
+		Stamp:         Stamp(replicator.now),
+		Entries:       entries,
+	}
+	peer.next += identifier.LogIndex(len(entries))
+	replicator.sendNow(host, Message{Append: &message})
+}
+
+// sendHeartbeat proves that the leader is alive. It also finds out what was lost:
+// a peer that lacks the previous entry rejects it.
+func (replicator *Replicator) sendHeartbeat(host identifier.HostID, peer *peer) {
+	if peer.transfer != nil {
+		replicator.sendSnapshotChunk(host, peer)
+		return
+	}
+	if peer.next <= replicator.log.base {
+		replicator.startSnapshot(host, peer)
+		return
+	}
+	replicator.sendAppend(host, peer, nil)
+}
--- /dev/null
+++ b/pkg/replicator/simulation_test.go
@@ -0,0 +1,407 @@
+package replicator
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// instant is a point in true virtual time, which no keeper can read.
+type instant = time.Duration
+
+// simulation runs keepers in virtual time over a network and disks that misbehave
+// as they are told, and checks every output against the oracle.
+type simulation struct {
+	settings  Settings
+	random    *rand.Rand
+	now       instant
+	events    eventQueue
+	order     uint64
+	keepers   []*keeper
+	oneWay    time.Duration
+	jitter    time.Duration
+	sync      time.Duration
+	lossShare int // per mille
+	dupShare  int // per mille
+	cut       map[[2]identifier.HostID]bool
+	oracle    *oracle
+	onOutcome func(keeper *keeper, outcome ProposalOutcome)
+	onRead    func(keeper *keeper, handle Handle, ready bool)
+	onSend    func(from identifier.HostID, send Send)
+	steps     int
+}
+
+type event struct {
+	at    instant
+	order uint64
+	act   func()
+}
+
+type eventQueue []event
+
+func (queue eventQueue) Len() int { return len(queue) }
+func (queue eventQueue) Less(i, j int) bool {
+	if queue[i].at != queue[j].at {
+		return queue[i].at < queue[j].at
+	}
+	return queue[i].order < queue[j].order
+}
+func (queue eventQueue) Swap(i, j int) { queue[i], queue[j] = queue[j], queue[i] }
+func (queue *eventQueue) Push(x any)   { *queue = append(*queue, x.(event)) }
+func (queue *eventQueue) Pop() any {
+	last := (*queue)[len(*queue)-1]
+	*queue = (*queue)[:len(*queue)-1]
+	return last
+}
+
+// keeper is one simulated host: a replicator, its disk and its clock.
+type keeper struct {
+	host       identifier.HostID
+	initial    []Member
+	replicator *Replicator
+	register   *register
+	alive      bool
+	stopped    bool // as by SIGSTOP: alive, but runs nothing
+	life       int  // counts restarts; events of an earlier life are void
+	clockBase  identifier.Moment
+	clockFrom  instant
+	rate       float64
+	disk       disk
+	stalled    []Input
+	applied    identifier.LogIndex
+	timerAt    instant
+}
+
+// disk holds what is synced and what is written but not yet synced.
+type disk struct {
+	hard     HardState
+	snapshot *Snapshot
+	entries  []Entry
+	unsynced []Persist
+	syncing  bool
+}
+
+func (disk *disk) write(persist Persist) {
+	disk.hard = persist.HardState
+	if persist.Snapshot != nil {
+		disk.snapshot = persist.Snapshot
+		disk.entries = nil
+	}
+	if persist.TruncateFrom != 0 {
+		disk.entries = slices.DeleteFunc(disk.entries, func(entry Entry) bool { return entry.Index >= persist.TruncateFrom })
+	}
+	disk.entries = append(disk.entries, persist.Entries...)
+}
+
+func (disk *disk) saveSnapshot(snapshot Snapshot, keep identifier.LogIndex) {
+	if disk.snapshot != nil && disk.snapshot.Index >= snapshot.Index {
+		return
+	}
+	disk.snapshot = &snapshot
+	disk.entries = slices.DeleteFunc(disk.entries, func(entry Entry) bool { return entry.Index+keep <= snapshot.Index })
+}
+
+// register is the state machine: the last command and a running hash of all.
+type register struct {
+	index identifier.LogIndex
+	value uint64
+	hash  uint64
+}
+
+func (register *register) Apply(index identifier.LogIndex, data []byte) []byte {
+	previous := register.value
+	register.index = index
+	register.value = binary.LittleEndian.Uint64(data)
+	register.hash = (register.hash ^ register.value) * 1099511628211
+	return binary.LittleEndian.AppendUint64(nil, previous)
+}
+
+func (register *register) Snapshot() []byte {
+	data := binary.LittleEndian.AppendUint64(nil, uint64(register.index))
+	data = binary.LittleEndian.AppendUint64(data, register.value)
+	return binary.LittleEndian.AppendUint64(data, register.hash)
+}
+
+func (register *register) Restore(data []byte) error {
+	if len(data) != 24 {
+		return fmt.Errorf("snapshot of %d bytes", len(data))
+	}
+	register.index = identifier.LogIndex(binary.LittleEndian.Uint64(data))
+	register.value = binary.LittleEndian.Uint64(data[8:])
+	register.hash = binary.LittleEndian.Uint64(data[16:])
+	return nil
+}
+
+func newSimulation(seed uint64, hosts int, settings Settings) *simulation {
+	simulation := &simulation{
+		settings: settings,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		oneWay:   time.Millisecond,
+		sync:     4 * time.Millisecond,
+		cut:      make(map[[2]identifier.HostID]bool),
+		oracle:   newOracle(),
+	}
+	var members []Member
+	for number := range hosts {
+		members = append(members, Member{Host: hostName(number)})
+	}
+	for number := range hosts {
+		simulation.addKeeper(hostName(number), members)
+	}
+	return simulation
+}
+
+func hostName(number int) identifier.HostID { return identifier.HostID(fmt.Sprintf("k%d", number)) }
+
+func (simulation *simulation) addKeeper(host identifier.HostID, initial []Member) *keeper {
+	keeper := &keeper{host: host, initial: initial}
+	simulation.keepers = append(simulation.keepers, keeper)
+	simulation.start(keeper)
+	return keeper
+}
+
+// start runs a keeper on what its disk holds, with a clock of its own that is off
+// by up to the drift bound either way and starts anywhere.
+func (simulation *simulation) start(keeper *keeper) {
+	keeper.alive = true
+	keeper.stopped = false
+	keeper.life++
+	keeper.applied = 0
+	keeper.clockBase = identifier.Moment(simulation.random.Int64N(int64(time.Hour)))
+	keeper.clockFrom = simulation.now
+	drift := float64(simulation.settings.ClockDriftBound) / 1000
+	keeper.rate = 1 + drift*(2*simulation.random.Float64()-1)
+	keeper.register = &register{}
+	keeper.replicator = &Replicator{
+		Self:           keeper.host,
+		Seed:           simulation.random.Uint64(),
+		Settings:       simulation.settings,
+		InitialMembers: keeper.initial,
+		StateMachine:   keeper.register,
+	}
+	restored := Restored{HardState: keeper.disk.hard, Snapshot: keeper.disk.snapshot, Entries: slices.Clone(keeper.disk.entries)}
+	if restored.Snapshot != nil {
+		keeper.applied = restored.Snapshot.Index
+	}
+	simulation.input(keeper, restored)
+}
+
+// crash loses what is not synced, but for a random number of writes that reached
+// the disk all the same.
+func (simulation *simulation) crash(keeper *keeper) {
+	keeper.alive = false
+	keeper.life++
+	survivors := simulation.random.IntN(len(keeper.disk.unsynced) + 1)
+	for _, persist := range keeper.disk.unsynced[:survivors] {
+		keeper.disk.write(persist)
+	}
+	keeper.disk.unsynced = nil
+	keeper.disk.syncing = false
+	keeper.stalled = nil
+}
+
+// resume ends a stop; what arrived meanwhile is taken at once.
+func (simulation *simulation) resume(keeper *keeper) {
+	keeper.stopped = false
+	inputs := keeper.stalled
+	keeper.stalled = nil
+	simulation.input(keeper, inputs...)
+}
+
+func (simulation *simulation) schedule(at instant, act func()) {
+	simulation.order++
+	heap.Push(&simulation.events, event{at: at, order: simulation.order, act: act})
+}
+
+// scheduleFor runs act unless the keeper has restarted by then.
+func (simulation *simulation) scheduleFor(keeper *keeper, at instant, act func()) {
+	life := keeper.life
+	simulation.schedule(at, func() {
+		if keeper.alive && keeper.life == life {
+			act()
+		}
+	})
+}
+
+func (simulation *simulation) runFor(duration time.Duration) {
+	until := simulation.now + duration
+	for len(simulation.events) > 0 && simulation.events[0].at <= until {
+		next := heap.Pop(&simulation.events).(event)
+		simulation.now = next.at
+		next.act()
+	}
+	simulation.now = until
+}
+
+func (keeper *keeper) clock(now instant) identifier.Moment {
+	return keeper.clockBase + identifier.Moment(float64(now-keeper.clockFrom)*keeper.rate)
+}
+
+func (simulation *simulation) input(keeper *keeper, inputs ...Input) {
+	if !keeper.alive {
+		return
+	}
+	if keeper.stopped {
+		keeper.stalled = append(keeper.stalled, inputs...)
+		return
+	}
+	simulation.steps++
+	outputs := keeper.replicator.Tick(keeper.clock(simulation.now), inputs)
+	for _, output := range outputs {
+		simulation.carryOut(keeper, output)
+	}
+	simulation.oracle.observe(keeper)
+	simulation.armTimer(keeper)
+}
+
+func (simulation *simulation) armTimer(keeper *keeper) {
+	deadline := keeper.replicator.NextDeadline()
+	if deadline == identifier.Never {
+		return
+	}
+	wait := float64(deadline-keeper.clock(simulation.now)) / keeper.rate
+	at := simulation.now + max(0, time.Duration(wait)) + time.Microsecond
+	keeper.timerAt = at
+	simulation.scheduleFor(keeper, at, func() {
+		if keeper.timerAt == at {
+			simulation.input(keeper)
+		}
+	})
+}
+
+func (simulation *simulation) carryOut(keeper *keeper, output Output) {
+	switch output := output.(type) {
+	case Send:
+		simulation.transmit(keeper, output)
+	case Persist:
+		keeper.disk.unsynced = append(keeper.disk.unsynced, output)
+		simulation.startSync(keeper)
+	case SaveSnapshot:
+		simulation.scheduleFor(keeper, simulation.now+3*simulation.sync, func() {
+			keep := identifier.LogIndex(simulation.settings.EntriesKeptBehindSnapshot)
+			keeper.disk.saveSnapshot(output.Snapshot, keep)
+			simulation.input(keeper, SnapshotSaved{Index: output.Snapshot.Index})
+		})
+	case Applied:
+		simulation.oracle.applied(keeper, output)
+	case SnapshotInstalled:
+		simulation.oracle.installed(keeper, output)
+	case Halted:
+		simulation.oracle.violate("%s halted: %v", keeper.host, output.Err)
+	case ProposalOutcome:
+		simulation.oracle.outcome(output)
+		if simulation.onOutcome != nil {
+			simulation.onOutcome(keeper, output)
+		}
+	case ReadReady:
+		simulation.oracle.readReady(keeper, output)
+		if simulation.onRead != nil {
+			simulation.onRead(keeper, output.Handle, true)
+		}
+	case ReadRefused:
+		if simulation.onRead != nil {
+			simulation.onRead(keeper, output.Handle, false)
+		}
+	}
+}
+
+// startSync syncs everything that is written by the time it begins in one go.
+func (simulation *simulation) startSync(keeper *keeper) {
+	if keeper.disk.syncing {
+		return
+	}
+	keeper.disk.syncing = true
+	simulation.scheduleFor(keeper, simulation.now, func() {
+		count := len(keeper.disk.unsynced)
+		simulation.scheduleFor(keeper, simulation.now+simulation.sync, func() {
+			for _, persist := range keeper.disk.unsynced[:count] {
+				keeper.disk.write(persist)
+			}
+			sequence := keeper.disk.unsynced[count-1].Sequence
+			keeper.disk.unsynced = slices.Clone(keeper.disk.unsynced[count:])
+			keeper.disk.syncing = false
+			if len(keeper.disk.unsynced) > 0 {
+				simulation.startSync(keeper)
+			}
+			simulation.input(keeper, Persisted{Sequence: sequence})
+		})
+	})
+}
+
+// transmit puts a message through the codec and the network.
+func (simulation *simulation) transmit(from *keeper, send Send) {
+	if simulation.onSend != nil {
+		simulation.onSend(from.host, send)
+	}
+	data, err := EncodeMessage(send.Message)
+	if err != nil {
+		simulation.oracle.violate("encode: %v", err)
+		return
+	}
+	copies := 1
+	if simulation.random.IntN(1000) < simulation.lossShare {
+		copies = 0
+	} else if simulation.random.IntN(1000) < simulation.dupShare {
+		copies = 2
+	}
+	for range copies {
+		delay := simulation.oneWay
+		if simulation.jitter > 0 {
+			delay += time.Duration(simulation.random.Int64N(int64(simulation.jitter)))
+		}
+		simulation.schedule(simulation.now+delay, func() { simulation.deliver(from.host, send.To, data) })
+	}
+}
+
+func (simulation *simulation) deliver(from, to identifier.HostID, data []byte) {
+	keeper := simulation.find(to)
+	if keeper == nil || simulation.cut[[2]identifier.HostID{from, to}] {
+		return
+	}
+	message, err := DecodeMessage(bytes.Clone(data))
+	if err != nil {
+		simulation.oracle.violate("decode: %v", err)
+		return
+	}
+	simulation.input(keeper, MessageArrived{From: from, Message: message})
+}
+
+func (simulation *simulation) find(host identifier.HostID) *keeper {
+	for _, keeper := range simulation.keepers {
+		if keeper.host == host {
+			return keeper
+		}
+	}
+	return nil
+}
+
+// leader returns the running leader of the highest term, or nil.
+func (simulation *simulation) leader() *keeper {
+	var leading *keeper
+	highest := identifier.Term(0)
+	for _, keeper := range simulation.keepers {
+		if !keeper.alive || keeper.stopped || keeper.replicator.Role() != RoleLeader {
+			continue
+		}
+		if _, term := keeper.replicator.Leader(); term > highest {
+			leading, highest = keeper, term
+		}
+	}
+	return leading
+}
+
+// isolate cuts a keeper off in both directions.
+func (simulation *simulation) isolate(host identifier.HostID) {
+	for _, other := range simulation.keepers {
+		simulation.cut[[2]identifier.HostID{host, other.host}] = true
+		simulation.cut[[2]identifier.HostID{other.host, host}] = true
+	}
+}
+
+func (simulation *simulation) heal() { clear(simulation.cut) }
--- /dev/null
+++ b/pkg/replicator/snapshotting.go
@@ -0,0 +1,149 @@
+package replicator
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// outgoingSnapshot is a snapshot on its way to one peer, chunk after answered
+// chunk.
+type outgoingSnapshot struct {
+	index  identifier.LogIndex
+	term   identifier.Term
+	data   []byte
+	offset identifier.Bytes
+}
+
+// incomingSnapshot collects the chunks of one snapshot of the current leader.
+type incomingSnapshot struct {
+	index identifier.LogIndex
+	data  []byte
+}
+
+// requestSnapshot takes a snapshot of the own state machine when enough entries
+// were applied and synced since the last one.
+func (replicator *Replicator) requestSnapshot() {
+	due := replicator.snapshot.Index + identifier.LogIndex(replicator.Settings.SnapshotEvery)
+	if replicator.saving != 0 || replicator.applied < due || replicator.journal.durableIndex < replicator.applied {
+		return
+	}
+	term, _ := replicator.log.term(replicator.applied)
+	replicator.saving = replicator.applied
+	replicator.snapshot = Snapshot{
+		Index:   replicator.applied,
+		Term:    term,
+		Members: replicator.memberships.at(replicator.applied),
+		Data:    replicator.StateMachine.Snapshot(),
+	}
+	replicator.emit(SaveSnapshot{Snapshot: replicator.snapshot})
+}
+
+// snapshotSaved forgets the entries that the synced snapshot covers, but for some
+// that keepers which lag a little still need.
+func (replicator *Replicator) snapshotSaved(index identifier.LogIndex) {
+	if index != replicator.saving {
+		return
+	}
+	replicator.saving = 0
+	behind := identifier.LogIndex(replicator.Settings.EntriesKeptBehindSnapshot)
+	if index <= behind || replicator.log.base >= index-behind {
+		return
+	}
+	replicator.log.compactTo(index - behind)
+	replicator.memberships.compactTo(index - behind)
+}
+
+// startSnapshot begins to send the newest snapshot to a peer that needs entries
+// which are gone. The transfer keeps to that snapshot even if a newer one is taken.
+func (replicator *Replicator) startSnapshot(host identifier.HostID, peer *peer) bool {
+	data, err := encode("encode snapshot", replicator.snapshot)
+	if err != nil {
+		replicator.halt(err)
+		return false
+	}
+	peer.transfer = &outgoingSnapshot{index: replicator.snapshot.Index, term: replicator.snapshot.Term, data: data}
+	replicator.sendSnapshotChunk(host, peer)
+	return true
+}
+
+func (replicator *Replicator) sendSnapshotChunk(host identifier.HostID, peer *peer) {
+	transfer := peer.transfer
+	total := identifier.Bytes(len(transfer.data))
+	end := min(total, transfer.offset+replicator.Settings.SnapshotChunkBytes)
+	chunk := SnapshotChunk{
+		Index:      transfer.index,
+		LastTerm:   transfer.term,
+		Offset:     transfer.offset,
+		TotalBytes: total,
+		Stamp:      Stamp(replicator.now),
+		Data:       transfer.data[transfer.offset:end],
+	}
+	replicator.sendNow(host, Message{SnapshotChunk: &chunk})
+}
+
+// receiveSnapshotReply sends the next chunk. An answer to a repeated chunk moves
+// nothing, so that repeats do not multiply.
+func (replicator *Replicator) receiveSnapshotReply(from identifier.HostID, reply *SnapshotReply) {
+	peer := replicator.answeringPeer(from, reply.Stamp)
+	if peer == nil || peer.transfer == nil || peer.transfer.index != reply.Index {
+		return
+	}
+	if reply.Offset == peer.transfer.offset || reply.Offset > identifier.Bytes(len(peer.transfer.data)) {
+		return
+	}
+	peer.transfer.offset = reply.Offset
+	if reply.Offset < identifier.Bytes(len(peer.transfer.data)) {
+		replicator.sendSnapshotChunk(from, peer)
+	}
+}
+
+func (replicator *Replicator) receiveSnapshotChunk(from identifier.HostID, chunk *SnapshotChunk) {
+	if replicator.role == RoleLeader {
+		return
+	}
+	replicator.hearLeader(from, chunk.Stamp)
+	if chunk.Index <= replicator.hard.Commit {
+		// What is committed here stands in the leader's log too.
+		replicator.verified = max(replicator.verified, replicator.hard.Commit)
+		replicator.incoming = incomingSnapshot{}
+		replicator.acknowledge()
+		return
+	}
+	incoming := &replicator.incoming
+	if incoming.index != chunk.Index {
+		*incoming = incomingSnapshot{index: chunk.Index}
+	}
+	if chunk.Offset == identifier.Bytes(len(incoming.data)) {
+		incoming.data = append(incoming.data, chunk.Data...)
+	}
+	received := identifier.Bytes(len(incoming.data))
+	reply := SnapshotReply{Index: chunk.Index, Offset: received, Stamp: replicator.ackStamp}
+	replicator.sendNow(from, Message{SnapshotReply: &reply})
+	if received == chunk.TotalBytes {
+		replicator.installSnapshot(chunk)
+	}
+}
+
+// installSnapshot replaces the state machine and the log by the leader's snapshot,
+// unless the log already holds all that it covers.
+func (replicator *Replicator) installSnapshot(chunk *SnapshotChunk) {
+	data := replicator.incoming.data
+	replicator.incoming = incomingSnapshot{}
+	replicator.verified = max(replicator.verified, chunk.Index)
+	if replicator.log.matches(chunk.Index, chunk.LastTerm) {
+		replicator.hard.Commit = max(replicator.hard.Commit, chunk.Index)
+		replicator.acknowledge()
+		return
+	}
+	var snapshot Snapshot
+	err := decode("decode snapshot", data, &snapshot)
+	if err == nil {
+		err = replicator.restoreSnapshot(snapshot)
+	}
+	if err != nil {
+		replicator.halt(err)
+		return
+	}
+	replicator.hard.Commit = snapshot.Index
+	replicator.saving = 0
+	replicator.journal.replaced(snapshot)
+	replicator.emit(SnapshotInstalled{Index: snapshot.Index})
+	replicator.membershipMoved()
+}
