--- /dev/null
+++ b/pkg/gossiper/health.go
@@ -0,0 +1,40 @@
+package gossiper
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// noteLateness counts late ticks. A host whose processor is busy would take its
+// own delay for the silence of others and report healthy hosts as dead; stretched
+// timeouts let it wait as long as it is itself late. Answered probes wind the
+// count down again.
+func (gossiper *Gossiper) noteLateness(late bool) {
+	if late {
+		gossiper.localHealth = min(gossiper.localHealth+1, gossiper.Settings.MaximumLocalHealth)
+	}
+}
+
+// stretched returns the moment at which a wait of duration ends on this host.
+func (gossiper *Gossiper) stretched(duration time.Duration) identifier.Moment {
+	return gossiper.now.Add(duration * time.Duration(1+gossiper.localHealth))
+}
+
+// spread returns a moment within the coming interval.
+func (gossiper *Gossiper) spread(interval time.Duration) identifier.Moment {
+	if interval <= 0 {
+		return gossiper.now
+	}
+	return gossiper.now.Add(time.Duration(gossiper.random.Int64N(int64(interval))))
+}
+
+// jittered returns a moment one interval ahead, an eighth earlier or later, so
+// that the probes of different hosts do not fall into step.
+func (gossiper *Gossiper) jittered(interval time.Duration) identifier.Moment {
+	eighth := interval / 8
+	if eighth <= 0 {
+		return gossiper.now.Add(interval)
+	}
+	return gossiper.now.Add(interval - eighth + time.Duration(gossiper.random.Int64N(int64(2*eighth))))
+}
--- /dev/null
+++ b/pkg/gossiper/sync.go
@@ -0,0 +1,198 @@
+package gossiper
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// mismatchesToSync is how many digests in a row must differ before the whole
+// state is compared: a single difference is mostly an update still on its way.
+const mismatchesToSync = 3
+
+// returnSyncInterval bounds how often the return of lost members starts a
+// comparison; without it, each of a failure domain's hosts would start one.
+const returnSyncInterval = time.Second
+
+// compareDigest starts a comparison with a host that goes on knowing something
+// else. This mends whatever the updates missed: lost messages, partitions.
+func (gossiper *Gossiper) compareDigest(host identifier.HostID, digest uint64) {
+	entity := gossiper.members.Get(host)
+	if entity == nil {
+		return
+	}
+	mismatches := &gossiper.remoteMismatches
+	if gossiper.isLocal(entity) {
+		mismatches = &gossiper.localMismatches
+	}
+	if digest == gossiper.digest {
+		*mismatches = 0
+		return
+	}
+	*mismatches++
+	if *mismatches < mismatchesToSync || !gossiper.nextSync.Due(gossiper.now) {
+		return
+	}
+	*mismatches = 0
+	gossiper.nextSync = gossiper.jittered(gossiper.syncInterval())
+	gossiper.requestSync(host, entity.state.Member.Addresses.Peers)
+}
+
+// syncInterval grows with the number of members beyond SyncMembers as the
+// summaries do, so that the bytes a second stay the same.
+func (gossiper *Gossiper) syncInterval() time.Duration {
+	interval := gossiper.Settings.SyncInterval
+	members := gossiper.members.Len()
+	if members <= gossiper.Settings.SyncMembers {
+		return interval
+	}
+	return interval * time.Duration(members) / time.Duration(gossiper.Settings.SyncMembers)
+}
+
+// syncWithReturned compares at once with a member that was held for lost: most
+// likely a partition healed and it knows much that is new here.
+func (gossiper *Gossiper) syncWithReturned(member Member) {
+	if !gossiper.nextReturnSync.Due(gossiper.now) {
+		return
+	}
+	gossiper.nextReturnSync = gossiper.now.Add(returnSyncInterval)
+	gossiper.requestSync(member.Host, member.Addresses.Peers)
+}
+
+func (gossiper *Gossiper) requestSync(host identifier.HostID, address string) {
+	request := Message{Kind: MessageSyncRequest, States: []State{gossiper.self().state}}
+	gossiper.members.Each(func(host identifier.HostID, entity *memberEntity) bool {
+		request.Summaries = append(request.Summaries, Summary{
+			Host:        host,
+			Incarnation: entity.state.Member.Incarnation,
+			Refutation:  entity.state.Refutation,
+			Status:      entity.state.Status,
+			RecordsHash: entity.recordsHash,
+		})
+		return true
+	})
+	gossiper.cluster.Each(func(key string, record *Record) bool {
+		request.ClusterSummary = append(request.ClusterSummary, RecordSummary{Key: key, Version: record.Version})
+		return true
+	})
+	gossiper.sendTo(host, address, request)
+}
+
+// answerSync sends what the requester lacks and names what this host lacks.
+func (gossiper *Gossiper) answerSync(message Message) {
+	if gossiper.members.Get(message.From) == nil {
+		return
+	}
+	reply := Message{Kind: MessageSyncReply}
+	keys := gossiper.compareMembers(message, &reply)
+	keys = append(keys, gossiper.compareCluster(message, &reply)...)
+	first := keys[:min(len(keys), gossiper.Settings.MessageUpdates)]
+	for _, key := range first {
+		gossiper.addUpdate(&reply, key)
+	}
+	gossiper.send(message.From, reply)
+	gossiper.sendUpdates(message.From, MessageSyncReply, keys[len(first):])
+}
+
+func (gossiper *Gossiper) compareMembers(message Message, reply *Message) []rumorKey {
+	var keys []rumorKey
+	theirs := make(map[identifier.HostID]Summary, len(message.Summaries))
+	for _, summary := range message.Summaries {
+		theirs[summary.Host] = summary
+		if gossiper.lacks(summary) {
+			reply.Wanted = append(reply.Wanted, summary.Host)
+		}
+	}
+	gossiper.members.Each(func(host identifier.HostID, entity *memberEntity) bool {
+		summary, known := theirs[host]
+		if !known && !entity.state.Living() {
+			return true
+		}
+		newer := !known || entity.state.newerThan(summary.state())
+		newLife := !known || entity.state.Member.Incarnation > summary.Incarnation
+		sameLife := known && entity.state.Member.Incarnation == summary.Incarnation
+		if newer || (entity.disputed && host == message.From) {
+			keys = append(keys, memberRumor(host))
+		}
+		if newLife || (sameLife && entity.recordsHash != summary.RecordsHash) {
+			keys = append(keys, recordRumors(host, entity)...)
+		}
+		return true
+	})
+	return keys
+}
+
+// lacks tells whether the sender of a summary knows something newer.
+func (gossiper *Gossiper) lacks(summary Summary) bool {
+	state := summary.state()
+	entity := gossiper.members.Get(summary.Host)
+	if entity == nil {
+		return state.Living()
+	}
+	sameLife := entity.state.Member.Incarnation == summary.Incarnation
+	return state.newerThan(entity.state) || (sameLife && entity.recordsHash != summary.RecordsHash)
+}
+
+// state returns as much of a state as orders it against another.
+func (summary Summary) state() State {
+	return State{
+		Member:     Member{Host: summary.Host, Incarnation: summary.Incarnation},
+		Refutation: summary.Refutation,
+		Status:     summary.Status,
+	}
+}
+
+func recordRumors(host identifier.HostID, entity *memberEntity) []rumorKey {
+	var keys []rumorKey
+	for _, key := range entity.records.Keys() {
+		keys = append(keys, recordRumor(host, key))
+	}
+	return keys
+}
+
+func (gossiper *Gossiper) compareCluster(message Message, reply *Message) []rumorKey {
+	var keys []rumorKey
+	theirs := make(map[string]uint64, len(message.ClusterSummary))
+	for _, summary := range message.ClusterSummary {
+		theirs[summary.Key] = summary.Version
+		mine := gossiper.cluster.Get(summary.Key)
+		if mine == nil || mine.Version < summary.Version {
+			reply.WantedKeys = append(reply.WantedKeys, summary.Key)
+		}
+	}
+	gossiper.cluster.Each(func(key string, record *Record) bool {
+		version, known := theirs[key]
+		if !known || version < record.Version {
+			keys = append(keys, rumorKey{kind: rumorCluster, key: key})
+		}
+		return true
+	})
+	return keys
+}
+
+// takeSyncReply sends what the replier asked for.
+func (gossiper *Gossiper) takeSyncReply(message Message) {
+	if !gossiper.joined {
+		gossiper.joined = true
+		gossiper.joinEnds = gossiper.now.Add(joinSettles)
+		gossiper.nextJoin = identifier.Never
+		// What was told before was told to nobody.
+		gossiper.tell(memberRumor(gossiper.Self.Host), originated)
+		gossiper.tellOwnRecords()
+	}
+	var keys []rumorKey
+	for _, host := range message.Wanted {
+		entity := gossiper.members.Get(host)
+		if entity == nil {
+			continue
+		}
+		keys = append(keys, memberRumor(host))
+		keys = append(keys, recordRumors(host, entity)...)
+	}
+	for _, key := range message.WantedKeys {
+		if gossiper.cluster.Get(key) != nil {
+			keys = append(keys, rumorKey{kind: rumorCluster, key: key})
+		}
+	}
+	gossiper.sendUpdates(message.From, MessageUpdates, keys)
+}
