Wait longer for members that refuted lately

Cause: a host with a busy processor answers late each time and was suspected with every probe. Change: a refutation stretches this host's probes of it for a minute.

--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -81,6 +81,9 @@
 	raised   bool
 	nextPing identifier.Moment
 	forgetAt identifier.Moment
+	// patience stretches the probes of a member that refuted lately.
+	patience     int
+	patienceEnds identifier.Moment
 	// graced tells that the suspicion was prolonged once after a late tick.
 	graced bool
 	// disputed tells that two descriptions of the same incarnation were seen.
--- a/pkg/gossiper/health.go
+++ b/pkg/gossiper/health.go
@@ -38,3 +38,30 @@
 	}
 	return gossiper.now.Add(interval - eighth + time.Duration(gossiper.random.Int64N(int64(2*eighth))))
 }
+
+// maximumPatience bounds how far the probes of a slow member are stretched, and
+// patienceLasts how long after its last refutation.
+const (
+	maximumPatience = 2
+	patienceLasts   = time.Minute
+)
+
+// growPatience makes this host wait longer for a member that just refuted a
+// suspicion. A member whose processor is busy answers late each time; without
+// this it would be suspected again with every probe, and every suspicion and
+// refutation goes to all hosts.
+func (gossiper *Gossiper) growPatience(entity *memberEntity) {
+	if entity.patienceEnds.Due(gossiper.now) {
+		entity.patience = 0
+	}
+	entity.patience = min(entity.patience+1, maximumPatience)
+	entity.patienceEnds = gossiper.now.Add(patienceLasts)
+}
+
+// probeDeadline returns when a probe of the member has waited long enough.
+func (gossiper *Gossiper) probeDeadline(entity *memberEntity, timeout time.Duration) identifier.Moment {
+	if entity != nil && !entity.patienceEnds.Due(gossiper.now) {
+		timeout *= time.Duration(1 + entity.patience)
+	}
+	return gossiper.stretched(timeout)
+}
--- a/pkg/gossiper/merge.go
+++ b/pkg/gossiper/merge.go
@@ -102,6 +102,9 @@
 	if state.Status == StatusAlive {
 		gossiper.dropProbes(state.Member.Host)
 	}
+	if old.Status == StatusSuspect && state.Status == StatusAlive {
+		gossiper.growPatience(entity)
+	}
 	if !old.Living() && state.Living() {
 		gossiper.syncWithReturned(state.Member)
 	}
--- a/pkg/gossiper/probe.go
+++ b/pkg/gossiper/probe.go
@@ -83,7 +83,7 @@
 	}
 	gossiper.sequence++
 	gossiper.probes.Put(gossiper.sequence, &probe{
-		target: target, phase: phase, deadline: gossiper.stretched(timeout),
+		target: target, phase: phase, deadline: gossiper.probeDeadline(entity, timeout),
 	})
 	gossiper.ping(target, gossiper.sequence)
 }
@@ -163,7 +163,8 @@
 			pending.deadline = gossiper.stretched(gossiper.Settings.ProbeTimeout)
 		case pending.phase == phaseDirect:
 			pending.phase = phaseIndirect
-			pending.deadline = gossiper.stretched(gossiper.Settings.ProbeTimeout)
+			pending.deadline = gossiper.probeDeadline(
+				gossiper.members.Get(pending.target), gossiper.Settings.ProbeTimeout)
 			gossiper.probeIndirectly(pending.target, sequence)
 		case pending.phase == phaseIndirect:
 			gossiper.probes.Remove(sequence)
