--- a/pkg/journaler/append.go
+++ b/pkg/journaler/append.go
@@ -89,8 +89,7 @@
 		err = journal.active.Sync()
 	}
 	if err != nil {
-		cause.Kind = WriteFailed
-		cause.Err = eris.Wrap(cause.Err, "full disk, and the rest of the write could not be cut: "+err.Error())
+		cause.Err = eris.Wrap(cause.Err, "the rest of the write could not be cut: "+err.Error())
 		return journal.markBroken(cause)
 	}
 	return cause
--- a/pkg/journaler/journaler.go
+++ b/pkg/journaler/journaler.go
@@ -168,12 +168,17 @@
 	return nil
 }
 
-// markBroken keeps the first failure and returns err.
-func (journal *Journal) markBroken(err error) error {
+// markBroken keeps the first failure and returns the cause. A full disk that
+// could not be cleaned up after isn't reported as one, since a caller would then
+// wait for room in vain.
+func (journal *Journal) markBroken(cause *Error) error {
+	if cause.Kind == DiskFull {
+		cause.Kind = WriteFailed
+	}
 	if journal.broken == nil {
-		journal.broken = err
+		journal.broken = cause
 	}
-	return err
+	return cause
 }
 
 func firstError(first, second error) error {
--- a/pkg/journaler/logstate.go
+++ b/pkg/journaler/logstate.go
@@ -75,6 +75,9 @@
 }
 
 func (state *logState) applySegmentStart(change record) error {
+	if state.baseTermUnknown() && state.last == state.base.Index && change.Position.Index == state.last {
+		state.base.Term = change.Position.Term
+	}
 	if *change.Position != state.lastPosition() || *change.HardState != state.hardState {
 		return eris.New("the segment doesn't continue the one before it")
 	}
@@ -111,6 +114,10 @@
 	return nil
 }
 
+func (state *logState) baseTermUnknown() bool {
+	return state.base.Index > 0 && state.base.Term == 0
+}
+
 // admit checks a batch, applies it and returns its records. After an error the
 // state is worthless.
 func (state *logState) admit(batch Batch) ([]record, error) {
--- a/pkg/journaler/recover.go
+++ b/pkg/journaler/recover.go
@@ -226,16 +226,32 @@
 	return replayed, nil
 }
 
-// isTornCreation tells whether a crash interrupted the creation of a segment.
-// Nothing was acknowledged in it then.
+// isTornCreation tells whether a crash interrupted the creation of a segment: its
+// header or its start is damaged, and no frame stands behind. Nothing was
+// acknowledged in it then.
 func isTornCreation(part segment, content []byte) bool {
-	if len(content) > tornCreationBytes {
+	if len(content) > tornCreationBytes || hasStart(part, content) {
 		return false
 	}
-	_, found := findFrame(content, part.sequence, 0)
+	behindStart := min(headerBytes+1, int64(len(content)))
+	_, found := findFrame(content, part.sequence, behindStart)
 	return !found
 }
 
+// hasStart tells whether a segment begins as each does, or is of a version that
+// can't be judged.
+func hasStart(part segment, content []byte) bool {
+	err := checkHeader(part.name(), content, segmentMagic, part.sequence, nil)
+	if kind, _ := KindOf(err); err != nil && kind == UnsupportedFormat {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	_, _, valid := readFrame(content, part.sequence, headerBytes)
+	return valid
+}
+
 // readSegment replays one segment. Only the last one may end in a torn frame.
 func (replayed *replay) readSegment(part segment, content []byte, last bool) error {
 	if err := checkHeader(part.name(), content, segmentMagic, part.sequence, nil); err != nil {
--- a/pkg/journaler/snapshot.go
+++ b/pkg/journaler/snapshot.go
@@ -108,11 +108,15 @@
 // snapshotFailed breaks the journal unless the disk was merely full: the disk
 // that failed under the snapshot is the one under the log.
 func (journal *Journal) snapshotFailed(cause *Error) error {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return journal.unlessFull(cause)
+}
+
+func (journal *Journal) unlessFull(cause *Error) error {
 	if cause.Kind == DiskFull {
 		return cause
 	}
-	journal.mutex.Lock()
-	defer journal.mutex.Unlock()
 	return journal.markBroken(cause)
 }
 
@@ -125,7 +129,7 @@
 		return err
 	}
 	if err := journal.FileSystem.Rename(journal.path(name+temporarySuffix), journal.path(name)); err != nil {
-		return journal.markBroken(storageError("save snapshot", name, WriteFailed, err))
+		return journal.unlessFull(storageError("save snapshot", name, WriteFailed, err))
 	}
 	if err := journal.FileSystem.SyncFolder(journal.Folder); err != nil {
 		return journal.markBroken(storageError("save snapshot", name, SyncFailed, err))
