--- /dev/null
+++ b/pkg/keeper/machine.go
@@ -0,0 +1,92 @@
+package keeper
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/stoathitch/stoathitch/pkg/claimer"
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// Bounds of the replicated state. They must be the same on every keeper, so they
+// are constants and no settings.
+const (
+	fingerprintBound = 4_000_000
+	historyBound     = 1_000
+	resultBound      = 10_000
+)
+
+// machine is the replicated state: all registers behind one log.
+type machine struct {
+	claims        claimer.Register
+	configuration configurer.Register
+}
+
+func newMachine() *machine {
+	return &machine{
+		claims:        claimer.Register{FingerprintBound: fingerprintBound},
+		configuration: configurer.Register{HistoryBound: historyBound, ResultBound: resultBound},
+	}
+}
+
+// snapshot is the durable form of the machine.
+type snapshot struct {
+	Claims        []byte `cbor:"1,keyasint"`
+	Configuration []byte `cbor:"2,keyasint"`
+}
+
+// Apply carries out one command. A command that this version can't read changes
+// nothing, on every keeper alike.
+func (machine *machine) Apply(index identifier.LogIndex, data []byte) []byte {
+	command, err := decodeCommand(data)
+	if err != nil {
+		return nil
+	}
+	result := machine.carryOut(index, command)
+	encoded, err := encodeResult(&result)
+	if err != nil {
+		panic(err) // A result holds plain data, which always has a CBOR form.
+	}
+	return encoded
+}
+
+func (machine *machine) carryOut(index identifier.LogIndex, command *Command) Result {
+	switch {
+	case command.Claims != nil:
+		return Result{Decisions: machine.claims.Apply(index, command.Claims)}
+	case command.Change != nil:
+		outcome := machine.configuration.Apply(command.Change)
+		return Result{Change: &outcome}
+	default:
+		return Result{}
+	}
+}
+
+// Snapshot returns the whole state.
+func (machine *machine) Snapshot() []byte {
+	claims, err := machine.claims.Snapshot()
+	if err != nil {
+		panic(err) // Plain data always has a CBOR form.
+	}
+	configuration, err := machine.configuration.Snapshot()
+	if err != nil {
+		panic(err) // Plain data always has a CBOR form.
+	}
+	content, err := cbor.Marshal(&snapshot{Claims: claims, Configuration: configuration})
+	if err != nil {
+		panic(err) // Plain data always has a CBOR form.
+	}
+	return content
+}
+
+// Restore replaces the whole state by a snapshot.
+func (machine *machine) Restore(data []byte) error {
+	var state snapshot
+	if err := cbor.Unmarshal(data, &state); err != nil {
+		return err
+	}
+	if err := machine.claims.Restore(state.Claims); err != nil {
+		return err
+	}
+	return machine.configuration.Restore(state.Configuration)
+}
