--- /dev/null
+++ b/pkg/gossiper/fuzz_test.go
@@ -0,0 +1,205 @@
+package gossiper
+
+import (
+	"cmp"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// versionSeen is the newest that one process was told of something. The value
+// orders records of two processes that took the same incarnation.
+type versionSeen struct {
+	incarnation identifier.Incarnation
+	version     uint64
+	value       string
+}
+
+// oracle checks that nothing a process was told ever goes back.
+type oracle struct {
+	t    *rapid.T
+	seen map[string]versionSeen
+}
+
+func (oracle *oracle) observe(of *node, output Output) {
+	process := fmt.Sprintf("%s/%d", of.member.Host, of.lives)
+	switch output := output.(type) {
+	case RecordChanged:
+		told := versionSeen{version: output.Record.Version, value: string(output.Record.Value)}
+		if output.Host != "" {
+			state, _ := of.gossiper.State(output.Host)
+			told.incarnation = state.Member.Incarnation
+		}
+		oracle.advance(process+" record "+string(output.Host)+"/"+output.Record.Key, told)
+	case MemberChanged:
+		told := versionSeen{
+			incarnation: output.New.Member.Incarnation,
+			version:     output.New.Refutation*4 + uint64(output.New.Status),
+		}
+		oracle.advance(process+" member "+string(output.New.Member.Host), told)
+	case MemberForgotten:
+		oracle.t.Fatalf("%s forgot %s within minutes", process, output.Host)
+	}
+}
+
+func (oracle *oracle) advance(what string, told versionSeen) {
+	before, known := oracle.seen[what]
+	order := cmp.Or(
+		cmp.Compare(told.incarnation, before.incarnation),
+		cmp.Compare(told.version, before.version),
+		cmp.Compare(told.value, before.value),
+	)
+	if known && order <= 0 {
+		oracle.t.Fatalf("%s went from %v to %v", what, before, told)
+	}
+	oracle.seen[what] = told
+}
+
+// TestNothingRevertsAndAllConverge mixes what fails.
+//
+// Symptom: hosts disagree for ever, an old record comes back, or a living host
+// stays dead for others. Sequence: loss, duplication, reordering, partitions,
+// restarts, replacements, drifting clocks and late ticks in any order. Cause: an
+// order of updates that does not depend on what they say but on when they come.
+func TestNothingRevertsAndAllConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 4).Draw(t, "domains")
+		hosts := domains * rapid.IntRange(1, 3).Draw(t, "hosts-a-domain")
+		net := newNetwork(hosts, domains, rapid.Uint64().Draw(t, "seed"))
+		checker := &oracle{t: t, seen: make(map[string]versionSeen)}
+		net.observe = checker.observe
+		for _, current := range net.nodes {
+			current.rate = rapid.Float64Range(0.95, 1.05).Draw(t, "rate")
+		}
+		net.startAll(0)
+		run := &fuzzRun{net: net}
+		t.Repeat(map[string]func(*rapid.T){
+			"":                  func(*rapid.T) {},
+			"time-passes":       run.passTime,
+			"kill":              run.kill,
+			"restart":           run.restart,
+			"publish":           run.publish,
+			"change-network":    run.changeNetwork,
+			"partition":         run.partition,
+			"heal":              func(*rapid.T) { net.cut = nil },
+			"connection-closes": run.closeConnection,
+			"be-late":           run.beLate,
+		})
+		run.quieten()
+		net.run(time.Minute)
+		if err := net.converged(); err != nil {
+			t.Fatalf("a minute after all troubles ended: %v", err)
+		}
+		run.checkRecords(t)
+	})
+}
+
+// fuzzRun holds what the oracle needs to know of a run: the newest values.
+type fuzzRun struct {
+	net       *network
+	published uint64
+	cluster   uint64
+}
+
+func (run *fuzzRun) draw(t *rapid.T) *node {
+	return rapid.SampledFrom(run.net.nodes).Draw(t, "node")
+}
+
+func (run *fuzzRun) passTime(t *rapid.T) {
+	run.net.run(time.Duration(rapid.IntRange(1, 20000).Draw(t, "milliseconds")) * time.Millisecond)
+}
+
+func (run *fuzzRun) kill(t *rapid.T) { run.net.kill(run.draw(t)) }
+
+func (run *fuzzRun) restart(t *rapid.T) {
+	current := run.draw(t)
+	// A clock that went back gives an incarnation below the last one, or the same.
+	back := rapid.SampledFrom([]int{0, 0, 0, 1000, 5000}).Draw(t, "clock-back")
+	current.member.Incarnation -= identifier.Incarnation(back)
+	// One seed stays at its address: if all of them moved at once, no protocol
+	// could tell hosts that have lost each other where to look.
+	replaced := rapid.Bool().Draw(t, "replaced") && current.index != 0
+	run.net.restart(current, replaced)
+}
+
+func (run *fuzzRun) publish(t *rapid.T) {
+	current := run.draw(t)
+	if !current.up {
+		return
+	}
+	run.published++
+	value := []byte(fmt.Sprint(run.published))
+	key := rapid.SampledFrom([]string{"load", "lead"}).Draw(t, "key")
+	run.net.tick(current, RecordSet{Key: key, Value: value})
+	if rapid.Bool().Draw(t, "cluster-wide") {
+		run.cluster++
+		run.net.tick(current, ClusterRecordSet{Record: configurationRecord(run.cluster)})
+	}
+}
+
+func (run *fuzzRun) changeNetwork(t *rapid.T) {
+	run.net.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+	run.net.duplicate = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "duplicate")
+	run.net.jitter = rapid.SampledFrom([]time.Duration{0, time.Millisecond, time.Second}).Draw(t, "jitter")
+}
+
+// partition cuts a set of hosts off, in both directions or in one.
+func (run *fuzzRun) partition(t *rapid.T) {
+	side := rapid.Uint16().Draw(t, "side")
+	oneWay := rapid.Bool().Draw(t, "one-way")
+	inSide := func(current *node) bool { return side>>current.index&1 == 1 }
+	run.net.cut = func(from, to *node) bool {
+		if oneWay {
+			return inSide(from) && !inSide(to)
+		}
+		return inSide(from) != inSide(to)
+	}
+}
+
+func (run *fuzzRun) closeConnection(t *rapid.T) {
+	current, other := run.draw(t), run.draw(t)
+	if current.up {
+		run.net.tick(current, PeerConnectionClosed{Host: other.member.Host})
+	}
+}
+
+func (run *fuzzRun) beLate(t *rapid.T) {
+	lateness := rapid.SampledFrom([]int{0, 0, 200, 2000}).Draw(t, "milliseconds-late")
+	run.draw(t).lateness = time.Duration(lateness) * time.Millisecond
+}
+
+func (run *fuzzRun) quieten() {
+	net := run.net
+	net.cut = nil
+	net.loss, net.duplicate, net.jitter = 0, 0, time.Millisecond
+	for _, current := range net.nodes {
+		current.lateness = 0
+		if !current.up && current.index < 5 {
+			// Without any seed, hosts that never met could not find each other.
+			net.restart(current, false)
+		}
+	}
+}
+
+// checkRecords compares every view with what the owners hold, and the newest
+// cluster-wide record with the newest that any running host was given or heard.
+func (run *fuzzRun) checkRecords(t *rapid.T) {
+	for _, owner := range run.net.nodes {
+		for _, viewer := range run.net.nodes {
+			if !owner.up || !viewer.up {
+				continue
+			}
+			for _, key := range []string{"load", "lead"} {
+				truth, _ := owner.gossiper.Record(owner.member.Host, key)
+				view, _ := viewer.gossiper.Record(owner.member.Host, key)
+				if truth.Version != view.Version || string(truth.Value) != string(view.Value) {
+					t.Fatalf("%s holds %v of %s, which has %v", viewer.member.Host, view, owner.member.Host, truth)
+				}
+			}
+		}
+	}
+}
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -37,6 +37,8 @@
 	random       *rand.Rand
 	now          identifier.Moment
 	outputs      []Output
+	// introduced is the sender of the message in hand if it described itself.
+	introduced *Member
 
 	members *tabulator.Table[identifier.HostID, memberEntity]
 	cluster *tabulator.Table[string, Record]
--- a/pkg/gossiper/network_test.go
+++ b/pkg/gossiper/network_test.go
@@ -71,8 +71,8 @@
 	return last
 }
 
-// newNetwork makes hosts spread evenly over failure domains; the first host of
-// each of up to five failure domains is a seed. Nothing is started yet.
+// newNetwork makes hosts spread evenly over failure domains; the first hosts
+// of up to five failure domains, two hosts at least, are seeds. Nothing is started yet.
 func newNetwork(hosts, domains int, seed uint64) *network {
 	net := &network{
 		random:    rand.New(rand.NewPCG(seed, 1)),
@@ -92,7 +92,7 @@
 		}})
 	}
 	for _, current := range net.nodes {
-		for _, seed := range net.nodes[:min(domains, 5)] {
+		for _, seed := range net.nodes[:min(hosts, max(domains, 2), 5)] {
 			current.seeds = append(current.seeds, seed.member)
 		}
 	}
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -23,6 +23,8 @@
 	if message.From == gossiper.Self.Host || message.From == "" {
 		return
 	}
+	gossiper.introduced = introductionIn(message)
+	defer func() { gossiper.introduced = nil }()
 	source := gossiper.sourceOf(message)
 	for _, state := range message.States {
 		gossiper.mergeState(state, source)
@@ -47,6 +49,16 @@
 	}
 }
 
+// introductionIn returns the sender's description of itself, if there is one.
+func introductionIn(message Message) *Member {
+	for _, state := range message.States {
+		if state.Member.Host == message.From {
+			return &state.Member
+		}
+	}
+	return nil
+}
+
 // sourceOf tells from how far a message came, which decides who passes its
 // updates on.
 func (gossiper *Gossiper) sourceOf(message Message) origin {
--- a/pkg/gossiper/rumor.go
+++ b/pkg/gossiper/rumor.go
@@ -201,13 +201,19 @@
 	}
 }
 
-// send sends to a known member.
+// send sends to a known member. One that introduced itself is answered where it
+// says that it is: a replacement whose clock went back has a lower incarnation
+// than the host it replaces, and learns so only from an answer that reaches it.
 func (gossiper *Gossiper) send(to identifier.HostID, message Message) {
 	entity := gossiper.members.Get(to)
 	if entity == nil {
 		return
 	}
-	gossiper.sendTo(to, entity.state.Member.Addresses.Peers, message)
+	address := entity.state.Member.Addresses.Peers
+	if introduced := gossiper.introduced; introduced != nil && introduced.Host == to {
+		address = introduced.Addresses.Peers
+	}
+	gossiper.sendTo(to, address, message)
 }
 
 func (gossiper *Gossiper) sendTo(to identifier.HostID, address string, message Message) {
