--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -15,8 +14,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
-	"github.com/stoathitch/stoathitch/pkg/dispatcher"
-	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
@@ -38,6 +36,9 @@
 	servers  *connector.Servers
 	receiver *receiver.Receiver
 	drained  chan struct{}
+	// keeping is nil on a host without a disk.
+	keeping    *keeping
+	operations *operations
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it turns unready,
@@ -50,7 +51,12 @@
 		return err
 	}
 	running, stop := context.WithCancel(context.Background())
+	defer daemon.closeJournal()
 	defer stop()
+	if err := daemon.openJournal(running); err != nil {
+		listeners.close()
+		return err
+	}
 	servers := daemon.serve(listeners)
 	go daemon.runner.Run(running)
 	go daemon.peers.Run(running)
@@ -66,21 +72,21 @@
 func (daemon *Daemon) assemble() {
 	daemon.clock = runner.NewClock()
 	daemon.drained = make(chan struct{})
+	// The wall clock makes a later process of the same host the newer one; the
+	// membership mends it where the clock has been set back.
+	incarnation := identifier.Incarnation(time.Now().UnixNano())
 	daemon.runner = &runner.Runner[coordinator.Input, coordinator.Output]{
-		Decider: &coordinator.Coordinator{
-			Self:     coordinator.Host{ID: daemon.Settings.Host, FailureDomain: daemon.Settings.FailureDomain},
-			Settings: coordinatorSettings(daemon.Settings),
-		},
+		Decider: newCoordinator(daemon.Settings, incarnation),
 		Deliver: daemon.deliver,
 		Clock:   daemon.clock,
 	}
 	daemon.runner.Prepare()
-	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: rand.Uint64() | 1}
-	daemon.peers.Prepare()
+	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation}
 	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
 	daemon.servers.Prepare()
 	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
 	daemon.receiver.Prepare()
+	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
 
 // deliver carries the outputs of one tick out.
@@ -93,14 +99,46 @@
 			daemon.servers.Send(output.Batch)
 		case *coordinator.ToCaller:
 			daemon.receiver.Answer(output.Answer)
-		case *coordinator.LeadChanged:
-			daemon.Log.Info("lead taken", "cell", output.Notice.Cell, "epoch", output.Notice.Epoch)
 		case *coordinator.Drained:
 			daemon.markDrained()
+		default:
+			daemon.deliverControl(output)
 		}
 	}
 }
 
+// deliverControl carries out what membership, keepers and configuration want.
+func (daemon *Daemon) deliverControl(output coordinator.Output) {
+	switch output := output.(type) {
+	case *coordinator.LeadChanged:
+		daemon.logLead(output)
+	case *coordinator.MemberChanged:
+		member := output.State.Member
+		daemon.Log.Info("member changed", "peer", member.Host, "status", output.State.Status, "failure-domain", member.FailureDomain)
+		daemon.peers.Learn(member.Host, member.Addresses.Peers)
+	case *coordinator.KeeperLeaderChanged:
+		daemon.Log.Info("keeper leader changed", "leader", output.Leader, "term", output.Term)
+	case *coordinator.KeeperHalted:
+		daemon.Log.Error("keeper halted", "reason", output.Reason)
+	case *coordinator.ConfigInForce:
+		daemon.Log.Info("configuration in force", "version", output.Version.Version, "operator", output.Version.Operator)
+	case *coordinator.Persist:
+		daemon.keeping.persist(output.Persist)
+	case *coordinator.SaveSnapshot:
+		daemon.keeping.saveSnapshot(output.Snapshot)
+	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer:
+		daemon.operations.Answer(output)
+	}
+}
+
+func (daemon *Daemon) logLead(change *coordinator.LeadChanged) {
+	event := "lead taken"
+	if change.Notice.Host == "" {
+		event = "lead given up"
+	}
+	daemon.Log.Info(event, "cell", change.Notice.Cell, "epoch", change.Notice.Epoch)
+}
+
 func (daemon *Daemon) markDrained() {
 	select {
 	case <-daemon.drained:
@@ -145,6 +183,7 @@
 func (daemon *Daemon) serve(listeners *listeners) *servers {
 	router := mux.NewRouter()
 	daemon.receiver.Register(router)
+	daemon.operations.Register(router)
 	created := &servers{
 		http:           &http.Server{Handler: router, ReadHeaderTimeout: daemon.Settings.Timeouts.HeaderTimeout.Std()},
 		backendServers: grpc.NewServer(),
@@ -178,23 +217,3 @@
 	servers.backendServers.Stop()
 	servers.peers.Stop()
 }
-
-func coordinatorSettings(settings settingsSource) coordinator.Settings {
-	result := coordinator.DefaultSettings()
-	fillDispatcher(settings, &result.Dispatcher)
-	fillForwarder(settings, &result.Forwarder)
-	return result
-}
-
-func fillDispatcher(settings settingsSource, target *dispatcher.Settings) {
-	target.Cells = settings.Dispatch.Cells
-	target.QueuedTasks = settings.Limits.QueuedTasks
-	target.UnknownTaskWait = settings.Timeouts.UnknownTaskWait.Std()
-	target.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
-	target.HeartbeatTimeout = settings.Timeouts.HeartbeatInterval.Std() * time.Duration(settings.Timeouts.HeartbeatMissed)
-}
-
-func fillForwarder(settings settingsSource, target *forwarder.Settings) {
-	target.Cells = settings.Dispatch.Cells
-	target.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
-}
--- a/pkg/assembler/errorkind_enumer.go
+++ b/pkg/assembler/errorkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ErrorKindName = "listen"
+const _ErrorKindName = "listenjournal"
 
-var _ErrorKindIndex = [...]uint8{0, 6}
+var _ErrorKindIndex = [...]uint8{0, 6, 13}
 
-const _ErrorKindLowerName = "listen"
+const _ErrorKindLowerName = "listenjournal"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -25,20 +25,24 @@
 func _ErrorKindNoOp() {
 	var x [1]struct{}
 	_ = x[ErrorListen-(0)]
+	_ = x[ErrorJournal-(1)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorListen}
+var _ErrorKindValues = []ErrorKind{ErrorListen, ErrorJournal}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
-	_ErrorKindName[0:6]: ErrorListen,
+	_ErrorKindName[0:6]:  ErrorListen,
+	_ErrorKindName[6:13]: ErrorJournal,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
-	_ErrorKindLowerName[0:6]: ErrorListen,
+	_ErrorKindLowerName[0:6]:  ErrorListen,
+	_ErrorKindLowerName[6:13]: ErrorJournal,
 }
 
 var _ErrorKindNames = []string{
 	_ErrorKindName[0:6],
+	_ErrorKindName[6:13],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -5,13 +5,8 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/stoathitch/stoathitch/pkg/loader"
 )
 
-// settingsSource is what the parts' settings are filled from.
-type settingsSource = *loader.Settings
-
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
 
 // ErrorKind tells what kind of thing went wrong.
@@ -21,6 +16,8 @@
 const (
 	// ErrorListen means that an address could not be bound.
 	ErrorListen ErrorKind = iota
+	// ErrorJournal means that the journal of a keeper could not be opened.
+	ErrorJournal
 )
 
 // Error is the error type of this package.
--- /dev/null
+++ b/pkg/assembler/operations.go
@@ -0,0 +1,192 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/connector"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/provider"
+)
+
+// operations serves the operators' HTTP paths.
+type operations struct {
+	*provider.Common
+	post connector.Poster
+
+	mutex      sync.Mutex
+	nextWaiter uint64
+	waiters    map[uint64]chan coordinator.Output
+}
+
+func newOperations(common *provider.Common, post connector.Poster) *operations {
+	return &operations{Common: common, post: post, waiters: make(map[uint64]chan coordinator.Output)}
+}
+
+// Register adds the operators' paths to router.
+func (operations *operations) Register(router *mux.Router) {
+	router.HandleFunc("/v1/status", operations.status).Methods(http.MethodGet)
+	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
+	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
+	router.HandleFunc("/v1/config/history", operations.configHistory).Methods(http.MethodGet)
+}
+
+// Answer hands an output of the coordinator to the request that waits for it.
+func (operations *operations) Answer(output coordinator.Output) {
+	var waiter uint64
+	switch output := output.(type) {
+	case *coordinator.OperatorAnswer:
+		waiter = output.Waiter
+	case *coordinator.ConfigHistory:
+		waiter = output.Waiter
+	case *coordinator.ConfigAnswer:
+		waiter = output.Waiter
+	case *coordinator.StatusAnswer:
+		waiter = output.Waiter
+	}
+	operations.mutex.Lock()
+	waiting, found := operations.waiters[waiter]
+	delete(operations.waiters, waiter)
+	operations.mutex.Unlock()
+	if found {
+		waiting <- output
+	}
+}
+
+// await posts an input for a new waiter and returns the output that answers it,
+// or nil when the operator hangs up.
+func (operations *operations) await(ctx context.Context, input func(waiter uint64) coordinator.Input) coordinator.Output {
+	waiting := make(chan coordinator.Output, 1)
+	operations.mutex.Lock()
+	operations.nextWaiter++
+	waiter := operations.nextWaiter
+	operations.waiters[waiter] = waiting
+	operations.mutex.Unlock()
+	operations.post(ctx, input(waiter))
+	select {
+	case output := <-waiting:
+		return output
+	case <-ctx.Done():
+		operations.mutex.Lock()
+		delete(operations.waiters, waiter)
+		operations.mutex.Unlock()
+		return nil
+	}
+}
+
+func (operations *operations) status(writer http.ResponseWriter, request *http.Request) {
+	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.StatusWanted{Waiter: waiter}
+	})
+	if answer, answered := output.(*coordinator.StatusAnswer); answered {
+		writeJSON(writer, http.StatusOK, answer.Status)
+	}
+}
+
+// configBody is the JSON of a version of the configuration.
+type configBody struct {
+	configurer.Version
+	Document json.RawMessage `json:"document"`
+}
+
+func (operations *operations) showConfig(writer http.ResponseWriter, request *http.Request) {
+	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.ConfigWanted{Waiter: waiter}
+	})
+	if answer, answered := output.(*coordinator.ConfigAnswer); answered {
+		writeJSON(writer, http.StatusOK, bodyOf(answer.Version))
+	}
+}
+
+func bodyOf(version configurer.Version) configBody {
+	body := configBody{Version: version, Document: version.Document}
+	if len(body.Document) == 0 {
+		body.Document = json.RawMessage("{}")
+	}
+	return body
+}
+
+// changeBody is the JSON of a change of the configuration.
+type changeBody struct {
+	Request  identifier.RequestID     `json:"request"`
+	Expected identifier.ConfigVersion `json:"expected"`
+	Operator string                   `json:"operator"`
+	Document json.RawMessage          `json:"document"`
+}
+
+func (operations *operations) changeConfig(writer http.ResponseWriter, request *http.Request) {
+	var body changeBody
+	limited := http.MaxBytesReader(writer, request.Body, int64(operations.Settings.Limits.RequestBody))
+	decoder := json.NewDecoder(limited)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		writeJSON(writer, http.StatusBadRequest, errorBody{Error: "malformed-body", Detail: err.Error()})
+		return
+	}
+	if body.Request == "" || body.Operator == "" || len(body.Document) == 0 {
+		detail := "request, operator and document must not be empty"
+		writeJSON(writer, http.StatusBadRequest, errorBody{Error: "missing-field", Detail: detail})
+		return
+	}
+	change := &configurer.Change{
+		Request: body.Request, Expected: body.Expected, Operator: body.Operator,
+		Document: body.Document, At: time.Now().UTC().Format(time.RFC3339),
+	}
+	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.OperatorRequest{Waiter: waiter, Command: keeper.Command{Change: change}}
+	})
+	if answer, answered := output.(*coordinator.OperatorAnswer); answered {
+		writeChangeResult(writer, answer)
+	}
+}
+
+func writeChangeResult(writer http.ResponseWriter, answer *coordinator.OperatorAnswer) {
+	if !answer.Applied || answer.Result.Change == nil {
+		writeJSON(writer, http.StatusServiceUnavailable, errorBody{
+			Error:  "no-quorum",
+			Detail: "no quorum of the keepers answered; nobody knows whether the change was accepted: send it again with the same request id",
+		})
+		return
+	}
+	status := http.StatusOK
+	if answer.Result.Change.Verdict == configurer.VerdictConflict {
+		status = http.StatusConflict
+	}
+	writeJSON(writer, status, answer.Result.Change)
+}
+
+func (operations *operations) configHistory(writer http.ResponseWriter, request *http.Request) {
+	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.ConfigHistoryWanted{Waiter: waiter}
+	})
+	answer, answered := output.(*coordinator.ConfigHistory)
+	if !answered {
+		return
+	}
+	bodies := make([]configBody, 0, len(answer.Versions))
+	for _, version := range answer.Versions {
+		bodies = append(bodies, bodyOf(version))
+	}
+	writeJSON(writer, http.StatusOK, bodies)
+}
+
+type errorBody struct {
+	Error  string `json:"error"`
+	Detail string `json:"detail"`
+}
+
+// writeJSON writes body. An error means that the operator has hung up, so there
+// is nobody to tell.
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
--- a/pkg/configurer/follower.go
+++ b/pkg/configurer/follower.go
@@ -81,6 +81,10 @@
 // Version returns the version in force here.
 func (follower *Follower) Version() identifier.ConfigVersion { return follower.inForce.Version }
 
+// InForce returns the configuration in force here; its version is 0 before the
+// first.
+func (follower *Follower) InForce() Version { return follower.inForce }
+
 // Tick applies the inputs, lets deadlines fall due and returns what to send.
 func (follower *Follower) Tick(now identifier.Moment, inputs []Input) []Output {
 	follower.now = now
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -2,78 +2,101 @@
 
 import (
 	"context"
-	"io"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
-	"github.com/stoathitch/stoathitch/pkg/loader"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
 // Timing of the connections to other hosts.
 const (
-	reconnectPause = 200 * time.Millisecond
-	dialBaseDelay  = 100 * time.Millisecond
-	dialMaxDelay   = time.Second
+	dialBaseDelay = 100 * time.Millisecond
+	dialMaxDelay  = time.Second
 	// sendQueue bounds the batches that wait for a slow peer. Beyond it batches
 	// are dropped: every message between hosts is either repeated by its sender or
 	// covered by a timeout.
 	sendQueue = 1024
 )
 
+// errNotIntroduced means that a stream did not begin with another host's id.
+var errNotIntroduced = eris.New("the first frame must name another host of the system")
+
 // Poster hands an input to the coordinator; it returns false once the process
 // ends.
 type Poster func(ctx context.Context, input coordinator.Input) bool
 
-// Peers keeps one sending stream to every other host and receives theirs. Set
-// the exported fields before Run.
+// Peers keeps a sending stream to every other host that something is sent to, and
+// receives theirs. Set the exported fields before Run.
 type Peers struct {
 	*provider.Common
 	Post        Poster
-	Incarnation uint64
+	Incarnation identifier.Incarnation
 
 	peerv1.UnimplementedPeerServer
+	mutex sync.Mutex
 	links map[identifier.HostID]*peerLink
-	hosts map[identifier.HostID]loader.Host
+	// running is the context of Run; links that are learned later live as long.
+	running context.Context
 }
 
 // peerLink is the sending side towards one host.
 type peerLink struct {
-	host  loader.Host
-	queue chan []byte
+	host    identifier.HostID
+	address string
+	queue   chan []byte
+	cancel  context.CancelFunc
 }
 
-// Prepare makes the links, so that Send may be called before Run.
-func (peers *Peers) Prepare() {
+// Run opens the links to the hosts that the settings name and keeps all links
+// until ctx is done.
+func (peers *Peers) Run(ctx context.Context) {
+	peers.mutex.Lock()
+	peers.running = ctx
 	peers.links = make(map[identifier.HostID]*peerLink)
-	peers.hosts = make(map[identifier.HostID]loader.Host)
+	peers.mutex.Unlock()
 	for _, host := range peers.Settings.Hosts {
-		if host.Host == peers.Settings.Host {
-			continue
-		}
-		peers.links[host.Host] = &peerLink{host: host, queue: make(chan []byte, sendQueue)}
-		peers.hosts[host.Host] = host
+		peers.Learn(host.Host, host.PeersAddress.String())
 	}
+	<-ctx.Done()
 }
 
-// Run keeps the sending streams until ctx is done.
-func (peers *Peers) Run(ctx context.Context) {
-	for _, link := range peers.links {
-		go peers.keepLink(ctx, link)
+// Learn notes where a host listens. A host that has moved gets a new link.
+func (peers *Peers) Learn(host identifier.HostID, address string) {
+	if host == peers.Settings.Host || address == "" {
+		return
 	}
-	<-ctx.Done()
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if peers.running == nil {
+		return
+	}
+	known := peers.links[host]
+	if known != nil && known.address == address {
+		return
+	}
+	if known != nil {
+		known.cancel()
+	}
+	ctx, cancel := context.WithCancel(peers.running)
+	created := &peerLink{host: host, address: address, queue: make(chan []byte, sendQueue), cancel: cancel}
+	peers.links[host] = created
+	go peers.keepLink(ctx, created)
 }
 
 // Send queues a batch for another host. A batch for a host that does not keep up
 // is dropped.
 func (peers *Peers) Send(to identifier.HostID, batch *coordinator.PeerBatch) {
+	peers.mutex.Lock()
 	link, found := peers.links[to]
+	peers.mutex.Unlock()
 	if !found {
 		return
 	}
@@ -89,27 +112,32 @@
 	}
 }
 
-// keepLink opens the sending stream again whenever it ends.
+// keepLink opens a stream as soon as there is something to send, and again
+// whenever it has ended.
 func (peers *Peers) keepLink(ctx context.Context, link *peerLink) {
-	connection, err := peers.dial(link.host)
+	connection, err := peers.dial(link.address)
 	if err != nil {
-		peers.Log.Error("peer not dialled", "peer", link.host.Host, "err", err)
+		peers.Log.Error("peer not dialled", "peer", link.host, "err", err)
 		return
 	}
 	defer func() { _ = connection.Close() }()
-	waitingLogged := false
-	for ctx.Err() == nil {
-		opened, err := peers.runStream(ctx, connection, link)
-		if opened || !waitingLogged {
-			peers.Log.Info("waiting for peer", "peer", link.host.Host, "address", link.host.PeersAddress, "err", err)
-			waitingLogged = true
+	waiting := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case payload := <-link.queue:
+			opened, err := peers.runStream(ctx, connection, link, payload)
+			if !opened && !waiting && ctx.Err() == nil {
+				peers.Log.Info("waiting for peer", "peer", link.host, "address", link.address, "err", err)
+			}
+			waiting = !opened
 		}
-		pause(ctx, reconnectPause)
 	}
 }
 
-func (peers *Peers) dial(host loader.Host) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient(host.PeersAddress.String(),
+func (peers *Peers) dial(address string) (*grpc.ClientConn, error) {
+	connection, err := grpc.NewClient(address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: dialBaseDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: dialMaxDelay},
@@ -121,44 +149,52 @@
 	return connection, nil
 }
 
-// runStream sends until the stream ends. It tells whether the stream was opened.
-func (peers *Peers) runStream(ctx context.Context, connection *grpc.ClientConn, link *peerLink) (bool, error) {
+// runStream sends the payload and what follows it until the stream ends. It tells
+// whether the stream was opened; a payload that found none is dropped.
+func (peers *Peers) runStream(ctx context.Context, connection *grpc.ClientConn, link *peerLink, payload []byte) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := peerv1.NewPeerClient(connection).Exchange(ctx)
+	stream, err := peers.openStream(ctx, connection)
 	if err != nil {
-		return false, newError("open peer stream", ErrorStream, err)
-	}
-	// The first frame introduces this host; the answer proves that the other
-	// side is served by the process that the settings name.
-	if err := stream.Send(peers.frame(nil)); err != nil {
-		return false, newError("introduce to peer", ErrorStream, err)
-	}
-	if _, err := stream.Recv(); err != nil {
-		return false, newError("wait for peer", ErrorStream, err)
+		return false, err
 	}
-	host := coordinator.Host{ID: link.host.Host, FailureDomain: link.host.FailureDomain}
-	peers.Log.Info("peer connected", "peer", host.ID)
-	peers.Post(ctx, &coordinator.PeerConnected{Host: host})
+	peers.Log.Info("peer connected", "peer", link.host)
+	peers.Post(ctx, &coordinator.PeerConnected{Host: link.host})
 	ended := make(chan error, 1)
 	go func() {
 		_, err := stream.Recv()
 		ended <- err
 	}()
-	err = peers.pump(ctx, stream, link, ended)
-	peers.Log.Info("peer disconnected", "peer", host.ID, "err", err)
-	peers.Post(context.WithoutCancel(ctx), &coordinator.PeerDisconnected{Host: host})
+	err = peers.pump(ctx, stream, link, payload, ended)
+	peers.Log.Info("peer disconnected", "peer", link.host, "err", err)
+	peers.Post(ctx, &coordinator.PeerDisconnected{Host: link.host})
 	return true, err
 }
 
+// openStream opens a stream and introduces this host. The answer proves that a
+// host of the system serves the other side.
+func (peers *Peers) openStream(ctx context.Context, connection *grpc.ClientConn) (peerv1.Peer_ExchangeClient, error) {
+	stream, err := peerv1.NewPeerClient(connection).Exchange(ctx)
+	if err != nil {
+		return nil, newError("open peer stream", ErrorStream, err)
+	}
+	if err := stream.Send(peers.frame(nil)); err != nil {
+		return nil, newError("introduce to peer", ErrorStream, err)
+	}
+	if _, err := stream.Recv(); err != nil {
+		return nil, newError("wait for peer", ErrorStream, err)
+	}
+	return stream, nil
+}
+
 // pump sends queued batches until the stream ends.
-func (peers *Peers) pump(ctx context.Context, stream peerv1.Peer_ExchangeClient, link *peerLink, ended chan error) error {
+func (peers *Peers) pump(ctx context.Context, stream peerv1.Peer_ExchangeClient, link *peerLink, payload []byte, ended chan error) error {
 	for {
+		if err := stream.Send(peers.frame(payload)); err != nil {
+			return newError("send to peer", ErrorStream, err)
+		}
 		select {
-		case payload := <-link.queue:
-			if err := stream.Send(peers.frame(payload)); err != nil {
-				return newError("send to peer", ErrorStream, err)
-			}
+		case payload = <-link.queue:
 		case err := <-ended:
 			return newError("peer stream", ErrorStream, err)
 		case <-ctx.Done():
@@ -168,7 +204,7 @@
 }
 
 func (peers *Peers) frame(payload []byte) *peerv1.Frame {
-	return &peerv1.Frame{From: string(peers.Settings.Host), Incarnation: peers.Incarnation, Payload: payload}
+	return &peerv1.Frame{From: string(peers.Settings.Host), Incarnation: uint64(peers.Incarnation), Payload: payload}
 }
 
 // Exchange receives the batches of another host.
@@ -178,9 +214,8 @@
 		return newError("receive introduction", ErrorStream, err)
 	}
 	from := identifier.HostID(first.GetFrom())
-	if _, known := peers.hosts[from]; !known {
-		peers.Log.Warn("unknown peer refused", "peer", from)
-		return newError("receive introduction", ErrorProtocol, io.ErrUnexpectedEOF)
+	if from == "" || from == peers.Settings.Host {
+		return newError("receive introduction", ErrorProtocol, errNotIntroduced)
 	}
 	if err := stream.Send(peers.frame(nil)); err != nil {
 		return newError("answer introduction", ErrorStream, err)
@@ -205,12 +240,3 @@
 	peers.Post(ctx, &coordinator.PeerBatchArrived{From: from, Batch: batch})
 	return nil
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -5,64 +5,59 @@
 package coordinator
 
 import (
-	"time"
-
+	"github.com/stoathitch/stoathitch/pkg/claimer"
+	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 )
 
-// Host names one host of the system.
-type Host struct {
-	ID            identifier.HostID
-	FailureDomain identifier.FailureDomain
-}
-
-// Settings joins the settings of the parts.
-type Settings struct {
-	Dispatcher dispatcher.Settings
-	Forwarder  forwarder.Settings
-	// LeadSettle is how long a starting host waits to hear of a living lead
-	// before it takes a cell, so that it does not duel with that lead.
-	LeadSettle time.Duration
-}
-
-// DefaultSettings returns the settings that the daemon starts from.
-func DefaultSettings() Settings {
-	return Settings{
-		Dispatcher: dispatcher.DefaultSettings(),
-		Forwarder:  forwarder.DefaultSettings(),
-		LeadSettle: 300 * time.Millisecond,
-	}
-}
-
 // Coordinator is one host of the system. Set the exported fields before the
 // first Tick.
 type Coordinator struct {
-	Self     Host
+	// Self describes this host, Seeds the other hosts that the settings name.
+	Self  gossiper.Member
+	Seeds []gossiper.Member
+	// Seed makes random choices repeatable; it differs between hosts.
+	Seed     uint64
 	Settings Settings
 
 	now        identifier.Moment
 	dispatcher *dispatcher.Dispatcher
 	forwarder  *forwarder.Forwarder
-	leads      *leads
-	// reachable are the other hosts with a connection, in order of their ids.
-	reachable []identifier.HostID
-	// toDispatcher and toForwarder hold what the parts have still to apply in
-	// this tick.
+	gossiper   *gossiper.Gossiper
+	elector    *elector.Elector
+	// keeper is nil on a host without a disk.
+	keeper    *keeper.Keeper
+	requester *claimer.Requester
+	follower  *configurer.Follower
+	petitions *petitions
+	// keeperLeader is the keeper believed to lead.
+	keeperLeader identifier.HostID
+	nextNonce    keeper.Nonce
+
+	// What the parts have still to apply in this tick.
 	toDispatcher []dispatcher.Input
 	toForwarder  []forwarder.Input
+	toGossiper   []gossiper.Input
+	toElector    []elector.Input
+	toKeeper     []keeper.Input
+	toRequester  []claimer.Input
+	toFollower   []configurer.Input
 	outputs      outbox
 	draining     bool
 }
 
-// Tick applies the inputs, lets deadlines fall due and returns what to send.
+// Tick applies the inputs, lets deadlines fall due and returns what to do.
 func (coordinator *Coordinator) Tick(now identifier.Moment, inputs []Input) []Output {
 	coordinator.prepare(now)
 	for _, input := range inputs {
 		coordinator.apply(input)
 	}
-	coordinator.elect()
+	coordinator.petitions.expire()
 	coordinator.settle()
 	coordinator.reportDrained()
 	return coordinator.outputs.drain()
@@ -75,7 +70,15 @@
 	}
 	next := coordinator.dispatcher.NextDeadline()
 	next = identifier.Earlier(next, coordinator.forwarder.NextDeadline())
-	return identifier.Earlier(next, coordinator.leads.nextDeadline())
+	next = identifier.Earlier(next, coordinator.gossiper.NextDeadline())
+	next = identifier.Earlier(next, coordinator.elector.NextDeadline())
+	next = identifier.Earlier(next, coordinator.requester.NextDeadline())
+	next = identifier.Earlier(next, coordinator.follower.NextDeadline())
+	next = identifier.Earlier(next, coordinator.petitions.timers.Next())
+	if coordinator.keeper != nil {
+		next = identifier.Earlier(next, coordinator.keeper.NextDeadline())
+	}
+	return next
 }
 
 func (coordinator *Coordinator) prepare(now identifier.Moment) {
@@ -84,38 +87,85 @@
 		return
 	}
 	coordinator.dispatcher = &dispatcher.Dispatcher{
-		Self:          coordinator.Self.ID,
+		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
 		Settings:      coordinator.Settings.Dispatcher,
 	}
 	coordinator.forwarder = &forwarder.Forwarder{
-		Self:          coordinator.Self.ID,
+		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
 		Settings:      coordinator.Settings.Forwarder,
 	}
-	coordinator.leads = newLeads(coordinator.Self, coordinator.Settings.Dispatcher.Cells)
-	coordinator.leads.settleAt = now.Add(coordinator.Settings.LeadSettle)
-	coordinator.hostsChanged()
+	coordinator.gossiper = coordinator.newGossiper()
+	coordinator.elector = coordinator.newElector()
+	coordinator.keeper = coordinator.newKeeper()
+	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
+	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
+	coordinator.petitions = newPetitions(coordinator)
+	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
+	coordinator.tellRequester(&claimer.KeepersChanged{Keepers: coordinator.keepersInOrder()})
 }
 
 // settle runs the parts until none has anything left to apply. A message between
 // two parts of the same host thus costs no delay.
 func (coordinator *Coordinator) settle() {
-	for {
-		forwarderInputs := coordinator.toForwarder
-		coordinator.toForwarder = nil
-		for _, output := range coordinator.forwarder.Tick(coordinator.now, forwarderInputs) {
-			coordinator.routeForwarderOutput(output)
-		}
-		dispatcherInputs := coordinator.toDispatcher
-		coordinator.toDispatcher = nil
-		for _, output := range coordinator.dispatcher.Tick(coordinator.now, dispatcherInputs) {
-			coordinator.routeDispatcherOutput(output)
-		}
-		if len(coordinator.toForwarder) == 0 && len(coordinator.toDispatcher) == 0 {
-			return
-		}
+	for round := 0; round == 0 || coordinator.unsettled(); round++ {
+		coordinator.settleMembership()
+		coordinator.settleKeeping()
+		coordinator.settleDispatch()
+	}
+}
+
+func (coordinator *Coordinator) unsettled() bool {
+	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
+		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
+		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
+		len(coordinator.toFollower) > 0
+}
+
+func (coordinator *Coordinator) settleMembership() {
+	now := coordinator.now
+	tickPart(now, coordinator.gossiper, &coordinator.toGossiper, coordinator.routeGossiperOutput)
+	tickPart(now, coordinator.elector, &coordinator.toElector, coordinator.routeElectorOutput)
+}
+
+func (coordinator *Coordinator) settleKeeping() {
+	now := coordinator.now
+	tickPart(now, coordinator.requester, &coordinator.toRequester, coordinator.routeRequesterOutput)
+	if coordinator.keeper != nil {
+		tickPart(now, coordinator.keeper, &coordinator.toKeeper, coordinator.routeKeeperOutput)
+	}
+	tickPart(now, coordinator.follower, &coordinator.toFollower, coordinator.routeFollowerOutput)
+}
+
+func (coordinator *Coordinator) settleDispatch() {
+	now := coordinator.now
+	tickPart(now, coordinator.forwarder, &coordinator.toForwarder, coordinator.routeForwarderOutput)
+	tickPart(now, coordinator.dispatcher, &coordinator.toDispatcher, coordinator.routeDispatcherOutput)
+}
+
+// part is a deciding package that the coordinator drives.
+type part[Input, Output any] interface {
+	Tick(now identifier.Moment, inputs []Input) []Output
+	NextDeadline() identifier.Moment
+}
+
+// tickPart ticks a part that has inputs or a deadline which has been reached, and
+// routes what it hands back.
+func tickPart[Input, Output any](now identifier.Moment, part part[Input, Output], queue *[]Input, route func(Output)) {
+	if len(*queue) == 0 && !part.NextDeadline().Due(now) {
+		return
 	}
+	for _, output := range part.Tick(now, taken(queue)) {
+		route(output)
+	}
+}
+
+// taken empties a queue of inputs and returns what was in it.
+func taken[T any](queue *[]T) []T {
+	inputs := *queue
+	*queue = nil
+	return inputs
 }
 
 // reportDrained tells, during a graceful shutdown, that every caller's
--- /dev/null
+++ b/pkg/coordinator/keeping.go
@@ -0,0 +1,209 @@
+package coordinator
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/stoathitch/stoathitch/pkg/claimer"
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/replicator"
+)
+
+// newKeeper returns the keeper part of a host with a disk, and nil elsewhere.
+func (coordinator *Coordinator) newKeeper() *keeper.Keeper {
+	if !slices.Contains(coordinator.Self.Roles, gossiper.RoleKeeper) {
+		return nil
+	}
+	created := &keeper.Keeper{Self: coordinator.Self.Host, Seed: coordinator.Seed, Settings: coordinator.Settings.Keeper}
+	for _, host := range coordinator.keeperHosts() {
+		created.InitialMembers = append(created.InitialMembers, replicator.Member{Host: host, Role: replicator.MemberVoter})
+	}
+	return created
+}
+
+// keeperHosts lists the keepers that the settings name, in order of their ids.
+func (coordinator *Coordinator) keeperHosts() []identifier.HostID {
+	var hosts []identifier.HostID
+	for _, member := range append([]gossiper.Member{coordinator.Self}, coordinator.Seeds...) {
+		if slices.Contains(member.Roles, gossiper.RoleKeeper) && !slices.Contains(hosts, member.Host) {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+func (coordinator *Coordinator) tellKeeper(input keeper.Input) {
+	if coordinator.keeper != nil {
+		coordinator.toKeeper = append(coordinator.toKeeper, input)
+	}
+}
+
+func (coordinator *Coordinator) routeKeeperOutput(output keeper.Output) {
+	switch output := output.(type) {
+	case *keeper.Send:
+		message := output.Message
+		coordinator.outputs.toPeer(output.To, PeerMessage{Log: &message})
+	case *keeper.Forward:
+		coordinator.sendRequest(output.To, output.Request)
+	case *keeper.Answer:
+		coordinator.sendReply(output.To, output.Reply)
+	case *keeper.Persist:
+		coordinator.outputs.add(&Persist{Persist: output.Persist})
+	case *keeper.SaveSnapshot:
+		coordinator.outputs.add(&SaveSnapshot{Snapshot: output.Snapshot})
+	case *keeper.VersionAccepted:
+		coordinator.tellFollower(&configurer.VersionFetched{Version: output.Version})
+	case *keeper.LeaderChanged:
+		coordinator.changeKeeperLeader(output)
+	case *keeper.History:
+		coordinator.outputs.add(&ConfigHistory{Waiter: output.Waiter, Versions: output.Versions})
+	case *keeper.Halted:
+		coordinator.outputs.add(&KeeperHalted{Reason: output.Reason})
+	}
+}
+
+func (coordinator *Coordinator) changeKeeperLeader(change *keeper.LeaderChanged) {
+	coordinator.outputs.add(&KeeperLeaderChanged{Leader: change.Leader, Term: change.Term})
+	coordinator.preferKeeper(change.Leader)
+	if change.Leader == coordinator.Self.Host {
+		coordinator.publish(keeperLeaderKey, string(coordinator.Self.Host))
+		return
+	}
+	coordinator.publish(keeperLeaderKey, "")
+}
+
+func (coordinator *Coordinator) sendRequest(to identifier.HostID, request keeper.Request) {
+	if to == coordinator.Self.Host {
+		coordinator.tellKeeper(&keeper.Requested{Request: request})
+		return
+	}
+	coordinator.outputs.toPeer(to, PeerMessage{KeeperRequest: &request})
+}
+
+func (coordinator *Coordinator) sendReply(to identifier.HostID, reply keeper.Reply) {
+	if to == coordinator.Self.Host {
+		coordinator.takeReply(&reply)
+		return
+	}
+	coordinator.outputs.toPeer(to, PeerMessage{KeeperReply: &reply})
+}
+
+// takeReply hands a keeper's reply to the part that asked.
+func (coordinator *Coordinator) takeReply(reply *keeper.Reply) {
+	if reply.Leader != "" {
+		coordinator.preferKeeper(reply.Leader)
+	}
+	if reply.Kind == keeper.ReplyApplied && reply.Result.Decisions != nil {
+		coordinator.tellRequester(&claimer.Decided{Decisions: reply.Result.Decisions})
+		return
+	}
+	coordinator.petitions.takeReply(reply)
+}
+
+// preferKeeper asks the keeper that leads before the others.
+func (coordinator *Coordinator) preferKeeper(leader identifier.HostID) {
+	if leader == coordinator.keeperLeader || leader == "" {
+		return
+	}
+	coordinator.keeperLeader = leader
+	coordinator.tellRequester(&claimer.KeepersChanged{Keepers: coordinator.keepersInOrder()})
+}
+
+// keepersInOrder lists the keepers, the one believed to lead first.
+func (coordinator *Coordinator) keepersInOrder() []identifier.HostID {
+	hosts := coordinator.keeperHosts()
+	position := slices.Index(hosts, coordinator.keeperLeader)
+	if position > 0 {
+		hosts[0], hosts[position] = hosts[position], hosts[0]
+	}
+	return hosts
+}
+
+func (coordinator *Coordinator) changeKeeperReachability(state gossiper.State) {
+	var hint replicator.Input = replicator.PeerUnreachable{Host: state.Member.Host}
+	if state.Living() {
+		hint = replicator.PeerReachable{Host: state.Member.Host}
+	}
+	coordinator.tellKeeper(&keeper.ToLog{Input: hint})
+}
+
+// claim asks the keepers whether a submission may run a not-repeatable job.
+func (coordinator *Coordinator) claim(wanted *dispatcher.ClaimWanted) {
+	coordinator.tellRequester(&claimer.Wanted{Claim: claimer.Claim{
+		Caller:     wanted.Caller,
+		Job:        wanted.Job,
+		Submission: wanted.Submission,
+		Home:       coordinator.Self.FailureDomain,
+	}})
+}
+
+func (coordinator *Coordinator) tellRequester(input claimer.Input) {
+	coordinator.toRequester = append(coordinator.toRequester, input)
+}
+
+func (coordinator *Coordinator) routeRequesterOutput(output claimer.Output) {
+	switch output := output.(type) {
+	case *claimer.Ask:
+		command := output.Command
+		coordinator.nextNonce++
+		coordinator.sendRequest(output.Keeper, keeper.Request{
+			Origin:  coordinator.Self.Host,
+			Nonce:   coordinator.nextNonce,
+			Command: keeper.Command{Claims: &command},
+		})
+	case *claimer.Verdicts:
+		for _, decision := range output.Decisions {
+			coordinator.tellDispatcher(claimDecided(decision))
+		}
+	}
+}
+
+func claimDecided(decision claimer.Decision) *dispatcher.ClaimDecided {
+	decided := &dispatcher.ClaimDecided{Submission: decision.Submission, Holder: decision.Holder}
+	switch decision.Verdict {
+	case claimer.VerdictGranted:
+		decided.Verdict = dispatcher.ClaimGranted
+	case claimer.VerdictHeld, claimer.VerdictForgotten:
+		decided.Verdict = dispatcher.ClaimHeld
+	default:
+		decided.Verdict = dispatcher.ClaimUnavailable
+	}
+	return decided
+}
+
+func (coordinator *Coordinator) tellFollower(input configurer.Input) {
+	coordinator.toFollower = append(coordinator.toFollower, input)
+}
+
+func (coordinator *Coordinator) routeFollowerOutput(output configurer.Output) {
+	switch output := output.(type) {
+	case *configurer.Fetch:
+		coordinator.outputs.toPeer(output.From, PeerMessage{ConfigWanted: true})
+	case *configurer.Serve:
+		version := output.Version
+		coordinator.outputs.toPeer(output.To, PeerMessage{Config: &version})
+	case *configurer.InForce:
+		version := output.Version
+		coordinator.publish(configRecordKey, strconv.FormatUint(uint64(version.Version), recordNumberBase))
+		coordinator.outputs.add(&ConfigInForce{Version: version})
+	}
+}
+
+// answerHistory asks the own keeper for the kept versions. A host without one has
+// only the version in force.
+func (coordinator *Coordinator) answerHistory(wanted *ConfigHistoryWanted) {
+	if coordinator.keeper != nil {
+		coordinator.tellKeeper(&keeper.HistoryWanted{Waiter: wanted.Waiter})
+		return
+	}
+	history := &ConfigHistory{Waiter: wanted.Waiter}
+	if inForce := coordinator.follower.InForce(); inForce.Version > 0 {
+		history.Versions = []configurer.Version{inForce}
+	}
+	coordinator.outputs.add(history)
+}
--- /dev/null
+++ b/pkg/coordinator/membership.go
@@ -0,0 +1,206 @@
+package coordinator
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/elector"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// The keys of the records that spread with the membership.
+const (
+	leadRecordPrefix  = "lead-"
+	configRecordKey   = "config-version"
+	keeperLeaderKey   = "keeper-leader"
+	recordNumberBase  = 10
+	recordNumberWidth = 64
+)
+
+func (coordinator *Coordinator) newGossiper() *gossiper.Gossiper {
+	return &gossiper.Gossiper{
+		Self:     coordinator.Self,
+		Seeds:    coordinator.Seeds,
+		Seed:     coordinator.Seed,
+		Settings: coordinator.Settings.Gossiper,
+	}
+}
+
+func (coordinator *Coordinator) newElector() *elector.Elector {
+	return &elector.Elector{
+		Self:          coordinator.Self.Host,
+		FailureDomain: coordinator.Self.FailureDomain,
+		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
+		SettleTime:    coordinator.Settings.LeadSettle,
+	}
+}
+
+func (coordinator *Coordinator) tellGossiper(input gossiper.Input) {
+	coordinator.toGossiper = append(coordinator.toGossiper, input)
+}
+
+func (coordinator *Coordinator) tellElector(input elector.Input) {
+	coordinator.toElector = append(coordinator.toElector, input)
+}
+
+func (coordinator *Coordinator) routeGossiperOutput(output gossiper.Output) {
+	switch output := output.(type) {
+	case gossiper.Send:
+		message := output.Message
+		coordinator.outputs.toPeer(output.To, PeerMessage{Gossip: &message})
+	case gossiper.MemberChanged:
+		coordinator.changeMember(output)
+	case gossiper.RecordChanged:
+		coordinator.changeRecord(output)
+	}
+}
+
+// changeMember follows a host's state. What depends on who lives is brought up to
+// date: the leads, the holders of copies and the keepers to ask.
+func (coordinator *Coordinator) changeMember(change gossiper.MemberChanged) {
+	member := change.New.Member
+	coordinator.outputs.add(&MemberChanged{State: change.New})
+	restarted := change.Old != nil && change.Old.Member.Incarnation != member.Incarnation
+	if restarted {
+		coordinator.tellElector(elector.HostRestarted{FailureDomain: member.FailureDomain, Host: member.Host})
+	}
+	living := coordinator.livingIn(member.FailureDomain)
+	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
+	if member.FailureDomain == coordinator.Self.FailureDomain {
+		coordinator.hostsChanged()
+	}
+	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
+		coordinator.changeKeeperReachability(change.New)
+	}
+}
+
+// livingIn lists the hosts of a failure domain that are counted on, in order of
+// their ids, this host included.
+func (coordinator *Coordinator) livingIn(failureDomain identifier.FailureDomain) []identifier.HostID {
+	var living []identifier.HostID
+	if failureDomain == coordinator.Self.FailureDomain {
+		living = append(living, coordinator.Self.Host)
+	}
+	for _, state := range coordinator.gossiper.Members() {
+		member := state.Member
+		if member.FailureDomain == failureDomain && member.Host != coordinator.Self.Host && state.Living() {
+			living = append(living, member.Host)
+		}
+	}
+	slices.Sort(living)
+	return living
+}
+
+func (coordinator *Coordinator) hostsChanged() {
+	living := coordinator.livingIn(coordinator.Self.FailureDomain)
+	coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
+}
+
+// changeRecord reads what another host spreads about itself.
+func (coordinator *Coordinator) changeRecord(change gossiper.RecordChanged) {
+	state, known := coordinator.gossiper.State(change.Host)
+	if !known {
+		return
+	}
+	key, value := change.Record.Key, string(change.Record.Value)
+	switch {
+	case strings.HasPrefix(key, leadRecordPrefix):
+		coordinator.changeLeadRecord(state.Member, strings.TrimPrefix(key, leadRecordPrefix), value)
+	case key == configRecordKey:
+		version, err := strconv.ParseUint(value, recordNumberBase, recordNumberWidth)
+		if err == nil {
+			coordinator.tellFollower(&configurer.VersionSeen{Host: change.Host, Version: identifier.ConfigVersion(version)})
+		}
+	case key == keeperLeaderKey:
+		coordinator.preferKeeper(identifier.HostID(value))
+	}
+}
+
+func (coordinator *Coordinator) changeLeadRecord(member gossiper.Member, cellText, value string) {
+	number, err := strconv.ParseUint(cellText, recordNumberBase, 32)
+	if err != nil {
+		return
+	}
+	cell := messenger.CellNumber(number)
+	epoch, err := strconv.ParseUint(value, recordNumberBase, recordNumberWidth)
+	if err != nil {
+		coordinator.tellElector(elector.LeadWithdrawn{FailureDomain: member.FailureDomain, Host: member.Host, Cell: cell})
+		return
+	}
+	coordinator.tellElector(elector.LeadSeen{
+		FailureDomain: member.FailureDomain, Host: member.Host, Cell: cell, Epoch: identifier.Epoch(epoch),
+	})
+}
+
+// noticeLead takes a notice that came directly; the record that says the same
+// spreads more slowly. An empty host withdraws what the sender announced.
+func (coordinator *Coordinator) noticeLead(from identifier.HostID, notice messenger.LeadNotice) {
+	if notice.Host == "" {
+		coordinator.tellElector(elector.LeadWithdrawn{FailureDomain: notice.FailureDomain, Host: from, Cell: notice.Cell})
+		return
+	}
+	coordinator.tellElector(elector.LeadSeen{
+		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: notice.Epoch,
+	})
+}
+
+func (coordinator *Coordinator) routeElectorOutput(output elector.Output) {
+	switch output := output.(type) {
+	case elector.LeadTaken:
+		coordinator.takeLead(output)
+	case elector.LeadLost:
+		coordinator.loseLead(output)
+	case elector.LeadIs:
+		notice := messenger.LeadNotice{
+			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host, Epoch: output.Epoch,
+		}
+		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+	}
+}
+
+func (coordinator *Coordinator) takeLead(taken elector.LeadTaken) {
+	hosts := coordinator.livingIn(coordinator.Self.FailureDomain)
+	coordinator.tellDispatcher(&dispatcher.LeadTaken{Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts})
+	notice := messenger.LeadNotice{
+		FailureDomain: coordinator.Self.FailureDomain,
+		Cell:          taken.Cell,
+		Host:          coordinator.Self.Host,
+		Epoch:         taken.Epoch,
+	}
+	coordinator.publish(leadRecordKey(taken.Cell), strconv.FormatUint(uint64(taken.Epoch), recordNumberBase))
+	coordinator.outputs.add(&LeadChanged{Notice: notice})
+	coordinator.tellNeighbours(notice)
+}
+
+func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
+	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
+	coordinator.publish(leadRecordKey(lost.Cell), "")
+	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
+	coordinator.outputs.add(&LeadChanged{Notice: notice})
+	coordinator.tellNeighbours(notice)
+}
+
+// tellNeighbours sends a notice to the living hosts of the failure domain, which
+// forward their jobs to the new lead.
+func (coordinator *Coordinator) tellNeighbours(notice messenger.LeadNotice) {
+	for _, host := range coordinator.livingIn(coordinator.Self.FailureDomain) {
+		if host != coordinator.Self.Host {
+			coordinator.outputs.toPeer(host, PeerMessage{LeadNotice: &notice})
+		}
+	}
+}
+
+func leadRecordKey(cell messenger.CellNumber) string {
+	return leadRecordPrefix + strconv.FormatUint(uint64(cell), recordNumberBase)
+}
+
+// publish spreads a record of this host; an empty value withdraws it.
+func (coordinator *Coordinator) publish(key, value string) {
+	coordinator.tellGossiper(gossiper.RecordSet{Key: key, Value: []byte(value)})
+}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -1,10 +1,14 @@
 package coordinator
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
 // Input is a message or event that Tick applies.
@@ -16,11 +20,12 @@
 	Batch PeerBatch
 }
 
-// PeerConnected tells that another host can be reached.
-type PeerConnected struct{ Host Host }
+// PeerConnected tells that a connection to another host stands.
+type PeerConnected struct{ Host identifier.HostID }
 
-// PeerDisconnected tells that the connection to another host has ended.
-type PeerDisconnected struct{ Host Host }
+// PeerDisconnected tells that the connection to another host has ended. Its
+// process may be gone; the membership finds out.
+type PeerDisconnected struct{ Host identifier.HostID }
 
 // ServerEvent brings a message or event of a backend server.
 type ServerEvent struct{ Event dispatcher.Input }
@@ -32,12 +37,45 @@
 // and answers what it has accepted.
 type ShutdownRequested struct{}
 
-func (*PeerBatchArrived) isCoordinatorInput()  {}
-func (*PeerConnected) isCoordinatorInput()     {}
-func (*PeerDisconnected) isCoordinatorInput()  {}
-func (*ServerEvent) isCoordinatorInput()       {}
-func (*CallerEvent) isCoordinatorInput()       {}
-func (*ShutdownRequested) isCoordinatorInput() {}
+// Restored hands over what the journal of a keeper held at the start. It must
+// come before any other input.
+type Restored struct{ Restored replicator.Restored }
+
+// Persisted tells that every Persist up to a sequence is durable.
+type Persisted struct{ Sequence replicator.PersistSequence }
+
+// SnapshotSaved tells that a snapshot is durable.
+type SnapshotSaved struct{ Index identifier.LogIndex }
+
+// OperatorRequest brings a command that an operator wants the keepers to carry
+// out.
+type OperatorRequest struct {
+	Waiter  uint64
+	Command keeper.Command
+}
+
+// ConfigHistoryWanted asks for the configurations that the own keeper has.
+type ConfigHistoryWanted struct{ Waiter uint64 }
+
+// ConfigWanted asks for the configuration in force on this host.
+type ConfigWanted struct{ Waiter uint64 }
+
+// StatusWanted asks for what operators see of this host.
+type StatusWanted struct{ Waiter uint64 }
+
+func (*PeerBatchArrived) isCoordinatorInput()    {}
+func (*PeerConnected) isCoordinatorInput()       {}
+func (*PeerDisconnected) isCoordinatorInput()    {}
+func (*ServerEvent) isCoordinatorInput()         {}
+func (*CallerEvent) isCoordinatorInput()         {}
+func (*ShutdownRequested) isCoordinatorInput()   {}
+func (*Restored) isCoordinatorInput()            {}
+func (*Persisted) isCoordinatorInput()           {}
+func (*SnapshotSaved) isCoordinatorInput()       {}
+func (*OperatorRequest) isCoordinatorInput()     {}
+func (*ConfigHistoryWanted) isCoordinatorInput() {}
+func (*ConfigWanted) isCoordinatorInput()        {}
+func (*StatusWanted) isCoordinatorInput()        {}
 
 // Output is what the owner of the coordinator carries out.
 type Output interface{ isCoordinatorOutput() }
@@ -57,14 +95,73 @@
 // Drained tells that a graceful shutdown has answered all accepted work.
 type Drained struct{}
 
-// LeadChanged tells who leads a cell now, for the log.
+// LeadChanged tells, for the log, that this host took a cell, or gave it up when
+// the notice has no host.
 type LeadChanged struct{ Notice messenger.LeadNotice }
 
-func (*ToPeer) isCoordinatorOutput()      {}
-func (*ToServer) isCoordinatorOutput()    {}
-func (*ToCaller) isCoordinatorOutput()    {}
-func (*Drained) isCoordinatorOutput()     {}
-func (*LeadChanged) isCoordinatorOutput() {}
+// MemberChanged tells of another host's new state, for the log and for the
+// connections.
+type MemberChanged struct{ State gossiper.State }
+
+// Persist asks the journal to write and sync.
+type Persist struct{ Persist replicator.Persist }
+
+// SaveSnapshot asks the journal to write a snapshot.
+type SaveSnapshot struct{ Snapshot replicator.Snapshot }
+
+// KeeperLeaderChanged tells, for the log, who leads the keepers.
+type KeeperLeaderChanged struct {
+	Leader identifier.HostID
+	Term   identifier.Term
+}
+
+// KeeperHalted tells that the keeper of this host can't go on.
+type KeeperHalted struct{ Reason string }
+
+// ConfigInForce tells that a configuration is in force on this host from now on.
+type ConfigInForce struct{ Version configurer.Version }
+
+// ConfigHistory answers a ConfigHistoryWanted.
+type ConfigHistory struct {
+	Waiter   uint64
+	Versions []configurer.Version
+}
+
+// ConfigAnswer answers a ConfigWanted.
+type ConfigAnswer struct {
+	Waiter  uint64
+	Version configurer.Version
+}
+
+// OperatorAnswer answers an OperatorRequest. Without Applied nobody knows whether
+// the command was carried out; the same request id finds out.
+type OperatorAnswer struct {
+	Waiter  uint64
+	Applied bool
+	Result  keeper.Result
+}
+
+// StatusAnswer answers a StatusWanted.
+type StatusAnswer struct {
+	Waiter uint64
+	Status Status
+}
+
+func (*ToPeer) isCoordinatorOutput()              {}
+func (*ToServer) isCoordinatorOutput()            {}
+func (*ToCaller) isCoordinatorOutput()            {}
+func (*Drained) isCoordinatorOutput()             {}
+func (*LeadChanged) isCoordinatorOutput()         {}
+func (*MemberChanged) isCoordinatorOutput()       {}
+func (*Persist) isCoordinatorOutput()             {}
+func (*SaveSnapshot) isCoordinatorOutput()        {}
+func (*KeeperLeaderChanged) isCoordinatorOutput() {}
+func (*KeeperHalted) isCoordinatorOutput()        {}
+func (*ConfigInForce) isCoordinatorOutput()       {}
+func (*ConfigHistory) isCoordinatorOutput()       {}
+func (*ConfigAnswer) isCoordinatorOutput()        {}
+func (*OperatorAnswer) isCoordinatorOutput()      {}
+func (*StatusAnswer) isCoordinatorOutput()        {}
 
 // PeerBatch is what one host sends another in one tick.
 type PeerBatch struct {
@@ -86,6 +183,13 @@
 	LeadNotice        *messenger.LeadNotice     `cbor:"11,keyasint,omitempty"`
 	Lookup            *messenger.Lookup         `cbor:"12,keyasint,omitempty"`
 	Cancel            *messenger.Cancel         `cbor:"13,keyasint,omitempty"`
+	// Membership, keepers and configuration.
+	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
+	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
+	KeeperRequest *keeper.Request     `cbor:"16,keyasint,omitempty"`
+	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
+	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
+	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -1,10 +1,15 @@
 package coordinator
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
 func (coordinator *Coordinator) apply(input Input) {
@@ -14,16 +19,46 @@
 			coordinator.applyPeerMessage(input.From, &input.Batch.Messages[index])
 		}
 	case *PeerConnected:
-		coordinator.connectPeer(input.Host)
+		coordinator.tellGossiper(gossiper.PeerConnected{Host: input.Host})
 	case *PeerDisconnected:
-		coordinator.disconnectPeer(input.Host)
+		coordinator.tellGossiper(gossiper.PeerConnectionClosed{Host: input.Host})
 	case *ServerEvent:
 		coordinator.toDispatcher = append(coordinator.toDispatcher, input.Event)
 	case *CallerEvent:
 		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
 	case *ShutdownRequested:
-		coordinator.draining = true
-		coordinator.leads.resign()
+		coordinator.shutDown()
+	default:
+		coordinator.applyOperation(input)
+	}
+}
+
+// shutDown begins a graceful shutdown: the cells go to other hosts, which take no
+// longer than after a loss, and nothing is lost with them.
+func (coordinator *Coordinator) shutDown() {
+	coordinator.draining = true
+	coordinator.tellElector(elector.Resign{})
+	coordinator.tellGossiper(gossiper.LeaveRequested{})
+	coordinator.tellKeeper(&keeper.ToLog{Input: replicator.TransferRequested{}})
+}
+
+// applyOperation applies the inputs of the journal and of operators.
+func (coordinator *Coordinator) applyOperation(input Input) {
+	switch input := input.(type) {
+	case *Restored:
+		coordinator.tellKeeper(&keeper.ToLog{Input: input.Restored})
+	case *Persisted:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.Persisted{Sequence: input.Sequence}})
+	case *SnapshotSaved:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.SnapshotSaved{Index: input.Index}})
+	case *OperatorRequest:
+		coordinator.petitions.begin(input)
+	case *ConfigHistoryWanted:
+		coordinator.answerHistory(input)
+	case *ConfigWanted:
+		coordinator.outputs.add(&ConfigAnswer{Waiter: input.Waiter, Version: coordinator.follower.InForce()})
+	case *StatusWanted:
+		coordinator.outputs.add(&StatusAnswer{Waiter: input.Waiter, Status: coordinator.status()})
 	}
 }
 
@@ -50,19 +85,32 @@
 	case message.TakeoverReply != nil:
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
 	case message.LeadNotice != nil:
-		coordinator.noticeLead(*message.LeadNotice)
+		coordinator.noticeLead(from, *message.LeadNotice)
 	case message.Lookup != nil:
 		coordinator.tellDispatcher(&dispatcher.LookupArrived{From: from, Lookup: *message.Lookup})
 	case message.Cancel != nil:
 		coordinator.tellDispatcher(&dispatcher.CancelArrived{From: from, Cancel: *message.Cancel})
+	default:
+		coordinator.applyControlMessage(from, message)
 	}
 }
 
-func (coordinator *Coordinator) noticeLead(notice messenger.LeadNotice) {
-	coordinator.leads.noticed(notice)
-	offeredToSelf := notice.FailureDomain == coordinator.Self.FailureDomain && notice.Host == coordinator.Self.ID
-	if !offeredToSelf {
-		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+// applyControlMessage applies the messages of membership, keepers and
+// configuration.
+func (coordinator *Coordinator) applyControlMessage(from identifier.HostID, message *PeerMessage) {
+	switch {
+	case message.Gossip != nil:
+		coordinator.tellGossiper(gossiper.MessageReceived{Message: *message.Gossip})
+	case message.Log != nil:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.MessageArrived{From: from, Message: *message.Log}})
+	case message.KeeperRequest != nil:
+		coordinator.tellKeeper(&keeper.Requested{Request: *message.KeeperRequest})
+	case message.KeeperReply != nil:
+		coordinator.takeReply(message.KeeperReply)
+	case message.ConfigWanted:
+		coordinator.tellFollower(&configurer.VersionRequested{From: from})
+	case message.Config != nil:
+		coordinator.tellFollower(&configurer.VersionFetched{Version: *message.Config})
 	}
 }
 
@@ -85,7 +133,7 @@
 }
 
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
-	self := coordinator.Self.ID
+	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *forwarder.AnswerCaller:
 		coordinator.outputs.add(&ToCaller{Answer: output})
@@ -133,7 +181,7 @@
 }
 
 func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
-	if to == coordinator.Self.ID {
+	if to == coordinator.Self.Host {
 		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
 		return
 	}
@@ -141,7 +189,7 @@
 }
 
 func (coordinator *Coordinator) routeDispatcherOutput(output dispatcher.Output) {
-	self := coordinator.Self.ID
+	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *dispatcher.ToServer:
 		coordinator.outputs.add(&ToServer{Batch: output})
@@ -162,12 +210,6 @@
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
 	case *dispatcher.EpochSeen:
-		coordinator.leads.sawEpoch(output.Cell, output.Epoch)
+		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: output.Epoch})
 	}
 }
-
-// claim refuses every claim until the keepers' claims are wired in: a
-// not-repeatable job must not run without one.
-func (coordinator *Coordinator) claim(wanted *dispatcher.ClaimWanted) {
-	coordinator.tellDispatcher(&dispatcher.ClaimDecided{Submission: wanted.Submission, Verdict: dispatcher.ClaimUnavailable})
-}
--- /dev/null
+++ b/pkg/coordinator/status.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// Status is what operators see of a host.
+type Status struct {
+	Host          identifier.HostID        `json:"host"`
+	FailureDomain identifier.FailureDomain `json:"failure-domain"`
+	Draining      bool                     `json:"draining"`
+	Unanswered    int                      `json:"unanswered"`
+	ConfigVersion identifier.ConfigVersion `json:"config-version"`
+	Hosts         []HostStatus             `json:"hosts"`
+	Cells         []CellStatus             `json:"cells"`
+	Keeper        *keeper.Status           `json:"keeper,omitempty"`
+}
+
+// HostStatus is another host as this one sees it.
+type HostStatus struct {
+	Host          identifier.HostID        `json:"host"`
+	FailureDomain identifier.FailureDomain `json:"failure-domain"`
+	Status        gossiper.Status          `json:"status"`
+	Roles         []gossiper.Role          `json:"roles"`
+	Callers       string                   `json:"callers-address"`
+	ConfigVersion string                   `json:"config-version,omitempty"`
+}
+
+// CellStatus is a cell of the own failure domain.
+type CellStatus struct {
+	Cell  messenger.CellNumber `json:"cell"`
+	Lead  identifier.HostID    `json:"lead"`
+	Epoch identifier.Epoch     `json:"epoch"`
+}
+
+func (coordinator *Coordinator) status() Status {
+	status := Status{
+		Host:          coordinator.Self.Host,
+		FailureDomain: coordinator.Self.FailureDomain,
+		Draining:      coordinator.draining,
+		Unanswered:    coordinator.forwarder.Unanswered(),
+		ConfigVersion: coordinator.follower.Version(),
+	}
+	for _, state := range coordinator.gossiper.Members() {
+		status.Hosts = append(status.Hosts, coordinator.hostStatus(state))
+	}
+	for number := range max(coordinator.Settings.Dispatcher.Cells, 1) {
+		cell := messenger.CellNumber(number)
+		host, epoch := coordinator.elector.Lead(coordinator.Self.FailureDomain, cell)
+		status.Cells = append(status.Cells, CellStatus{Cell: cell, Lead: host, Epoch: epoch})
+	}
+	if coordinator.keeper != nil {
+		keeperStatus := coordinator.keeper.Status()
+		status.Keeper = &keeperStatus
+	}
+	return status
+}
+
+func (coordinator *Coordinator) hostStatus(state gossiper.State) HostStatus {
+	member := state.Member
+	version, _ := coordinator.gossiper.Record(member.Host, configRecordKey)
+	return HostStatus{
+		Host:          member.Host,
+		FailureDomain: member.FailureDomain,
+		Status:        state.Status,
+		Roles:         member.Roles,
+		Callers:       member.Addresses.Callers,
+		ConfigVersion: string(version.Value),
+	}
+}
--- a/pkg/dispatcher/slots.go
+++ b/pkg/dispatcher/slots.go
@@ -1,7 +1,5 @@
 package dispatcher
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
-
 // freeSlots finds the server with the most free slots in constant time: servers
 // stand in one bucket for each number of free slots.
 type freeSlots struct {
@@ -56,12 +54,3 @@
 	}
 	return nil
 }
-
-// slots returns how many slots are free in all.
-func (free *freeSlots) slots() identifier.Slots {
-	total := 0
-	for count, bucket := range free.buckets {
-		total += count * len(bucket)
-	}
-	return identifier.Slots(total)
-}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -123,8 +123,6 @@
 	case *HostsChanged:
 		forwarder.living = input.Living
 		forwarder.replaceLostCopyHolders()
-	case *HostReachable:
-		forwarder.recordReachability(input)
 	case *CopiesWanted:
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -46,7 +46,7 @@
 	Request messenger.AnswerRequest
 }
 
-// LeadKnown tells who leads a cell.
+// LeadKnown tells who leads a cell; without a host, that no living host does.
 type LeadKnown struct {
 	Notice messenger.LeadNotice
 }
@@ -57,12 +57,6 @@
 	Living []identifier.HostID
 }
 
-// HostReachable tells whether another host of the system can be reached.
-type HostReachable struct {
-	Host      identifier.HostID
-	Reachable bool
-}
-
 // CopiesWanted asks this host to hold the second copy of submissions.
 type CopiesWanted struct {
 	From    identifier.HostID
@@ -99,7 +93,6 @@
 func (*AnswerRequested) isForwarderInput()   {}
 func (*LeadKnown) isForwarderInput()         {}
 func (*HostsChanged) isForwarderInput()      {}
-func (*HostReachable) isForwarderInput()     {}
 func (*CopiesWanted) isForwarderInput()      {}
 func (*CopiesHeld) isForwarderInput()        {}
 func (*AnswerCopyArrived) isForwarderInput() {}
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -112,14 +112,29 @@
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
-// to a new lead.
+// to a new lead. A notice without a host tells that no living host leads it.
 func (forwarder *Forwarder) recordLead(input *LeadKnown) {
 	key := cellKey{failureDomain: input.Notice.FailureDomain, cell: input.Notice.Cell}
 	known := forwarder.leads.Get(key)
-	if known != nil && known.epoch >= input.Notice.Epoch {
+	switch {
+	case input.Notice.Host == "":
+		forwarder.markUnreachable(key, known)
+	case known == nil || input.Notice.Epoch > known.epoch:
+		forwarder.leads.Put(key, &lead{host: input.Notice.Host, epoch: input.Notice.Epoch})
+		forwarder.routeCell(key)
+	case input.Notice.Epoch == known.epoch && known.unreachable:
+		// The same lead can be reached again. It knows a job that it has already.
+		known.unreachable = false
+		forwarder.routeCell(key)
+	}
+}
+
+// markUnreachable holds the unanswered jobs of a cell back until it has a lead.
+func (forwarder *Forwarder) markUnreachable(key cellKey, known *lead) {
+	if known == nil || known.unreachable {
 		return
 	}
-	forwarder.leads.Put(key, &lead{host: input.Notice.Host, epoch: input.Notice.Epoch})
+	known.unreachable = true
 	forwarder.routeCell(key)
 }
 
@@ -133,19 +148,6 @@
 	})
 }
 
-// recordReachability holds back the jobs of a lead that can't be reached, and
-// forwards them again once it can; the lead knows a resend when it sees one.
-func (forwarder *Forwarder) recordReachability(input *HostReachable) {
-	forwarder.leads.Each(func(key cellKey, lead *lead) bool {
-		if lead.host != input.Host || lead.unreachable == !input.Reachable {
-			return true
-		}
-		lead.unreachable = !input.Reachable
-		forwarder.routeCell(key)
-		return true
-	})
-}
-
 // recordAnswer takes the one answer of a submission. A second one is ignored.
 func (forwarder *Forwarder) recordAnswer(input *AnswerArrived) {
 	front := forwarder.fronts.Get(input.Answer.Submission)
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -72,6 +72,7 @@
 	for _, output := range keeper.replicator.Tick(now, log) {
 		keeper.route(output)
 	}
+	keeper.announceVersion()
 	outputs := keeper.outputs
 	keeper.outputs = nil
 	return outputs
@@ -191,14 +192,20 @@
 	}
 }
 
-// noteApplied tells the host of a newer configuration and, on the leader, marks
-// the moment for the claims' retention.
+// announceVersion tells the host of a newer configuration, be it applied now or
+// recovered at the start.
+func (keeper *Keeper) announceVersion() {
+	newest := keeper.machine.configuration.Newest()
+	if newest.Version <= keeper.announced {
+		return
+	}
+	keeper.announced = newest.Version
+	keeper.outputs = append(keeper.outputs, &VersionAccepted{Version: newest})
+}
+
+// noteApplied marks, on the leader, the moment for the claims' retention.
 func (keeper *Keeper) noteApplied(index identifier.LogIndex) {
 	keeper.commit = index
-	if newest := keeper.machine.configuration.Newest(); newest.Version > keeper.announced {
-		keeper.announced = newest.Version
-		keeper.outputs = append(keeper.outputs, &VersionAccepted{Version: newest})
-	}
 	if !keeper.Leads() {
 		return
 	}
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -9,7 +9,7 @@
 )
 
 // CellNumber numbers the cells of a failure domain, from 0.
-type CellNumber uint32
+type CellNumber = identifier.CellID
 
 // CellOf returns the cell that keeps the record of a submission.
 func CellOf(submission identifier.SubmissionID, cells int) CellNumber {
--- a/pkg/trier/jobs.go
+++ b/pkg/trier/jobs.go
@@ -58,7 +58,7 @@
 	classes := []string{"counter", "batch"}
 	job := &trialJob{
 		Submission: "s-" + name, Job: name, Caller: "garage-7", Team: "estimates",
-		Class: classes[number/4%len(classes)], Repeatable: true,
+		Class: classes[number/4%len(classes)], Repeatable: number%5 != 0,
 	}
 	for task := range width {
 		runTime := time.Duration(50+10*((number+task)%8)) * time.Millisecond
--- a/pkg/trier/settings.go
+++ b/pkg/trier/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"path/filepath"
 
 	"github.com/rotisserie/eris"
 
@@ -16,7 +17,7 @@
 }
 
 // trialSettings makes the settings of every host on free loopback ports.
-func trialSettings() ([]*loader.Settings, error) {
+func trialSettings(dataFolder string) ([]*loader.Settings, error) {
 	var hosts []loader.Host
 	ports, err := freeAddresses(3 * hostsPerFailureDomain * len(failureDomains()))
 	if err != nil {
@@ -27,7 +28,7 @@
 			hosts = append(hosts, loader.Host{
 				Host:                  identifier.HostID(fmt.Sprintf("%s-entry-%d", failureDomain, number)),
 				FailureDomain:         failureDomain,
-				Roles:                 []loader.Role{loader.RoleEntry},
+				Roles:                 rolesOf(number),
 				CallersAddress:        ports[0],
 				BackendServersAddress: ports[1],
 				PeersAddress:          ports[2],
@@ -37,11 +38,21 @@
 	}
 	all := make([]*loader.Settings, 0, len(hosts))
 	for _, host := range hosts {
-		all = append(all, settingsOf(host, hosts))
+		settings := settingsOf(host, hosts)
+		settings.DataFolder = filepath.Join(dataFolder, string(host.Host))
+		all = append(all, settings)
 	}
 	return all, nil
 }
 
+// rolesOf makes the first host of each failure domain a keeper.
+func rolesOf(number int) []loader.Role {
+	if number == 0 {
+		return []loader.Role{loader.RoleEntry, loader.RoleKeeper}
+	}
+	return []loader.Role{loader.RoleEntry}
+}
+
 func settingsOf(host loader.Host, hosts []loader.Host) *loader.Settings {
 	settings := loader.Defaults()
 	settings.Host = host.Host
--- a/pkg/trier/trier.go
+++ b/pkg/trier/trier.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 
@@ -48,7 +49,12 @@
 	if trier.Logs == nil {
 		trier.Logs = io.Discard
 	}
-	settings, err := trialSettings()
+	dataFolder, err := os.MkdirTemp("", "stoathitch-try-")
+	if err != nil {
+		return nil, eris.Wrap(err, "no folder for the keepers' data")
+	}
+	defer func() { _ = os.RemoveAll(dataFolder) }()
+	settings, err := trialSettings(dataFolder)
 	if err != nil {
 		return nil, err
 	}
