--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -38,8 +38,8 @@
 	// by gRPC.
 	PeersAddress netip.AddrPort `json:"peers-address"`
 
-	// DataFolder is the folder of a keeper's files. A keeper needs it; it is made at
-	// the start if it is missing. A relative path starts from the folder of the
+	// DataFolder is the folder of a keeper's files. A keeper needs it, another
+	// host may have one. It is made at the start if it is missing. A relative path starts from the folder of the
 	// settings file.
 	DataFolder string `json:"data-folder,omitzero"`
 
