--- a/pkg/loader/decoder.go
+++ b/pkg/loader/decoder.go
@@ -17,9 +17,9 @@
 
 // elementDefaults holds the value that an element of a list starts from.
 var elementDefaults = map[reflect.Type]reflect.Value{
-	reflect.TypeFor[Host]():  reflect.ValueOf(defaultHost()),
-	reflect.TypeFor[Team]():  reflect.ValueOf(defaultTeam()),
-	reflect.TypeFor[Class](): reflect.ValueOf(defaultClass()),
+	reflect.TypeFor[Host]():  reflect.ValueOf(DefaultHost()),
+	reflect.TypeFor[Team]():  reflect.ValueOf(DefaultTeam()),
+	reflect.TypeFor[Class](): reflect.ValueOf(DefaultClass()),
 }
 
 // decode fills target with the value at path. target keeps what the file leaves out.
--- a/pkg/loader/defaults.go
+++ b/pkg/loader/defaults.go
@@ -36,11 +36,11 @@
 	}
 }
 
-// defaultHost returns the value of the keys that an entry of `hosts` may leave out.
-func defaultHost() Host { return Host{Roles: []Role{RoleEntry}} }
+// DefaultHost returns the value of the keys that an entry of `hosts` may leave out.
+func DefaultHost() Host { return Host{Roles: []Role{RoleEntry}} }
 
-// defaultTeam returns the value of the keys that an entry of `teams` may leave out.
-func defaultTeam() Team { return Team{Weight: 1} }
+// DefaultTeam returns the value of the keys that an entry of `teams` may leave out.
+func DefaultTeam() Team { return Team{Weight: 1} }
 
-// defaultClass returns the value of the keys that an entry of `classes` may leave out.
-func defaultClass() Class { return Class{Weight: 1} }
+// DefaultClass returns the value of the keys that an entry of `classes` may leave out.
+func DefaultClass() Class { return Class{Weight: 1} }
--- a/pkg/loader/dispatch.go
+++ b/pkg/loader/dispatch.go
@@ -20,7 +20,7 @@
 	SpillMargin Duration `json:"spill-margin"`
 
 	// EjectionFractionMax is the largest share of a failure domain's backend
-	// servers that may be ejected at once, from 0 to below 1, so that many failures
+	// servers that may be ejected at once, from 0 to 0.9, so that many failures
 	// at once never empty the failure domain.
 	EjectionFractionMax float64 `json:"ejection-fraction-max"`
 
--- a/pkg/loader/timeouts.go
+++ b/pkg/loader/timeouts.go
@@ -10,8 +10,8 @@
 	// submission id.
 	AnswerRetention Duration `json:"answer-retention"`
 
-	// ClaimRetention is how long the claim of a not-repeatable job is kept. A
-	// resubmission that comes later than this is not recognized.
+	// ClaimRetention is how long the claim of a not-repeatable job is kept, and with
+	// it the answer that a resubmission finds.
 	ClaimRetention Duration `json:"claim-retention"`
 
 	// HeartbeatInterval is the time between two heartbeats on a stream.
