Rank jobs by twice their ideal, and take limits from the settings

Cause: at a stretch of 1 short jobs wait behind long ones that have room to wait; and nothing filled the teams' limits. Change: LeastSlack with stretch 2; admission lets a new job use half of the time until waiting jobs are due, so that they still wait no longer than before. The daemon hands teams, classes and the retry ratio of its settings to the dispatcher.

--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -56,6 +56,7 @@
 	result.Dispatcher.UnknownTaskWait = settings.Timeouts.UnknownTaskWait.Std()
 	result.Dispatcher.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
 	result.Dispatcher.HeartbeatTimeout = settings.Timeouts.HeartbeatInterval.Std() * heartbeats
+	fillLimits(settings, &result.Dispatcher.Limits)
 	result.Forwarder.Cells = settings.Dispatch.Cells
 	result.Forwarder.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
 	result.Keeper.ClaimRetention = settings.Timeouts.ClaimRetention.Std()
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -109,6 +109,7 @@
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
 	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
+	dispatcher.configureLimits(&dispatcher.Settings.Limits.Initial)
 }
 
 func (dispatcher *Dispatcher) apply(input Input) {
--- a/pkg/dispatcher/limits.go
+++ b/pkg/dispatcher/limits.go
@@ -21,6 +21,10 @@
 	// share of the time that the job takes by itself. What would wait longer is
 	// refused at admission.
 	QueueWaitRatio float64
+	// QueuePatience is the share of the time until waiting jobs are due that a new
+	// job may make them wait, so that a due time can rank jobs further apart than
+	// they may wait.
+	QueuePatience float64
 	// QueueWaitFloor is a wait that is never too long.
 	QueueWaitFloor time.Duration
 	// RefusalsPerTask is how often the starts of one task may be refused before
@@ -29,6 +33,8 @@
 	// NoServerWait is how long jobs wait while no backend server is usable before
 	// they are refused.
 	NoServerWait time.Duration
+	// Initial holds until the first LimitsConfigured arrives.
+	Initial LimitsConfigured
 }
 
 // DefaultLimitSettings returns the settings that the daemon starts from.
@@ -37,8 +43,9 @@
 		Limiter:         limiter.DefaultSettings(),
 		Estimator:       estimator.DefaultSettings(),
 		Queue:           queuer.DefaultSettings(),
-		Order:           queuer.LeastSlack{Stretch: 1},
+		Order:           queuer.LeastSlack{Stretch: 2},
 		QueueWaitRatio:  1,
+		QueuePatience:   0.5,
 		QueueWaitFloor:  20 * time.Millisecond,
 		RefusalsPerTask: 8,
 		NoServerWait:    2 * time.Second,
--- a/pkg/dispatcher/overload.go
+++ b/pkg/dispatcher/overload.go
@@ -105,15 +105,16 @@
 	limits := cell.limiter.Limits(dispatcher.now, job.spec.Team)
 	settings := dispatcher.Settings.Limits
 	verdict := cell.queue.Assess(dispatcher.now, queuer.Candidate{
-		Team:    job.spec.Team,
-		Weight:  max(limits.Weight, 1),
-		Urgent:  job.entry.Urgent,
-		Due:     job.entry.Due,
-		Work:    job.measured.work,
-		Ideal:   job.measured.ideal,
-		Allowed: max(time.Duration(float64(job.measured.ideal)*settings.QueueWaitRatio), settings.QueueWaitFloor),
-		Slots:   dispatcher.capacity(cell),
-		Ceiling: limits.TasksInFlight,
+		Team:     job.spec.Team,
+		Weight:   max(limits.Weight, 1),
+		Urgent:   job.entry.Urgent,
+		Due:      job.entry.Due,
+		Work:     job.measured.work,
+		Ideal:    job.measured.ideal,
+		Allowed:  max(time.Duration(float64(job.measured.ideal)*settings.QueueWaitRatio), settings.QueueWaitFloor),
+		Patience: settings.QueuePatience,
+		Slots:    dispatcher.capacity(cell),
+		Ceiling:  limits.TasksInFlight,
 	})
 	if !verdict.Admitted {
 		return refuseWait(job, verdict)
--- a/pkg/queuer/admission.go
+++ b/pkg/queuer/admission.go
@@ -19,6 +19,9 @@
 	Ideal time.Duration
 	// Allowed is how much longer than Ideal the job may take.
 	Allowed time.Duration
+	// Patience is the share of the time until they are due that the waiting jobs
+	// of the team may wait.
+	Patience float64
 	// Slots is how many slots serve the queue.
 	Slots identifier.Slots
 	// Ceiling bounds the slots that the team may hold; 0 means no bound.
@@ -96,7 +99,7 @@
 		return verdict
 	}
 	late := max(verdict.Wait, divide(before+candidate.Work, capacity)-candidate.Ideal) - candidate.Allowed
-	if late <= 0 && team.backlogs.of(candidate.Urgent).crowded(now, candidate.Due, before+candidate.Work, capacity) {
+	if late <= 0 && team.backlogs.of(candidate.Urgent).crowded(now, candidate.Due, before+candidate.Work, capacity*candidate.Patience) {
 		late = divide(candidate.Work, capacity)
 	}
 	if late > 0 {
--- a/pkg/queuer/bench_test.go
+++ b/pkg/queuer/bench_test.go
@@ -27,7 +27,7 @@
 				entry.Cost = cost
 				shape := queuer.Shape{ArrivedAt: now, Deadline: identifier.Never, Ideal: cost, Work: cost, Slots: slots}
 				entry.Due = queue.Order.Due(shape)
-				candidate := queuer.Candidate{Team: entry.Team, Due: entry.Due, Work: cost, Ideal: cost, Allowed: cost, Slots: slots}
+				candidate := queuer.Candidate{Team: entry.Team, Due: entry.Due, Work: cost, Ideal: cost, Allowed: cost, Patience: 0.5, Slots: slots}
 				queue.Assess(now, candidate)
 				queue.Push(now, entry, 1, 1)
 			}
