Let jobs wait for the first backend server; test the urgent head start

Cause: with no slot at all the expected wait can't be told, and was judged as if there were one; the head start of urgent jobs had no test. Change: without slots the wait is not judged; NoServerWait bounds it.

--- a/pkg/dispatcher/limits_test.go
+++ b/pkg/dispatcher/limits_test.go
@@ -242,3 +242,36 @@
 		t.Errorf("the late job was told after %v", late.AnsweredAt.Sub(late.ArrivedAt))
 	}
 }
+
+// TestUrgentFirstWithoutStarvation: symptom: an urgent job waits behind others of
+// its team, or the others never run while urgent ones keep coming. Sequence: one
+// slot; a patient job waits while an urgent one comes every 100 ms, each of 100 ms.
+// Cause: no order by class, or a strict one.
+func TestUrgentFirstWithoutStarvation(t *testing.T) {
+	cell := &fake.Cell{Settings: dispatcher.DefaultSettings(), Servers: 1, Slots: 1}
+	cell.Settings.Limits.QueueWaitRatio = 1000
+	cell.Open()
+	cell.Post(&dispatcher.LimitsConfigured{Classes: []dispatcher.ClassLimits{{Class: "counter", Urgent: true}}})
+	send := func(id string, class identifier.ClassName) *fake.Record {
+		runTimes := equalRuns(1, 100*time.Millisecond)
+		declared := func(actual time.Duration) time.Duration { return actual }
+		return cell.Submit(newJob(id, "a", class, runTimes, declared), identifier.Never, runTimes)
+	}
+	send("first", "batch")
+	runFor(cell, 10*time.Millisecond)
+	patient := send("patient", "batch")
+	urgent := send("urgent", "counter")
+	for number := range 50 {
+		runFor(cell, 100*time.Millisecond)
+		send(fmt.Sprintf("urgent-%d", number), "counter")
+	}
+	runFor(cell, 10*time.Second)
+	checkPromises(t, cell)
+	if urgent.AnsweredAt > patient.AnsweredAt {
+		t.Error("the urgent job waited for the patient one")
+	}
+	headStart := cell.Settings.Limits.Queue.UrgentHeadStart
+	if waited := patient.AnsweredAt.Sub(patient.ArrivedAt); waited > headStart+500*time.Millisecond {
+		t.Errorf("the patient job took %v, head start %v", waited, headStart)
+	}
+}
--- a/pkg/dispatcher/overload.go
+++ b/pkg/dispatcher/overload.go
@@ -102,6 +102,12 @@
 // refuseLongWait refuses a job whose expected wait is too long for its size, that
 // would make others of its team wait too long, or that can't meet its deadline.
 func (dispatcher *Dispatcher) refuseLongWait(cell *cell, job *job) *messenger.JobAnswer {
+	slots := dispatcher.capacity(cell)
+	if slots == 0 {
+		// How long it takes until a backend server is there can't be told; jobs
+		// wait for it no longer than NoServerWait.
+		return nil
+	}
 	limits := cell.limiter.Limits(dispatcher.now, job.spec.Team)
 	settings := dispatcher.Settings.Limits
 	verdict := cell.queue.Assess(dispatcher.now, queuer.Candidate{
@@ -113,7 +119,7 @@
 		Ideal:    job.measured.ideal,
 		Allowed:  max(time.Duration(float64(job.measured.ideal)*settings.QueueWaitRatio), settings.QueueWaitFloor),
 		Patience: settings.QueuePatience,
-		Slots:    dispatcher.capacity(cell),
+		Slots:    slots,
 		Ceiling:  limits.TasksInFlight,
 	})
 	if !verdict.Admitted {
