--- a/pkg/replicator/doc.go
+++ b/pkg/replicator/doc.go
@@ -12,9 +12,9 @@
 // docs/dev/REPLICATION.md has the design, the ways weighed and the proofs.
 package replicator
 
-//go:generate enumer -type=Role -transform=kebab -text
-//go:generate enumer -type=EntryKind -transform=kebab -text
-//go:generate enumer -type=MemberRole -transform=kebab -text
-//go:generate enumer -type=ChangeKind -transform=kebab -text
-//go:generate enumer -type=OutcomeKind -transform=kebab -text
-//go:generate enumer -type=ErrorKind -transform=kebab -text
+//go:generate enumer -type=Role -trimprefix=Role -transform=kebab -text
+//go:generate enumer -type=EntryKind -trimprefix=Entry -transform=kebab -text
+//go:generate enumer -type=MemberRole -trimprefix=Member -transform=kebab -text
+//go:generate enumer -type=ChangeKind -trimprefix=Change -transform=kebab -text
+//go:generate enumer -type=OutcomeKind -trimprefix=Outcome -transform=kebab -text
+//go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
