Exchange intents and plans over the replicated log

Change: planner.Machine applies commands with compare-and-set on revisions and remembered answers; planner.Proposer makes plans, refusals with the nearest thing that would run, and replacements of plans that the world has outrun. planner.Driver composes placer, leaser and guarder for one failure domain.

--- a/pkg/identifier/resources.go
+++ b/pkg/identifier/resources.go
@@ -7,7 +7,7 @@
 type Resources struct {
 	MilliCPU     MilliCPU     `cbor:"1,keyasint,omitempty" json:"milli-cpu"`
 	Memory       Bytes        `cbor:"2,keyasint,omitempty" json:"memory-bytes"`
-	Accelerators Accelerators `cbor:"3,keyasint,omitempty" json:"accelerators"`
+	Accelerators Accelerators `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty"`
 }
 
 // Add returns the sum of both.
--- a/pkg/placer/group.go
+++ b/pkg/placer/group.go
@@ -46,10 +46,10 @@
 
 // Quota limits what a team may have running at once. Zero means no limit.
 type Quota struct {
-	Limit         identifier.Resources
-	TasksInFlight int
+	Limit         identifier.Resources `cbor:"1,keyasint,omitempty" json:"limit,omitzero"`
+	TasksInFlight int                  `cbor:"2,keyasint,omitempty" json:"tasks-in-flight,omitempty"`
 	// Weight is the team's part against other teams; zero counts as one.
-	Weight int64
+	Weight int64 `cbor:"3,keyasint,omitempty" json:"weight,omitempty"`
 }
 
 // Allows tells whether a team that uses used in inFlight tasks may add need.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -233,6 +233,15 @@
 	return true
 }
 
+// CouldRun tells whether a usable worker, were it empty, and the team's quota
+// could hold need.
+func (placer *Placer[P]) CouldRun(team identifier.TeamID, need identifier.Resources) bool {
+	if !placer.team(team).quota.Allows(identifier.Resources{}, 0, need) {
+		return false
+	}
+	return placer.fleet.capacity.next(0, need, nil) >= 0
+}
+
 // Overcommitted tells whether a worker's tasks are charged more than it has.
 func (placer *Placer[P]) Overcommitted(worker identifier.WorkerID) bool {
 	position, known := placer.fleet.positions[worker]
--- /dev/null
+++ b/pkg/planner/message.go
@@ -0,0 +1,177 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/guarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/leaser"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+//go:generate enumer -type=TaskEnd -transform=kebab -trimprefix=End -text
+
+// TaskEnd says how a task ended on its worker.
+type TaskEnd int
+
+// The ways in which a task ends on a worker.
+const (
+	// EndSucceeded means that it ran to its end.
+	EndSucceeded TaskEnd = iota
+	// EndFailed means that it failed.
+	EndFailed
+	// EndStopped means that it was stopped, by a command or since its lease was over.
+	EndStopped
+	// EndCheckpointed means that it was stopped after its progress was saved.
+	EndCheckpointed
+	// EndRefused means that the worker did not start it.
+	EndRefused
+)
+
+// Input is something that a Driver is told.
+type Input interface{ isInput() }
+
+// WorkerAnnounced says that a worker's process has connected.
+type WorkerAnnounced struct {
+	Worker placer.Worker
+	// Reading is the worker's own clock, as in WorkerHeartbeat.
+	Reading leaser.HolderMoment
+}
+
+// WorkerHeartbeat is a worker's regular message.
+type WorkerHeartbeat struct {
+	Worker  identifier.WorkerID
+	Reading leaser.HolderMoment
+	Running []RunningTask
+	Reports []guarder.Report
+}
+
+// RunningTask is a task that a worker runs, with the number of its lease.
+type RunningTask struct {
+	Task   identifier.TaskID
+	Number leaser.Number
+}
+
+// WorkerLost says that the connection to a worker is closed. Its tasks may run on
+// until their leases are over.
+type WorkerLost struct{ Worker identifier.WorkerID }
+
+// TaskEnded is a worker's word on how a task ended.
+type TaskEnded struct {
+	Worker identifier.WorkerID
+	Task   identifier.TaskID
+	Number leaser.Number
+	End    TaskEnd
+}
+
+// IntentAssigned gives the driver its part of a confirmed intent, or tells it that
+// an intent that it has is being cancelled. See Machine.Assignment.
+type IntentAssigned struct {
+	Name       identifier.IntentName
+	Spec       Spec
+	Allotments []Allotment
+	Claims     []ClaimMark
+	Ranges     []Range
+	Cancelling bool
+}
+
+// IntentEnded says that the log has ended an intent. What still runs is stopped.
+type IntentEnded struct{ Name identifier.IntentName }
+
+// ClaimApplied answers a proposed claim.
+type ClaimApplied struct {
+	Name     identifier.IntentName
+	Claim    Claim
+	Accepted bool
+}
+
+// QuotasChanged replaces quotas of teams within this failure domain.
+type QuotasChanged struct{ Quotas []TeamQuota }
+
+// TeamQuota is the quota of one team.
+type TeamQuota struct {
+	Team  identifier.TeamID
+	Quota placer.Quota
+}
+
+func (WorkerAnnounced) isInput() {}
+func (WorkerHeartbeat) isInput() {}
+func (WorkerLost) isInput()      {}
+func (TaskEnded) isInput()       {}
+func (IntentAssigned) isInput()  {}
+func (IntentEnded) isInput()     {}
+func (ClaimApplied) isInput()    {}
+func (QuotasChanged) isInput()   {}
+
+// Output is something that a Driver wants done.
+type Output interface{ isOutput() }
+
+// StartTask tells a worker to run a task under a new lease.
+type StartTask struct {
+	Worker identifier.WorkerID
+	Grant  leaser.Grant
+	Intent identifier.IntentName
+	Batch  int
+	Index  int
+	// Need is what the task may use when it is throttled.
+	Need    identifier.Resources
+	RunTime time.Duration
+	// Resume tells whether to go on from the task's checkpoint.
+	Resume bool
+}
+
+// RenewLeases prolongs leases, in answer to a heartbeat.
+type RenewLeases struct {
+	Worker identifier.WorkerID
+	Grants []leaser.Grant
+}
+
+// ThrottleTask holds a task to its declared processors.
+type ThrottleTask struct{ TaskOrder }
+
+// CheckpointTask saves a task's progress and stops it.
+type CheckpointTask struct{ TaskOrder }
+
+// StopTask stops a task.
+type StopTask struct{ TaskOrder }
+
+// TaskOrder names the task that an order is for, and why it is given.
+type TaskOrder struct {
+	Worker identifier.WorkerID
+	Task   identifier.TaskID
+	Number leaser.Number
+	Reason string
+}
+
+// Propose puts a command into the log. Whoever carries it out sets the command's
+// Wall and repeats it until it is applied or this host no longer leads.
+type Propose struct{ Command Command }
+
+func (StartTask) isOutput()      {}
+func (RenewLeases) isOutput()    {}
+func (ThrottleTask) isOutput()   {}
+func (CheckpointTask) isOutput() {}
+func (StopTask) isOutput()       {}
+func (Propose) isOutput()        {}
+
+// Assignment returns what a failure domain's driver needs of an intent; false if
+// it has no part in it or it may not start.
+func (machine *Machine) Assignment(name identifier.IntentName, domain identifier.FailureDomain) (IntentAssigned, bool) {
+	record := machine.Get(name)
+	if record == nil || record.State < StateConfirmed || record.State.Ended() {
+		return IntentAssigned{}, false
+	}
+	assigned := IntentAssigned{Name: name, Spec: record.Spec, Cancelling: record.State == StateCancelling}
+	for _, allotment := range record.Plan.Allotments {
+		if allotment.FailureDomain == domain {
+			assigned.Allotments = append(assigned.Allotments, allotment)
+		}
+	}
+	for _, mark := range record.Claims {
+		if mark.FailureDomain == domain {
+			assigned.Claims = append(assigned.Claims, mark)
+		}
+	}
+	assigned.Ranges = append(assigned.Ranges, record.Ranges...)
+	return assigned, len(assigned.Allotments) > 0
+}
--- /dev/null
+++ b/pkg/planner/picture.go
@@ -0,0 +1,143 @@
+package planner
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+// Picture is what a failure domain's Driver tells of its workers, for plans.
+type Picture struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
+	Rooms         []placer.Room            `cbor:"2,keyasint,omitempty"`
+	// Loads holds the work by urgency.
+	Loads []placer.Load `cbor:"3,keyasint,omitempty"`
+}
+
+// capacity returns what all workers offer.
+func (picture *Picture) capacity() identifier.Resources {
+	var sum identifier.Resources
+	for _, room := range picture.Rooms {
+		sum = sum.Add(room.Capacity)
+	}
+	return sum
+}
+
+// countNow returns how many tasks of a need fit into what is free.
+func (picture *Picture) countNow(need identifier.Resources) int {
+	count := 0
+	for _, room := range picture.Rooms {
+		count += need.CountIn(room.Free)
+	}
+	return count
+}
+
+// countEmpty returns how many tasks of a need would fit if nothing ran.
+func (picture *Picture) countEmpty(need identifier.Resources) int {
+	count := 0
+	for _, room := range picture.Rooms {
+		count += need.CountIn(room.Capacity)
+	}
+	return count
+}
+
+// aheadOf returns the work, in milli-cpu for one second, that goes before a batch
+// of an urgency.
+func (picture *Picture) aheadOf(urgency placer.Urgency) int64 {
+	work := int64(0)
+	for level, load := range picture.Loads {
+		switch {
+		case level >= int(urgency):
+			work += load.Work
+		case urgency < placer.UrgencyUrgent:
+			// What runs holds its room until it ends: half of that on average.
+			work += load.Work / 2
+		}
+	}
+	return work
+}
+
+// below returns the load that a batch of an urgency may preempt.
+func (picture *Picture) below(urgency placer.Urgency) placer.Load {
+	var sum placer.Load
+	if urgency < placer.UrgencyUrgent {
+		return sum
+	}
+	for level := 0; level < min(int(urgency), len(picture.Loads)); level++ {
+		sum.Running += picture.Loads[level].Running
+		sum.Used = sum.Used.Add(picture.Loads[level].Used)
+	}
+	return sum
+}
+
+// take sets room aside, as if count tasks had started.
+func (picture *Picture) take(need identifier.Resources, count int) {
+	for position := range picture.Rooms {
+		room := &picture.Rooms[position]
+		taken := min(need.CountIn(room.Free), count)
+		room.Free = room.Free.Sub(need.Times(taken))
+		count -= taken
+		if count == 0 {
+			return
+		}
+	}
+}
+
+// byRack splits count tasks over the racks by how many fit in each.
+func (picture *Picture) byRack(need identifier.Resources, count int) []RackCount {
+	now := picture.countNow(need) >= count
+	var racks []identifier.RackID
+	var weights []int
+	numbers := make(map[identifier.RackID]int)
+	for _, room := range picture.Rooms {
+		number, known := numbers[room.Rack]
+		if !known {
+			number = len(racks)
+			numbers[room.Rack] = number
+			racks = append(racks, room.Rack)
+			weights = append(weights, 0)
+		}
+		if now {
+			weights[number] += need.CountIn(room.Free)
+		} else {
+			weights[number] += need.CountIn(room.Capacity)
+		}
+	}
+	var counts []RackCount
+	for number, part := range split(count, weights) {
+		if part > 0 {
+			counts = append(counts, RackCount{Rack: racks[number], Count: part})
+		}
+	}
+	return counts
+}
+
+// split divides count by weights, the rest going to the largest remainders, the
+// first ones first. Without any weight all parts are zero.
+func split(count int, weights []int) []int {
+	parts := make([]int, len(weights))
+	remainders := make([]int, len(weights))
+	sum := 0
+	for _, weight := range weights {
+		sum += weight
+	}
+	if sum == 0 {
+		return parts
+	}
+	left := count
+	for position, weight := range weights {
+		parts[position] = count * weight / sum
+		remainders[position] = count * weight % sum
+		left -= parts[position]
+	}
+	for ; left > 0; left-- {
+		largest := 0
+		for position, remainder := range remainders {
+			if remainder > remainders[largest] {
+				largest = position
+			}
+		}
+		parts[largest]++
+		remainders[largest] = -1
+	}
+	return parts
+}
--- /dev/null
+++ b/pkg/planner/progress.go
@@ -0,0 +1,137 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// progress takes outcomes. It does not change the revision but for the end of the
+// intent, so that an operator's cancellation need not chase it.
+func (machine *Machine) progress(index identifier.LogIndex, command Command, record *Record) Result {
+	progress := command.Progress
+	if progress == nil {
+		return refuse(index, record, ResultInvalid, "there is no progress")
+	}
+	if machine.fenced(progress.FailureDomain, progress.Epoch) {
+		return refuse(index, record, ResultFenced, "another lead has taken over")
+	}
+	switch record.State {
+	case StateConfirmed, StateRunning, StateCancelling:
+	default:
+		return refuse(index, record, ResultWrongState, "it is "+record.State.String())
+	}
+	for _, ended := range progress.Ranges {
+		record.settle(ended)
+	}
+	if progress.Started && record.State == StateConfirmed {
+		record.State = StateRunning
+		record.explain(Step{Index: index, Wall: command.Wall, Kind: command.Kind, Reason: "first task started in " + string(progress.FailureDomain)})
+	}
+	for _, note := range progress.Notes {
+		record.explain(Step{Index: index, Wall: command.Wall.Add(-note.Ago), Kind: command.Kind, Reason: noteReason(progress.FailureDomain, note)})
+	}
+	if record.Tally().Sum() < record.Spec.Tasks() {
+		return Result{Kind: ResultAccepted, Index: index, State: record.State, Revision: record.Revision}
+	}
+	state := lastState(record, record.State == StateCancelling)
+	return machine.accept(index, command, record, state, state.String()+": "+record.Tally().String())
+}
+
+func noteReason(domain identifier.FailureDomain, note Note) string {
+	text := string(domain) + ": " + note.Reason
+	if note.Count > 1 {
+		text += fmt.Sprintf(" (%d times)", note.Count)
+	}
+	return text
+}
+
+// claim reserves starts, so that no later lead starts the same tasks.
+func (machine *Machine) claim(index identifier.LogIndex, command Command, record *Record) Result {
+	claim := command.Claim
+	if claim == nil {
+		return refuse(index, record, ResultInvalid, "there is no claim")
+	}
+	if machine.fenced(claim.FailureDomain, claim.Epoch) {
+		return refuse(index, record, ResultFenced, "another lead has taken over")
+	}
+	if record.State != StateConfirmed && record.State != StateRunning {
+		return refuse(index, record, ResultWrongState, "it is "+record.State.String())
+	}
+	allotment, found := record.Plan.allotment(claim.FailureDomain, claim.Batch)
+	if !found || claim.To > allotment.To || claim.To < claim.From {
+		return refuse(index, record, ResultInvalid, "the plan does not allot these tasks")
+	}
+	if claim.From != record.claimed(claim.FailureDomain, claim.Batch, allotment.From) {
+		return refuse(index, record, ResultConflict, "these tasks are claimed")
+	}
+	record.setClaimed(claim.FailureDomain, claim.Batch, claim.To)
+	return Result{Kind: ResultAccepted, Index: index, State: record.State, Revision: record.Revision}
+}
+
+// fenced tells whether epoch is below the highest one of a failure domain, and
+// remembers the highest.
+func (machine *Machine) fenced(domain identifier.FailureDomain, epoch identifier.Epoch) bool {
+	highest := machine.epochs.Get(domain)
+	if highest != nil && epoch < *highest {
+		return true
+	}
+	machine.epochs.Put(domain, &epoch)
+	return false
+}
+
+// allotment returns a failure domain's part of a batch.
+func (plan *Plan) allotment(domain identifier.FailureDomain, batch int) (Allotment, bool) {
+	for _, allotment := range plan.Allotments {
+		if allotment.FailureDomain == domain && allotment.Batch == batch {
+			return allotment, true
+		}
+	}
+	return Allotment{}, false
+}
+
+// lastState tells the truth of an intent whose tasks all have an outcome.
+func lastState(record *Record, cancelled bool) State {
+	tally := record.Tally()
+	if tally[OutcomeSucceeded] == record.Spec.Tasks() {
+		return StateComplete
+	}
+	if cancelled {
+		return StateCancelled
+	}
+	return StateFailed
+}
+
+// invalidSpec returns why an intent can't be created, or nothing.
+func invalidSpec(command Command) string {
+	switch {
+	case command.Name == "":
+		return "an intent needs a name"
+	case command.Revision != 0:
+		return "a new intent has revision 0"
+	case command.Spec == nil || len(command.Spec.Batches) == 0:
+		return "an intent needs a batch"
+	case command.Spec.Team == "":
+		return "an intent needs a team"
+	case command.Spec.Tasks() > MaxTasks:
+		return fmt.Sprintf("an intent has at most %d tasks", MaxTasks)
+	}
+	for number, batch := range command.Spec.Batches {
+		if reason := invalidBatch(batch); reason != "" {
+			return fmt.Sprintf("batch %d: %s", number, reason)
+		}
+	}
+	return ""
+}
+
+func invalidBatch(batch Batch) string {
+	switch {
+	case batch.Count <= 0 || batch.Count > MaxTasks:
+		return fmt.Sprintf("the count must be between 1 and %d", MaxTasks)
+	case batch.Need.MilliCPU <= 0 || batch.Need.Memory < 0 || batch.Need.Accelerators < 0:
+		return "a task needs some processor time, and nothing below zero"
+	case batch.RunTime <= 0:
+		return "a task needs a run time"
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/planner/proposer.go
@@ -0,0 +1,358 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/guarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+// Confidences of an estimate, in per cent.
+const (
+	confidenceUnseen  = 50
+	confidenceLearned = 80
+	confidenceQueued  = 20
+)
+
+// DefaultConfirmWithin is how long a plan may be confirmed.
+const DefaultConfirmWithin = 10 * time.Minute
+
+// Proposer makes plans. Set the exported fields before use.
+type Proposer struct {
+	// ConfirmWithin is the time from a plan to the end of its confirmation.
+	ConfirmWithin time.Duration
+	// Pictures are those of all failure domains that can be reached, in order.
+	Pictures []Picture
+	// Quota is that of the intent's team over all failure domains.
+	Quota placer.Quota
+	// Correct returns what was learned of a kind of batch; nil learned nothing.
+	Correct func(key guarder.KindKey) guarder.Correction
+}
+
+// draft is the state of one proposal.
+type draft struct {
+	plan     Plan
+	spec     Spec
+	pictures []Picture
+	starts   time.Duration
+	ends     time.Duration
+	queued   bool
+	learned  bool
+}
+
+// Propose answers a spec at wall with a plan, or with all reasons for which it can
+// never run and the nearest thing that would.
+func (proposer *Proposer) Propose(wall WallTime, spec Spec) Plan {
+	draft := &draft{spec: spec, pictures: proposer.allowed(spec), learned: true}
+	draft.plan.Quota = proposer.Quota
+	declared := proposer.corrected(draft)
+	if proposer.refuse(draft, declared) {
+		return draft.plan
+	}
+	for number, batch := range spec.Batches {
+		batch.Need = declared[number].Need
+		batch.RunTime = declared[number].RunTime
+		proposer.allot(draft, number, batch)
+	}
+	proposer.estimate(draft, wall)
+	return draft.plan
+}
+
+// Outrun tells why an unconfirmed plan no longer holds, or nothing: it can't run
+// any more, or it would start or end far later than it says.
+func (proposer *Proposer) Outrun(wall WallTime, spec Spec, plan Plan) (string, Plan) {
+	fresh := proposer.Propose(wall, spec)
+	if len(fresh.Refusals) > 0 {
+		return "it can no longer run", fresh
+	}
+	for _, allotment := range plan.Allotments {
+		if !slices.ContainsFunc(fresh.Allotments, func(other Allotment) bool { return other.FailureDomain == allotment.FailureDomain }) {
+			return string(allotment.FailureDomain) + " can't be reached or has no room", fresh
+		}
+	}
+	if plan.Queued == "" && fresh.Queued != "" {
+		return "it can no longer start at once", fresh
+	}
+	was, is := plan.EndsAt-plan.StartsAt, fresh.EndsAt-wall
+	if is > 2*was+WallTime(time.Minute/time.Millisecond) {
+		return "it would end far later", fresh
+	}
+	return "", plan
+}
+
+// allowed returns copies of the pictures in which the spec may run.
+func (proposer *Proposer) allowed(spec Spec) []Picture {
+	var pictures []Picture
+	for _, picture := range proposer.Pictures {
+		if len(spec.MayRun) == 0 || slices.Contains(spec.MayRun, picture.FailureDomain) {
+			picture.Rooms = slices.Clone(picture.Rooms)
+			pictures = append(pictures, picture)
+		}
+	}
+	return pictures
+}
+
+// corrected returns the declarations with what was learned, and notes it in the plan.
+func (proposer *Proposer) corrected(draft *draft) []guarder.Declaration {
+	var declared []guarder.Declaration
+	for number, batch := range draft.spec.Batches {
+		correction := guarder.Neutral
+		if proposer.Correct != nil {
+			correction = proposer.Correct(guarder.KindKey{Team: draft.spec.Team, Kind: batch.Kind})
+		}
+		if correction == guarder.Neutral {
+			draft.learned = false
+		} else {
+			draft.plan.Corrections = append(draft.plan.Corrections, AppliedCorrection{Batch: number, Correction: correction})
+		}
+		declared = append(declared, correction.Apply(batch.Declaration()))
+	}
+	return declared
+}
+
+// refuse collects every reason for which the spec can never run.
+func (proposer *Proposer) refuse(draft *draft, declared []guarder.Declaration) bool {
+	nearest := draft.spec
+	nearest.Batches = slices.Clone(draft.spec.Batches)
+	nearest.MayRun = proposer.known(draft)
+	pictures := draft.pictures
+	if len(pictures) == 0 {
+		pictures = proposer.Pictures
+		nearest.MayRun = nil
+	}
+	for number := range nearest.Batches {
+		batch := &nearest.Batches[number]
+		proposer.clipCorrection(pictures, batch.Need, &declared[number].Need)
+		need := declared[number].Need
+		reduced := proposer.withinQuota(draft, number, need)
+		fitting, fits := nearestWorker(pictures, need)
+		if !fits {
+			draft.refuse(fmt.Sprintf("batch %d: a task needs %s, no worker has more than %s", number, show(need), show(fitting)))
+		}
+		reduced = reduced.Min(fitting)
+		if reduced != need {
+			batch.Need = reduced
+		}
+	}
+	if len(draft.plan.Refusals) == 0 {
+		return false
+	}
+	if !slices.ContainsFunc(nearest.Batches, func(batch Batch) bool { return batch.Need.MilliCPU <= 0 }) {
+		draft.plan.Nearest = &nearest
+	}
+	return true
+}
+
+// clipCorrection takes a correction back that no worker or quota could hold: what
+// was declared may run all the same.
+func (proposer *Proposer) clipCorrection(pictures []Picture, declared identifier.Resources, corrected *identifier.Resources) {
+	_, fits := nearestWorker(pictures, *corrected)
+	if !fits || !proposer.Quota.Allows(identifier.Resources{}, 0, *corrected) {
+		*corrected = declared
+	}
+}
+
+// known returns the failure domains of the spec that exist, and refuses when none does.
+func (proposer *Proposer) known(draft *draft) []identifier.FailureDomain {
+	var known, unknown []identifier.FailureDomain
+	for _, domain := range draft.spec.MayRun {
+		exists := slices.ContainsFunc(proposer.Pictures, func(picture Picture) bool { return picture.FailureDomain == domain })
+		if exists {
+			known = append(known, domain)
+		} else {
+			unknown = append(unknown, domain)
+		}
+	}
+	if len(known) > 0 || len(draft.spec.MayRun) == 0 {
+		return known
+	}
+	for _, domain := range unknown {
+		draft.refuse(fmt.Sprintf("no failure domain %s is known", domain))
+	}
+	return nil
+}
+
+// withinQuota returns what of a need the team's quota allows, and refuses when it
+// is less.
+func (proposer *Proposer) withinQuota(draft *draft, number int, need identifier.Resources) identifier.Resources {
+	if proposer.Quota.Allows(identifier.Resources{}, 0, need) {
+		return need
+	}
+	limit := proposer.Quota.Limit
+	draft.refuse(fmt.Sprintf("batch %d: a task needs %s, the quota of %s is %s", number, show(need), draft.spec.Team, show(limit)))
+	if limit.MilliCPU > 0 {
+		need.MilliCPU = min(need.MilliCPU, limit.MilliCPU)
+	}
+	if limit.Memory > 0 {
+		need.Memory = min(need.Memory, limit.Memory)
+	}
+	if limit.Accelerators > 0 {
+		need.Accelerators = min(need.Accelerators, limit.Accelerators)
+	}
+	return need
+}
+
+// allot splits a batch over the failure domains, by what fits now or, if not all
+// fits now, by what would fit in all.
+func (proposer *Proposer) allot(draft *draft, number int, batch Batch) {
+	weights := make([]int, len(draft.pictures))
+	sum := 0
+	for position := range draft.pictures {
+		weights[position] = draft.pictures[position].countNow(batch.Need)
+		sum += weights[position]
+	}
+	if sum < batch.Count {
+		for position := range draft.pictures {
+			weights[position] = draft.pictures[position].countEmpty(batch.Need)
+		}
+	}
+	from := 0
+	for position, count := range split(batch.Count, weights) {
+		if count == 0 {
+			continue
+		}
+		picture := &draft.pictures[position]
+		draft.plan.Allotments = append(draft.plan.Allotments, Allotment{
+			Batch: number, FailureDomain: picture.FailureDomain,
+			From: from, To: from + count, Racks: picture.byRack(batch.Need, count),
+		})
+		from += count
+		draft.weigh(picture, batch, count)
+	}
+}
+
+// weigh estimates when a part of a batch starts and ends, and what it displaces.
+func (draft *draft) weigh(picture *Picture, batch Batch, count int) {
+	now := picture.countNow(batch.Need)
+	total := max(picture.countEmpty(batch.Need), 1)
+	wait := time.Duration(0)
+	if now == 0 {
+		wait = max(time.Duration(picture.aheadOf(draft.spec.Urgency))*time.Second/time.Duration(max(int64(picture.capacity().MilliCPU), 1)), time.Second)
+	}
+	if short := count - now; short > 0 {
+		draft.displace(picture, batch.Need, short)
+	}
+	if now == 0 && picture.below(draft.spec.Urgency).Running == 0 {
+		draft.queued = true
+	}
+	waves := (count + total - 1) / total
+	if now < count {
+		waves = max(waves, (count+max(now, total/2)-1)/max(now, total/2, 1))
+	}
+	draft.starts = max(draft.starts, wait)
+	draft.ends = max(draft.ends, wait+time.Duration(waves)*batch.RunTime)
+	draft.plan.Charged.Limit = draft.plan.Charged.Limit.Add(batch.Need.Times(min(count, total)))
+	draft.plan.Charged.TasksInFlight += min(count, total)
+	picture.take(batch.Need, count)
+}
+
+// displace estimates how many less urgent tasks make room for short tasks.
+func (draft *draft) displace(picture *Picture, need identifier.Resources, short int) {
+	below := picture.below(draft.spec.Urgency)
+	if below.Running == 0 || below.Used.MilliCPU == 0 {
+		return
+	}
+	wanted := int64(need.MilliCPU) * int64(short) * int64(below.Running)
+	tasks := min((wanted+int64(below.Used.MilliCPU)-1)/int64(below.Used.MilliCPU), int64(below.Running))
+	draft.plan.Displaces = append(draft.plan.Displaces, Displaced{FailureDomain: picture.FailureDomain, Tasks: int(tasks)})
+}
+
+// estimate fills in when the plan starts and ends, with what confidence.
+func (proposer *Proposer) estimate(draft *draft, wall WallTime) {
+	plan := &draft.plan
+	plan.StartsAt = wall.Add(draft.starts)
+	plan.EndsAt = wall.Add(draft.ends)
+	plan.Confirmable = wall.Add(proposer.ConfirmWithin)
+	plan.Confidence = confidenceUnseen
+	if draft.learned {
+		plan.Confidence = confidenceLearned
+	}
+	if draft.queued {
+		plan.Confidence = confidenceQueued
+		plan.Queued = fmt.Sprintf("no worker has room now; a first start is expected in %s", draft.starts)
+	}
+	if !proposer.Quota.Allows(plan.Charged.Limit, plan.Charged.TasksInFlight-1, identifier.Resources{}) {
+		plan.Confidence = min(plan.Confidence, confidenceQueued)
+		plan.Charged.Limit = clip(plan.Charged.Limit, proposer.Quota.Limit)
+		if proposer.Quota.TasksInFlight > 0 {
+			plan.Charged.TasksInFlight = min(plan.Charged.TasksInFlight, proposer.Quota.TasksInFlight)
+		}
+	}
+}
+
+// clip bounds charged by the limits that are set.
+func clip(charged, limit identifier.Resources) identifier.Resources {
+	if limit.MilliCPU > 0 {
+		charged.MilliCPU = min(charged.MilliCPU, limit.MilliCPU)
+	}
+	if limit.Memory > 0 {
+		charged.Memory = min(charged.Memory, limit.Memory)
+	}
+	if limit.Accelerators > 0 {
+		charged.Accelerators = min(charged.Accelerators, limit.Accelerators)
+	}
+	return charged
+}
+
+func (draft *draft) refuse(reason string) {
+	draft.plan.Refusals = append(draft.plan.Refusals, reason)
+}
+
+// nearestWorker returns the part of a need that the worker offers which comes
+// nearest to it, and whether that is all of it.
+func nearestWorker(pictures []Picture, need identifier.Resources) (identifier.Resources, bool) {
+	var nearest identifier.Resources
+	best := int64(-1)
+	for _, picture := range pictures {
+		for _, room := range picture.Rooms {
+			if need.Fits(room.Capacity) {
+				return need, true
+			}
+			part := need.Min(room.Capacity)
+			if near := nearness(part, need); near > best {
+				nearest, best = part, near
+			}
+		}
+	}
+	return nearest, false
+}
+
+// nearness is the product of the shares of a need that a part covers.
+func nearness(part, need identifier.Resources) int64 {
+	const whole = 1000
+	near := int64(1)
+	for _, pair := range [][2]int64{
+		{int64(part.MilliCPU), int64(need.MilliCPU)},
+		{int64(part.Memory), int64(need.Memory)},
+		{int64(part.Accelerators), int64(need.Accelerators)},
+	} {
+		if pair[1] > 0 {
+			near *= pair[0] * whole / pair[1]
+		} else {
+			near *= whole
+		}
+	}
+	return near
+}
+
+// show returns a need as text.
+func show(need identifier.Resources) string {
+	var parts []string
+	if need.MilliCPU > 0 {
+		parts = append(parts, fmt.Sprintf("%d milli-cpu", need.MilliCPU))
+	}
+	if need.Memory > 0 {
+		parts = append(parts, fmt.Sprintf("%d bytes", need.Memory))
+	}
+	if need.Accelerators > 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", need.Accelerators))
+	}
+	if len(parts) == 0 {
+		return "nothing"
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/pkg/planner/record.go
@@ -0,0 +1,189 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+//go:generate enumer -type=State -transform=kebab -trimprefix=State -text
+
+// State is where an intent stands.
+type State int
+
+// The states.
+const (
+	// StateNone is that of a name without an intent.
+	StateNone State = iota
+	// StateCreated waits for a plan.
+	StateCreated
+	// StatePlanned waits for a confirmation.
+	StatePlanned
+	// StateConfirmed may start.
+	StateConfirmed
+	// StateRunning has started tasks.
+	StateRunning
+	// StateCancelling waits for running tasks to stop.
+	StateCancelling
+	// StateImpossible can never run; nothing ran.
+	StateImpossible
+	// StateRejected was refused by an operator; nothing ran.
+	StateRejected
+	// StateCancelled was cancelled; its tally tells what ran.
+	StateCancelled
+	// StateComplete means that every task succeeded.
+	StateComplete
+	// StateFailed means that at least one task did not succeed.
+	StateFailed
+)
+
+// Ended tells whether the state is a last one.
+func (state State) Ended() bool { return state >= StateImpossible }
+
+// Bounds of what a record keeps.
+const (
+	// firstSteps and lastSteps are the steps kept when there are more.
+	firstSteps = 24
+	lastSteps  = 72
+	// keptChanges bounds the changes kept to name the winner of a conflict.
+	keptChanges = 16
+)
+
+// Step is one step of an intent's explanation.
+type Step struct {
+	Index  identifier.LogIndex `cbor:"1,keyasint,omitempty" json:"index"`
+	Wall   WallTime            `cbor:"2,keyasint,omitempty" json:"wall"`
+	Kind   CommandKind         `cbor:"3,keyasint,omitempty" json:"kind"`
+	Reason string              `cbor:"4,keyasint,omitempty" json:"reason"`
+}
+
+// ClaimMark is up to where a failure domain has claimed a batch.
+type ClaimMark struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
+	Batch         int                      `cbor:"2,keyasint,omitempty"`
+	To            int                      `cbor:"3,keyasint,omitempty"`
+}
+
+// Record is all that is known of an intent.
+type Record struct {
+	Name     identifier.IntentName `cbor:"1,keyasint,omitempty"`
+	Spec     Spec                  `cbor:"2,keyasint,omitempty"`
+	State    State                 `cbor:"3,keyasint,omitempty"`
+	Revision uint64                `cbor:"4,keyasint,omitempty"`
+	Plan     *Plan                 `cbor:"5,keyasint,omitempty"`
+	// Plans counts the plans made.
+	Plans   uint64      `cbor:"6,keyasint,omitempty"`
+	Changes []Change    `cbor:"7,keyasint,omitempty"`
+	Steps   []Step      `cbor:"8,keyasint,omitempty"`
+	Dropped int         `cbor:"9,keyasint,omitempty"`
+	Claims  []ClaimMark `cbor:"10,keyasint,omitempty"`
+	// Ranges are the outcomes in order, neither overlapping nor mergeable.
+	Ranges []Range `cbor:"11,keyasint,omitempty"`
+}
+
+// Tally counts the tasks by outcome.
+type Tally [outcomes]int
+
+// Sum returns the number of tasks that have an outcome.
+func (tally Tally) Sum() int {
+	sum := 0
+	for _, count := range tally {
+		sum += count
+	}
+	return sum
+}
+
+// String returns the outcomes that occurred.
+func (tally Tally) String() string {
+	text := ""
+	for outcome, count := range tally {
+		if count > 0 {
+			text += fmt.Sprintf("%s=%d ", Outcome(outcome), count)
+		}
+	}
+	return text[:max(len(text)-1, 0)]
+}
+
+// Tally returns how many tasks ended how.
+func (record *Record) Tally() Tally {
+	var tally Tally
+	for _, ended := range record.Ranges {
+		tally[ended.Outcome] += ended.To - ended.From
+	}
+	return tally
+}
+
+// explain adds a step and drops one from the middle when there are too many.
+func (record *Record) explain(step Step) {
+	if len(record.Steps) >= firstSteps+lastSteps {
+		record.Steps = slices.Delete(record.Steps, firstSteps, firstSteps+1)
+		record.Dropped++
+	}
+	record.Steps = append(record.Steps, step)
+}
+
+// claimed returns up to where a failure domain has claimed a batch.
+func (record *Record) claimed(domain identifier.FailureDomain, batch, from int) int {
+	for _, mark := range record.Claims {
+		if mark.FailureDomain == domain && mark.Batch == batch {
+			return mark.To
+		}
+	}
+	return from
+}
+
+func (record *Record) setClaimed(domain identifier.FailureDomain, batch, to int) {
+	for position := range record.Claims {
+		mark := &record.Claims[position]
+		if mark.FailureDomain == domain && mark.Batch == batch {
+			mark.To = to
+			return
+		}
+	}
+	record.Claims = append(record.Claims, ClaimMark{FailureDomain: domain, Batch: batch, To: to})
+}
+
+// settle adds outcomes of tasks that have none yet: the first one stands.
+func (record *Record) settle(ended Range) {
+	if ended.Batch < 0 || ended.Batch >= len(record.Spec.Batches) {
+		return
+	}
+	from := max(ended.From, 0)
+	end := min(ended.To, record.Spec.Batches[ended.Batch].Count)
+	var added []Range
+	for _, known := range record.Ranges {
+		if known.Batch != ended.Batch || known.To <= from || from >= end {
+			continue
+		}
+		if known.From > from {
+			added = append(added, Range{Batch: ended.Batch, From: from, To: min(known.From, end), Outcome: ended.Outcome})
+		}
+		from = known.To
+	}
+	if from < end {
+		added = append(added, Range{Batch: ended.Batch, From: from, To: end, Outcome: ended.Outcome})
+	}
+	record.Ranges = mergeRanges(append(record.Ranges, added...))
+}
+
+// mergeRanges sorts ranges that don't overlap and joins neighbours.
+func mergeRanges(ranges []Range) []Range {
+	slices.SortFunc(ranges, func(one, other Range) int {
+		return cmp.Or(cmp.Compare(one.Batch, other.Batch), cmp.Compare(one.From, other.From))
+	})
+	merged := ranges[:0]
+	for _, next := range ranges {
+		if next.From >= next.To {
+			continue
+		}
+		last := len(merged) - 1
+		if last >= 0 && merged[last].Batch == next.Batch && merged[last].To == next.From && merged[last].Outcome == next.Outcome {
+			merged[last].To = next.To
+			continue
+		}
+		merged = append(merged, next)
+	}
+	return merged
+}
--- /dev/null
+++ b/pkg/planner/spec.go
@@ -0,0 +1,109 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/guarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+// OperatorID names who sent a command.
+type OperatorID string
+
+// WallTime is a wall-clock reading in milliseconds since 1970. It is carried for
+// display only: nothing is decided by it.
+type WallTime int64
+
+// Add returns the reading that lies interval later.
+func (wall WallTime) Add(interval time.Duration) WallTime {
+	return wall + WallTime(interval/time.Millisecond)
+}
+
+// Batch is a number of equal tasks.
+type Batch struct {
+	// Kind names what the tasks do; declarations of one kind are corrected together.
+	Kind    guarder.Kind         `cbor:"1,keyasint,omitempty" json:"kind"`
+	Count   int                  `cbor:"2,keyasint,omitempty" json:"count"`
+	Need    identifier.Resources `cbor:"3,keyasint,omitempty" json:"need"`
+	RunTime time.Duration        `cbor:"4,keyasint,omitempty" json:"run-time"`
+	// Repeatable tells whether a task may be run again after it may have run.
+	Repeatable     bool `cbor:"5,keyasint,omitempty" json:"repeatable"`
+	Checkpointable bool `cbor:"6,keyasint,omitempty" json:"checkpointable"`
+}
+
+// Declaration returns what the guarder needs of a batch. A task that must not be
+// run again is never resumed from a checkpoint either.
+func (batch Batch) Declaration() guarder.Declaration {
+	return guarder.Declaration{
+		Need:           batch.Need,
+		RunTime:        batch.RunTime,
+		Checkpointable: batch.Checkpointable && batch.Repeatable,
+	}
+}
+
+// Spec is what an operator states of an intent.
+type Spec struct {
+	Team    identifier.TeamID          `cbor:"1,keyasint,omitempty" json:"team"`
+	Urgency placer.Urgency             `cbor:"2,keyasint,omitempty" json:"urgency"`
+	MayRun  []identifier.FailureDomain `cbor:"3,keyasint,omitempty" json:"may-run,omitempty"`
+	Batches []Batch                    `cbor:"4,keyasint,omitempty" json:"batches"`
+}
+
+// Tasks returns the number of tasks of all batches.
+func (spec Spec) Tasks() int {
+	tasks := 0
+	for _, batch := range spec.Batches {
+		tasks += batch.Count
+	}
+	return tasks
+}
+
+// Allotment is the part of a batch that runs in one failure domain: the tasks
+// with the indexes from From up to, not including, To.
+type Allotment struct {
+	Batch         int                      `cbor:"1,keyasint,omitempty" json:"batch"`
+	FailureDomain identifier.FailureDomain `cbor:"2,keyasint,omitempty" json:"failure-domain"`
+	From          int                      `cbor:"3,keyasint,omitempty" json:"from"`
+	To            int                      `cbor:"4,keyasint,omitempty" json:"to"`
+	Racks         []RackCount              `cbor:"5,keyasint,omitempty" json:"racks"`
+}
+
+// RackCount is the number of tasks expected in a rack.
+type RackCount struct {
+	Rack  identifier.RackID `cbor:"1,keyasint,omitempty" json:"rack"`
+	Count int               `cbor:"2,keyasint,omitempty" json:"count"`
+}
+
+// Displaced counts the tasks that are expected to be preempted.
+type Displaced struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty" json:"failure-domain"`
+	Tasks         int                      `cbor:"2,keyasint,omitempty" json:"tasks"`
+}
+
+// AppliedCorrection says that a batch's declaration was corrected.
+type AppliedCorrection struct {
+	Batch      int                `cbor:"1,keyasint,omitempty" json:"batch"`
+	Correction guarder.Correction `cbor:"2,keyasint,omitempty" json:"correction"`
+}
+
+// Plan is the system's answer to a Spec.
+type Plan struct {
+	// Number counts the plans of an intent; the first is 1. It is set by Apply.
+	Number      uint64              `cbor:"1,keyasint,omitempty" json:"number"`
+	Allotments  []Allotment         `cbor:"2,keyasint,omitempty" json:"allotments,omitempty"`
+	StartsAt    WallTime            `cbor:"3,keyasint,omitempty" json:"starts-at,omitempty"`
+	EndsAt      WallTime            `cbor:"4,keyasint,omitempty" json:"ends-at,omitempty"`
+	Confidence  int                 `cbor:"5,keyasint,omitempty" json:"confidence-percent,omitempty"`
+	Displaces   []Displaced         `cbor:"6,keyasint,omitempty" json:"displaces,omitempty"`
+	Charged     placer.Quota        `cbor:"7,keyasint,omitempty" json:"charged,omitzero"`
+	Quota       placer.Quota        `cbor:"8,keyasint,omitempty" json:"quota,omitzero"`
+	Confirmable WallTime            `cbor:"9,keyasint,omitempty" json:"confirm-until,omitempty"`
+	Corrections []AppliedCorrection `cbor:"10,keyasint,omitempty" json:"corrections,omitempty"`
+	// Queued is the reason for which nothing can start at once; empty if some can.
+	Queued string `cbor:"11,keyasint,omitempty" json:"queued,omitempty"`
+	// Refusals are all reasons for which the intent can never run; none if it can.
+	Refusals []string `cbor:"12,keyasint,omitempty" json:"refusals,omitempty"`
+	// Nearest is the nearest thing that would run, when there are Refusals.
+	Nearest *Spec `cbor:"13,keyasint,omitempty" json:"nearest,omitempty"`
+}
--- /dev/null
+++ b/pkg/planner/work.go
@@ -0,0 +1,209 @@
+package planner
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/leaser"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+// announce takes a worker's process in. Its clock is a new one; leases of the
+// process before it stay until they run out.
+func (driver *Driver[P]) announce(now identifier.Moment, announced WorkerAnnounced) {
+	driver.Granter.Forget(announced.Worker.ID)
+	driver.Granter.Heartbeat(now, announced.Worker.ID, announced.Reading)
+	driver.Placer.AddWorker(announced.Worker)
+	known := driver.workers.Get(announced.Worker.ID)
+	if known == nil {
+		known = &driveWorker{}
+		driver.workers.Put(announced.Worker.ID, known)
+	}
+	known.worker = announced.Worker
+	known.lost = false
+	known.silent = false
+	driver.Placer.SetUsable(announced.Worker.ID, known.usable())
+}
+
+func (worker *driveWorker) usable() bool {
+	return !worker.lost && !worker.silent && worker.quarantinedUntil == 0
+}
+
+// heartbeat renews the leases of what the worker runs and takes its reports.
+func (driver *Driver[P]) heartbeat(now identifier.Moment, beat WorkerHeartbeat) {
+	worker := driver.workers.Get(beat.Worker)
+	if worker == nil || worker.lost {
+		return
+	}
+	driver.Granter.Heartbeat(now, beat.Worker, beat.Reading)
+	if worker.silent {
+		worker.silent = false
+		driver.Placer.SetUsable(beat.Worker, worker.usable())
+	}
+	var grants []leaser.Grant
+	for _, running := range beat.Running {
+		if grant, renewed := driver.renew(now, beat.Worker, running); renewed {
+			grants = append(grants, grant)
+		}
+	}
+	if len(grants) > 0 {
+		driver.emit(RenewLeases{Worker: beat.Worker, Grants: grants})
+	}
+	for _, report := range beat.Reports {
+		if driver.runsOn(report.Task, beat.Worker) && driver.Guarder.Report(now, report) {
+			driver.Placer.Recharge(report.Task, driver.Guarder.Charge(now, report.Task))
+		}
+	}
+}
+
+func (driver *Driver[P]) runsOn(task identifier.TaskID, worker identifier.WorkerID) bool {
+	running := driver.tasks.Get(task)
+	return running != nil && running.worker == worker
+}
+
+// renew prolongs one lease, adopts it from a former lead, or stops the task. A
+// task that was told to stop is not renewed, so it ends even if it ignores that.
+func (driver *Driver[P]) renew(now identifier.Moment, worker identifier.WorkerID, running RunningTask) (leaser.Grant, bool) {
+	known := driver.tasks.Get(running.Task)
+	if known == nil && driver.quiet {
+		return driver.adopt(now, worker, running)
+	}
+	if known == nil || known.worker != worker || known.number != running.Number {
+		driver.emit(StopTask{TaskOrder{Worker: worker, Task: running.Task, Number: running.Number, Reason: "it has no lease"}})
+		return leaser.Grant{}, false
+	}
+	if known.stopping {
+		driver.emit(StopTask{TaskOrder{Worker: worker, Task: running.Task, Number: running.Number, Reason: known.reason}})
+		return leaser.Grant{}, false
+	}
+	grant, err := driver.Granter.Renew(now, running.Task, worker, running.Number)
+	if err != nil {
+		driver.emit(StopTask{TaskOrder{Worker: worker, Task: running.Task, Number: running.Number, Reason: "its lease ran out"}})
+		return leaser.Grant{}, false
+	}
+	return grant, true
+}
+
+// adopt takes over a task that a former lead started. Without it a change of the
+// lead would cost all work in progress.
+func (driver *Driver[P]) adopt(now identifier.Moment, worker identifier.WorkerID, running RunningTask) (leaser.Grant, bool) {
+	name, number, index, valid := splitTask(running.Task)
+	intent := driver.intents.Get(name)
+	if !valid || intent == nil {
+		return leaser.Grant{}, false
+	}
+	batch := intent.batch(number)
+	if batch == nil || index < batch.from || index >= batch.former || batch.state(index) != indexOpen {
+		return leaser.Grant{}, false
+	}
+	grant, err := driver.Granter.Adopt(now, running.Task, worker, running.Number)
+	if err != nil {
+		return leaser.Grant{}, false
+	}
+	driver.Placer.Occupy(now, batch.group, running.Task, worker)
+	driver.begin(now, batch, index, worker, running.Number)
+	driver.note(now, intent, "the lead changed: a running task goes on")
+	return grant, true
+}
+
+func (intent *driven) batch(number int) *drivenBatch {
+	for _, batch := range intent.batches {
+		if batch.number == number {
+			return batch
+		}
+	}
+	return nil
+}
+
+// begin records that a task has a lease on a worker.
+func (driver *Driver[P]) begin(now identifier.Moment, batch *drivenBatch, index int, worker identifier.WorkerID, number leaser.Number) {
+	task := NameTask(batch.intent.name, batch.number, index)
+	batch.setState(index, indexRunning)
+	batch.intent.started = true
+	driver.tasks.Put(task, &driveTask{batch: batch, index: index, worker: worker, number: number, startedAt: now})
+	declared := driver.declaration(batch)
+	declared.Checkpointable = declared.Checkpointable && !batch.saved[index].guarded
+	driver.Guarder.Watch(now, task, declared)
+}
+
+// lose stops placing on a worker. What it ran may run on until the leases end.
+func (driver *Driver[P]) lose(now identifier.Moment, id identifier.WorkerID) {
+	worker := driver.workers.Get(id)
+	if worker == nil || worker.lost {
+		return
+	}
+	worker.lost = true
+	worker.lostAt = now
+	driver.Granter.Forget(id)
+	driver.Placer.SetUsable(id, false)
+}
+
+// place starts and preempts what the placer decides.
+func (driver *Driver[P]) place(now identifier.Moment) {
+	for _, decision := range driver.Placer.Place(now) {
+		switch decision.Kind {
+		case placer.DecisionStart:
+			driver.start(now, decision)
+		case placer.DecisionCheckpoint:
+			driver.checkpoint(now, decision.Task, leavingPreempted, "preempted for "+string(decision.For.Intent))
+			driver.note(now, driver.intents.Get(decision.Group.Intent), "checkpointed, preempted for "+string(decision.For.Intent))
+		case placer.DecisionStop:
+			driver.stop(decision.Task, leavingPreempted, "preempted for "+string(decision.For.Intent))
+			driver.note(now, driver.intents.Get(decision.Group.Intent), "stopped, preempted for "+string(decision.For.Intent))
+		}
+	}
+}
+
+// start leases a task to the worker that the placer chose. A worker that has been
+// silent for too long gets none until it is heard again.
+func (driver *Driver[P]) start(now identifier.Moment, decision placer.Decision) {
+	intent := driver.intents.Get(decision.Group.Intent)
+	batch := intent.batch(decision.Group.Batch)
+	_, _, index, _ := splitTask(decision.Task)
+	grant, err := driver.Granter.Grant(now, decision.Task, decision.Worker)
+	if err != nil {
+		driver.Placer.End(decision.Task)
+		driver.Placer.Enqueue(now, decision.Group, decision.Task)
+		driver.hush(now, decision.Worker)
+		return
+	}
+	resume := batch.resumes(index)
+	driver.begin(now, batch, index, decision.Worker, grant.Number)
+	declared := driver.declaration(batch)
+	driver.emit(StartTask{
+		Worker: decision.Worker, Grant: grant, Intent: intent.name, Batch: batch.number, Index: index,
+		Need: declared.Need, RunTime: declared.RunTime, Resume: resume,
+	})
+}
+
+// hush takes a worker out of use until its next heartbeat.
+func (driver *Driver[P]) hush(now identifier.Moment, id identifier.WorkerID) {
+	worker := driver.workers.Get(id)
+	if worker == nil || driver.Granter.Heard(now, id) {
+		return
+	}
+	worker.silent = true
+	driver.Placer.SetUsable(id, false)
+}
+
+// stop tells a worker to stop a task.
+func (driver *Driver[P]) stop(task identifier.TaskID, why leaving, reason string) {
+	running := driver.tasks.Get(task)
+	if running == nil || running.leaving == leavingCancelled {
+		return
+	}
+	running.leaving = why
+	running.stopping = true
+	running.reason = reason
+	driver.emit(StopTask{TaskOrder{Worker: running.worker, Task: task, Number: running.number, Reason: reason}})
+}
+
+// checkpoint tells a worker to save a task's progress and stop it.
+func (driver *Driver[P]) checkpoint(now identifier.Moment, task identifier.TaskID, why leaving, reason string) {
+	running := driver.tasks.Get(task)
+	if running == nil || running.stopping {
+		return
+	}
+	running.leaving = why
+	running.leavingSince = now
+	running.reason = reason
+	driver.emit(CheckpointTask{TaskOrder{Worker: running.worker, Task: task, Number: running.number, Reason: reason}})
+}
