Fuzz the whole exchange against what really ran

Cause: the driver is to hold its promises through worker deaths, cut connections, changes of the lead, lost proposals, racing operators and restarted keepers. Change: a rapid state machine over the log, a driver and workers with their own clocks and leases; an oracle compares every word in the log with the real runs.

--- a/pkg/planner/assign.go
+++ b/pkg/planner/assign.go
@@ -44,7 +44,9 @@
 	claimRefused bool
 	states       []indexState
 	// saved holds the tasks with a checkpoint.
-	saved     map[int]checkpoint
+	saved map[int]checkpoint
+	// ran holds what is known of earlier runs of tasks that wait again.
+	ran       map[int]Outcome
 	settled   int
 	succeeded int
 	blocked   placer.Blocked
@@ -264,8 +266,11 @@
 	}
 }
 
-// unstarted returns the outcome of a task that this driver has not running.
+// unstarted returns the outcome of a task that is given up and not running now.
 func (batch *drivenBatch) unstarted(index int) Outcome {
+	if outcome, ran := batch.ran[index]; ran {
+		return outcome
+	}
 	if index < batch.former {
 		return OutcomeUnknown
 	}
@@ -309,6 +314,15 @@
 	guarded bool
 }
 
+// remember keeps what is known of a run of a task that waits again. Without it a
+// task that ran and is then cancelled while it waits would be said not to have run.
+func (batch *drivenBatch) remember(index int, outcome Outcome) {
+	if batch.ran == nil {
+		batch.ran = make(map[int]Outcome)
+	}
+	batch.ran[index] = max(outcome, batch.ran[index])
+}
+
 // resumes tells whether a task has a checkpoint to go on from.
 func (batch *drivenBatch) resumes(index int) bool {
 	_, saved := batch.saved[index]
--- a/pkg/planner/command.go
+++ b/pkg/planner/command.go
@@ -34,6 +34,10 @@
 	// CommandEnd ends an intent whose failure domain is given up: what has no
 	// outcome is then not known to have run.
 	CommandEnd
+	// CommandLead says which epoch leads a failure domain's workers, given in Claim.
+	// A new lead applies it before it reads its assignments: what a former lead
+	// proposed and is applied later is refused, so it can't change them any more.
+	CommandLead
 )
 
 // Command is an entry of the keepers' log. Which fields are needed depends on
@@ -109,7 +113,8 @@
 }
 
 // Claim reserves the starts of tasks that are not repeatable. It is accepted if
-// From is where the last claim of that failure domain ended. After a change of
+// From is where the last claim of that failure domain ended; the last claim may be
+// repeated. After a change of
 // the lead no claimed task is started, so none is started twice.
 type Claim struct {
 	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
--- a/pkg/planner/commandkind_enumer.go
+++ b/pkg/planner/commandkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CommandKindName = "createplanconfirmrejectexpirecancelprogressclaimend"
+const _CommandKindName = "createplanconfirmrejectexpirecancelprogressclaimendlead"
 
-var _CommandKindIndex = [...]uint8{0, 6, 10, 17, 23, 29, 35, 43, 48, 51}
+var _CommandKindIndex = [...]uint8{0, 6, 10, 17, 23, 29, 35, 43, 48, 51, 55}
 
-const _CommandKindLowerName = "createplanconfirmrejectexpirecancelprogressclaimend"
+const _CommandKindLowerName = "createplanconfirmrejectexpirecancelprogressclaimendlead"
 
 func (i CommandKind) String() string {
 	if i < 0 || i >= CommandKind(len(_CommandKindIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[CommandProgress-(6)]
 	_ = x[CommandClaim-(7)]
 	_ = x[CommandEnd-(8)]
+	_ = x[CommandLead-(9)]
 }
 
-var _CommandKindValues = []CommandKind{CommandCreate, CommandPlan, CommandConfirm, CommandReject, CommandExpire, CommandCancel, CommandProgress, CommandClaim, CommandEnd}
+var _CommandKindValues = []CommandKind{CommandCreate, CommandPlan, CommandConfirm, CommandReject, CommandExpire, CommandCancel, CommandProgress, CommandClaim, CommandEnd, CommandLead}
 
 var _CommandKindNameToValueMap = map[string]CommandKind{
 	_CommandKindName[0:6]:   CommandCreate,
@@ -47,6 +48,7 @@
 	_CommandKindName[35:43]: CommandProgress,
 	_CommandKindName[43:48]: CommandClaim,
 	_CommandKindName[48:51]: CommandEnd,
+	_CommandKindName[51:55]: CommandLead,
 }
 
 var _CommandKindLowerNameToValueMap = map[string]CommandKind{
@@ -59,6 +61,7 @@
 	_CommandKindLowerName[35:43]: CommandProgress,
 	_CommandKindLowerName[43:48]: CommandClaim,
 	_CommandKindLowerName[48:51]: CommandEnd,
+	_CommandKindLowerName[51:55]: CommandLead,
 }
 
 var _CommandKindNames = []string{
@@ -71,6 +74,7 @@
 	_CommandKindName[35:43],
 	_CommandKindName[43:48],
 	_CommandKindName[48:51],
+	_CommandKindName[51:55],
 }
 
 // CommandKindString retrieves an enum value from the enum constants string name.
--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -49,8 +49,8 @@
 
 // Driver runs the confirmed intents on the workers of one failure domain. It runs
 // only on the host that leads these workers; its Epoch is above that of every
-// former lead, and the former lead must have lost its right before this one
-// begins. Set the exported fields before use.
+// former lead, the former lead must have lost its right before this one begins,
+// and a CommandLead must be applied before the first assignment is read. Set the exported fields before use.
 type Driver[P placer.Policy] struct {
 	FailureDomain identifier.FailureDomain
 	Epoch         identifier.Epoch
--- a/pkg/planner/machine.go
+++ b/pkg/planner/machine.go
@@ -81,8 +81,11 @@
 }
 
 func (machine *Machine) execute(index identifier.LogIndex, command Command) Result {
-	if command.Kind == CommandCreate {
+	switch command.Kind {
+	case CommandCreate:
 		return machine.create(index, command)
+	case CommandLead:
+		return machine.lead(index, command)
 	}
 	record := machine.records.Get(command.Name)
 	if record == nil {
--- a/pkg/planner/outcome.go
+++ b/pkg/planner/outcome.go
@@ -105,6 +105,7 @@
 		driver.note(now, batch.intent, "failed: "+running.reason)
 		driver.settle(now, batch, index, OutcomeFailed)
 	case batch.batch.Repeatable:
+		batch.remember(index, OutcomeStopped)
 		driver.requeue(now, batch, index)
 	default:
 		driver.note(now, batch.intent, "a task was stopped and is not run again")
@@ -142,6 +143,7 @@
 	batch := running.batch
 	if batch.batch.Repeatable && !batch.intent.cancelling {
 		driver.note(now, batch.intent, "a lease ran out on "+string(lease.Worker)+": its task runs again")
+		batch.remember(running.index, OutcomeUnknown)
 		driver.requeue(now, batch, running.index)
 		return
 	}
--- a/pkg/planner/progress.go
+++ b/pkg/planner/progress.go
@@ -62,13 +62,27 @@
 	if !found || claim.To > allotment.To || claim.To < claim.From {
 		return refuse(index, record, ResultInvalid, "the plan does not allot these tasks")
 	}
-	if claim.From != record.claimed(claim.FailureDomain, claim.Batch, allotment.From) {
+	mark := record.claimed(claim.FailureDomain, claim.Batch, allotment.From)
+	repeated := claim.From == mark.From && claim.To == mark.To && claim.Epoch == mark.Epoch
+	if claim.From != mark.To && !repeated {
 		return refuse(index, record, ResultConflict, "these tasks are claimed")
 	}
-	record.setClaimed(claim.FailureDomain, claim.Batch, claim.To)
+	mark.From, mark.To, mark.Epoch = claim.From, claim.To, claim.Epoch
 	return Result{Kind: ResultAccepted, Index: index, State: record.State, Revision: record.Revision}
 }
 
+// lead raises the epoch of a failure domain.
+func (machine *Machine) lead(index identifier.LogIndex, command Command) Result {
+	claim := command.Claim
+	if claim == nil {
+		return Result{Kind: ResultInvalid, Index: index, Reason: "there is no epoch"}
+	}
+	if machine.fenced(claim.FailureDomain, claim.Epoch) {
+		return Result{Kind: ResultFenced, Index: index, Reason: "another lead has taken over"}
+	}
+	return Result{Kind: ResultAccepted, Index: index}
+}
+
 // fenced tells whether epoch is below the highest one of a failure domain, and
 // remembers the highest.
 func (machine *Machine) fenced(domain identifier.FailureDomain, epoch identifier.Epoch) bool {
--- a/pkg/planner/record.go
+++ b/pkg/planner/record.go
@@ -64,6 +64,9 @@
 	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
 	Batch         int                      `cbor:"2,keyasint,omitempty"`
 	To            int                      `cbor:"3,keyasint,omitempty"`
+	// From and Epoch are those of the last claim, which may be repeated.
+	From  int              `cbor:"4,keyasint,omitempty"`
+	Epoch identifier.Epoch `cbor:"5,keyasint,omitempty"`
 }
 
 // Record is all that is known of an intent.
@@ -124,25 +127,17 @@
 	record.Steps = append(record.Steps, step)
 }
 
-// claimed returns up to where a failure domain has claimed a batch.
-func (record *Record) claimed(domain identifier.FailureDomain, batch, from int) int {
-	for _, mark := range record.Claims {
-		if mark.FailureDomain == domain && mark.Batch == batch {
-			return mark.To
-		}
-	}
-	return from
-}
-
-func (record *Record) setClaimed(domain identifier.FailureDomain, batch, to int) {
+// claimed returns how far a failure domain has claimed a batch that it has been
+// allotted from an index on.
+func (record *Record) claimed(domain identifier.FailureDomain, batch, from int) *ClaimMark {
 	for position := range record.Claims {
 		mark := &record.Claims[position]
 		if mark.FailureDomain == domain && mark.Batch == batch {
-			mark.To = to
-			return
+			return mark
 		}
 	}
-	record.Claims = append(record.Claims, ClaimMark{FailureDomain: domain, Batch: batch, To: to})
+	record.Claims = append(record.Claims, ClaimMark{FailureDomain: domain, Batch: batch, From: from, To: from})
+	return &record.Claims[len(record.Claims)-1]
 }
 
 // settle adds outcomes of tasks that have none yet: the first one stands.
--- /dev/null
+++ b/pkg/planner/world_test.go
@@ -0,0 +1,417 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/guarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/leaser"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+)
+
+const (
+	testLease  = 10 * time.Second
+	testDrift  = time.Second
+	testDomain = identifier.FailureDomain("leuven")
+)
+
+var testCapacity = identifier.Resources{MilliCPU: 8000, Memory: 16 << 30}
+
+// failer is what the world needs of a test.
+type failer interface {
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
+// world is one failure domain: the log, a driver, and workers that hold leases by
+// their own clocks. It knows what really ran, against which every word is checked.
+type world struct {
+	t       failer
+	real    identifier.Moment
+	machine *Machine
+	index   identifier.LogIndex
+	driver  *Driver[placer.ScoredSample]
+	epoch   identifier.Epoch
+	offset  identifier.Moment
+	workers []*fakeWorker
+	inbox   []Input
+	// proposals are commands of the driver that are not applied yet.
+	proposals []Command
+	runs      map[identifier.TaskID][]*fakeRun
+	assigned  map[identifier.IntentName]State
+	ended     map[identifier.IntentName]bool
+
+	// behave says how a task runs that starts: for how long, its end and its use.
+	behave func(start StartTask) (time.Duration, TaskEnd, identifier.Resources)
+}
+
+// fakeWorker runs tasks under leases.
+type fakeWorker struct {
+	worker    placer.Worker
+	alive     bool
+	connected bool
+	offset    identifier.Moment
+	holder    *leaser.Holder
+	running   []*fakeRun
+	// words are ends of tasks that wait for a connection.
+	words []Input
+}
+
+// fakeRun is one real run of a task.
+type fakeRun struct {
+	task   identifier.TaskID
+	number leaser.Number
+	begun  identifier.Moment
+	endsAt identifier.Moment
+	end    TaskEnd
+	used   identifier.Resources
+	over   bool
+	// stopped tells that the run was cut off by an order, the lease or a death.
+	stopped bool
+	need    identifier.Resources
+}
+
+func newWorld(t failer, workers int) *world {
+	world := &world{
+		t: t, machine: &Machine{}, real: 1,
+		runs:     map[identifier.TaskID][]*fakeRun{},
+		assigned: map[identifier.IntentName]State{},
+		ended:    map[identifier.IntentName]bool{},
+	}
+	world.behave = func(start StartTask) (time.Duration, TaskEnd, identifier.Resources) {
+		return start.RunTime, EndSucceeded, start.Need
+	}
+	for number := range workers {
+		world.workers = append(world.workers, &fakeWorker{
+			worker: placer.Worker{
+				ID: identifier.WorkerID(fmt.Sprint("w", number)), Rack: identifier.RackID(fmt.Sprint("r", number/2)),
+				FailureDomain: testDomain, Capacity: testCapacity,
+			},
+			offset: identifier.Moment(number+1) * identifier.Moment(time.Hour),
+		})
+	}
+	world.lead()
+	for _, worker := range world.workers {
+		world.boot(worker)
+	}
+	return world
+}
+
+// lead makes a new host the lead; what the former one had under way is lost.
+func (world *world) lead() {
+	world.epoch++
+	world.apply(Command{Kind: CommandLead, Claim: &Claim{FailureDomain: testDomain, Epoch: world.epoch}})
+	world.offset += identifier.Moment(17 * time.Minute)
+	quiet := world.now()
+	if world.epoch > 1 {
+		quiet = quiet.Add(testLease)
+	}
+	world.driver = NewDriver(placer.DefaultScoredSample(), testDomain, world.epoch, testLease, quiet)
+	world.inbox = nil
+	world.assigned = map[identifier.IntentName]State{}
+	world.ended = map[identifier.IntentName]bool{}
+	for _, worker := range world.workers {
+		if worker.alive && worker.connected {
+			world.connect(worker)
+		}
+	}
+}
+
+func (world *world) now() identifier.Moment { return world.real + world.offset }
+
+func (world *world) local(worker *fakeWorker) identifier.Moment { return world.real + worker.offset }
+
+// boot starts a worker's process.
+func (world *world) boot(worker *fakeWorker) {
+	worker.alive = true
+	worker.holder = &leaser.Holder{Drift: testDrift}
+	worker.offset += identifier.Moment(time.Minute)
+	world.connect(worker)
+}
+
+func (world *world) connect(worker *fakeWorker) {
+	worker.connected = true
+	world.inbox = append(world.inbox, WorkerAnnounced{Worker: worker.worker, Reading: leaser.HolderMoment(world.local(worker))})
+	world.deliver(worker)
+}
+
+// kill ends a worker's process with its tasks.
+func (world *world) kill(worker *fakeWorker) {
+	for _, run := range worker.running {
+		run.over, run.stopped = true, true
+	}
+	worker.running = nil
+	worker.words = nil
+	worker.alive = false
+	world.cut(worker)
+}
+
+func (world *world) cut(worker *fakeWorker) {
+	if worker.connected {
+		worker.connected = false
+		world.inbox = append(world.inbox, WorkerLost{Worker: worker.worker.ID})
+	}
+}
+
+// apply applies a command of an operator or a driver.
+func (world *world) apply(command Command) Result {
+	world.index++
+	command.Wall = WallTime(world.real / identifier.Moment(time.Millisecond))
+	result := world.machine.Apply(world.index, command)
+	if world.driver != nil && command.Kind == CommandClaim && command.Claim.Epoch == world.epoch {
+		world.inbox = append(world.inbox, ClaimApplied{Name: command.Name, Claim: *command.Claim, Accepted: result.Kind == ResultAccepted})
+	}
+	return result
+}
+
+// propose answers an intent with a plan.
+func (world *world) propose(name identifier.IntentName) Result {
+	record := world.machine.Get(name)
+	proposer := &Proposer{ConfirmWithin: DefaultConfirmWithin, Pictures: []Picture{world.driver.Picture(world.now())}, Correct: world.driver.Learner.Correction}
+	plan := proposer.Propose(WallTime(world.real), record.Spec)
+	return world.apply(Command{Kind: CommandPlan, Name: name, Revision: record.Revision, Plan: &plan, Operator: "system"})
+}
+
+// tell lets the driver know what the log says of each intent.
+func (world *world) tell() {
+	for _, name := range world.machine.Names() {
+		record := world.machine.Get(name)
+		if record.State.Ended() && world.assigned[name] != StateNone && !world.ended[name] {
+			world.ended[name] = true
+			world.inbox = append(world.inbox, IntentEnded{Name: name})
+		}
+		assignment, has := world.machine.Assignment(name, testDomain)
+		state := StateConfirmed
+		if assignment.Cancelling {
+			state = StateCancelling
+		}
+		if has && world.assigned[name] != state {
+			world.assigned[name] = state
+			world.inbox = append(world.inbox, assignment)
+		}
+	}
+}
+
+// step lets time pass, the workers act, the log advance, and the driver tick.
+func (world *world) step(wait time.Duration, applied int, beats bool) {
+	world.real = world.real.Add(wait)
+	for _, worker := range world.workers {
+		world.act(worker)
+		if beats && worker.alive && worker.connected {
+			world.beat(worker)
+		}
+	}
+	for range min(applied, len(world.proposals)) {
+		command := world.proposals[0]
+		world.proposals = world.proposals[1:]
+		world.apply(command)
+	}
+	world.tell()
+	inputs := world.inbox
+	world.inbox = nil
+	for _, output := range world.driver.Tick(world.now(), inputs) {
+		world.carryOut(output)
+	}
+	world.checkRooms()
+}
+
+// act ends tasks that are done, and stops those whose lease is over.
+func (world *world) act(worker *fakeWorker) {
+	if !worker.alive {
+		return
+	}
+	for _, run := range append([]*fakeRun(nil), worker.running...) {
+		held := worker.holder.Get(run.task)
+		over := held == nil || held.EndsAt.Due(world.local(worker))
+		if run.endsAt.Due(world.real) && !over {
+			world.finish(worker, run, run.end)
+		}
+	}
+	for _, task := range worker.holder.RanOut(world.local(worker)) {
+		if run := worker.find(task); run != nil {
+			run.stopped = true
+			world.finish(worker, run, EndStopped)
+		}
+	}
+}
+
+func (worker *fakeWorker) find(task identifier.TaskID) *fakeRun {
+	for _, run := range worker.running {
+		if run.task == task {
+			return run
+		}
+	}
+	return nil
+}
+
+// finish ends a run; the word of it waits while the worker is cut off.
+func (world *world) finish(worker *fakeWorker, run *fakeRun, end TaskEnd) {
+	run.over = true
+	if !run.stopped {
+		run.end = end
+	}
+	for position, other := range worker.running {
+		if other == run {
+			worker.running = append(worker.running[:position], worker.running[position+1:]...)
+			break
+		}
+	}
+	worker.holder.Release(run.task)
+	worker.words = append(worker.words, TaskEnded{Worker: worker.worker.ID, Task: run.task, Number: run.number, End: end})
+	world.deliver(worker)
+}
+
+func (world *world) deliver(worker *fakeWorker) {
+	if worker.connected {
+		world.inbox = append(world.inbox, worker.words...)
+		worker.words = nil
+	}
+}
+
+func (world *world) beat(worker *fakeWorker) {
+	beat := WorkerHeartbeat{Worker: worker.worker.ID, Reading: leaser.HolderMoment(world.local(worker))}
+	for _, run := range worker.running {
+		beat.Running = append(beat.Running, RunningTask{Task: run.task, Number: run.number})
+		beat.Reports = append(beat.Reports, guarder.Report{Task: run.task, Used: run.used, Age: 200 * time.Millisecond})
+	}
+	world.inbox = append(world.inbox, beat)
+}
+
+func (world *world) worker(id identifier.WorkerID) *fakeWorker {
+	for _, worker := range world.workers {
+		if worker.worker.ID == id {
+			return worker
+		}
+	}
+	return nil
+}
+
+func (world *world) carryOut(output Output) {
+	switch output := output.(type) {
+	case Propose:
+		world.proposals = append(world.proposals, output.Command)
+	case StartTask:
+		if worker := world.worker(output.Worker); worker.alive && worker.connected {
+			world.start(worker, output)
+		}
+	case RenewLeases:
+		worker := world.worker(output.Worker)
+		for _, grant := range output.Grants {
+			if worker.alive && worker.connected {
+				_ = worker.holder.Renew(world.local(worker), grant)
+			}
+		}
+	case ThrottleTask:
+		world.order(output.TaskOrder, func(_ *fakeWorker, run *fakeRun) { run.used = run.used.Min(run.need) })
+	case CheckpointTask:
+		world.order(output.TaskOrder, func(worker *fakeWorker, run *fakeRun) {
+			run.stopped = true
+			world.finish(worker, run, EndCheckpointed)
+		})
+	case StopTask:
+		world.order(output.TaskOrder, func(worker *fakeWorker, run *fakeRun) {
+			run.stopped = true
+			world.finish(worker, run, EndStopped)
+		})
+	}
+}
+
+func (world *world) order(order TaskOrder, obey func(worker *fakeWorker, run *fakeRun)) {
+	worker := world.worker(order.Worker)
+	if !worker.alive || !worker.connected {
+		return
+	}
+	if run := worker.find(order.Task); run != nil && run.number == order.Number {
+		obey(worker, run)
+	}
+}
+
+// start runs a task for real, and checks that it may.
+func (world *world) start(worker *fakeWorker, start StartTask) {
+	task := start.Grant.Task
+	if err := worker.holder.Accept(world.local(worker), start.Grant); err != nil {
+		world.inbox = append(world.inbox, TaskEnded{Worker: start.Worker, Task: task, Number: start.Grant.Number, End: EndRefused})
+		return
+	}
+	record := world.machine.Get(start.Intent)
+	if record == nil || record.State < StateConfirmed {
+		world.t.Fatalf("%s started before its plan was confirmed", task)
+	}
+	for _, former := range world.runs[task] {
+		if !former.over {
+			world.t.Fatalf("%s runs twice at once", task)
+		}
+		if !record.Spec.Batches[start.Batch].Repeatable {
+			world.t.Fatalf("%s is not repeatable and started twice", task)
+		}
+	}
+	runTime, end, used := world.behave(start)
+	run := &fakeRun{task: task, number: start.Grant.Number, begun: world.real, endsAt: world.real.Add(runTime), end: end, used: used, need: start.Need}
+	worker.running = append(worker.running, run)
+	world.runs[task] = append(world.runs[task], run)
+}
+
+// checkRooms checks that no worker is given more than it has beyond what reports
+// showed: new tasks were only put where the known use of the others left room.
+func (world *world) checkRooms() {
+	for _, worker := range world.workers {
+		var sum identifier.Resources
+		grown := false
+		for _, task := range world.driver.Placer.TasksOn(worker.worker.ID) {
+			charge := world.driver.Guarder.Charge(world.now(), task)
+			sum = sum.Add(charge)
+			running := world.driver.tasks.Get(task)
+			if running == nil {
+				world.t.Fatalf("%s has room taken but is not known", task)
+			}
+			grown = grown || !charge.Fits(running.batch.batch.Need)
+			grown = grown || running.batch.former > running.index
+		}
+		if !grown && !sum.Fits(worker.worker.Capacity) {
+			world.t.Fatalf("%s is given %v, more than it has", worker.worker.ID, sum)
+		}
+	}
+}
+
+// checkWords compares every outcome in the log with what really ran.
+func (world *world) checkWords() {
+	for _, name := range world.machine.Names() {
+		record := world.machine.Get(name)
+		for _, ended := range record.Ranges {
+			for index := ended.From; index < ended.To; index++ {
+				world.checkWord(record, ended, NameTask(name, ended.Batch, index))
+			}
+		}
+		tally := record.Tally()
+		if record.State == StateComplete && tally[OutcomeSucceeded] != record.Spec.Tasks() {
+			world.t.Fatalf("%s is complete with %s", name, tally)
+		}
+		if record.State.Ended() && tally.Sum() != record.Spec.Tasks() {
+			world.t.Fatalf("%s ended with %s of %d tasks", name, tally, record.Spec.Tasks())
+		}
+	}
+}
+
+func (world *world) checkWord(record *Record, ended Range, task identifier.TaskID) {
+	succeeded, failed, stopped := false, false, false
+	for _, run := range world.runs[task] {
+		succeeded = succeeded || run.over && !run.stopped && run.end == EndSucceeded
+		failed = failed || run.over && !run.stopped && run.end == EndFailed
+		stopped = stopped || run.stopped
+	}
+	truth := true
+	switch ended.Outcome {
+	case OutcomeSucceeded:
+		truth = succeeded
+	case OutcomeFailed:
+		truth = failed || stopped
+	case OutcomeStopped:
+		truth = stopped
+	case OutcomeNotRun:
+		truth = len(world.runs[task]) == 0
+	}
+	if !truth {
+		world.t.Fatalf("%s of %s is said to have %s, which is not true (%d runs)", task, record.State, ended.Outcome, len(world.runs[task]))
+	}
+}
