--- a/pkg/placer/fleet.go
+++ b/pkg/placer/fleet.go
@@ -101,6 +101,17 @@
 	fleet.index(position)
 }
 
+// countOf returns the tasks of a batch at a position.
+func (fleet *Fleet) countOf(group *group, position int) int {
+	count := 0
+	for _, running := range fleet.seats[position].running {
+		if running.group == group {
+			count++
+		}
+	}
+	return count
+}
+
 // index brings the trees up to date with a position.
 func (fleet *Fleet) index(position int) {
 	seat := &fleet.seats[position]
--- a/pkg/placer/place.go
+++ b/pkg/placer/place.go
@@ -138,6 +138,7 @@
 			held := placer.fleet.seats[position].held
 			return held == nil || ends <= held.at
 		},
+		OnWorker: func(position int) int { return placer.fleet.countOf(group, position) },
 	}
 	position := placer.Policy.Choose(&placer.fleet, request, placer.random)
 	if position < 0 && len(placer.reservations) == 0 && len(round.failed) < rememberedFailures {
--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -16,6 +16,8 @@
 	InRack []int
 	// Running counts the tasks of the same batch.
 	Running int
+	// OnWorker counts the tasks of the same batch at a position.
+	OnWorker func(position int) int
 }
 
 // Policy chooses the worker of a task. It returns a position or -1.
@@ -58,10 +60,14 @@
 	// SpreadWeight is the score, in thousandths of a worker left over, of a rack
 	// that has twice the batch's average.
 	SpreadWeight int64
+	// WorkerWeight is that of a worker that has the whole batch.
+	WorkerWeight int64
 }
 
 // DefaultScoredSample returns the policy used where the configuration has none.
-func DefaultScoredSample() ScoredSample { return ScoredSample{Size: 8, SpreadWeight: 500} }
+func DefaultScoredSample() ScoredSample {
+	return ScoredSample{Size: 8, SpreadWeight: 500, WorkerWeight: 500}
+}
 
 // Choose implements Policy.
 func (sample ScoredSample) Choose(fleet *Fleet, request *Request, random *rand.Rand) int {
@@ -89,7 +95,8 @@
 	return best
 }
 
-// crowding scores the batch's share of a rack against its average over racks.
+// crowding scores the batch's share of a rack against its average over racks, and
+// its share of a worker.
 func (sample ScoredSample) crowding(fleet *Fleet, position int, request *Request) int64 {
 	rack := fleet.Rack(position)
 	if rack >= len(request.InRack) {
@@ -97,7 +104,11 @@
 	}
 	here := int64(request.InRack[rack])
 	racks := int64(fleet.Racks())
-	return sample.SpreadWeight * here * racks / (2 * int64(request.Running+1))
+	score := sample.SpreadWeight * here * racks / (2 * int64(request.Running+1))
+	if here > 0 && request.OnWorker != nil {
+		score += sample.WorkerWeight * int64(request.OnWorker(position)) / int64(request.Running+1)
+	}
+	return score
 }
 
 // leftover returns the room that is left at a position, in thousandths of the
--- a/pkg/planner/assign.go
+++ b/pkg/planner/assign.go
@@ -45,6 +45,9 @@
 	states       []indexState
 	// saved holds the tasks with a checkpoint.
 	saved map[int]checkpoint
+	// raised is the highest use of tasks that were checkpointed for it: they run
+	// again with the room that they need.
+	raised identifier.Resources
 	// ran holds what is known of earlier runs of tasks that wait again.
 	ran       map[int]Outcome
 	settled   int
@@ -158,7 +161,9 @@
 }
 
 func (driver *Driver[P]) declaration(batch *drivenBatch) guarder.Declaration {
-	return driver.Learner.Correction(driver.key(batch)).Apply(batch.batch.Declaration())
+	declared := driver.Learner.Correction(driver.key(batch)).Apply(batch.batch.Declaration())
+	declared.Need = declared.Need.Max(batch.raised)
+	return declared
 }
 
 // endQuiet begins the work once no task of a former lead can run any more, but
--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -69,6 +69,8 @@
 	sweepAt identifier.Moment
 	flushAt identifier.Moment
 	quiet   bool
+	// settledAt is when every living worker has had time to announce itself.
+	settledAt identifier.Moment
 }
 
 // NewDriver returns a driver with the default settings. Nothing is started before
@@ -163,6 +165,7 @@
 func (driver *Driver[P]) Picture(now identifier.Moment) Picture {
 	driver.prepare(now)
 	picture := Picture{FailureDomain: driver.FailureDomain, Rooms: driver.Placer.Rooms()}
+	picture.Settling = now.Before(driver.settledAt) || driver.workers.Len() == 0
 	loads := driver.Placer.Loads(now)
 	picture.Loads = loads[:]
 	return picture
@@ -202,5 +205,6 @@
 	driver.workers = tabulator.New[identifier.WorkerID, driveWorker]()
 	driver.flushAt = identifier.Never
 	driver.sweepAt = now.Add(driver.Settings.SweepInterval)
+	driver.settledAt = now.Add(driver.Granter.Length)
 	driver.quiet = now.Before(driver.Granter.QuietUntil)
 }
--- a/pkg/planner/machine.go
+++ b/pkg/planner/machine.go
@@ -136,6 +136,9 @@
 	if command.Plan == nil {
 		return refuse(index, record, ResultInvalid, "there is no plan")
 	}
+	if len(command.Plan.Allotments)+len(command.Plan.Refusals) == 0 {
+		return machine.postpone(index, command, record)
+	}
 	record.Plans++
 	plan := *command.Plan
 	plan.Number = record.Plans
@@ -149,6 +152,15 @@
 	return result
 }
 
+// postpone says why there is no plan yet. The intent stays as it is.
+func (machine *Machine) postpone(index identifier.LogIndex, command Command, record *Record) Result {
+	reason := "no plan yet: " + command.Plan.Queued
+	if last := len(record.Steps) - 1; record.Steps[last].Reason != reason {
+		record.explain(Step{Index: index, Wall: command.Wall, Kind: command.Kind, Reason: reason})
+	}
+	return Result{Kind: ResultAccepted, Index: index, State: record.State, Revision: record.Revision, Reason: reason}
+}
+
 func planState(plan Plan) State {
 	if len(plan.Refusals) > 0 {
 		return StateImpossible
--- a/pkg/planner/outcome.go
+++ b/pkg/planner/outcome.go
@@ -80,6 +80,9 @@
 		}
 		driver.Learner.Observe(driver.key(running.batch), declared, highest, now.Sub(running.startedAt))
 	case running.leaving == leavingGuarded && measured:
+		if ended.End == EndCheckpointed {
+			running.batch.raised = running.batch.raised.Max(highest)
+		}
 		driver.Learner.Observe(driver.key(running.batch), declared, highest, max(declared.RunTime, now.Sub(running.startedAt)))
 	default:
 		return
--- a/pkg/planner/picture.go
+++ b/pkg/planner/picture.go
@@ -11,6 +11,9 @@
 	Rooms         []placer.Room            `cbor:"2,keyasint,omitempty"`
 	// Loads holds the work by urgency.
 	Loads []placer.Load `cbor:"3,keyasint,omitempty"`
+	// Settling tells that the lead is new and may not know all its workers yet, so
+	// that what has no room here may have some soon.
+	Settling bool `cbor:"4,keyasint,omitempty"`
 }
 
 // capacity returns what all workers offer.
--- a/pkg/planner/proposer.go
+++ b/pkg/planner/proposer.go
@@ -45,13 +45,14 @@
 }
 
 // Propose answers a spec at wall with a plan, or with all reasons for which it can
-// never run and the nearest thing that would.
+// never run and the nearest thing that would. A plan without either is none yet:
+// ask again soon.
 func (proposer *Proposer) Propose(wall WallTime, spec Spec) Plan {
 	draft := &draft{spec: spec, pictures: proposer.allowed(spec), learned: true}
 	draft.plan.Quota = proposer.Quota
 	declared := proposer.corrected(draft)
 	if proposer.refuse(draft, declared) {
-		return draft.plan
+		return draft.answer()
 	}
 	for number, batch := range spec.Batches {
 		batch.Need = declared[number].Need
@@ -62,6 +63,17 @@
 	return draft.plan
 }
 
+// answer returns a refusal, or, while not all workers may be known, a plan without
+// allotments that says so: it is too early to say never.
+func (draft *draft) answer() Plan {
+	for _, picture := range draft.pictures {
+		if picture.Settling {
+			return Plan{Quota: draft.plan.Quota, Queued: "not all workers of " + string(picture.FailureDomain) + " are known yet"}
+		}
+	}
+	return draft.plan
+}
+
 // Outrun tells why an unconfirmed plan no longer holds, or nothing: it can't run
 // any more, or it would start or end far later than it says.
 func (proposer *Proposer) Outrun(wall WallTime, spec Spec, plan Plan) (string, Plan) {
@@ -69,6 +81,9 @@
 	if len(fresh.Refusals) > 0 {
 		return "it can no longer run", fresh
 	}
+	if len(fresh.Allotments) == 0 {
+		return "", plan
+	}
 	for _, allotment := range plan.Allotments {
 		if !slices.ContainsFunc(fresh.Allotments, func(other Allotment) bool { return other.FailureDomain == allotment.FailureDomain }) {
 			return string(allotment.FailureDomain) + " can't be reached or has no room", fresh
--- a/pkg/planner/world_test.go
+++ b/pkg/planner/world_test.go
@@ -42,6 +42,8 @@
 	assigned  map[identifier.IntentName]State
 	ended     map[identifier.IntentName]bool
 
+	// trace holds what the driver had done, a line each.
+	trace []string
 	// behave says how a task runs that starts: for how long, its end and its use.
 	behave func(start StartTask) (time.Duration, TaskEnd, identifier.Resources)
 }
@@ -216,6 +218,35 @@
 	world.checkRooms()
 }
 
+func showOutput(output Output) string {
+	order := func(verb string, order TaskOrder) string {
+		return fmt.Sprintf("%s %s on %s: %s", verb, order.Task, order.Worker, order.Reason)
+	}
+	switch output := output.(type) {
+	case StartTask:
+		return fmt.Sprintf("start %s on %s resume=%v", output.Grant.Task, output.Worker, output.Resume)
+	case ThrottleTask:
+		return order("throttle", output.TaskOrder)
+	case CheckpointTask:
+		return order("checkpoint", output.TaskOrder)
+	case StopTask:
+		return order("stop", output.TaskOrder)
+	case Propose:
+		if output.Command.Kind == CommandProgress {
+			return fmt.Sprintf("progress %s %v", output.Command.Name, showRanges(output.Command.Progress.Ranges))
+		}
+	}
+	return ""
+}
+
+func showRanges(ranges []Range) []string {
+	var lines []string
+	for _, ended := range ranges {
+		lines = append(lines, fmt.Sprintf("%d/%d-%d=%s", ended.Batch, ended.From, ended.To, ended.Outcome))
+	}
+	return lines
+}
+
 // act ends tasks that are done, and stops those whose lease is over.
 func (world *world) act(worker *fakeWorker) {
 	if !worker.alive {
@@ -288,6 +319,7 @@
 }
 
 func (world *world) carryOut(output Output) {
+	world.trace = append(world.trace, showOutput(output))
 	switch output := output.(type) {
 	case Propose:
 		world.proposals = append(world.proposals, output.Command)
