--- a/pkg/planner/assign.go
+++ b/pkg/planner/assign.go
@@ -233,12 +233,22 @@
 		batch.claimPending = true
 		claim := &Claim{
 			FailureDomain: driver.FailureDomain, Epoch: driver.Epoch, Batch: batch.number,
-			From: batch.claimed, To: min(batch.claimed+driver.Settings.Window, batch.to),
+			From: batch.claimed, To: driver.claimEnd(batch),
 		}
 		driver.emit(Propose{Command{Kind: CommandClaim, Name: batch.intent.name, Claim: claim}})
 	}
 }
 
+// claimEnd returns how far to claim. A repeatable batch is claimed whole, so that it
+// goes on while the failure domain is cut off from the log. What is not repeatable
+// is claimed by the window, since the next lead starts nothing that is claimed.
+func (driver *Driver[P]) claimEnd(batch *drivenBatch) int {
+	if batch.batch.Repeatable {
+		return batch.to
+	}
+	return min(batch.claimed+driver.Settings.Window, batch.to)
+}
+
 func (driver *Driver[P]) claimApplied(applied ClaimApplied) {
 	intent := driver.intents.Get(applied.Name)
 	if intent == nil || applied.Claim.Epoch != driver.Epoch {
--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -75,8 +75,9 @@
 	quiet   bool
 	// changed tells that something may be placed that could not be before; placeAt
 	// is when that is tried next.
-	changed bool
-	placeAt identifier.Moment
+	changed  bool
+	placeAt  identifier.Moment
+	badRacks map[identifier.RackID]bool
 	// settledAt is when every living worker has had time to announce itself.
 	settledAt identifier.Moment
 }
--- a/pkg/planner/driver_test.go
+++ b/pkg/planner/driver_test.go
@@ -21,15 +21,15 @@
 	cpu     int64
 	memory  int64
 	end     TaskEnd
+	// bad fails every task fast.
+	bad identifier.WorkerID
 }
 
 // TestDriver runs whole exchanges from the plan to the outcome, with faults.
 func TestDriver(t *testing.T) {
 	datadriven.Walk(t, "testdata/driver", func(t *testing.T, path string) {
 		script := &script{world: newWorld(t, 2)}
-		for range 11 {
-			script.step(time.Second, 0, true)
-		}
+		script.settle()
 		script.behave = func(start StartTask) (time.Duration, TaskEnd, identifier.Resources) {
 			batch := script.machine.Get(start.Intent).Spec.Batches[start.Batch]
 			used := batch.Need
@@ -40,6 +40,9 @@
 			if script.memory > 0 {
 				used.Memory = used.Memory * identifier.Bytes(script.memory) / 1000
 			}
+			if start.Worker == script.bad {
+				return time.Second, EndFailed, used
+			}
 			if script.runTime > 0 {
 				runTime = script.runTime
 			}
@@ -63,6 +66,25 @@
 	})
 }
 
+// settle lets the workers announce themselves and the lead learn of them.
+func (script *script) settle() {
+	for range 11 {
+		script.step(time.Second, 0, true)
+	}
+	script.trace = nil
+}
+
+// restarted returns a new world with workers of one rack.
+func (script *script) restarted(t *testing.T, count int) *world {
+	world := newWorld(t, count)
+	world.behave = script.behave
+	for _, worker := range world.workers {
+		worker.worker.Rack = "r0"
+		world.connect(worker)
+	}
+	return world
+}
+
 func (script *script) command(t *testing.T, data *datadriven.TestData) {
 	var id string
 	data.MaybeScanArgs(t, "worker", &id)
@@ -90,6 +112,14 @@
 		data.MaybeScanArgs(t, "end", &end)
 		script.runTime, _ = time.ParseDuration(runTime)
 		script.end, _ = TaskEndString(end)
+	case "workers":
+		// All of these stand in one rack.
+		var count int
+		data.ScanArgs(t, "count", &count)
+		script.world = script.restarted(t, count)
+		script.settle()
+	case "bad":
+		script.bad = identifier.WorkerID(id)
 	case "kill":
 		script.kill(worker)
 	case "cut":
--- a/pkg/planner/sweep.go
+++ b/pkg/planner/sweep.go
@@ -35,6 +35,7 @@
 		driver.sweepWorker(now, id, worker)
 		return true
 	})
+	driver.noticeRacks()
 	driver.intents.Each(func(_ identifier.IntentName, intent *driven) bool {
 		driver.explainWaiting(now, intent)
 		return true
--- a/pkg/planner/world_test.go
+++ b/pkg/planner/world_test.go
@@ -236,6 +236,8 @@
 		return order("checkpoint", output.TaskOrder)
 	case StopTask:
 		return order("stop", output.TaskOrder)
+	case RackNoticed:
+		return fmt.Sprintf("rack %s: %d of %d workers out, over=%v", output.Rack, output.Out, output.Workers, output.Over)
 	case Propose:
 		if output.Command.Kind == CommandProgress {
 			return fmt.Sprintf("progress %s %v", output.Command.Name, showRanges(output.Command.Progress.Ranges))
