--- a/pkg/placer/policy.go
+++ b/pkg/placer/policy.go
@@ -66,7 +66,7 @@
 
 // DefaultScoredSample returns the policy used where the configuration has none.
 func DefaultScoredSample() ScoredSample {
-	return ScoredSample{Size: 8, SpreadWeight: 500, WorkerWeight: 500}
+	return ScoredSample{Size: 16, SpreadWeight: 200, WorkerWeight: 500}
 }
 
 // Choose implements Policy.
