Check that the driver depends on its inputs alone

A second driver with the same inputs must give the same outputs at every tick of the fuzz test, and none may be due again at once.

--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -177,7 +177,9 @@
 
 // Picture returns what plans are made from.
 func (driver *Driver[P]) Picture(now identifier.Moment) Picture {
-	driver.prepare(now)
+	if driver.intents == nil {
+		return Picture{FailureDomain: driver.FailureDomain, Settling: true}
+	}
 	picture := Picture{FailureDomain: driver.FailureDomain, Rooms: driver.Placer.Rooms()}
 	picture.Settling = now.Before(driver.settledAt) || driver.workers.Len() == 0
 	loads := driver.Placer.Loads(now)
--- a/pkg/planner/experiment_test.go
+++ b/pkg/planner/experiment_test.go
@@ -53,7 +53,7 @@
 			world.submitMix(random, second)
 		}
 		if !learned {
-			world.driver.Learner = &guarder.Learner{}
+			world.driver.Learner, world.shadow.Learner = &guarder.Learner{}, &guarder.Learner{}
 		}
 		world.trace = nil
 		world.step(time.Second, len(world.proposals), true)
--- a/pkg/planner/oracle_test.go
+++ b/pkg/planner/oracle_test.go
@@ -2,10 +2,23 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
+// checkTick checks that a tick depends on nothing but its inputs, and that the
+// driver does not ask to be called again at once.
+func (world *world) checkTick(inputs []Input, outputs []Output) {
+	again := world.shadow.Tick(world.now(), inputs)
+	if !reflect.DeepEqual(outputs, again) {
+		world.t.Fatalf("the same inputs gave\n%v and\n%v", outputs, again)
+	}
+	if next := world.driver.NextDeadline(); next.Due(world.now()) {
+		world.t.Fatalf("the driver is due again at once")
+	}
+}
+
 // checkRoom checks that a task was started only where what was declared of tasks
 // without a report, and what the last report showed of the others, leave room.
 func (world *world) checkRoom(start StartTask) {
--- a/pkg/planner/world_test.go
+++ b/pkg/planner/world_test.go
@@ -32,6 +32,8 @@
 	machine *Machine
 	index   identifier.LogIndex
 	driver  *Driver[placer.ScoredSample]
+	// shadow gets the same inputs and must say the same.
+	shadow  *Driver[placer.ScoredSample]
 	epoch   identifier.Epoch
 	offset  identifier.Moment
 	workers []*fakeWorker
@@ -114,6 +116,7 @@
 		quiet = quiet.Add(testLease)
 	}
 	world.driver = NewDriver(placer.DefaultScoredSample(), testDomain, world.epoch, testLease, quiet)
+	world.shadow = NewDriver(placer.DefaultScoredSample(), testDomain, world.epoch, testLease, quiet)
 	world.inbox = nil
 	world.reports = map[RunningTask]identifier.Resources{}
 	world.assigned = map[identifier.IntentName]State{}
@@ -218,7 +221,9 @@
 	inputs := world.inbox
 	world.inbox = nil
 	world.noteReports(inputs)
-	for _, output := range world.driver.Tick(world.now(), inputs) {
+	outputs := world.driver.Tick(world.now(), inputs)
+	world.checkTick(inputs, outputs)
+	for _, output := range outputs {
 		world.carryOut(output)
 	}
 }
