--- a/pkg/guarder/learner.go
+++ b/pkg/guarder/learner.go
@@ -12,8 +12,8 @@
 
 // KindKey tells the batches that are learned of together.
 type KindKey struct {
-	Team identifier.TeamID
-	Kind Kind
+	Team identifier.TeamID `cbor:"1,keyasint,omitempty"`
+	Kind Kind              `cbor:"2,keyasint,omitempty"`
 }
 
 // Correction is what was learned of declarations: factors in thousandths by
@@ -73,12 +73,57 @@
 func (learner *Learner) Correction(key KindKey) Correction {
 	learner.prepare()
 	known := learner.corrections.Get(key)
-	if known == nil || known.Samples < leastSamples {
+	if known == nil {
+		return Neutral
+	}
+	return known.Effective()
+}
+
+// Known returns all that was learned of a kind, even if it is too little to apply.
+func (learner *Learner) Known(key KindKey) Correction {
+	learner.prepare()
+	known := learner.corrections.Get(key)
+	if known == nil {
 		return Neutral
 	}
 	return *known
 }
 
+// Learned is what is known of one kind.
+type Learned struct {
+	Key        KindKey    `cbor:"1,keyasint,omitempty"`
+	Correction Correction `cbor:"2,keyasint,omitempty"`
+}
+
+// All returns everything known, what was learned longest ago first.
+func (learner *Learner) All() []Learned {
+	learner.prepare()
+	var all []Learned
+	learner.corrections.Each(func(key KindKey, correction *Correction) bool {
+		all = append(all, Learned{Key: key, Correction: *correction})
+		return true
+	})
+	return all
+}
+
+// Seed takes over what another learner knew, if it saw more tasks than this one.
+func (learner *Learner) Seed(key KindKey, correction Correction) {
+	if correction.Samples <= learner.Known(key).Samples {
+		return
+	}
+	learner.corrections.Remove(key)
+	learner.corrections.Put(key, &correction)
+	learner.dropOldest()
+}
+
+// Effective returns what is to be applied: nothing until enough tasks were seen.
+func (correction Correction) Effective() Correction {
+	if correction.Samples < leastSamples {
+		return Neutral
+	}
+	return correction
+}
+
 // Apply returns the corrected declaration. Run times are corrected both ways,
 // resources only upwards: a task is charged at least its declaration until its
 // own first report, so that an odd large task among small ones finds its room.
--- a/pkg/planner/assign.go
+++ b/pkg/planner/assign.go
@@ -53,6 +53,8 @@
 	settled   int
 	succeeded int
 	blocked   placer.Blocked
+	// taught tells that a task has ended of which the log doesn't know yet.
+	taught bool
 }
 
 // indexState is where one task of a batch stands.
@@ -107,6 +109,9 @@
 func (driver *Driver[P]) adoptIntent(now identifier.Moment, assigned IntentAssigned) *driven {
 	intent := &driven{name: assigned.Name, spec: assigned.Spec, flushAt: identifier.Never}
 	driver.intents.Put(assigned.Name, intent)
+	for _, learned := range assigned.Learned {
+		driver.Learner.Seed(guarder.KindKey{Team: assigned.Spec.Team, Kind: learned.Kind}, learned.Correction)
+	}
 	for _, allotment := range assigned.Allotments {
 		batch := &drivenBatch{
 			intent: intent,
--- a/pkg/planner/command.go
+++ b/pkg/planner/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/guarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -101,6 +102,14 @@
 	Started bool    `cbor:"3,keyasint,omitempty"`
 	Ranges  []Range `cbor:"4,keyasint,omitempty"`
 	Notes   []Note  `cbor:"5,keyasint,omitempty"`
+	// Learned is what the driver knows of the kinds of batches whose tasks ended.
+	Learned []Learned `cbor:"6,keyasint,omitempty"`
+}
+
+// Learned is what is known of a kind of the intent's batches.
+type Learned struct {
+	Kind       guarder.Kind       `cbor:"1,keyasint,omitempty"`
+	Correction guarder.Correction `cbor:"2,keyasint,omitempty"`
 }
 
 // Note explains something that happened to tasks of an intent.
--- a/pkg/planner/experiment_test.go
+++ b/pkg/planner/experiment_test.go
@@ -53,6 +53,7 @@
 			world.submitMix(random, second)
 		}
 		if !learned {
+			world.machine.learned = &guarder.Learner{}
 			world.driver.Learner, world.shadow.Learner = &guarder.Learner{}, &guarder.Learner{}
 		}
 		world.trace = nil
--- a/pkg/planner/machine.go
+++ b/pkg/planner/machine.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 
+	"github.com/stoathitch/stoathitch/pkg/guarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
@@ -35,6 +36,8 @@
 	ended   *tabulator.Table[identifier.IntentName, identifier.LogIndex]
 	epochs  *tabulator.Table[identifier.FailureDomain, identifier.Epoch]
 	applied identifier.LogIndex
+	// learned outlives the drivers and is shared by all failure domains.
+	learned *guarder.Learner
 }
 
 // answer is the first answer to a request.
@@ -80,6 +83,12 @@
 	return machine.records.Keys()
 }
 
+// Correction returns what was learned of a kind of batch, for a Proposer.
+func (machine *Machine) Correction(key guarder.KindKey) guarder.Correction {
+	machine.prepare()
+	return machine.learned.Correction(key)
+}
+
 func (machine *Machine) execute(index identifier.LogIndex, command Command) Result {
 	switch command.Kind {
 	case CommandCreate:
@@ -314,6 +323,7 @@
 	machine.records = tabulator.New[identifier.IntentName, Record]()
 	machine.answers = tabulator.New[identifier.RequestID, answer]()
 	machine.ended = tabulator.New[identifier.IntentName, identifier.LogIndex]()
+	machine.learned = &guarder.Learner{Limit: DefaultKinds}
 	machine.epochs = tabulator.New[identifier.FailureDomain, identifier.Epoch]()
 	if machine.Answers == 0 {
 		machine.Answers = DefaultAnswers
--- a/pkg/planner/message.go
+++ b/pkg/planner/message.go
@@ -72,6 +72,7 @@
 	Allotments []Allotment
 	Claims     []ClaimMark
 	Ranges     []Range
+	Learned    []Learned
 	Cancelling bool
 }
 
@@ -173,5 +174,9 @@
 		}
 	}
 	assigned.Ranges = append(assigned.Ranges, record.Ranges...)
+	for _, batch := range record.Spec.Batches {
+		known := machine.learned.Known(guarder.KindKey{Team: record.Spec.Team, Kind: batch.Kind})
+		assigned.Learned = append(assigned.Learned, Learned{Kind: batch.Kind, Correction: known})
+	}
 	return assigned, len(assigned.Allotments) > 0
 }
--- a/pkg/planner/outcome.go
+++ b/pkg/planner/outcome.go
@@ -87,6 +87,7 @@
 	default:
 		return
 	}
+	running.batch.taught = true
 	driver.Placer.AddGroup(now, driver.wanted(running.batch))
 }
 
@@ -230,6 +231,12 @@
 	for _, pending := range intent.notes {
 		progress.Notes = append(progress.Notes, Note{Reason: pending.reason, Count: pending.count, Ago: now.Sub(pending.since)})
 	}
+	for _, batch := range intent.batches {
+		if batch.taught {
+			progress.Learned = append(progress.Learned, Learned{Kind: batch.batch.Kind, Correction: driver.Learner.Known(driver.key(batch))})
+			batch.taught = false
+		}
+	}
 	intent.announced = intent.started
 	intent.ranges = nil
 	intent.notes = nil
--- a/pkg/planner/progress.go
+++ b/pkg/planner/progress.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/stoathitch/stoathitch/pkg/guarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -24,6 +25,9 @@
 	for _, ended := range progress.Ranges {
 		record.settle(ended)
 	}
+	for _, learned := range progress.Learned {
+		machine.learned.Seed(guarder.KindKey{Team: record.Spec.Team, Kind: learned.Kind}, learned.Correction)
+	}
 	if progress.Started && record.State == StateConfirmed {
 		record.State = StateRunning
 		record.explain(Step{Index: index, Wall: command.Wall, Kind: command.Kind, Reason: "first task started in " + string(progress.FailureDomain)})
--- a/pkg/planner/snapshot.go
+++ b/pkg/planner/snapshot.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/stoathitch/stoathitch/pkg/guarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -18,6 +19,7 @@
 	Answers []requestAnswer         `cbor:"4,keyasint,omitempty"`
 	Ended   []identifier.IntentName `cbor:"5,keyasint,omitempty"`
 	Epochs  []domainEpoch           `cbor:"6,keyasint,omitempty"`
+	Learned []guarder.Learned       `cbor:"7,keyasint,omitempty"`
 }
 
 type requestAnswer struct {
@@ -47,6 +49,7 @@
 		state.Epochs = append(state.Epochs, domainEpoch{FailureDomain: domain, Epoch: *epoch})
 		return true
 	})
+	state.Learned = machine.learned.All()
 	data, err := cbor.Marshal(state)
 	if err != nil {
 		// Only a type that CBOR can't hold fails here, which no input can bring about.
@@ -76,6 +79,9 @@
 	for _, name := range state.Ended {
 		machine.ended.Put(name, &machine.applied)
 	}
+	for _, known := range state.Learned {
+		machine.learned.Seed(known.Key, known.Correction)
+	}
 	for _, known := range state.Epochs {
 		machine.epochs.Put(known.FailureDomain, &known.Epoch)
 	}
--- a/pkg/planner/world_test.go
+++ b/pkg/planner/world_test.go
@@ -178,7 +178,7 @@
 // propose answers an intent with a plan.
 func (world *world) propose(name identifier.IntentName) Result {
 	record := world.machine.Get(name)
-	proposer := &Proposer{ConfirmWithin: DefaultConfirmWithin, Pictures: []Picture{world.driver.Picture(world.now())}, Correct: world.driver.Learner.Correction}
+	proposer := &Proposer{ConfirmWithin: DefaultConfirmWithin, Pictures: []Picture{world.driver.Picture(world.now())}, Correct: world.machine.Correction}
 	plan := proposer.Propose(WallTime(world.real), record.Spec)
 	return world.apply(Command{Kind: CommandPlan, Name: name, Revision: record.Revision, Plan: &plan, Operator: "system"})
 }
