--- a/pkg/planner/machine.go
+++ b/pkg/planner/machine.go
@@ -242,6 +242,7 @@
 		return refuse(index, record, ResultWrongState, "it is "+record.State.String())
 	}
 	cancelled := record.State == StateCancelling
+	record.settleUnclaimed()
 	record.settleRest(OutcomeUnknown)
 	return machine.accept(index, command, record, lastState(record, cancelled), "given up by "+string(command.Operator)+because(command.Reason)+": "+record.Tally().String())
 }
@@ -253,6 +254,15 @@
 	return " (" + reason + ")"
 }
 
+// settleUnclaimed says of the tasks that no driver has claimed that they did not run:
+// once the intent has ended nobody can claim them any more.
+func (record *Record) settleUnclaimed() {
+	for _, allotment := range record.Plan.Allotments {
+		mark := record.claimed(allotment.FailureDomain, allotment.Batch, allotment.From)
+		record.settle(Range{Batch: allotment.Batch, From: mark.To, To: allotment.To, Outcome: OutcomeNotRun})
+	}
+}
+
 // settleRest gives an outcome to every task that has none.
 func (record *Record) settleRest(outcome Outcome) {
 	for batch := range record.Spec.Batches {
--- a/pkg/planner/proposer.go
+++ b/pkg/planner/proposer.go
@@ -236,19 +236,45 @@
 			From: from, To: from + count, Racks: picture.byRack(batch.Need, count),
 		})
 		from += count
-		draft.weigh(picture, batch, count)
+		draft.weigh(picture, batch, count, proposer.allowedAtOnce(draft, batch, count))
 	}
 }
 
+// allowedAtOnce returns how many of count tasks the team's quota lets run at once in
+// a failure domain that has this part of the batch.
+func (proposer *Proposer) allowedAtOnce(draft *draft, batch Batch, count int) int {
+	limit := proposer.Quota.Limit
+	allowed := batch.Count
+	if limit.MilliCPU > 0 {
+		allowed = min(allowed, int(limit.MilliCPU/max(batch.Need.MilliCPU, 1)))
+	}
+	if limit.Memory > 0 {
+		allowed = min(allowed, int(limit.Memory/max(batch.Need.Memory, 1)))
+	}
+	if limit.Accelerators > 0 && batch.Need.Accelerators > 0 {
+		allowed = min(allowed, int(limit.Accelerators/batch.Need.Accelerators))
+	}
+	if proposer.Quota.TasksInFlight > 0 {
+		allowed = min(allowed, proposer.Quota.TasksInFlight)
+	}
+	if allowed < batch.Count {
+		draft.plan.Limited = fmt.Sprintf("the quota of %s lets %d tasks run at once", draft.spec.Team, allowed)
+	}
+	return max(allowed*count/batch.Count, 1)
+}
+
 // weigh estimates when a part of a batch starts and ends, and what it displaces.
-func (draft *draft) weigh(picture *Picture, batch Batch, count int) {
+func (draft *draft) weigh(picture *Picture, batch Batch, count, allowed int) {
 	now := picture.countNow(batch.Need)
 	total := max(picture.countEmpty(batch.Need), 1)
+	if allowed < count {
+		now, total = min(now, allowed), min(total, allowed)
+	}
 	wait := time.Duration(0)
 	if now == 0 {
 		wait = max(time.Duration(picture.aheadOf(draft.spec.Urgency))*time.Second/time.Duration(max(int64(picture.capacity().MilliCPU), 1)), time.Second)
 	}
-	if short := count - now; short > 0 {
+	if short := min(count, allowed) - now; short > 0 {
 		draft.displace(picture, batch.Need, short)
 	}
 	if now == 0 && picture.below(draft.spec.Urgency).Running == 0 {
--- a/pkg/planner/spec.go
+++ b/pkg/planner/spec.go
@@ -102,6 +102,8 @@
 	Corrections []AppliedCorrection `cbor:"10,keyasint,omitempty" json:"corrections,omitempty"`
 	// Queued is the reason for which nothing can start at once; empty if some can.
 	Queued string `cbor:"11,keyasint,omitempty" json:"queued,omitempty"`
+	// Limited says how the team's quota slows the intent down; empty if it doesn't.
+	Limited string `cbor:"14,keyasint,omitempty" json:"limited,omitempty"`
 	// Refusals are all reasons for which the intent can never run; none if it can.
 	Refusals []string `cbor:"12,keyasint,omitempty" json:"refusals,omitempty"`
 	// Nearest is the nearest thing that would run, when there are Refusals.
