--- a/pkg/planner/proposer.go
+++ b/pkg/planner/proposer.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/guarder"
@@ -129,88 +128,6 @@
 	return declared
 }
 
-// refuse collects every reason for which the spec can never run.
-func (proposer *Proposer) refuse(draft *draft, declared []guarder.Declaration) bool {
-	nearest := draft.spec
-	nearest.Batches = slices.Clone(draft.spec.Batches)
-	nearest.MayRun = proposer.known(draft)
-	pictures := draft.pictures
-	if len(pictures) == 0 {
-		pictures = proposer.Pictures
-		nearest.MayRun = nil
-	}
-	for number := range nearest.Batches {
-		batch := &nearest.Batches[number]
-		proposer.clipCorrection(pictures, batch.Need, &declared[number].Need)
-		need := declared[number].Need
-		reduced := proposer.withinQuota(draft, number, need)
-		fitting, fits := nearestWorker(pictures, need)
-		if !fits {
-			draft.refuse(fmt.Sprintf("batch %d: a task needs %s, no worker has more than %s", number, show(need), show(fitting)))
-		}
-		reduced = reduced.Min(fitting)
-		if reduced != need {
-			batch.Need = reduced
-		}
-	}
-	if len(draft.plan.Refusals) == 0 {
-		return false
-	}
-	if !slices.ContainsFunc(nearest.Batches, func(batch Batch) bool { return batch.Need.MilliCPU <= 0 }) {
-		draft.plan.Nearest = &nearest
-	}
-	return true
-}
-
-// clipCorrection takes a correction back that no worker or quota could hold: what
-// was declared may run all the same.
-func (proposer *Proposer) clipCorrection(pictures []Picture, declared identifier.Resources, corrected *identifier.Resources) {
-	_, fits := nearestWorker(pictures, *corrected)
-	if !fits || !proposer.Quota.Allows(identifier.Resources{}, 0, *corrected) {
-		*corrected = declared
-	}
-}
-
-// known returns the failure domains of the spec that exist, and refuses when none does.
-func (proposer *Proposer) known(draft *draft) []identifier.FailureDomain {
-	var known, unknown []identifier.FailureDomain
-	for _, domain := range draft.spec.MayRun {
-		exists := slices.ContainsFunc(proposer.Pictures, func(picture Picture) bool { return picture.FailureDomain == domain })
-		if exists {
-			known = append(known, domain)
-		} else {
-			unknown = append(unknown, domain)
-		}
-	}
-	if len(known) > 0 || len(draft.spec.MayRun) == 0 {
-		return known
-	}
-	for _, domain := range unknown {
-		draft.refuse(fmt.Sprintf("no failure domain %s is known", domain))
-	}
-	return nil
-}
-
-// withinQuota returns what of a need the team's quota allows, and refuses when it
-// is less.
-func (proposer *Proposer) withinQuota(draft *draft, number int, need identifier.Resources) identifier.Resources {
-	if proposer.Quota.Allows(identifier.Resources{}, 0, need) {
-		return need
-	}
-	limit := proposer.Quota.Limit
-	draft.refuse(fmt.Sprintf("batch %d: a task needs %s, the quota of %s is %s", number, show(need), draft.spec.Team, show(limit)))
-	if limit.MilliCPU > 0 {
-		need.MilliCPU = min(need.MilliCPU, limit.MilliCPU)
-	}
-	if limit.Memory > 0 {
-		need.Memory = min(need.Memory, limit.Memory)
-	}
-	if limit.Accelerators > 0 {
-		need.Accelerators = min(need.Accelerators, limit.Accelerators)
-	}
-	return need
-}
-
 // allot splits a batch over the failure domains, by what fits now or, if not all
 // fits now, by what would fit in all.
 func (proposer *Proposer) allot(draft *draft, number int, batch Batch) {
@@ -338,62 +255,3 @@
 	}
 	return charged
 }
-
-func (draft *draft) refuse(reason string) {
-	draft.plan.Refusals = append(draft.plan.Refusals, reason)
-}
-
-// nearestWorker returns the part of a need that the worker offers which comes
-// nearest to it, and whether that is all of it.
-func nearestWorker(pictures []Picture, need identifier.Resources) (identifier.Resources, bool) {
-	var nearest identifier.Resources
-	best := int64(-1)
-	for _, picture := range pictures {
-		for _, room := range picture.Rooms {
-			if need.Fits(room.Capacity) {
-				return need, true
-			}
-			part := need.Min(room.Capacity)
-			if near := nearness(part, need); near > best {
-				nearest, best = part, near
-			}
-		}
-	}
-	return nearest, false
-}
-
-// nearness is the product of the shares of a need that a part covers.
-func nearness(part, need identifier.Resources) int64 {
-	const whole = 1000
-	near := int64(1)
-	for _, pair := range [][2]int64{
-		{int64(part.MilliCPU), int64(need.MilliCPU)},
-		{int64(part.Memory), int64(need.Memory)},
-		{int64(part.Accelerators), int64(need.Accelerators)},
-	} {
-		if pair[1] > 0 {
-			near *= pair[0] * whole / pair[1]
-		} else {
-			near *= whole
-		}
-	}
-	return near
-}
-
-// show returns a need as text.
-func show(need identifier.Resources) string {
-	var parts []string
-	if need.MilliCPU > 0 {
-		parts = append(parts, fmt.Sprintf("%d milli-cpu", need.MilliCPU))
-	}
-	if need.Memory > 0 {
-		parts = append(parts, fmt.Sprintf("%d bytes", need.Memory))
-	}
-	if need.Accelerators > 0 {
-		parts = append(parts, fmt.Sprintf("%d accelerators", need.Accelerators))
-	}
-	if len(parts) == 0 {
-		return "nothing"
-	}
-	return strings.Join(parts, ", ")
-}
