Fuzz several hosts and fake backend servers against an oracle

Cause: the promises (a task starts at most once, complete or failed, a true 'not run', one answer) were nowhere put to the test under mixed faults. Change: an in-memory network in virtual time with coordinators, fake backend servers, connection breaks, restarts, silence and one host crash a run; the oracle looks at what fake servers began and what callers were told.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -125,3 +125,11 @@
 		coordinator.outputs.add(&Drained{})
 	}
 }
+
+// Unanswered returns how many submissions of this host's callers have no answer.
+func (coordinator *Coordinator) Unanswered() int {
+	if coordinator.forwarder == nil {
+		return 0
+	}
+	return coordinator.forwarder.Unanswered()
+}
--- /dev/null
+++ b/pkg/coordinator/fuzz_test.go
@@ -0,0 +1,199 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+var long = flag.Bool("long", false, "fuzz with a random seed and many more runs")
+
+// TestPromisesUnderFaults mixes submissions, resends and cancellations with the
+// faults of backend servers, connections and one entry host, and asks the oracle
+// after each step whether a promise was broken.
+func TestPromisesUnderFaults(t *testing.T) {
+	if !*long {
+		fixSeed(t, "20261202", "150")
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &machine{network: newNetwork([]identifier.FailureDomain{"leuven"}, 3, 4, 2)}
+		t.Repeat(rapid.StateMachineActions(machine))
+		machine.heal(t)
+	})
+}
+
+// fixSeed makes rapid draw the same runs each time.
+func fixSeed(t *testing.T, seed, checks string) {
+	t.Helper()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true", "rapid.shrinktime": "15s"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// machine is the set of actions that rapid draws from.
+type machine struct {
+	network *network
+	jobs    []*messenger.Job
+	crashes int
+}
+
+// Check is called after every action.
+func (machine *machine) Check(t *rapid.T) {
+	if breaches := machine.network.oracle.breaches; len(breaches) > 0 {
+		t.Fatalf("broken promises: %v", breaches)
+	}
+}
+
+func (machine *machine) drawHost(t *rapid.T) *fakeHost {
+	return machine.network.hosts[rapid.IntRange(0, len(machine.network.hosts)-1).Draw(t, "host")]
+}
+
+func (machine *machine) drawServer(t *rapid.T) *fakeServer {
+	return machine.network.servers[rapid.IntRange(0, len(machine.network.servers)-1).Draw(t, "server")]
+}
+
+func (machine *machine) drawJob(t *rapid.T) *messenger.Job {
+	if len(machine.jobs) == 0 {
+		t.Skip("nothing was sent yet")
+	}
+	return machine.jobs[rapid.IntRange(0, len(machine.jobs)-1).Draw(t, "job")]
+}
+
+// Submit sends a new job.
+func (machine *machine) Submit(t *rapid.T) {
+	number := len(machine.jobs)
+	job := &messenger.Job{
+		Submission: identifier.SubmissionID(fmt.Sprintf("submission-%d", number)),
+		Job:        identifier.JobID(fmt.Sprintf("job-%d", number)),
+		Caller:     "desk",
+		Team:       "team",
+		Repeatable: true,
+		MayRun:     []identifier.FailureDomain{"leuven"},
+	}
+	for index := range rapid.IntRange(1, 6).Draw(t, "width") {
+		runTime := rapid.SampledFrom([]string{"1ms", "50ms", "400ms", "4s"}).Draw(t, "run time")
+		job.Tasks = append(job.Tasks, messenger.Task{Task: identifier.TaskID(fmt.Sprint(index)), Payload: []byte(runTime)})
+	}
+	machine.jobs = append(machine.jobs, job)
+	machine.network.submit(machine.drawHost(t), job, rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second}).Draw(t, "timeout"))
+}
+
+// Resend sends a known job again, to any host.
+func (machine *machine) Resend(t *rapid.T) {
+	machine.network.submit(machine.drawHost(t), machine.drawJob(t), 20*time.Second)
+}
+
+// Cancel cancels a known job.
+func (machine *machine) Cancel(t *rapid.T) {
+	machine.network.cancel(machine.drawHost(t), machine.drawJob(t))
+}
+
+// Wait lets time pass.
+func (machine *machine) Wait(t *rapid.T) {
+	waits := []time.Duration{100 * time.Microsecond, 300 * time.Microsecond, 2 * time.Millisecond, 60 * time.Millisecond, time.Second, 4 * time.Second}
+	machine.network.advance(rapid.SampledFrom(waits).Draw(t, "wait"))
+}
+
+// KillServer ends a backend server's process, or starts it again.
+func (machine *machine) KillServer(t *rapid.T) {
+	server := machine.drawServer(t)
+	if server.alive {
+		server.die()
+		return
+	}
+	server.boot()
+}
+
+// RestartServer replaces a backend server's process at once.
+func (machine *machine) RestartServer(t *rapid.T) {
+	server := machine.drawServer(t)
+	server.die()
+	server.boot()
+}
+
+// BreakServerStream ends one stream; the server opens it again, or does so later.
+func (machine *machine) BreakServerStream(t *rapid.T) {
+	server, host := machine.drawServer(t), machine.drawHost(t)
+	server.detach(host)
+	later := rapid.SampledFrom([]time.Duration{time.Microsecond, 100 * time.Millisecond, 5 * time.Second}).Draw(t, "reconnect")
+	machine.network.at(later, func() { server.attach(host) })
+}
+
+// SilenceServer holds back what a server sends and hears, or ends that: what it
+// has missed comes by a new stream.
+func (machine *machine) SilenceServer(t *rapid.T) {
+	server := machine.drawServer(t)
+	server.silent = !server.silent
+	if server.silent {
+		return
+	}
+	for _, host := range machine.network.hosts {
+		server.detach(host)
+		server.attach(host)
+	}
+}
+
+// Leave makes a server take no new starts.
+func (machine *machine) Leave(t *rapid.T) {
+	if server := machine.drawServer(t); server.alive {
+		server.leave()
+	}
+}
+
+// BreakPeers ends a connection between two hosts for a short time.
+func (machine *machine) BreakPeers(t *rapid.T) {
+	first, second := machine.drawHost(t), machine.drawHost(t)
+	if first == second {
+		t.Skip("a host is connected to itself")
+	}
+	machine.network.breakHosts(first, second)
+	later := rapid.SampledFrom([]time.Duration{time.Microsecond, 100 * time.Millisecond}).Draw(t, "reconnect")
+	machine.network.at(later, func() { machine.network.connectHosts(first, second) })
+}
+
+// CrashHost ends one entry host and starts it again later. The record of a
+// submission stands in two hosts' memory, so at most one host crashes in a run.
+func (machine *machine) CrashHost(t *rapid.T) {
+	if machine.crashes > 0 {
+		t.Skip("one host has crashed already")
+	}
+	machine.crashes++
+	host := machine.drawHost(t)
+	machine.network.crashHost(host)
+	later := rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 3 * time.Second}).Draw(t, "restart")
+	machine.network.at(later, func() { machine.network.startHost(host) })
+}
+
+// heal ends all faults; every caller that still waits at a living host must then
+// get its answer.
+func (machine *machine) heal(t *rapid.T) {
+	for _, server := range machine.network.servers {
+		if !server.alive {
+			server.boot()
+		}
+		if server.silent {
+			server.silent = false
+			for _, host := range machine.network.hosts {
+				server.detach(host)
+			}
+		}
+		for _, host := range machine.network.hosts {
+			server.attach(host)
+		}
+	}
+	machine.network.advance(60 * time.Second)
+	machine.Check(t)
+	for _, host := range machine.network.hosts {
+		if host.coordinator.Unanswered() > 0 {
+			t.Fatalf("%s has %d unanswered submissions", host.id, host.coordinator.Unanswered())
+		}
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/network_test.go
@@ -0,0 +1,292 @@
+package coordinator_test
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// network is a failure domain in virtual time: entry hosts, fake backend servers
+// and the connections between them. A connection delivers in order; what is under
+// way when it breaks is lost.
+type network struct {
+	now         identifier.Moment
+	events      eventHeap
+	counter     int
+	hosts       []*fakeHost
+	servers     []*fakeServer
+	connections map[string]*connection
+	oracle      *oracle
+	trace       bool
+}
+
+// connection counts its breaks, so that messages of an older one are dropped.
+type connection struct {
+	open       bool
+	generation int
+	// delay holds messages back on this connection.
+	delay time.Duration
+}
+
+type event struct {
+	due   identifier.Moment
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (events eventHeap) Len() int { return len(events) }
+func (events eventHeap) Less(first, second int) bool {
+	if events[first].due != events[second].due {
+		return events[first].due < events[second].due
+	}
+	return events[first].order < events[second].order
+}
+func (events eventHeap) Swap(first, second int) {
+	events[first], events[second] = events[second], events[first]
+}
+func (events *eventHeap) Push(value any) { *events = append(*events, value.(event)) }
+func (events *eventHeap) Pop() any {
+	last := len(*events) - 1
+	popped := (*events)[last]
+	*events = (*events)[:last]
+	return popped
+}
+
+// fakeHost runs one coordinator on a clock of its own.
+type fakeHost struct {
+	id          identifier.HostID
+	domain      identifier.FailureDomain
+	coordinator *coordinator.Coordinator
+	startedAt   identifier.Moment
+	generation  int
+}
+
+const hop = 250 * time.Microsecond
+
+func newNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots) *network {
+	created := &network{connections: make(map[string]*connection), oracle: newOracle()}
+	for _, domain := range domains {
+		for index := range hostsEach {
+			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain}
+			created.hosts = append(created.hosts, host)
+		}
+		for index := range serversEach {
+			id := identifier.BackendServerID(fmt.Sprintf("%s-server-%d", domain, index))
+			server := &fakeServer{network: created, id: id, domain: domain, slots: slots}
+			server.rack = identifier.RackID(fmt.Sprintf("rack-%d", index%2))
+			created.servers = append(created.servers, server)
+		}
+	}
+	for _, host := range created.hosts {
+		created.startHost(host)
+	}
+	for _, server := range created.servers {
+		server.boot()
+	}
+	created.advance(2 * time.Second)
+	return created
+}
+
+func (network *network) at(delay time.Duration, run func()) {
+	network.counter++
+	heap.Push(&network.events, event{due: network.now.Add(delay), order: network.counter, run: run})
+}
+
+func (network *network) advance(duration time.Duration) {
+	until := network.now.Add(duration)
+	for len(network.events) > 0 && network.events[0].due <= until {
+		next := heap.Pop(&network.events).(event)
+		network.now = next.due
+		next.run()
+	}
+	network.now = until
+}
+
+func (network *network) connection(first, second string) *connection {
+	if first > second {
+		first, second = second, first
+	}
+	key := first + "|" + second
+	found, exists := network.connections[key]
+	if !exists {
+		found = &connection{}
+		network.connections[key] = found
+	}
+	return found
+}
+
+// send delivers over the connection unless it breaks before.
+func (network *network) send(first, second string, deliver func()) {
+	link := network.connection(first, second)
+	if !link.open {
+		return
+	}
+	generation := link.generation
+	network.at(hop+link.delay, func() {
+		if link.open && link.generation == generation {
+			deliver()
+		}
+	})
+}
+
+func (network *network) host(id identifier.HostID) *fakeHost {
+	for _, host := range network.hosts {
+		if host.id == id {
+			return host
+		}
+	}
+	return nil
+}
+
+func (network *network) server(id identifier.BackendServerID) *fakeServer {
+	for _, server := range network.servers {
+		if server.id == id {
+			return server
+		}
+	}
+	return nil
+}
+
+func (network *network) startHost(host *fakeHost) {
+	settings := coordinator.DefaultSettings()
+	host.coordinator = &coordinator.Coordinator{
+		Self:     coordinator.Host{ID: host.id, FailureDomain: host.domain},
+		Settings: settings,
+	}
+	host.generation++
+	host.startedAt = network.now
+	network.tick(host)
+	for _, other := range network.hosts {
+		if other != host && other.coordinator != nil {
+			network.connectHosts(host, other)
+		}
+	}
+	for _, server := range network.servers {
+		server.attach(host)
+	}
+}
+
+func (network *network) connectHosts(first, second *fakeHost) {
+	link := network.connection(string(first.id), string(second.id))
+	if link.open || first.coordinator == nil || second.coordinator == nil {
+		return
+	}
+	link.open = true
+	network.tick(first, &coordinator.PeerConnected{Host: coordinator.Host{ID: second.id, FailureDomain: second.domain}})
+	network.tick(second, &coordinator.PeerConnected{Host: coordinator.Host{ID: first.id, FailureDomain: first.domain}})
+}
+
+// breakHosts ends the connection of two hosts; both notice.
+func (network *network) breakHosts(first, second *fakeHost) {
+	link := network.connection(string(first.id), string(second.id))
+	if !link.open {
+		return
+	}
+	link.open = false
+	link.generation++
+	network.tick(first, &coordinator.PeerDisconnected{Host: coordinator.Host{ID: second.id, FailureDomain: second.domain}})
+	network.tick(second, &coordinator.PeerDisconnected{Host: coordinator.Host{ID: first.id, FailureDomain: first.domain}})
+}
+
+// crashHost ends a host's process; its memory is lost.
+func (network *network) crashHost(host *fakeHost) {
+	host.coordinator = nil
+	host.generation++
+	for _, other := range network.hosts {
+		network.breakHosts(host, other)
+	}
+	for _, server := range network.servers {
+		server.detach(host)
+	}
+}
+
+// tick runs the coordinator, carries out its outputs and plans its next deadline.
+func (network *network) tick(host *fakeHost, inputs ...coordinator.Input) {
+	if host.coordinator == nil {
+		return
+	}
+	now := identifier.Moment(network.now.Sub(host.startedAt))
+	if network.trace {
+		network.traceInputs(host, inputs)
+	}
+	for _, output := range host.coordinator.Tick(now, inputs) {
+		network.carryOut(host, output)
+	}
+	next := host.coordinator.NextDeadline()
+	if next == identifier.Never {
+		return
+	}
+	generation := host.generation
+	network.at(max(next.Sub(now), time.Microsecond), func() {
+		if host.generation == generation && host.coordinator.NextDeadline() <= next {
+			network.tick(host)
+		}
+	})
+}
+
+func (network *network) carryOut(host *fakeHost, output coordinator.Output) {
+	switch output := output.(type) {
+	case *coordinator.ToPeer:
+		peer := network.host(output.Host)
+		network.send(string(host.id), string(peer.id), func() {
+			network.tick(peer, &coordinator.PeerBatchArrived{From: host.id, Batch: output.Batch})
+		})
+	case *coordinator.ToServer:
+		server := network.server(output.Batch.Server)
+		network.send(string(host.id), string(server.id), func() { server.handle(host, output.Batch) })
+	case *coordinator.ToCaller:
+		network.oracle.answered(output.Answer.Waiter, output.Answer.Answer)
+	}
+}
+
+// submit sends a job to a host as a caller does.
+func (network *network) submit(host *fakeHost, job *messenger.Job, timeout time.Duration) {
+	if host.coordinator == nil {
+		return
+	}
+	deadline := identifier.Moment(network.now.Sub(host.startedAt)).Add(timeout)
+	waiter := network.oracle.expect(job)
+	network.tick(host, &coordinator.CallerEvent{Event: &forwarder.CallerSubmitted{Waiter: waiter, Job: job, Deadline: deadline}})
+}
+
+func (network *network) cancel(host *fakeHost, job *messenger.Job) {
+	waiter := network.oracle.expect(job)
+	event := &forwarder.CallerCancelled{Waiter: waiter, Caller: job.Caller, Submission: job.Submission}
+	network.tick(host, &coordinator.CallerEvent{Event: event})
+}
+
+func (network *network) serverEvent(host *fakeHost, event dispatcher.Input) {
+	network.tick(host, &coordinator.ServerEvent{Event: event})
+}
+
+// traceInputs prints what a host hears, for the search of a fault.
+func (network *network) traceInputs(host *fakeHost, inputs []coordinator.Input) {
+	for _, input := range inputs {
+		if event, isServer := input.(*coordinator.ServerEvent); isServer {
+			if _, beat := event.Event.(*dispatcher.ServerHeartbeat); beat {
+				continue
+			}
+			fmt.Printf("%v %s %T %+v\n", time.Duration(network.now), host.id, event.Event, event.Event)
+			continue
+		}
+		if batch, isBatch := input.(*coordinator.PeerBatchArrived); isBatch {
+			for _, message := range batch.Batch.Messages {
+				content, _ := cbor.Marshal(message)
+				text, _ := cbor.Diagnose(content)
+				fmt.Printf("%v %s from %s %s\n", time.Duration(network.now), host.id, batch.From, text)
+			}
+			continue
+		}
+		fmt.Printf("%v %s %T %+v\n", time.Duration(network.now), host.id, input, input)
+	}
+}
--- /dev/null
+++ b/pkg/coordinator/oracle_test.go
@@ -0,0 +1,99 @@
+package coordinator_test
+
+import (
+	"fmt"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// oracle checks the promises from what the fake backend servers began and what
+// callers were told, never from the books of the system.
+type oracle struct {
+	starts   map[dispatcher.TaskKey]identifier.BackendServerID
+	started  map[identifier.SubmissionID]bool
+	waiters  map[forwarder.WaiterID]*messenger.Job
+	done     map[forwarder.WaiterID]*messenger.JobAnswer
+	finals   map[identifier.SubmissionID]*messenger.JobAnswer
+	next     forwarder.WaiterID
+	breaches []string
+}
+
+func newOracle() *oracle {
+	return &oracle{
+		starts:  make(map[dispatcher.TaskKey]identifier.BackendServerID),
+		started: make(map[identifier.SubmissionID]bool),
+		waiters: make(map[forwarder.WaiterID]*messenger.Job),
+		done:    make(map[forwarder.WaiterID]*messenger.JobAnswer),
+		finals:  make(map[identifier.SubmissionID]*messenger.JobAnswer),
+	}
+}
+
+func (oracle *oracle) breach(format string, values ...any) {
+	oracle.breaches = append(oracle.breaches, fmt.Sprintf(format, values...))
+}
+
+func (oracle *oracle) expect(job *messenger.Job) forwarder.WaiterID {
+	oracle.next++
+	oracle.waiters[oracle.next] = job
+	return oracle.next
+}
+
+func (oracle *oracle) begun(key dispatcher.TaskKey, server identifier.BackendServerID) {
+	if first, found := oracle.starts[key]; found {
+		oracle.breach("%v began at %s and again at %s", key, first, server)
+	}
+	oracle.starts[key] = server
+	oracle.started[key.Submission] = true
+	if final := oracle.finals[key.Submission]; final != nil && final.NotRun {
+		oracle.breach("%v began after its submission was answered as not run", key)
+	}
+}
+
+func (oracle *oracle) answered(waiter forwarder.WaiterID, answer *messenger.JobAnswer) {
+	job := oracle.waiters[waiter]
+	if oracle.done[waiter] != nil {
+		oracle.breach("waiter %d was answered twice", waiter)
+	}
+	oracle.done[waiter] = answer
+	if answer.Submission != job.Submission {
+		oracle.breach("waiter of %s got the answer of %s", job.Submission, answer.Submission)
+	}
+	if answer.NotRun && oracle.started[job.Submission] {
+		oracle.breach("%s was answered as not run, but it has run", job.Submission)
+	}
+	if answer.Outcome == messenger.OutcomeComplete {
+		oracle.checkComplete(job, answer)
+	}
+	oracle.checkOneFinal(job, answer)
+}
+
+func (oracle *oracle) checkComplete(job *messenger.Job, answer *messenger.JobAnswer) {
+	if len(answer.Answers) != len(job.Tasks) {
+		oracle.breach("%s is complete with %d of %d answers", job.Submission, len(answer.Answers), len(job.Tasks))
+		return
+	}
+	for index, task := range job.Tasks {
+		if answer.Answers[index].Task != task.Task || string(answer.Answers[index].Result) != string(task.Payload) {
+			oracle.breach("%s has a wrong answer of %s", job.Submission, task.Task)
+		}
+	}
+}
+
+// checkOneFinal compares the answers of resends. A refusal that claims nothing
+// about the submission is no final answer.
+func (oracle *oracle) checkOneFinal(job *messenger.Job, answer *messenger.JobAnswer) {
+	if answer.Outcome == messenger.OutcomeRefused && !answer.NotRun {
+		return
+	}
+	first := oracle.finals[job.Submission]
+	if first == nil {
+		oracle.finals[job.Submission] = answer
+		return
+	}
+	if first.Outcome != answer.Outcome || first.Reason != answer.Reason {
+		oracle.breach("%s was answered %v %v and then %v %v", job.Submission, first.Outcome, first.Reason, answer.Outcome, answer.Reason)
+	}
+}
