Elect after the settling time on every tick, and tell new peers of all leads

Symptom: after its lead dies, no host ever takes a cell; jobs hang. Sequence: hosts settle, one leads, it dies or restarts; the fuzz test's submission at another host stays unanswered for 60 s. Cause: settleAt became Never after the first election, and Never is never due; a lead that restarted took its old epoch again, which forwarders ignore. Change: elect on each tick once settled; tell a new peer of every known lead.

--- a/pkg/coordinator/leads.go
+++ b/pkg/coordinator/leads.go
@@ -18,6 +18,8 @@
 type leads struct {
 	self     Host
 	settleAt identifier.Moment
+	// settled tells that settleAt has been reached: from then on every tick elects.
+	settled  bool
 	resigned bool
 	// living are the reachable hosts of the own failure domain, self included,
 	// in order of their ids.
@@ -99,9 +101,10 @@
 // elect brings the cells that this host leads up to date.
 func (coordinator *Coordinator) elect() {
 	leads := coordinator.leads
-	if !leads.settleAt.Due(coordinator.now) {
+	if !leads.settled && !leads.settleAt.Due(coordinator.now) {
 		return
 	}
+	leads.settled = true
 	leads.settleAt = identifier.Never
 	for index := range leads.cells {
 		coordinator.electCell(&leads.cells[index])
--- a/pkg/coordinator/peers.go
+++ b/pkg/coordinator/peers.go
@@ -7,8 +7,11 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
-// connectPeer notes that a host can be reached and tells it which cells this
-// host leads.
+// connectPeer notes that a host can be reached and tells it who leads which cell.
+//
+// It tells of other hosts' cells as well. A lead that restarts has forgotten its
+// epoch; if it took the same epoch again, the hosts that forward to it would see
+// nothing new and their unanswered jobs would hang.
 func (coordinator *Coordinator) connectPeer(host Host) {
 	coordinator.connected(host.ID, true)
 	if host.FailureDomain == coordinator.Self.FailureDomain {
@@ -18,7 +21,7 @@
 	coordinator.tellForwarder(&forwarder.HostReachable{Host: host.ID, Reachable: true})
 	for index := range coordinator.leads.cells {
 		cell := &coordinator.leads.cells[index]
-		if cell.held {
+		if cell.epoch > 0 {
 			notice := coordinator.noticeOf(cell)
 			coordinator.outputs.toPeer(host.ID, PeerMessage{LeadNotice: &notice})
 		}
