Give two hosts that take a cell at once different epochs

Symptom: in the fuzz test a submission is complete at one caller and failed at another, and tasks begin twice. Sequence: all hosts of the failure domain lose sight of each other for a moment; two of them take the cell, both under epoch 2; backend servers accept both. Cause: the next epoch was the highest seen plus one, whoever took it. Change: the low 32 bits of an epoch are a hash of the host.

--- a/pkg/coordinator/leads.go
+++ b/pkg/coordinator/leads.go
@@ -152,7 +152,7 @@
 }
 
 func (coordinator *Coordinator) takeCell(cell *cellLead) {
-	cell.seen++
+	cell.seen = nextEpoch(cell.seen, coordinator.Self.ID)
 	cell.epoch = cell.seen
 	cell.host = coordinator.Self.ID
 	cell.held = true
