Never start a task again that a server unseen, restarted or acknowledged may have had

Symptoms, found by reading and by the fuzz test, all with a lead change: - A task starts twice: its first server restarted (its report is empty), was lost by this host earlier than by the old lead, or had its late answer acknowledged before a second host held the job's answer. - A job hangs: a task reported as running belonged to a server that was lost before the job was forwarded again; or a later unknown task postponed the wait of an earlier one. - A job fails that need not: a server silent for a moment was never asked what became of its tasks; unknown tasks without a server never returned to the queue when the missing report came. - Two answers: a failure during the takeover hid the answer that another host kept; a lead that was cut off for a moment came back with an answer. - Queue counts grew with each task adopted before its job was settled. Change: servers tell their uptime (ServerAnnounced.Uptime), only leaving servers are ruled out, late answers are kept until the job's answer is held, each unknown task has its own end, hosts that return are asked, recovery has its own file.

--- a/pkg/coordinator/fakeserver_test.go
+++ b/pkg/coordinator/fakeserver_test.go
@@ -67,6 +67,7 @@
 	server.send(host, &dispatcher.ServerAnnounced{
 		Server:         server.id,
 		Incarnation:    server.incarnation,
+		Uptime:         server.network.now.Sub(server.startedAt),
 		Rack:           server.rack,
 		Slots:          server.slots,
 		Leaving:        server.leaving,
--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -12,7 +12,10 @@
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
-var long = flag.Bool("long", false, "fuzz with a random seed and many more runs")
+var (
+	long  = flag.Bool("long", false, "fuzz with a random seed and many more runs")
+	trace = flag.Bool("trace", false, "print what each host hears, to read a failing run")
+)
 
 // TestPromisesUnderFaults mixes submissions, resends and cancellations with the
 // faults of backend servers, connections and one entry host, and asks the oracle
@@ -23,6 +26,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		machine := &machine{network: newNetwork([]identifier.FailureDomain{"leuven"}, 3, 4, 2)}
+		machine.network.trace = *trace
 		t.Repeat(rapid.StateMachineActions(machine))
 		machine.heal(t)
 	})
--- a/pkg/coordinator/peers.go
+++ b/pkg/coordinator/peers.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
@@ -17,6 +18,7 @@
 	if host.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.leads.setLiving(host.ID, true)
 		coordinator.hostsChanged()
+		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host.ID})
 	}
 	coordinator.tellForwarder(&forwarder.HostReachable{Host: host.ID, Reachable: true})
 	for index := range coordinator.leads.cells {
@@ -33,6 +35,7 @@
 	if host.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.leads.setLiving(host.ID, false)
 		coordinator.hostsChanged()
+		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host.ID})
 	}
 	coordinator.tellForwarder(&forwarder.HostReachable{Host: host.ID, Reachable: false})
 }
--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -68,34 +68,15 @@
 	}
 }
 
-// settleRecovered decides, once the cell is ready, what an admitted job may do:
-// ask for the old answer, wait for tasks that run already, or start.
-func (dispatcher *Dispatcher) settleRecovered(cell *cell, job *job) {
-	recovered, known := cell.recovered[job.spec.Submission]
-	found := cell.orphans[job.spec.Submission]
-	delete(cell.orphans, job.spec.Submission)
-	if known && recovered.record.Answered {
-		dispatcher.askHolder(recovered, job)
-		return
-	}
-	if known && recovered.knownSince < job.firstForwarded {
-		job.firstForwarded = recovered.knownSince
-	}
-	mayHaveStarted := known || job.again || found != nil
-	if !mayHaveStarted {
-		dispatcher.beginFresh(cell, job)
-		return
-	}
-	dispatcher.resume(cell, job, found)
-}
-
 // askHolder has the host that keeps the old answer send it to those who wait.
-// The job itself is forgotten here: it must never start.
+// The job itself is forgotten here: nothing more of it may start.
 func (dispatcher *Dispatcher) askHolder(recovered recoveredRecord, job *job) {
 	for _, holder := range job.holders {
 		request := messenger.AnswerRequest{Submission: job.spec.Submission, ReplyTo: holder}
 		dispatcher.outputs.add(&AnswerWanted{Holder: recovered.holder, Request: request})
 	}
+	dispatcher.leaveQueue(dispatcher.cells.Get(job.cell), job)
+	dispatcher.stopRunning(job)
 	dispatcher.forget(job)
 }
 
@@ -120,60 +101,3 @@
 	}
 	return nil
 }
-
-// resume continues a job that an earlier lead may have started. Tasks that
-// backend servers have are waited for. A task that nobody has was not started,
-// unless a backend server that could have it has not reported.
-func (dispatcher *Dispatcher) resume(cell *cell, job *job, found *orphan) {
-	job.state = jobRunning
-	job.again = true
-	job.anyStarted = true
-	unaccounted := dispatcher.unaccountedSince(cell, job.firstForwarded)
-	for index := range job.tasks {
-		task := &job.tasks[index]
-		dispatcher.resumeTask(cell, task, found, unaccounted)
-		if job.answer != nil {
-			return
-		}
-	}
-	dispatcher.joinQueue(cell, job)
-}
-
-func (dispatcher *Dispatcher) resumeTask(cell *cell, task *task, found *orphan, unaccounted bool) {
-	if found != nil {
-		if answer, answered := found.answers[task.spec.Task]; answered {
-			dispatcher.resolve(task, answer.server, answer.answer)
-			return
-		}
-		if id, running := found.running[task.spec.Task]; running {
-			task.state = taskStarted
-			task.server = id
-			if server := dispatcher.servers.Get(id); server != nil {
-				server.running[task.key()] = task
-				cell.free.update(server)
-			}
-			return
-		}
-	}
-	if unaccounted {
-		dispatcher.markUnknown(task)
-		return
-	}
-	cell.queuedTasks++
-}
-
-// unaccountedSince tells whether a backend server that could have been given
-// tasks after since has not reported under the current epoch.
-func (dispatcher *Dispatcher) unaccountedSince(cell *cell, since identifier.Moment) bool {
-	unaccounted := false
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		if server.cell != cell.number || server.fenced {
-			return true
-		}
-		if server.connected || server.lostAt >= since {
-			unaccounted = true
-		}
-		return !unaccounted
-	})
-	return unaccounted
-}
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -25,10 +25,13 @@
 		return
 	}
 	switch refusal.Kind {
-	case RefusalNoFreeSlot, RefusalStaleEpoch:
+	case RefusalNoFreeSlot:
 		server.refusedFull = true
+	case RefusalStaleEpoch:
+		// Another host leads. The server's report tells the epoch.
+		dispatcher.fence(cell, server)
 	case RefusalLeaving:
-		server.leaving = true
+		dispatcher.setLeaving(server, true)
 	}
 	dispatcher.returnToQueue(cell, server, task)
 }
@@ -60,8 +63,11 @@
 		return
 	}
 	task := job.byID[answer.Task]
-	if job.state == jobFinished || task == nil || task.state == taskAnswered {
-		dispatcher.acknowledgeLate(job, server, answer.TaskKey)
+	if job.state == jobFinished {
+		dispatcher.keepLateAnswer(job, task, server, answer.TaskKey)
+		return
+	}
+	if task == nil || task.state == taskAnswered {
 		return
 	}
 	if task.state == taskQueued {
@@ -70,8 +76,16 @@
 	dispatcher.resolve(task, server.id, answer)
 }
 
-func (dispatcher *Dispatcher) acknowledgeLate(job *job, server *server, key TaskKey) {
-	if job.state != jobFinished {
+// keepLateAnswer handles an answer for a job that has ended. The answer is
+// acknowledged only once a second host holds the answer of the job: if the
+// backend server forgot the task before and this lead died, the next lead would
+// find no trace of the task and start it again.
+func (dispatcher *Dispatcher) keepLateAnswer(job *job, task *task, server *server, key TaskKey) {
+	if !job.answerHeld {
+		if task != nil {
+			task.state = taskAnswered
+			task.server = server.id
+		}
 		return
 	}
 	batch := dispatcher.outputs.toServer(server.id)
@@ -119,7 +133,15 @@
 	if job.state == jobFinished {
 		return
 	}
-	mayHaveStarted := job.anyStarted || job.again || job.state == jobRecovering
+	if job.state == jobRecovering {
+		// Another host may keep the submission's answer already, and a submission
+		// has one answer. The takeover tells; it ends soon.
+		if job.failure == nil {
+			job.failure = &failure{reason: reason, detail: detail}
+		}
+		return
+	}
+	mayHaveStarted := job.anyStarted || job.again
 	if !mayHaveStarted {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -41,6 +41,9 @@
 	// HeartbeatTimeout is how long a backend server may stay silent before it
 	// gets no new work and its tasks count as unknown.
 	HeartbeatTimeout time.Duration
+	// ServerDiscovery is how long after its start a host may not yet have a
+	// stream of every backend server.
+	ServerDiscovery time.Duration
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -52,6 +55,7 @@
 		AnswerRetention:  10 * time.Minute,
 		TakeoverTimeout:  500 * time.Millisecond,
 		HeartbeatTimeout: 3 * time.Second,
+		ServerDiscovery:  3 * time.Second,
 	}
 }
 
@@ -62,12 +66,14 @@
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
 
-	now     identifier.Moment
-	cells   *tabulator.Table[messenger.CellNumber, cell]
-	servers *tabulator.Table[identifier.BackendServerID, server]
-	jobs    *tabulator.Table[identifier.SubmissionID, job]
-	timers  *tabulator.Timers[timerKey]
-	outputs outbox
+	now identifier.Moment
+	// startedAt is when this host's process began to decide.
+	startedAt identifier.Moment
+	cells     *tabulator.Table[messenger.CellNumber, cell]
+	servers   *tabulator.Table[identifier.BackendServerID, server]
+	jobs      *tabulator.Table[identifier.SubmissionID, job]
+	timers    *tabulator.Timers[timerKey]
+	outputs   outbox
 }
 
 // Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
@@ -95,6 +101,7 @@
 	if dispatcher.cells != nil {
 		return
 	}
+	dispatcher.startedAt = now
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
 	dispatcher.servers = tabulator.New[identifier.BackendServerID, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
@@ -107,6 +114,10 @@
 		dispatcher.takeLead(input)
 	case *LeadLost:
 		dispatcher.loseLead(input)
+	case *HostReturned:
+		dispatcher.askReturnedHost(input)
+	case *HostGone:
+		dispatcher.stopAwaitingHost(input)
 	case *TakeoverReplied:
 		dispatcher.recordTakeoverReply(input)
 	case *JobForwarded:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -20,7 +20,10 @@
 	// job has not been forwarded again yet.
 	orphans map[identifier.SubmissionID]*orphan
 	// queue holds the jobs with queued tasks, the oldest first.
-	queue       []*job
+	queue []*job
+	// unplaced are jobs with tasks that some backend server may have which has not
+	// reported yet.
+	unplaced    []*job
 	queuedTasks int
 	free        freeSlots
 }
@@ -35,10 +38,16 @@
 
 // orphan gathers what backend servers told of a submission's tasks.
 type orphan struct {
-	running map[identifier.TaskID]identifier.BackendServerID
+	running map[identifier.TaskID]orphanTask
 	answers map[identifier.TaskID]orphanAnswer
 }
 
+// orphanTask is where a task runs: in one process of a backend server.
+type orphanTask struct {
+	server      identifier.BackendServerID
+	incarnation uint64
+}
+
 type orphanAnswer struct {
 	server identifier.BackendServerID
 	answer ServerAnswer
@@ -57,8 +66,10 @@
 	leaving bool
 	// fenced tells that the server has reported under the cell's epoch.
 	fenced bool
-	// lostAt is when the stream ended or the server went silent.
-	lostAt identifier.Moment
+	// startedAt is when the server's process started, by its own account.
+	startedAt identifier.Moment
+	// leftAt is when the server first said that it is leaving, or Never.
+	leftAt identifier.Moment
 	// running holds the tasks that were started here and have not been resolved.
 	running map[TaskKey]*task
 	// refusedFull tells that the server refused for want of a slot; nothing more
@@ -95,8 +106,17 @@
 	unresolved int
 	anyStarted bool
 	answer     *messenger.JobAnswer
-	// releasable are the tasks whose answers a backend server still keeps.
+	// answerHeld tells that a second host holds the answer.
 	answerHeld bool
+	// failure is why the job failed while its cell's takeover was under way; it
+	// is told once the takeover has shown that there is no answer yet.
+	failure *failure
+}
+
+// failure is why a job can't be complete any more.
+type failure struct {
+	reason messenger.Reason
+	detail string
 }
 
 // task is one task of a job.
@@ -105,7 +125,9 @@
 	spec   *messenger.Task
 	state  taskState
 	server identifier.BackendServerID
-	result []byte
+	// unknownUntil is when an unknown task fails its job.
+	unknownUntil identifier.Moment
+	result       []byte
 }
 
 func (task *task) key() TaskKey {
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -51,12 +51,13 @@
 	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		if task.state == taskUnknown {
+		if task.state == taskUnknown && task.unknownUntil.Due(dispatcher.now) {
 			dispatcher.failJob(job, messenger.ReasonTaskUnknown,
 				"nobody can tell what became of task "+string(task.spec.Task)+" at "+string(task.server))
 			return
 		}
 	}
+	dispatcher.awaitUnknown(job)
 }
 
 // forget drops a submission with all its deadlines.
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -24,6 +24,16 @@
 	Cell messenger.CellNumber
 }
 
+// HostReturned tells that a host of the failure domain can be reached (again).
+type HostReturned struct {
+	Host identifier.HostID
+}
+
+// HostGone tells that a host of the failure domain can't be reached any more.
+type HostGone struct {
+	Host identifier.HostID
+}
+
 // TakeoverReplied brings what one host knows of a cell's submissions.
 type TakeoverReplied struct {
 	From  identifier.HostID
@@ -69,8 +79,10 @@
 // ServerAnnounced tells that a backend server has opened a stream. Tasks and
 // Unacknowledged are complete: what is absent was not started there.
 type ServerAnnounced struct {
-	Server         identifier.BackendServerID
-	Incarnation    uint64
+	Server      identifier.BackendServerID
+	Incarnation uint64
+	// Uptime is how long ago the server's process started.
+	Uptime         time.Duration
 	Rack           identifier.RackID
 	Slots          identifier.Slots
 	Leaving        bool
@@ -140,6 +152,8 @@
 
 func (*LeadTaken) isDispatcherInput()       {}
 func (*LeadLost) isDispatcherInput()        {}
+func (*HostReturned) isDispatcherInput()    {}
+func (*HostGone) isDispatcherInput()        {}
 func (*TakeoverReplied) isDispatcherInput() {}
 func (*JobForwarded) isDispatcherInput()    {}
 func (*CancelArrived) isDispatcherInput()   {}
--- /dev/null
+++ b/pkg/dispatcher/recovery.go
@@ -0,0 +1,158 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// transitAllowance is how much later than the truth a moment can be that this
+// host worked out from an age in a message, because the message was under way.
+const transitAllowance = time.Second
+
+// settleRecovered decides, once the cell is ready, what an admitted job may do:
+// ask for the old answer, wait for tasks that run already, or start.
+func (dispatcher *Dispatcher) settleRecovered(cell *cell, job *job) {
+	recovered, known := cell.recovered[job.spec.Submission]
+	found := cell.orphans[job.spec.Submission]
+	delete(cell.orphans, job.spec.Submission)
+	if known && recovered.record.Answered {
+		dispatcher.askHolder(recovered, job)
+		return
+	}
+	if known && recovered.knownSince < job.firstForwarded {
+		job.firstForwarded = recovered.knownSince
+	}
+	mayHaveStarted := known || job.again || job.anyStarted || found != nil
+	if !mayHaveStarted && job.failure == nil {
+		dispatcher.beginFresh(cell, job)
+		return
+	}
+	dispatcher.resume(cell, job, found)
+}
+
+// resume continues a job that an earlier lead may have started. Tasks that
+// backend servers have are waited for. A task that nobody has was not started,
+// unless a backend server that could have it has not reported.
+func (dispatcher *Dispatcher) resume(cell *cell, job *job, found *orphan) {
+	job.state = jobRunning
+	job.again = true
+	job.anyStarted = true
+	for index := range job.tasks {
+		dispatcher.resumeTask(cell, &job.tasks[index], found)
+	}
+	if job.state == jobFinished {
+		return
+	}
+	if job.failure != nil {
+		dispatcher.failJob(job, job.failure.reason, job.failure.detail)
+		return
+	}
+	dispatcher.joinQueue(cell, job)
+	dispatcher.keepUnplaced(cell, job)
+}
+
+func (dispatcher *Dispatcher) resumeTask(cell *cell, task *task, found *orphan) {
+	if task.job.state == jobFinished || task.state != taskQueued {
+		return
+	}
+	if found != nil {
+		if answer, answered := found.answers[task.spec.Task]; answered {
+			dispatcher.resolve(task, answer.server, answer.answer)
+			return
+		}
+		if running, runs := found.running[task.spec.Task]; runs {
+			dispatcher.resumeRunning(cell, task, running)
+			return
+		}
+	}
+	if dispatcher.unaccountedSince(cell, task.job.firstForwarded) {
+		dispatcher.markUnknown(task)
+		return
+	}
+	cell.queuedTasks++
+}
+
+// resumeRunning waits for a task that a backend server has reported as running.
+// The server may have gone since: then nobody can tell what became of the task.
+func (dispatcher *Dispatcher) resumeRunning(cell *cell, task *task, running orphanTask) {
+	task.state = taskStarted
+	task.server = running.server
+	server := dispatcher.servers.Get(running.server)
+	if server == nil || server.incarnation != running.incarnation {
+		dispatcher.markUnknown(task)
+		return
+	}
+	server.running[task.key()] = task
+	cell.free.update(server)
+	if !server.connected || server.silent {
+		dispatcher.markUnknown(task)
+	}
+}
+
+// unaccountedSince tells whether a backend server may have been given a task of a
+// job that was first forwarded at since, without this host having its report.
+//
+// The streams of this host tell nothing about those of an earlier lead: a server
+// that is lost here may have been connected there. It can be ruled out only if
+// it was leaving already. And a server whose process started after the job was
+// forwarded has reported nothing of what the process before it ran. Last, a host
+// that has just started may not yet have seen every server that an earlier lead had.
+func (dispatcher *Dispatcher) unaccountedSince(cell *cell, since identifier.Moment) bool {
+	unaccounted := since < dispatcher.startedAt.Add(dispatcher.Settings.ServerDiscovery)
+	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if unaccounted || server.cell != cell.number {
+			return !unaccounted
+		}
+		hadLeft := server.leftAt.Add(transitAllowance) < since
+		restarted := server.startedAt.Add(transitAllowance) >= since
+		if restarted || (!server.fenced && !hadLeft) {
+			unaccounted = true
+		}
+		return !unaccounted
+	})
+	return unaccounted
+}
+
+// keepUnplaced remembers a job with tasks that no reported server has, so that
+// they are looked at again with the next report.
+func (dispatcher *Dispatcher) keepUnplaced(cell *cell, job *job) {
+	if job.hasUnplaced() && !slices.Contains(cell.unplaced, job) {
+		cell.unplaced = append(cell.unplaced, job)
+	}
+}
+
+func (job *job) hasUnplaced() bool {
+	return job.state == jobRunning && slices.ContainsFunc(job.tasks, func(task task) bool { return task.unplaced() })
+}
+
+// unplaced tells that the task is unknown and that no backend server is known to
+// have been given it.
+func (task *task) unplaced() bool { return task.state == taskUnknown && task.server == "" }
+
+// placeUnplaced puts unknown tasks back into the queue once every backend server
+// that could have been given them has reported without them.
+func (dispatcher *Dispatcher) placeUnplaced(cell *cell) {
+	jobs := cell.unplaced
+	cell.unplaced = nil
+	for _, job := range jobs {
+		if job.hasUnplaced() && !dispatcher.unaccountedSince(cell, job.firstForwarded) {
+			dispatcher.queueUnplaced(cell, job)
+		}
+		dispatcher.keepUnplaced(cell, job)
+	}
+}
+
+func (dispatcher *Dispatcher) queueUnplaced(cell *cell, job *job) {
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if !task.unplaced() {
+			continue
+		}
+		task.state = taskQueued
+		cell.queuedTasks++
+	}
+	job.nextQueued = 0
+	dispatcher.joinQueue(cell, job)
+}
--- /dev/null
+++ b/pkg/dispatcher/returns.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import "github.com/stoathitch/stoathitch/pkg/messenger"
+
+// askReturnedHost asks a host that has come back what it knows.
+//
+// A lead may have been cut off for a moment, just after it told its caller the
+// answer of a submission and before another host held a copy. This host took the
+// cell without hearing of that answer and would give a resend another one.
+func (dispatcher *Dispatcher) askReturnedHost(input *HostReturned) {
+	if input.Host == dispatcher.Self {
+		return
+	}
+	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		if !cell.ready {
+			cell.awaitedHosts[input.Host] = true
+		}
+		query := messenger.TakeoverQuery{Cell: cell.number, Epoch: cell.epoch}
+		dispatcher.outputs.add(&TakeoverWanted{To: input.Host, Query: query})
+		return true
+	})
+}
+
+// stopAwaitingHost goes on without a host that is gone.
+func (dispatcher *Dispatcher) stopAwaitingHost(input *HostGone) {
+	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		delete(cell.awaitedHosts, input.Host)
+		dispatcher.finishTakeoverIfComplete(cell)
+		return true
+	})
+}
+
+// adoptAnswers ends the jobs of a cell in service whose answer turned out to
+// stand at another host: those who wait get that answer.
+func (dispatcher *Dispatcher) adoptAnswers(cell *cell, records []messenger.CopyRecord) {
+	if !cell.ready {
+		return
+	}
+	for _, record := range records {
+		job := dispatcher.jobs.Get(record.Submission)
+		if !record.Answered || job == nil || job.state == jobFinished {
+			continue
+		}
+		dispatcher.askHolder(cell.recovered[record.Submission], job)
+	}
+}
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -12,6 +12,7 @@
 		known = &server{
 			id:      input.Server,
 			cell:    messenger.CellOfServer(input.Server, dispatcher.Settings.Cells),
+			leftAt:  identifier.Never,
 			running: make(map[TaskKey]*task),
 		}
 		dispatcher.servers.Put(input.Server, known)
@@ -20,7 +21,11 @@
 	known.incarnation = input.Incarnation
 	known.rack = input.Rack
 	known.slots = input.Slots
-	known.leaving = input.Leaving
+	known.startedAt = dispatcher.now.Add(-input.Uptime)
+	if restarted {
+		known.leftAt = identifier.Never
+	}
+	dispatcher.setLeaving(known, input.Leaving)
 	known.connected = true
 	known.silent = false
 	known.refusedFull = false
@@ -50,11 +55,23 @@
 		return
 	}
 	dispatcher.expectHeartbeat(server)
-	server.silent = false
 	server.refusedFull = false
+	dispatcher.endSilence(server)
 	dispatcher.refreshSlots(server)
 }
 
+// endSilence asks a server that was silent what became of its tasks. Without the
+// report they would stay unknown and fail their jobs although the server has them.
+func (dispatcher *Dispatcher) endSilence(server *server) {
+	if !server.silent {
+		return
+	}
+	server.silent = false
+	if cell := dispatcher.cells.Get(server.cell); cell != nil {
+		dispatcher.fence(cell, server)
+	}
+}
+
 func (dispatcher *Dispatcher) expectHeartbeat(server *server) {
 	due := dispatcher.now.Add(dispatcher.Settings.HeartbeatTimeout)
 	dispatcher.timers.Set(timerKey{kind: timerServerSilence, server: server.id}, due)
@@ -68,11 +85,21 @@
 
 func (dispatcher *Dispatcher) markLeaving(input *ServerLeaving) {
 	if server := dispatcher.servers.Get(input.Server); server != nil {
-		server.leaving = true
+		dispatcher.setLeaving(server, true)
 		dispatcher.refreshSlots(server)
 	}
 }
 
+func (dispatcher *Dispatcher) setLeaving(server *server, leaving bool) {
+	if leaving && !server.leaving {
+		server.leftAt = dispatcher.now
+	}
+	if !leaving {
+		server.leftAt = identifier.Never
+	}
+	server.leaving = leaving
+}
+
 // loseServer records that a stream has ended. The tasks of the server are unknown
 // from now on; the server tells what became of them if it comes back.
 func (dispatcher *Dispatcher) loseServer(input *ServerLost) {
@@ -104,7 +131,6 @@
 }
 
 func (dispatcher *Dispatcher) suspectTasks(server *server) {
-	server.lostAt = dispatcher.now
 	dispatcher.refreshSlots(server)
 	for _, task := range dispatcher.tasksOn(server) {
 		dispatcher.markUnknown(task)
@@ -118,8 +144,21 @@
 	if task.job.state == jobFinished {
 		return
 	}
-	key := timerKey{kind: timerUnknownWait, submission: task.job.spec.Submission}
-	due := dispatcher.now.Add(dispatcher.Settings.UnknownTaskWait)
+	task.unknownUntil = dispatcher.now.Add(dispatcher.Settings.UnknownTaskWait)
+	dispatcher.awaitUnknown(task.job)
+}
+
+// awaitUnknown sets the job's timer to the first of its tasks that fails it. A
+// later unknown task must not postpone an earlier one: with servers that come and
+// go the job would never end.
+func (dispatcher *Dispatcher) awaitUnknown(job *job) {
+	key := timerKey{kind: timerUnknownWait, submission: job.spec.Submission}
+	due := identifier.Never
+	for index := range job.tasks {
+		if job.tasks[index].state == taskUnknown {
+			due = identifier.Earlier(due, job.tasks[index].unknownUntil)
+		}
+	}
 	dispatcher.timers.Set(key, due)
 }
 
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -79,6 +79,7 @@
 	for _, record := range input.Reply.Records {
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
+	dispatcher.adoptAnswers(cell, input.Reply.Records)
 	delete(cell.awaitedHosts, input.From)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
@@ -115,6 +116,7 @@
 	server.fenced = true
 	dispatcher.reconcile(cell, server, input.Tasks, input.Unacknowledged)
 	cell.free.update(server)
+	dispatcher.placeUnplaced(cell)
 	delete(cell.awaitedServers, server.id)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
@@ -154,10 +156,15 @@
 	job := dispatcher.jobs.Get(key.Submission)
 	if job == nil {
 		running := cell.orphanOf(key.Submission).running
-		running[key.Task] = server.id
+		running[key.Task] = orphanTask{server: server.id, incarnation: server.incarnation}
 		return
 	}
 	task := job.byID[key.Task]
+	if job.state == jobFinished {
+		// The job ended while the server could not be told to stop.
+		batch := dispatcher.outputs.toServer(server.id)
+		batch.Cancels = append(batch.Cancels, key)
+	}
 	if task == nil || task.state == taskAnswered {
 		return
 	}
@@ -174,7 +181,7 @@
 	found, exists := cell.orphans[submission]
 	if !exists {
 		found = &orphan{
-			running: make(map[identifier.TaskID]identifier.BackendServerID),
+			running: make(map[identifier.TaskID]orphanTask),
 			answers: make(map[identifier.TaskID]orphanAnswer),
 		}
 		cell.orphans[submission] = found
