Keep answers that stand at one host alone, and ask again for overdue ones

Symptom: a resend runs a second time after the only living host's cell was taken by another; a caller waits for ever. Sequence: a host is alone for a moment, finishes a job, backend servers forget it at once. Or: the answer of a third host is lost on a connection that has nothing to do with the lead. Change: a lone host waits 30 s for a second before it lets backend servers forget; a front forwards again 5 s after its deadline.

--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -21,6 +21,8 @@
 	copyAt   identifier.HostID
 	copyHeld bool
 	answer   *messenger.JobAnswer
+	// answerAlone tells that the answer waits for a second host to hold it.
+	answerAlone bool
 }
 
 // heldCopy is the second copy of a submission that another host leads.
@@ -51,6 +53,8 @@
 	timerCopyWait
 	timerForgetFront
 	timerForgetCopy
+	timerLoneAnswer
+	timerAskAgain
 )
 
 type timerKey struct {
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -21,6 +21,10 @@
 		forwarder.askAnotherHost(key)
 	case timerForgetFront:
 		forwarder.fronts.Remove(key.submission)
+	case timerAskAgain:
+		forwarder.askAgain(key.submission)
+	case timerLoneAnswer:
+		forwarder.confirmLoneAnswer(key.submission)
 	case timerForgetCopy:
 		forwarder.copies.Remove(key.submission)
 	}
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -31,6 +31,12 @@
 	CopyWait time.Duration
 	// AnswerRetention is how long an answer or a copy is kept.
 	AnswerRetention time.Duration
+	// LoneAnswerWait is how long the only living host of a failure domain waits
+	// for a second one to hold an answer before it does without.
+	LoneAnswerWait time.Duration
+	// AskAgain is how long after a job's deadline, or after each forwarding of one
+	// without a deadline, the job is forwarded again for want of an answer.
+	AskAgain time.Duration
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -40,6 +46,8 @@
 		HomeWait:        3 * time.Second,
 		CopyWait:        200 * time.Millisecond,
 		AnswerRetention: 10 * time.Minute,
+		LoneAnswerWait:  30 * time.Second,
+		AskAgain:        5 * time.Second,
 	}
 }
 
@@ -123,6 +131,7 @@
 	case *HostsChanged:
 		forwarder.living = input.Living
 		forwarder.replaceLostCopyHolders()
+		forwarder.spreadLoneAnswers()
 	case *HostReachable:
 		forwarder.recordReachability(input)
 	case *CopiesWanted:
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -109,6 +109,21 @@
 	})
 	front.forwardedTo = to
 	front.forwardedBefore = true
+	last := forwarder.now
+	if front.deadline != identifier.Never {
+		last = max(last, front.deadline)
+	}
+	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, last.Add(forwarder.Settings.AskAgain))
+}
+
+// askAgain forwards a job again whose answer is overdue. The answer may have been
+// lost on its way from a third host, over a connection whose end told this host
+// nothing about the lead; the caller would wait for ever. The lead, or the host
+// that it asks, sends the one answer again.
+func (forwarder *Forwarder) askAgain(submission identifier.SubmissionID) {
+	if front := forwarder.fronts.Get(submission); front != nil && front.answer == nil {
+		forwarder.route(front)
+	}
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
@@ -161,6 +176,7 @@
 	submission := front.job.Submission
 	forwarder.timers.Clear(timerKey{kind: timerHomeWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+	forwarder.timers.Clear(timerKey{kind: timerAskAgain, submission: submission})
 	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
 	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: submission}, forgetAt)
 	for _, waiter := range front.waiters {
@@ -182,12 +198,50 @@
 		second = forwarder.secondHost("")
 	}
 	if second == "" {
-		forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: front.job.Submission})
+		forwarder.keepAnswerAlone(front)
 		return
 	}
 	forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
 }
 
+// keepAnswerAlone waits for a second host to hold the answer. Meanwhile the
+// backend servers keep the answers of the tasks: if they forgot them at once and
+// another host took the cell, it would find no trace of the submission and a
+// resend would run again. The wait is bounded, because backend servers hold the
+// answers of every job meanwhile.
+func (forwarder *Forwarder) keepAnswerAlone(front *front) {
+	front.answerAlone = true
+	due := forwarder.now.Add(forwarder.Settings.LoneAnswerWait)
+	forwarder.timers.Set(timerKey{kind: timerLoneAnswer, submission: front.job.Submission}, due)
+}
+
+// confirmLoneAnswer goes on without a second host once the wait is over.
+func (forwarder *Forwarder) confirmLoneAnswer(submission identifier.SubmissionID) {
+	front := forwarder.fronts.Get(submission)
+	if front == nil || !front.answerAlone {
+		return
+	}
+	front.answerAlone = false
+	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: submission})
+}
+
+// spreadLoneAnswers has a host that has come hold the answers which stand here
+// alone.
+func (forwarder *Forwarder) spreadLoneAnswers() {
+	second := forwarder.secondHost("")
+	if second == "" {
+		return
+	}
+	forwarder.fronts.Each(func(submission identifier.SubmissionID, front *front) bool {
+		if front.answerAlone {
+			front.answerAlone = false
+			forwarder.timers.Clear(timerKey{kind: timerLoneAnswer, submission: submission})
+			forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
+		}
+		return true
+	})
+}
+
 func (forwarder *Forwarder) recordAnswerCopyHeld(input *AnswerCopyHeld) {
 	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: input.Submission})
 }
