Don't claim 'not run' where two hosts could not be asked at the takeover

Symptom: one caller is told failed, another 'not run', of the same submission. Sequence: a host is cut off from all others, takes the cell and refuses a resend whose first sending another host leads. Cause: the record of a submission stands at two hosts; both may be among those that could not be asked. Change: with two or more hosts missing, a refusal claims nothing.

--- a/pkg/coordinator/leads.go
+++ b/pkg/coordinator/leads.go
@@ -24,7 +24,9 @@
 	// living are the reachable hosts of the own failure domain, self included,
 	// in order of their ids.
 	living []identifier.HostID
-	cells  []cellLead
+	// seen are the hosts of the own failure domain that have ever been reachable.
+	seen  []identifier.HostID
+	cells []cellLead
 }
 
 type cellLead struct {
@@ -47,6 +49,9 @@
 func (leads *leads) nextDeadline() identifier.Moment { return leads.settleAt }
 
 func (leads *leads) setLiving(host identifier.HostID, living bool) {
+	if position, found := slices.BinarySearch(leads.seen, host); !found {
+		leads.seen = slices.Insert(leads.seen, position, host)
+	}
 	position, found := slices.BinarySearch(leads.living, host)
 	if living && !found {
 		leads.living = slices.Insert(leads.living, position, host)
@@ -56,6 +61,17 @@
 	}
 }
 
+// missing lists the hosts that were reachable once and do not live now.
+func (leads *leads) missing() []identifier.HostID {
+	var missing []identifier.HostID
+	for _, host := range leads.seen {
+		if !slices.Contains(leads.living, host) {
+			missing = append(missing, host)
+		}
+	}
+	return missing
+}
+
 func (leads *leads) noticed(notice messenger.LeadNotice) {
 	if notice.FailureDomain != leads.self.FailureDomain || int(notice.Cell) >= len(leads.cells) {
 		return
@@ -157,7 +173,12 @@
 	cell.host = coordinator.Self.ID
 	cell.held = true
 	notice := coordinator.noticeOf(cell)
-	coordinator.tellDispatcher(&dispatcher.LeadTaken{Cell: cell.number, Epoch: cell.epoch, Hosts: slices.Clone(coordinator.leads.living)})
+	coordinator.tellDispatcher(&dispatcher.LeadTaken{
+		Cell:    cell.number,
+		Epoch:   cell.epoch,
+		Hosts:   slices.Clone(coordinator.leads.living),
+		Missing: coordinator.leads.missing(),
+	})
 	coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
 	coordinator.broadcast(PeerMessage{LeadNotice: &notice})
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -160,6 +160,9 @@
 	cell := dispatcher.cells.Get(job.cell)
 	dispatcher.leaveQueue(cell, job)
 	job.state = jobFinished
+	if cell != nil && cell.mayMissRecords() {
+		answer.NotRun = false
+	}
 	job.answer = answer
 	submission := job.spec.Submission
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -14,6 +14,8 @@
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
+	// missingHosts could not be asked at the takeover.
+	missingHosts map[identifier.HostID]bool
 	// recovered lists the submissions that other hosts knew at the takeover.
 	recovered map[identifier.SubmissionID]recoveredRecord
 	// orphans are the tasks that backend servers reported for submissions whose
@@ -28,6 +30,13 @@
 	free        freeSlots
 }
 
+// holdersOfRecord is how many hosts know a submission before its first start.
+const holdersOfRecord = 2
+
+// mayMissRecords tells whether a submission may be known to missing hosts only.
+// Then nobody here can say of any submission that it did not run.
+func (cell *cell) mayMissRecords() bool { return len(cell.missingHosts) >= holdersOfRecord }
+
 // recoveredRecord is what another host knew of a submission at the takeover.
 type recoveredRecord struct {
 	holder identifier.HostID
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -17,6 +17,9 @@
 	Cell  messenger.CellNumber
 	Epoch identifier.Epoch
 	Hosts []identifier.HostID
+	// Missing are the hosts of the failure domain that this host has seen and that
+	// do not live.
+	Missing []identifier.HostID
 }
 
 // LeadLost tells that another host leads a cell.
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -18,6 +18,7 @@
 		epoch:          input.Epoch,
 		awaitedHosts:   make(map[identifier.HostID]bool),
 		awaitedServers: make(map[identifier.BackendServerID]bool),
+		missingHosts:   make(map[identifier.HostID]bool),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(),
@@ -28,6 +29,9 @@
 		query := messenger.TakeoverQuery{Cell: input.Cell, Epoch: input.Epoch}
 		dispatcher.outputs.add(&TakeoverWanted{To: host, Query: query})
 	}
+	for _, host := range input.Missing {
+		cell.missingHosts[host] = true
+	}
 	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
 		if server.cell == cell.number && server.connected {
 			dispatcher.fence(cell, server)
@@ -81,6 +85,7 @@
 	}
 	dispatcher.adoptAnswers(cell, input.Reply.Records)
 	delete(cell.awaitedHosts, input.From)
+	delete(cell.missingHosts, input.From)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
 
