Let a new lead keep the records that it hears at its takeover

Symptom: a resend runs again after the loss of two hosts, one after the other. Cause: with the old lead one of a submission's two holders was gone, and nothing made good for it. Change: the new lead holds copies of what the living hosts told it, with the host that keeps the answer.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -49,6 +49,7 @@
 		coordinator.tellForwarder(&forwarder.TakeoverQueried{From: from, Query: *message.TakeoverQuery})
 	case message.TakeoverReply != nil:
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
+		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Records: message.TakeoverReply.Records})
 	case message.LeadNotice != nil:
 		coordinator.noticeLead(*message.LeadNotice)
 	case message.Lookup != nil:
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -97,11 +97,15 @@
 	if found && knownSince > known.knownSince {
 		knownSince = known.knownSince
 	}
-	if found && known.record.Answered {
+	betterHolder := record.Answered && record.AnswerAt == "" && known.record.AnswerAt != ""
+	if found && known.record.Answered && !betterHolder {
 		known.knownSince = knownSince
 		cell.recovered[record.Submission] = known
 		return
 	}
+	if record.AnswerAt != "" {
+		holder = record.AnswerAt
+	}
 	cell.recovered[record.Submission] = recoveredRecord{holder: holder, record: record, knownSince: knownSince}
 }
 
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -55,6 +55,29 @@
 	})
 }
 
+// learnRecords keeps what a new lead has heard at its takeover. With the old lead
+// one of the two hosts that knew each submission is gone. If the new lead kept
+// nothing, the loss of the other one would make a resend look new, and its tasks
+// would run twice.
+func (forwarder *Forwarder) learnRecords(input *RecordsLearned) {
+	for _, record := range input.Records {
+		known := forwarder.copies.Get(record.Submission)
+		if record.Answered && record.AnswerAt == "" {
+			record.AnswerAt = input.From
+		}
+		if known != nil && (known.record.Answered || !record.Answered) {
+			continue
+		}
+		heldAt := forwarder.now.Add(-record.Age)
+		learned := &heldCopy{record: record, heldAt: heldAt}
+		if known != nil {
+			learned.answer = known.answer
+		}
+		forwarder.copies.Put(record.Submission, learned)
+		forwarder.expireCopyLater(record.Submission)
+	}
+}
+
 // holdAnswer keeps the second copy of an answer.
 func (forwarder *Forwarder) holdAnswer(input *AnswerCopyArrived) {
 	submission := input.Answer.Submission
@@ -122,6 +145,9 @@
 func (forwarder *Forwarder) recordOfCopy(held *heldCopy) messenger.CopyRecord {
 	record := held.record
 	record.Age = forwarder.now.Sub(held.heldAt)
-	record.Answered = held.answer != nil
+	if held.answer != nil {
+		record.Answered = true
+		record.AnswerAt = ""
+	}
 	return record
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -138,6 +138,8 @@
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
 		forwarder.recordCopiesHeld(input)
+	case *RecordsLearned:
+		forwarder.learnRecords(input)
 	case *AnswerCopyArrived:
 		forwarder.holdAnswer(input)
 	case *AnswerCopyHeld:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -92,6 +92,13 @@
 	Query messenger.TakeoverQuery
 }
 
+// RecordsLearned brings what another host knew of a cell that this host has taken.
+type RecordsLearned struct {
+	From    identifier.HostID
+	Records []messenger.CopyRecord
+}
+
+func (*RecordsLearned) isForwarderInput()    {}
 func (*CallerSubmitted) isForwarderInput()   {}
 func (*CallerAsked) isForwarderInput()       {}
 func (*CallerCancelled) isForwarderInput()   {}
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -48,8 +48,11 @@
 	Cell       CellNumber              `cbor:"4,keyasint,omitempty"`
 	// Age is how long ago the record was made.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
-	// Answered tells that the sender keeps the submission's answer.
+	// Answered tells that the submission has its answer.
 	Answered bool `cbor:"6,keyasint,omitempty"`
+	// AnswerAt is the host that keeps the answer where the sender has only heard
+	// of it; empty means the sender itself.
+	AnswerAt identifier.HostID `cbor:"7,keyasint,omitempty"`
 }
 
 // AnswerRequest asks the keeper of an answer to send it to ReplyTo.
