Promise new leads that old ones get no more copies, and keep records past the lead

Symptom: tasks of a submission begin twice around a cut between two hosts. Sequences: (1) the second holder answers a new lead's takeover and then confirms a copy for the old lead, which starts a submission that a resend brings to the new one. (2) a lead is deposed for a moment, forgets its jobs and, lead again, takes a resend for new. (3) a deposed lead that was refused as stale by one backend server starts the task at another that it still had. By reading: (4) a not-repeatable job whose lead died before it had the claim went on without one. Change: the answer to a takeover is a promise (epoch in CopyRecord); a lead's host keeps records and answers as copies; a deposed cell starts nothing; a resumed not-repeatable job asks for its claim again.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -76,6 +76,7 @@
 }
 
 func (coordinator *Coordinator) acceptForward(from identifier.HostID, forward *messenger.Forward) {
+	coordinator.keepRecord(from, forward)
 	coordinator.tellDispatcher(&dispatcher.JobForwarded{
 		From:     from,
 		Job:      forward.Job,
@@ -85,6 +86,27 @@
 	})
 }
 
+// keepRecord makes this host one of the two that know a submission for as long as
+// it lives, whether it goes on leading the cell or not.
+//
+// The dispatcher forgets its jobs with the lead. If nothing else here knew them, a
+// lead that was deposed for a moment and takes the cell again would start a resend
+// anew.
+func (coordinator *Coordinator) keepRecord(from identifier.HostID, forward *messenger.Forward) {
+	number := messenger.CellOf(forward.Job.Submission, coordinator.Settings.Dispatcher.Cells)
+	if from == coordinator.Self.ID || !coordinator.leads.cells[number].held {
+		return
+	}
+	record := messenger.CopyRecord{
+		Submission: forward.Job.Submission,
+		Caller:     forward.Job.Caller,
+		Job:        forward.Job.Job,
+		Cell:       number,
+		Age:        forward.Age,
+	}
+	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.ID, Records: []messenger.CopyRecord{record}})
+}
+
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
 	self := coordinator.Self.ID
 	switch output := output.(type) {
@@ -124,6 +146,8 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{Lookup: &output.Lookup})
+	case *forwarder.TellLead:
+		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	case *forwarder.ReplyTakeover:
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
@@ -147,6 +171,7 @@
 	case *dispatcher.ToServer:
 		coordinator.outputs.add(&ToServer{Batch: output})
 	case *dispatcher.JobAnswered:
+		coordinator.tellForwarder(&forwarder.AnswerGiven{Answer: output.Answer})
 		coordinator.sendAnswer(output.To, output.Answer)
 	case *dispatcher.AnswerWanted:
 		if output.Holder == self {
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -28,7 +28,9 @@
 	case RefusalNoFreeSlot:
 		server.refusedFull = true
 	case RefusalStaleEpoch:
-		// Another host leads. The server's report tells the epoch.
+		// Another host leads, and its takeover counts on no more starts from here.
+		// The server's report tells the epoch.
+		cell.deposed = true
 		dispatcher.fence(cell, server)
 	case RefusalLeaving:
 		dispatcher.setLeaving(server, true)
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -36,7 +36,7 @@
 // assign starts queued tasks while slots are free.
 func (dispatcher *Dispatcher) assign() {
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
-		if cell.ready {
+		if cell.ready && !cell.deposed {
 			dispatcher.assignCell(cell)
 		}
 		return true
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -11,6 +11,9 @@
 	epoch  identifier.Epoch
 	// ready tells that the takeover is over and tasks may start.
 	ready bool
+	// deposed tells that a backend server follows another lead: nothing more is
+	// started until the hosts have settled who leads.
+	deposed bool
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
@@ -106,6 +109,8 @@
 	firstForwarded identifier.Moment
 	// again tells that an earlier lead may have started tasks of the job.
 	again bool
+	// claimed tells that the claim of a not-repeatable job is granted.
+	claimed bool
 	// holders are the hosts that wait for the answer.
 	holders []identifier.HostID
 	tasks   []task
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -16,7 +16,6 @@
 func (dispatcher *Dispatcher) settleRecovered(cell *cell, job *job) {
 	recovered, known := cell.recovered[job.spec.Submission]
 	found := cell.orphans[job.spec.Submission]
-	delete(cell.orphans, job.spec.Submission)
 	if known && recovered.record.Answered {
 		dispatcher.askHolder(recovered, job)
 		return
@@ -29,9 +28,23 @@
 		dispatcher.beginFresh(cell, job)
 		return
 	}
+	if !job.spec.Repeatable && !job.claimed {
+		dispatcher.claimAgain(job)
+		return
+	}
+	delete(cell.orphans, job.spec.Submission)
 	dispatcher.resume(cell, job, found)
 }
 
+// claimAgain asks for the claim of a job that an earlier lead knew. That lead may
+// have died before it had the claim; a claim that the submission holds already is
+// granted again.
+func (dispatcher *Dispatcher) claimAgain(job *job) {
+	job.again = true
+	job.state = jobAwaitingClaim
+	dispatcher.outputs.add(&ClaimWanted{Submission: job.spec.Submission, Caller: job.spec.Caller, Job: job.spec.Job})
+}
+
 // resume continues a job that an earlier lead may have started. Tasks that
 // backend servers have are waited for. A task that nobody has was not started,
 // unless a backend server that could have it has not reported.
--- a/pkg/dispatcher/requests.go
+++ b/pkg/dispatcher/requests.go
@@ -28,6 +28,16 @@
 	dispatcher.outputs.add(&JobAnswered{To: input.From, Answer: job.answer})
 }
 
+// beginClaimed starts a job that has its claim, or goes on with one that an
+// earlier lead may have started.
+func (dispatcher *Dispatcher) beginClaimed(cell *cell, job *job) {
+	if job.again {
+		dispatcher.settleRecovered(cell, job)
+		return
+	}
+	dispatcher.enqueue(cell, job)
+}
+
 // decideClaim lets a not-repeatable job start, or refuses it truthfully: where
 // another submission holds the claim, or nobody can tell, the job may have run.
 func (dispatcher *Dispatcher) decideClaim(input *ClaimDecided) {
@@ -37,7 +47,8 @@
 	}
 	switch input.Verdict {
 	case ClaimGranted:
-		dispatcher.enqueue(dispatcher.cells.Get(job.cell), job)
+		job.claimed = true
+		dispatcher.beginClaimed(dispatcher.cells.Get(job.cell), job)
 	case ClaimHeld:
 		dispatcher.finish(job, messenger.RefuseUnknown(input.Submission, messenger.ReasonAlreadyClaimed,
 			"submission "+string(input.Holder)+" has the claim of this not-repeatable job; ask for its answer"))
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -116,6 +116,7 @@
 		return
 	}
 	if input.Epoch > cell.epoch {
+		cell.deposed = true
 		dispatcher.outputs.add(&EpochSeen{Cell: input.Cell, Epoch: input.Epoch})
 		return
 	}
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -9,6 +9,10 @@
 func (forwarder *Forwarder) holdCopies(input *CopiesWanted) {
 	held := make([]identifier.SubmissionID, 0, len(input.Records))
 	for _, record := range input.Records {
+		if forwarder.refuseStaleLead(input.From, record) {
+			continue
+		}
+		record.Epoch = 0
 		if forwarder.copies.Get(record.Submission) == nil {
 			heldAt := forwarder.now.Add(-record.Age)
 			forwarder.copies.Put(record.Submission, &heldCopy{record: record, heldAt: heldAt})
@@ -16,7 +20,38 @@
 		forwarder.expireCopyLater(record.Submission)
 		held = append(held, record.Submission)
 	}
-	forwarder.add(&ConfirmCopies{To: input.From, Submissions: held})
+	if len(held) > 0 {
+		forwarder.add(&ConfirmCopies{To: input.From, Submissions: held})
+	}
+}
+
+// refuseStaleLead tells whether a copy is asked for by a lead whose cell this
+// host has already helped another to take.
+//
+// Its answer to the takeover was complete only if nothing is added afterwards. If
+// the old lead, which may not know yet, still got its copy confirmed, it would
+// start a submission that the new lead takes for new when the caller resends it.
+func (forwarder *Forwarder) refuseStaleLead(from identifier.HostID, record messenger.CopyRecord) bool {
+	key := cellKey{failureDomain: forwarder.FailureDomain, cell: record.Cell}
+	known := forwarder.leads.Get(key)
+	if known == nil || record.Epoch >= max(known.epoch, known.promised) {
+		return false
+	}
+	if known.epoch > record.Epoch {
+		notice := messenger.LeadNotice{FailureDomain: key.failureDomain, Cell: key.cell, Host: known.host, Epoch: known.epoch}
+		forwarder.add(&TellLead{To: from, Notice: notice})
+	}
+	return true
+}
+
+func (forwarder *Forwarder) promise(query messenger.TakeoverQuery) {
+	key := cellKey{failureDomain: forwarder.FailureDomain, cell: query.Cell}
+	known := forwarder.leads.Get(key)
+	if known == nil {
+		known = &lead{}
+		forwarder.leads.Put(key, known)
+	}
+	known.promised = max(known.promised, query.Epoch)
 }
 
 func (forwarder *Forwarder) expireCopyLater(submission identifier.SubmissionID) {
@@ -78,6 +113,19 @@
 	}
 }
 
+// keepGivenAnswer keeps what this host answered as a lead, so that it still knows
+// when it has lost the cell. A refusal that claims nothing is not the answer of
+// the submission.
+func (forwarder *Forwarder) keepGivenAnswer(answer *messenger.JobAnswer) {
+	held := forwarder.copies.Get(answer.Submission)
+	claimsNothing := answer.Outcome == messenger.OutcomeRefused && !answer.NotRun
+	if held == nil || held.answer != nil || claimsNothing {
+		return
+	}
+	held.answer = answer
+	forwarder.expireCopyLater(answer.Submission)
+}
+
 // holdAnswer keeps the second copy of an answer.
 func (forwarder *Forwarder) holdAnswer(input *AnswerCopyArrived) {
 	submission := input.Answer.Submission
@@ -114,6 +162,7 @@
 // replyToTakeover lists the submissions of a cell of the own failure domain that
 // this host knows as a caller's host or as the holder of a second copy.
 func (forwarder *Forwarder) replyToTakeover(input *TakeoverQueried) {
+	forwarder.promise(input.Query)
 	reply := messenger.TakeoverReply{Cell: input.Query.Cell, Epoch: input.Query.Epoch}
 	wanted := cellKey{failureDomain: forwarder.FailureDomain, cell: input.Query.Cell}
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -42,6 +42,8 @@
 type lead struct {
 	host  identifier.HostID
 	epoch identifier.Epoch
+	// promised is the highest epoch whose takeover this host has answered.
+	promised identifier.Epoch
 	// unreachable tells that no message reaches the lead now.
 	unreachable bool
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -140,6 +140,8 @@
 		forwarder.recordCopiesHeld(input)
 	case *RecordsLearned:
 		forwarder.learnRecords(input)
+	case *AnswerGiven:
+		forwarder.keepGivenAnswer(input.Answer)
 	case *AnswerCopyArrived:
 		forwarder.holdAnswer(input)
 	case *AnswerCopyHeld:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -92,6 +92,13 @@
 	Query messenger.TakeoverQuery
 }
 
+// AnswerGiven brings an answer that this host gave as a lead.
+type AnswerGiven struct {
+	Answer *messenger.JobAnswer
+}
+
+func (*AnswerGiven) isForwarderInput() {}
+
 // RecordsLearned brings what another host knew of a cell that this host has taken.
 type RecordsLearned struct {
 	From    identifier.HostID
--- a/pkg/forwarder/output.go
+++ b/pkg/forwarder/output.go
@@ -69,6 +69,14 @@
 	Lookup messenger.Lookup
 }
 
+// TellLead tells a host that another one leads its cell.
+type TellLead struct {
+	To     identifier.HostID
+	Notice messenger.LeadNotice
+}
+
+func (*TellLead) isForwarderOutput() {}
+
 // ReplyTakeover tells a new lead which submissions of its cell this host knows.
 type ReplyTakeover struct {
 	To    identifier.HostID
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -49,7 +49,7 @@
 func (forwarder *Forwarder) route(front *front) {
 	submission := front.job.Submission
 	lead := forwarder.leads.Get(forwarder.cellOf(front.job))
-	if lead == nil || lead.unreachable {
+	if lead == nil || lead.host == "" || lead.unreachable {
 		front.forwardedTo = ""
 		due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.HomeWait), front.deadline)
 		forwarder.timers.Set(timerKey{kind: timerHomeWait, submission: submission}, due)
@@ -74,7 +74,9 @@
 		return
 	}
 	front.copyAt = second
-	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{forwarder.recordOf(front)}})
+	record := forwarder.recordOf(front)
+	record.Epoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
+	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{record}})
 	due := forwarder.now.Add(forwarder.Settings.CopyWait)
 	forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: front.job.Submission}, due)
 }
@@ -134,7 +136,11 @@
 	if known != nil && known.epoch >= input.Notice.Epoch {
 		return
 	}
-	forwarder.leads.Put(key, &lead{host: input.Notice.Host, epoch: input.Notice.Epoch})
+	learned := &lead{host: input.Notice.Host, epoch: input.Notice.Epoch}
+	if known != nil {
+		learned.promised = known.promised
+	}
+	forwarder.leads.Put(key, learned)
 	forwarder.routeCell(key)
 }
 
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -53,6 +53,8 @@
 	// AnswerAt is the host that keeps the answer where the sender has only heard
 	// of it; empty means the sender itself.
 	AnswerAt identifier.HostID `cbor:"7,keyasint,omitempty"`
+	// Epoch is the epoch of the lead that asks for a copy; zero elsewhere.
+	Epoch identifier.Epoch `cbor:"8,keyasint,omitempty"`
 }
 
 // AnswerRequest asks the keeper of an answer to send it to ReplyTo.
