Select by policy, judge servers by the assessor, and let cells share servers

The dispatcher's buckets moved to the selector; allowances of the assessor bound what each server gets; a server is known once for each cell that may use it, so that SharedServers is the exclusive mode with more views.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -6,16 +6,14 @@
 )
 
 func (dispatcher *Dispatcher) recordRefusals(input *TasksRefused) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
 	for _, refusal := range input.Refusals {
-		dispatcher.recordRefusal(cell, server, refusal)
+		server := dispatcher.viewOf(input.Server, refusal.Submission)
+		if server == nil {
+			continue
+		}
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordRefusal(cell, server, refusal)
+		}
 	}
 }
 
@@ -39,17 +37,15 @@
 }
 
 func (dispatcher *Dispatcher) recordAnswers(input *TasksAnswered) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
-	server.refusedFull = false
 	for _, answer := range input.Answers {
-		dispatcher.recordAnswer(cell, server, answer)
+		server := dispatcher.viewOf(input.Server, answer.Submission)
+		if server == nil {
+			continue
+		}
+		server.refusedFull = false
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordAnswer(cell, server, answer)
+		}
 	}
 }
 
@@ -66,6 +62,7 @@
 	}
 	task := job.byID[answer.Task]
 	if job.state == jobFinished {
+		dispatcher.noteOutcome(job, server, answer)
 		dispatcher.keepLateAnswer(job, task, server, answer.TaskKey)
 		return
 	}
@@ -75,6 +72,7 @@
 	if task.state == taskQueued {
 		dispatcher.takeFromQueue(cell, job, task)
 	}
+	dispatcher.noteOutcome(job, server, answer)
 	dispatcher.resolve(task, server.id, answer)
 }
 
@@ -90,7 +88,7 @@
 		}
 		return
 	}
-	batch := dispatcher.outputs.toServer(server.id)
+	batch := dispatcher.outputs.toServer(server.cell, server.id)
 	batch.Received = append(batch.Received, key)
 }
 
@@ -196,7 +194,7 @@
 		if task.state != taskStarted {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
+		batch := dispatcher.outputs.toServer(job.cell, task.server)
 		batch.Cancels = append(batch.Cancels, task.key())
 	}
 }
@@ -214,7 +212,7 @@
 		if task.server == "" || task.state != taskAnswered {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
+		batch := dispatcher.outputs.toServer(job.cell, task.server)
 		batch.Received = append(batch.Received, task.key())
 	}
 	// The results now stand in the answer only.
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -67,7 +67,7 @@
 	key := task.key()
 	server.running[key] = task
 	cell.free.update(server)
-	batch := dispatcher.outputs.toServer(server.id)
+	batch := dispatcher.outputs.toServer(cell.number, server.id)
 	batch.Starts = append(batch.Starts, Start{
 		TaskKey:  key,
 		Job:      task.job.spec.Job,
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -19,8 +19,10 @@
 import (
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/assessor"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/selector"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
@@ -44,6 +46,14 @@
 	// ServerDiscovery is how long after its start a host may not yet have a
 	// stream of every backend server.
 	ServerDiscovery time.Duration
+	// Selection adjusts which server gets the next task.
+	Selection selector.Settings
+	// SharedServers lets the leads of all cells start tasks on all backend servers
+	// of the failure domain. Each lead then sees only its own starts and, with the
+	// heartbeats, how many slots are busy. It is meant for baselines.
+	SharedServers bool
+	// Health adjusts how servers are judged.
+	Health assessor.Settings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -56,6 +66,8 @@
 		TakeoverTimeout:  500 * time.Millisecond,
 		HeartbeatTimeout: 3 * time.Second,
 		ServerDiscovery:  3 * time.Second,
+		Selection:        selector.DefaultSettings(),
+		Health:           assessor.DefaultSettings(),
 	}
 }
 
@@ -70,10 +82,13 @@
 	// startedAt is when this host's process began to decide.
 	startedAt identifier.Moment
 	cells     *tabulator.Table[messenger.CellNumber, cell]
-	servers   *tabulator.Table[identifier.BackendServerID, server]
+	servers   *tabulator.Table[serverKey, server]
 	jobs      *tabulator.Table[identifier.SubmissionID, job]
 	timers    *tabulator.Timers[timerKey]
 	outputs   outbox
+	// assessor judges servers by outcomes, the events of this tick.
+	assessor *assessor.Assessor
+	outcomes []assessor.Input
 }
 
 // Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
@@ -84,6 +99,7 @@
 		dispatcher.apply(input)
 	}
 	dispatcher.expire()
+	dispatcher.assess()
 	dispatcher.assign()
 	return dispatcher.outputs.drain()
 }
@@ -93,7 +109,7 @@
 	if dispatcher.timers == nil {
 		return identifier.Never
 	}
-	return dispatcher.timers.Next()
+	return identifier.Earlier(dispatcher.timers.Next(), dispatcher.assessor.NextDeadline())
 }
 
 func (dispatcher *Dispatcher) prepare(now identifier.Moment) {
@@ -102,8 +118,9 @@
 		return
 	}
 	dispatcher.startedAt = now
+	dispatcher.assessor = &assessor.Assessor{Settings: dispatcher.Settings.Health}
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
-	dispatcher.servers = tabulator.New[identifier.BackendServerID, server]()
+	dispatcher.servers = tabulator.New[serverKey, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
 }
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -72,7 +72,12 @@
 	incarnation uint64
 	rack        identifier.RackID
 	slots       identifier.Slots
-	connected   bool
+	// allowed is how many of the slots may be used, by the server's health.
+	allowed identifier.Slots
+	// others are the slots that other leads use; zero unless servers are shared.
+	others    identifier.Slots
+	slowness  float64
+	connected bool
 	// silent tells that heartbeats are missing although the stream is open.
 	silent  bool
 	leaving bool
@@ -94,8 +99,8 @@
 	return server.connected && server.fenced && !server.silent && !server.leaving && !server.refusedFull
 }
 
-func (server *server) freeSlots() identifier.Slots {
-	return server.slots - identifier.Slots(len(server.running))
+func (server *server) timer(kind timerKind) timerKey {
+	return timerKey{kind: kind, server: server.id, cell: server.cell}
 }
 
 // job is a submission at the host that leads its cell.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -27,9 +27,9 @@
 			dispatcher.forget(job)
 		}
 	case timerServerSilence:
-		dispatcher.silenceServer(key.server)
+		dispatcher.silenceServer(serverKey{cell: key.cell, server: key.server})
 	case timerServerForget:
-		dispatcher.forgetServer(key.server)
+		dispatcher.forgetServer(serverKey{cell: key.cell, server: key.server})
 	case timerTakeover:
 		if cell := dispatcher.cells.Get(key.cell); cell != nil && !cell.ready {
 			dispatcher.finishTakeover(cell)
--- /dev/null
+++ b/pkg/dispatcher/health.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/selector"
+)
+
+// noteJoined tells the assessor of a server whose stream has opened.
+func (dispatcher *Dispatcher) noteJoined(input *ServerAnnounced) {
+	dispatcher.outcomes = append(dispatcher.outcomes, &assessor.ServerJoined{
+		Server:      input.Server,
+		Incarnation: input.Incarnation,
+		Slots:       input.Slots,
+		Uptime:      input.Uptime,
+	})
+}
+
+// noteOutcome tells the assessor how a task ended. A cancelled task says nothing
+// about the server.
+func (dispatcher *Dispatcher) noteOutcome(job *job, server *server, answer ServerAnswer) {
+	if answer.Cancelled {
+		return
+	}
+	dispatcher.outcomes = append(dispatcher.outcomes, &assessor.TaskEnded{
+		Server:  server.id,
+		Origin:  assessor.Origin{Team: job.spec.Team, Caller: job.spec.Caller},
+		Failed:  answer.Failed,
+		RunTime: answer.RunTime,
+	})
+}
+
+// assess judges the servers by the outcomes of this tick, before anything is
+// started: a server that has just failed all its tasks has all its slots free.
+func (dispatcher *Dispatcher) assess() {
+	inputs := dispatcher.outcomes
+	dispatcher.outcomes = nil
+	for _, output := range dispatcher.assessor.Tick(dispatcher.now, inputs) {
+		changed := output.(*assessor.AllowanceChanged)
+		dispatcher.eachView(changed.Server, func(server *server) {
+			server.allowed = changed.Slots
+			server.slowness = changed.Slowing
+			dispatcher.refreshSlots(server)
+		})
+	}
+}
+
+// selection returns the settings of a cell's policy; each cell draws differently.
+func (dispatcher *Dispatcher) selection(number messenger.CellNumber) selector.Settings {
+	settings := dispatcher.Settings.Selection
+	settings.Seed += uint64(number)
+	if dispatcher.Settings.SharedServers {
+		settings.Leads = max(dispatcher.Settings.Cells, 1)
+	}
+	return settings
+}
+
+// serverKey names a server as one cell sees it.
+type serverKey struct {
+	cell   messenger.CellNumber
+	server identifier.BackendServerID
+}
+
+// cellsOf calls visit for each cell whose lead may start tasks on a server: its
+// own cell, or all where cells share servers.
+func (dispatcher *Dispatcher) cellsOf(id identifier.BackendServerID, visit func(messenger.CellNumber)) {
+	if !dispatcher.Settings.SharedServers {
+		visit(messenger.CellOfServer(id, dispatcher.Settings.Cells))
+		return
+	}
+	for number := range max(dispatcher.Settings.Cells, 1) {
+		visit(messenger.CellNumber(number))
+	}
+}
+
+// eachView calls visit for the server as each of its cells sees it.
+func (dispatcher *Dispatcher) eachView(id identifier.BackendServerID, visit func(*server)) {
+	dispatcher.cellsOf(id, func(number messenger.CellNumber) {
+		if server := dispatcher.servers.Get(serverKey{cell: number, server: id}); server != nil {
+			visit(server)
+		}
+	})
+}
+
+// viewOf returns the server as the cell of a submission sees it, or nil.
+func (dispatcher *Dispatcher) viewOf(id identifier.BackendServerID, submission identifier.SubmissionID) *server {
+	cell := messenger.CellOf(submission, dispatcher.Settings.Cells)
+	return dispatcher.servers.Get(serverKey{cell: cell, server: id})
+}
--- a/pkg/dispatcher/output.go
+++ b/pkg/dispatcher/output.go
@@ -75,21 +75,22 @@
 // outbox gathers the outputs of one tick, with one batch for each backend server.
 type outbox struct {
 	outputs  []Output
-	byServer map[identifier.BackendServerID]*ToServer
+	byServer map[serverKey]*ToServer
 }
 
 func (outbox *outbox) add(output Output) { outbox.outputs = append(outbox.outputs, output) }
 
-// toServer returns the batch of this tick for a backend server.
-func (outbox *outbox) toServer(id identifier.BackendServerID) *ToServer {
-	if batch, found := outbox.byServer[id]; found {
+// toServer returns the batch of this tick from a cell for a backend server.
+func (outbox *outbox) toServer(cell messenger.CellNumber, id identifier.BackendServerID) *ToServer {
+	key := serverKey{cell: cell, server: id}
+	if batch, found := outbox.byServer[key]; found {
 		return batch
 	}
 	if outbox.byServer == nil {
-		outbox.byServer = make(map[identifier.BackendServerID]*ToServer)
+		outbox.byServer = make(map[serverKey]*ToServer)
 	}
 	batch := &ToServer{Server: id}
-	outbox.byServer[id] = batch
+	outbox.byServer[key] = batch
 	outbox.add(batch)
 	return batch
 }
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -92,7 +92,7 @@
 func (dispatcher *Dispatcher) resumeRunning(cell *cell, task *task, running orphanTask) {
 	task.state = taskStarted
 	task.server = running.server
-	server := dispatcher.servers.Get(running.server)
+	server := dispatcher.servers.Get(serverKey{cell: cell.number, server: running.server})
 	if server == nil || server.incarnation != running.incarnation {
 		dispatcher.markUnknown(task)
 		return
@@ -114,7 +114,7 @@
 // that has just started may not yet have seen every server that an earlier lead had.
 func (dispatcher *Dispatcher) unaccountedSince(cell *cell, since identifier.Moment) bool {
 	unaccounted := since < dispatcher.startedAt.Add(dispatcher.Settings.ServerDiscovery)
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if unaccounted || server.cell != cell.number {
 			return !unaccounted
 		}
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -1,21 +1,31 @@
 package dispatcher
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/assessor"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
 // announceServer records a stream that a backend server has opened.
 func (dispatcher *Dispatcher) announceServer(input *ServerAnnounced) {
-	known := dispatcher.servers.Get(input.Server)
+	dispatcher.noteJoined(input)
+	dispatcher.cellsOf(input.Server, func(number messenger.CellNumber) {
+		dispatcher.announceToCell(number, input)
+	})
+}
+
+func (dispatcher *Dispatcher) announceToCell(number messenger.CellNumber, input *ServerAnnounced) {
+	key := serverKey{cell: number, server: input.Server}
+	known := dispatcher.servers.Get(key)
 	if known == nil {
 		known = &server{
 			id:      input.Server,
-			cell:    messenger.CellOfServer(input.Server, dispatcher.Settings.Cells),
+			cell:    number,
+			allowed: input.Slots,
 			leftAt:  identifier.Never,
 			running: make(map[TaskKey]*task),
 		}
-		dispatcher.servers.Put(input.Server, known)
+		dispatcher.servers.Put(key, known)
 	}
 	restarted := known.incarnation != 0 && known.incarnation != input.Incarnation
 	known.incarnation = input.Incarnation
@@ -29,7 +39,7 @@
 	known.connected = true
 	known.silent = false
 	known.refusedFull = false
-	dispatcher.timers.Clear(timerKey{kind: timerServerForget, server: known.id})
+	dispatcher.timers.Clear(known.timer(timerServerForget))
 	dispatcher.expectHeartbeat(known)
 	if restarted {
 		dispatcher.loseRestartedTasks(known)
@@ -50,14 +60,18 @@
 }
 
 func (dispatcher *Dispatcher) recordHeartbeat(input *ServerHeartbeat) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil || !server.connected {
-		return
-	}
-	dispatcher.expectHeartbeat(server)
-	server.refusedFull = false
-	dispatcher.endSilence(server)
-	dispatcher.refreshSlots(server)
+	dispatcher.eachView(input.Server, func(server *server) {
+		if !server.connected {
+			return
+		}
+		dispatcher.expectHeartbeat(server)
+		server.refusedFull = false
+		if dispatcher.Settings.SharedServers {
+			server.others = max(input.Busy-identifier.Slots(len(server.running)), 0)
+		}
+		dispatcher.endSilence(server)
+		dispatcher.refreshSlots(server)
+	})
 }
 
 // endSilence asks a server that was silent what became of its tasks. Without the
@@ -74,7 +88,7 @@
 
 func (dispatcher *Dispatcher) expectHeartbeat(server *server) {
 	due := dispatcher.now.Add(dispatcher.Settings.HeartbeatTimeout)
-	dispatcher.timers.Set(timerKey{kind: timerServerSilence, server: server.id}, due)
+	dispatcher.timers.Set(server.timer(timerServerSilence), due)
 }
 
 func (dispatcher *Dispatcher) refreshSlots(server *server) {
@@ -84,10 +98,10 @@
 }
 
 func (dispatcher *Dispatcher) markLeaving(input *ServerLeaving) {
-	if server := dispatcher.servers.Get(input.Server); server != nil {
+	dispatcher.eachView(input.Server, func(server *server) {
 		dispatcher.setLeaving(server, true)
 		dispatcher.refreshSlots(server)
-	}
+	})
 }
 
 func (dispatcher *Dispatcher) setLeaving(server *server, leaving bool) {
@@ -103,15 +117,18 @@
 // loseServer records that a stream has ended. The tasks of the server are unknown
 // from now on; the server tells what became of them if it comes back.
 func (dispatcher *Dispatcher) loseServer(input *ServerLost) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil || !server.connected {
+	dispatcher.eachView(input.Server, dispatcher.loseView)
+}
+
+func (dispatcher *Dispatcher) loseView(server *server) {
+	if !server.connected {
 		return
 	}
 	server.connected = false
 	server.fenced = false
-	dispatcher.timers.Clear(timerKey{kind: timerServerSilence, server: server.id})
+	dispatcher.timers.Clear(server.timer(timerServerSilence))
 	forgetAt := dispatcher.now.Add(dispatcher.Settings.AnswerRetention)
-	dispatcher.timers.Set(timerKey{kind: timerServerForget, server: server.id}, forgetAt)
+	dispatcher.timers.Set(server.timer(timerServerForget), forgetAt)
 	dispatcher.suspectTasks(server)
 	if cell := dispatcher.cells.Get(server.cell); cell != nil {
 		delete(cell.awaitedServers, server.id)
@@ -121,8 +138,8 @@
 
 // silenceServer handles a server that keeps its connection but sends no
 // heartbeats: it gets no new work and its tasks count as unknown.
-func (dispatcher *Dispatcher) silenceServer(id identifier.BackendServerID) {
-	server := dispatcher.servers.Get(id)
+func (dispatcher *Dispatcher) silenceServer(key serverKey) {
+	server := dispatcher.servers.Get(key)
 	if server == nil || !server.connected {
 		return
 	}
@@ -162,8 +179,9 @@
 	dispatcher.timers.Set(key, due)
 }
 
-func (dispatcher *Dispatcher) forgetServer(id identifier.BackendServerID) {
-	if server := dispatcher.servers.Get(id); server != nil && !server.connected {
-		dispatcher.servers.Remove(id)
+func (dispatcher *Dispatcher) forgetServer(key serverKey) {
+	if server := dispatcher.servers.Get(key); server != nil && !server.connected {
+		dispatcher.servers.Remove(key)
+		dispatcher.outcomes = append(dispatcher.outcomes, &assessor.ServerGone{Server: key.server})
 	}
 }
--- a/pkg/dispatcher/slots.go
+++ b/pkg/dispatcher/slots.go
@@ -1,67 +1,52 @@
 package dispatcher
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/selector"
+)
 
-// freeSlots finds the server with the most free slots in constant time: servers
-// stand in one bucket for each number of free slots.
+// freeSlots offers the usable servers of a cell to its selection policy.
 type freeSlots struct {
-	buckets  [][]*server
-	position map[*server]slotPosition
+	policy selector.Policy[*server]
 }
 
-type slotPosition struct {
-	bucket int
-	index  int
+func newFreeSlots(settings selector.Settings) freeSlots {
+	return freeSlots{policy: selector.New[*server](settings)}
 }
 
-func newFreeSlots() freeSlots {
-	return freeSlots{position: make(map[*server]slotPosition)}
-}
-
-// update puts the server into the bucket of its free slots, or takes it out when
-// it can't be used.
+// update tells the policy a server's load, or takes it out when it can't be used.
 func (free *freeSlots) update(server *server) {
-	free.remove(server)
-	count := int(server.freeSlots())
-	if !server.usable() || count <= 0 {
+	if !server.usable() {
+		free.policy.Remove(server)
 		return
 	}
-	for len(free.buckets) <= count {
-		free.buckets = append(free.buckets, nil)
-	}
-	free.position[server] = slotPosition{bucket: count, index: len(free.buckets[count])}
-	free.buckets[count] = append(free.buckets[count], server)
+	free.policy.Update(server, server.load())
 }
 
-func (free *freeSlots) remove(server *server) {
-	position, found := free.position[server]
-	if !found {
-		return
-	}
-	bucket := free.buckets[position.bucket]
-	last := len(bucket) - 1
-	bucket[position.index] = bucket[last]
-	free.position[bucket[position.index]] = position
-	bucket[last] = nil
-	free.buckets[position.bucket] = bucket[:last]
-	delete(free.position, server)
-}
+func (free *freeSlots) remove(server *server) { free.policy.Remove(server) }
 
-// most returns the server with the most free slots, or nil.
+// most returns the server for the next task, or nil.
 func (free *freeSlots) most() *server {
-	for count := len(free.buckets) - 1; count > 0; count-- {
-		if bucket := free.buckets[count]; len(bucket) > 0 {
-			return bucket[len(bucket)-1]
-		}
+	picked, found := free.policy.Pick()
+	if !found {
+		return nil
 	}
-	return nil
+	return picked
 }
 
 // slots returns how many slots are free in all.
-func (free *freeSlots) slots() identifier.Slots {
-	total := 0
-	for count, bucket := range free.buckets {
-		total += count * len(bucket)
+func (free *freeSlots) slots() identifier.Slots { return free.policy.Free() }
+
+// load returns what the cell's lead knows of the server. Where leads share
+// servers, the tasks of other leads are as many as the last heartbeat told beyond
+// the own ones at that moment; else all tasks are the own ones.
+func (server *server) load() selector.Load {
+	own := identifier.Slots(len(server.running))
+	return selector.Load{
+		Slots:    server.allowed,
+		Busy:     own + server.others,
+		Own:      own,
+		Slowness: server.slowness,
+		Rack:     server.rack,
 	}
-	return identifier.Slots(total)
 }
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -21,7 +21,7 @@
 		missingHosts:   make(map[identifier.HostID]bool),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
-		free:           newFreeSlots(),
+		free:           newFreeSlots(dispatcher.selection(input.Cell)),
 	}
 	dispatcher.cells.Put(input.Cell, cell)
 	for _, host := range input.Hosts {
@@ -32,7 +32,7 @@
 	for _, host := range input.Missing {
 		cell.missingHosts[host] = true
 	}
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == cell.number && server.connected {
 			dispatcher.fence(cell, server)
 			cell.awaitedServers[server.id] = true
@@ -48,7 +48,7 @@
 func (dispatcher *Dispatcher) fence(cell *cell, server *server) {
 	server.fenced = false
 	cell.free.remove(server)
-	dispatcher.outputs.toServer(server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
+	dispatcher.outputs.toServer(cell.number, server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
 }
 
 // loseLead forgets a cell that another host leads now. The hosts that wait for
@@ -66,7 +66,7 @@
 		}
 		return true
 	})
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == input.Cell {
 			server.fenced = false
 			clear(server.running)
@@ -110,7 +110,7 @@
 }
 
 func (dispatcher *Dispatcher) recordReport(input *ServerReported) {
-	server := dispatcher.servers.Get(input.Server)
+	server := dispatcher.servers.Get(serverKey{cell: input.Cell, server: input.Server})
 	cell := dispatcher.cells.Get(input.Cell)
 	if server == nil || cell == nil {
 		return
@@ -172,7 +172,7 @@
 	task := job.byID[key.Task]
 	if job.state == jobFinished {
 		// The job ended while the server could not be told to stop.
-		batch := dispatcher.outputs.toServer(server.id)
+		batch := dispatcher.outputs.toServer(cell.number, server.id)
 		batch.Cancels = append(batch.Cancels, key)
 	}
 	if task == nil || task.state == taskAnswered {
