Tell a failure only when a neighbour holds it, and doubt 'not run' of old leads

Symptom: one caller hears 'failed', a resend hears 'complete'; or 'not run' comes from a lead that another has deposed. Sequences: the lead tells its own caller a failure and dies before its copy arrives; a caller's host knows the new lead when the old one's refusal arrives. Change: failures that a lead tells its own callers wait for the neighbour's copy (one message and back, at most CopyWait); 'not run' counts only from the lead that has the job.

--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -21,6 +21,9 @@
 	copyAt   identifier.HostID
 	copyHeld bool
 	answer   *messenger.JobAnswer
+	// answerHeldBack tells that the callers hear the answer once another host holds
+	// it, or after a short wait.
+	answerHeldBack bool
 	// answerAlone tells that the answer waits for a second host to hold it.
 	answerAlone bool
 }
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -19,6 +19,7 @@
 		forwarder.giveUpHome(key)
 	case timerCopyWait:
 		forwarder.askAnotherHost(key)
+		forwarder.releaseHeldBack(key.submission)
 	case timerForgetFront:
 		forwarder.fronts.Remove(key.submission)
 	case timerAskAgain:
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -95,7 +95,7 @@
 	}
 	count := 0
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
-		if front.answer == nil {
+		if front.answer == nil || front.answerHeldBack {
 			count++
 		}
 		return true
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -38,7 +38,7 @@
 }
 
 func (forwarder *Forwarder) join(front *front, waiter WaiterID) {
-	if front.answer != nil {
+	if front.answer != nil && !front.answerHeldBack {
 		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
 		return
 	}
@@ -178,18 +178,51 @@
 		forwarder.confirmAnswer(input.From, front)
 		return
 	}
-	front.answer = input.Answer
+	front.answer = trustedAnswer(input, front)
 	submission := front.job.Submission
 	forwarder.timers.Clear(timerKey{kind: timerHomeWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerAskAgain, submission: submission})
 	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
 	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: submission}, forgetAt)
+	forwarder.confirmAnswer(input.From, front)
+	if forwarder.mustSpreadFirst(input.From, front) {
+		front.answerHeldBack = true
+		due := forwarder.now.Add(forwarder.Settings.CopyWait)
+		forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: submission}, due)
+		return
+	}
+	forwarder.answerWaiters(front)
+}
+
+// trustedAnswer takes the claim "not run" out of an answer that does not come from
+// the lead which has the job now: a lead that was deposed can't know what the next
+// one starts.
+func trustedAnswer(input *AnswerArrived, front *front) *messenger.JobAnswer {
+	if !input.Answer.NotRun || input.From == front.forwardedTo {
+		return input.Answer
+	}
+	careful := *input.Answer
+	careful.NotRun = false
+	return &careful
+}
+
+// mustSpreadFirst tells whether another host must hold the answer before a caller
+// hears it. That is so for failures where this host is the lead itself: if it died
+// just after it had told the failure, the next lead could finish the job and a
+// resend would hear that it is complete. It costs one message to a neighbour and
+// back. A complete answer needs no such wait: its parts are kept by the backend
+// servers, and the next lead puts the same answer together.
+func (forwarder *Forwarder) mustSpreadFirst(from identifier.HostID, front *front) bool {
+	return from == forwarder.Self && front.answer.Outcome == messenger.OutcomeFailed && !front.answerAlone
+}
+
+func (forwarder *Forwarder) answerWaiters(front *front) {
+	front.answerHeldBack = false
 	for _, waiter := range front.waiters {
 		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
 	}
 	front.waiters = nil
-	forwarder.confirmAnswer(input.From, front)
 }
 
 // confirmAnswer tells the lead that two hosts hold the answer. Where this host
@@ -250,6 +283,16 @@
 
 func (forwarder *Forwarder) recordAnswerCopyHeld(input *AnswerCopyHeld) {
 	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: input.Submission})
+	forwarder.releaseHeldBack(input.Submission)
+}
+
+// releaseHeldBack tells the callers an answer that waited for its second copy.
+func (forwarder *Forwarder) releaseHeldBack(submission identifier.SubmissionID) {
+	front := forwarder.fronts.Get(submission)
+	if front != nil && front.answerHeldBack {
+		forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+		forwarder.answerWaiters(front)
+	}
 }
 
 // cancel hands a cancellation to the lead of the caller's own submission.
@@ -280,10 +323,7 @@
 
 func (forwarder *Forwarder) answerHere(front *front, answer *messenger.JobAnswer) {
 	front.answer = answer
-	for _, waiter := range front.waiters {
-		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: answer})
-	}
-	front.waiters = nil
+	forwarder.answerWaiters(front)
 	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
 	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: front.job.Submission}, forgetAt)
 }
