--- /dev/null
+++ b/pkg/coordinator/rows_test.go
@@ -0,0 +1,197 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+func domainOf(t *testing.T, servers int, slots identifier.Slots) *network {
+	t.Helper()
+	network := newNetwork([]identifier.FailureDomain{"leuven"}, 3, servers, slots)
+	t.Cleanup(func() {
+		if len(network.oracle.breaches) > 0 {
+			t.Errorf("broken promises: %v", network.oracle.breaches)
+		}
+	})
+	return network
+}
+
+func jobOf(name, team string, width int, runTime time.Duration) *messenger.Job {
+	job := &messenger.Job{
+		Submission: identifier.SubmissionID(name),
+		Job:        identifier.JobID(name),
+		Caller:     identifier.CallerID(team),
+		Team:       identifier.TeamID(team),
+		Repeatable: true,
+		MayRun:     []identifier.FailureDomain{"leuven"},
+	}
+	for index := range width {
+		job.Tasks = append(job.Tasks, messenger.Task{Task: identifier.TaskID(fmt.Sprint(index)), Payload: []byte(runTime.String())})
+	}
+	return job
+}
+
+// outcome returns the final answer of a submission, or nil.
+func (network *network) outcome(job *messenger.Job) *messenger.JobAnswer {
+	return network.oracle.finals[job.Submission]
+}
+
+func (network *network) expect(t *testing.T, job *messenger.Job, outcome messenger.Outcome, reason messenger.Reason) {
+	t.Helper()
+	answer := network.outcome(job)
+	if answer == nil {
+		t.Fatalf("%s has no answer", job.Submission)
+	}
+	if answer.Outcome != outcome || answer.Reason != reason {
+		t.Fatalf("%s was answered %v %v (%s), want %v %v", job.Submission, answer.Outcome, answer.Reason, answer.Detail, outcome, reason)
+	}
+}
+
+// serversOf lists the servers on which tasks of the submission began.
+func (network *network) serversOf(job *messenger.Job) []*fakeServer {
+	var servers []*fakeServer
+	for _, task := range job.Tasks {
+		for key, id := range network.oracle.starts {
+			if key.Submission == job.Submission && key.Task == task.Task {
+				servers = append(servers, network.server(id))
+			}
+		}
+	}
+	return servers
+}
+
+// Symptom: a job hangs or a task runs a second time.
+// Sequence: a backend server accepts a start and dies before it answers (row 1).
+// Cause: the start's fate can't be known. The job fails after the wait for unknown
+// tasks, the task begins nowhere else, other jobs are untouched.
+func TestServerDiesBetweenAcceptAndAnswer(t *testing.T) {
+	network := domainOf(t, 4, 2)
+	victim, other := jobOf("victim", "team", 1, time.Second), jobOf("other", "team", 3, time.Second)
+	network.submit(network.hosts[1], victim, time.Minute)
+	network.submit(network.hosts[2], other, time.Minute)
+	network.advance(100 * time.Millisecond)
+	dying := network.serversOf(victim)[0]
+	for _, server := range network.serversOf(other) {
+		if server == dying {
+			t.Fatal("the jobs share a server; the scenario needs two")
+		}
+	}
+	dying.die()
+	network.advance(2 * time.Second)
+	network.expect(t, other, messenger.OutcomeComplete, messenger.ReasonNone)
+	if network.outcome(victim) != nil {
+		t.Fatal("the job did not wait for its unknown task")
+	}
+	network.advance(4 * time.Second)
+	network.expect(t, victim, messenger.OutcomeFailed, messenger.ReasonTaskUnknown)
+}
+
+// Symptom: a job fails although its answer is there.
+// Sequence: the streams of a backend server end while it runs a task, and open
+// again when the task has ended (row 1, second half).
+// Cause: a lost connection is no lost task. The same process reports the answer.
+func TestServerReturnsWithTheAnswer(t *testing.T) {
+	network := domainOf(t, 4, 2)
+	job := jobOf("job", "team", 1, time.Second)
+	network.submit(network.hosts[1], job, time.Minute)
+	network.advance(100 * time.Millisecond)
+	server := network.serversOf(job)[0]
+	for _, host := range network.hosts {
+		server.detach(host)
+	}
+	network.advance(3 * time.Second)
+	for _, host := range network.hosts {
+		server.attach(host)
+	}
+	network.advance(10 * time.Millisecond)
+	network.expect(t, job, messenger.OutcomeComplete, messenger.ReasonNone)
+}
+
+// Symptom: most jobs fail although one server of four is broken.
+// Sequence: it fails each task in a millisecond, while the others take 100 ms; jobs
+// come faster than the others can take them, so that its slots are free most often
+// (row 6).
+// Cause: the emptiest server gets the next task. Its allowance must go within about
+// ten of its tasks, and come back after it works again.
+func TestBlackHoleStopsAttractingWork(t *testing.T) {
+	network := domainOf(t, 4, 8)
+	broken := network.servers[2]
+	feed := func(name string, jobs int) (begun int) {
+		for number := range jobs {
+			job := jobOf(fmt.Sprintf("%s-%d", name, number), fmt.Sprintf("team-%d", number%3), 1, 100*time.Millisecond)
+			network.submit(network.hosts[number%3], job, time.Minute)
+			network.advance(4 * time.Millisecond)
+		}
+		network.advance(time.Second)
+		for key, id := range network.oracle.starts {
+			if id == broken.id && len(key.Submission) > len(name) && string(key.Submission[:len(name)]) == name {
+				begun++
+			}
+		}
+		return begun
+	}
+	feed("calm", 300)
+	broken.failing = true
+	begun := feed("broken", 300)
+	t.Logf("the broken server began %d of 300 tasks", begun)
+	if begun > 12 {
+		t.Fatal("it still attracts work")
+	}
+	broken.failing = false
+	network.advance(10 * time.Second)
+	feed("proof", 100)
+	begun = feed("healed", 300)
+	t.Logf("the healed server began %d of 300 tasks", begun)
+	if begun < 40 {
+		t.Fatal("it did not come back")
+	}
+}
+
+// Symptom: jobs hang at a server that neither answers nor closes its connection.
+// Sequence: it goes silent while it runs a task (row 8).
+// Cause: only heartbeats tell. After the timeout it gets no new work and its tasks
+// count as unknown.
+func TestSilentServerIsNoticed(t *testing.T) {
+	network := domainOf(t, 4, 2)
+	job := jobOf("job", "team", 1, time.Second)
+	network.submit(network.hosts[1], job, time.Minute)
+	network.advance(100 * time.Millisecond)
+	silent := network.serversOf(job)[0]
+	silent.silent = true
+	network.advance(4 * time.Second)
+	wide := jobOf("wide", "team", 6, 100*time.Millisecond)
+	network.submit(network.hosts[2], wide, time.Minute)
+	network.advance(time.Second)
+	network.expect(t, wide, messenger.OutcomeComplete, messenger.ReasonNone)
+	for _, server := range network.serversOf(wide) {
+		if server == silent {
+			t.Fatal("the silent server got new work")
+		}
+	}
+	network.advance(5 * time.Second)
+	network.expect(t, job, messenger.OutcomeFailed, messenger.ReasonTaskUnknown)
+}
+
+// Symptom: a server that is leaving gets more work.
+// Sequence: it says so while tasks run there and others wait (row 9).
+// Cause: nothing. What runs there ends normally, the others go elsewhere at once.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	network := domainOf(t, 2, 2)
+	first, second := jobOf("first", "team", 4, time.Second), jobOf("second", "team", 4, time.Second)
+	network.submit(network.hosts[1], first, time.Minute)
+	network.advance(10 * time.Millisecond)
+	network.servers[0].leave()
+	network.submit(network.hosts[2], second, time.Minute)
+	network.advance(4 * time.Second)
+	network.expect(t, first, messenger.OutcomeComplete, messenger.ReasonNone)
+	network.expect(t, second, messenger.OutcomeComplete, messenger.ReasonNone)
+	for _, server := range network.serversOf(second) {
+		if server == network.servers[0] {
+			t.Fatal("a task began on the leaving server")
+		}
+	}
+}
