Let backend servers announce how long their process has run

Without it every server looked newly started to a host that sees it for the first time, and a takeover could not tell a restarted server from an old one.

--- a/pkg/connector/translation.go
+++ b/pkg/connector/translation.go
@@ -13,6 +13,7 @@
 	return &dispatcher.ServerAnnounced{
 		Server:         identifier.BackendServerID(announce.GetBackendServer()),
 		Incarnation:    announce.GetIncarnation(),
+		Uptime:         time.Duration(announce.GetUptimeNanos()),
 		Rack:           identifier.RackID(announce.GetRack()),
 		Slots:          identifier.Slots(announce.GetSlots()),
 		Leaving:        announce.GetLeaving(),
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -39,6 +39,7 @@
 
 	mutex       sync.Mutex
 	incarnation uint64
+	startedAt   time.Time
 	epochs      map[uint32]uint64
 	leads       map[uint32]*link
 	tasks       map[taskKey]*runningTask
@@ -81,6 +82,7 @@
 func (executor *Executor) prepare() {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
+	executor.startedAt = time.Now()
 	executor.incarnation = rand.Uint64() | 1
 	executor.epochs = make(map[uint32]uint64)
 	executor.leads = make(map[uint32]*link)
--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -162,6 +162,7 @@
 		Connections:   int32(executor.Connections),
 		Incarnation:   executor.incarnation,
 		Leaving:       executor.leaving,
+		UptimeNanos:   int64(time.Since(executor.startedAt)),
 	}
 	for key, task := range executor.tasks {
 		state := &backendv1.TaskState{Submission: key.submission, Task: key.task, Cell: task.cell}
