Assess at admission whether a job can be served in time

Cause: under a burst a queue that is bounded only by its length makes every admitted job wait for seconds, and a job's place between teams and within its team decides how long it waits. Change: the queue sums the waiting work of each team by due time. A job is admitted when the work of its team before it fits into the team's fair share; or, beyond the share, while the slots are not overloaded and the whole queue is short; under overload only when it fits into what the others leave free. Jobs admitted before must still be served in time. Urgent jobs have a bounded head start. The tolerance between teams was 5 s, at which short jobs of a team that was ahead waited 0.3 s for the others. Conclusion: tolerance 300 ms; overload from 1.2 times the slots.

--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -151,6 +151,11 @@
 	return limiter.account(now, team).inFlight
 }
 
+// Limits returns the limits that hold for the team.
+func (limiter *Limiter) Limits(now identifier.Moment, team identifier.TeamID) TeamLimits {
+	return limiter.account(now, team).limits
+}
+
 // Weight returns the team's weight.
 func (limiter *Limiter) Weight(now identifier.Moment, team identifier.TeamID) int {
 	return max(limiter.account(now, team).limits.Weight, 1)
--- a/pkg/queuer/backlog.go
+++ b/pkg/queuer/backlog.go
@@ -20,7 +20,7 @@
 	return bucketNumber(moment / identifier.Moment(bucketWidth))
 }
 
-// backlog sums the queued work of one team by the moments at which the jobs
+// backlog sums the queued work by the moments at which the jobs
 // should start, so that admission can tell how much work stands before a job.
 type backlog struct {
 	first bucketNumber
@@ -30,6 +30,23 @@
 	total   time.Duration
 }
 
+// backlogs are the backlogs of the two kinds of jobs.
+type backlogs struct {
+	urgent  backlog
+	patient backlog
+}
+
+func (backlogs *backlogs) of(urgent bool) *backlog {
+	if urgent {
+		return &backlogs.urgent
+	}
+	return &backlogs.patient
+}
+
+func (backlogs *backlogs) total() time.Duration {
+	return backlogs.urgent.total + backlogs.patient.total
+}
+
 // advance moves the first bucket to now.
 func (backlog *backlog) advance(now identifier.Moment) {
 	first := bucketOf(now)
@@ -74,21 +91,21 @@
 	return sum
 }
 
-// crowded tells whether added work that is due at key would make jobs that are
-// due later start too late at a capacity of so many slots.
-func (backlog *backlog) crowded(now, key identifier.Moment, added time.Duration, capacity float64) bool {
-	start := backlog.bucketFor(key)
-	before := backlog.ahead(key)
-	for number := start + 1; number < backlog.first+bucketCount && before < backlog.total; number++ {
+// crowded tells whether jobs that are due after key would start too late, at a
+// capacity of so many slots, when so much work is done by the jobs due until key.
+func (backlog *backlog) crowded(now, key identifier.Moment, before time.Duration, capacity float64) bool {
+	later := backlog.total - backlog.ahead(key)
+	for number := backlog.bucketFor(key) + 1; later > 0 && number < backlog.first+bucketCount; number++ {
 		work := backlog.work[number%bucketCount]
 		if work == 0 {
 			continue
 		}
 		due := identifier.Moment(number+1) * identifier.Moment(bucketWidth)
-		if float64(before+added) > capacity*float64(due.Sub(now)) {
+		if float64(before) > capacity*float64(due.Sub(now)) {
 			return true
 		}
 		before += work
+		later -= work
 	}
 	return false
 }
--- a/pkg/queuer/listing.go
+++ b/pkg/queuer/listing.go
@@ -1,6 +1,15 @@
 package queuer
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// activeWindow is how long an idle team still counts for the shares, so that the
+// share of a flooding team does not jump whenever another has nothing waiting for
+// a moment.
+const activeWindow = time.Second
 
 // open returns the state of a team. A team that comes back starts at the virtual
 // time: what it did not use while it was away is not saved up.
@@ -39,53 +48,73 @@
 
 // relist puts a team into the heap that it belongs to, in its right place.
 func (queue *Queue[P, O]) relist(team *team[P]) {
-	wanted := listedIdle
-	if team.tasks > 0 {
-		wanted = listedReady
-		if team.paused {
-			wanted = listedNowhere
-		}
-	}
-	if team.listing == wanted {
-		queue.fixPlace(team)
-	} else {
-		queue.move(team, wanted)
+	switch {
+	case team.tasks == 0:
+		queue.listAsIdle(team)
+	case team.paused:
+		queue.move(team, listedNowhere)
+	case team.listing == listedReady:
+		queue.ready.fix(team.heapPlace)
+	default:
+		queue.move(team, listedReady)
 	}
 	if queue.tasks == 0 {
 		// The end of a busy period: all teams are even again.
 		queue.virtual = queue.highest
 	}
-	if wanted == listedIdle {
-		queue.forgetIdle()
+}
+
+func (queue *Queue[P, O]) listAsIdle(team *team[P]) {
+	if team.listing == listedRecent || team.listing == listedIdle {
+		return
+	}
+	queue.move(team, listedNowhere)
+	team.idleSince = queue.latest
+	queue.move(team, listedRecent)
+	queue.expireRecent(queue.latest)
+}
+
+// expireRecent takes the teams out of the shares that have been idle for long.
+func (queue *Queue[P, O]) expireRecent(now identifier.Moment) {
+	for len(queue.recent.members) > 0 {
+		oldest := queue.recent.members[0]
+		if !oldest.idleSince.Add(activeWindow).Due(now) {
+			break
+		}
+		oldest.active = false
+		queue.weights -= oldest.weight
+		queue.move(oldest, listedIdle)
 	}
+	queue.forgetIdle()
 }
 
-func (queue *Queue[P, O]) fixPlace(team *team[P]) {
-	switch team.listing {
+// heapOf returns the heap of a listing, or nil.
+func (queue *Queue[P, O]) heapOf(listing listing) *ordered[*team[P]] {
+	switch listing {
 	case listedReady:
-		queue.ready.fix(team.heapPlace)
+		return &queue.ready
+	case listedRecent:
+		return &queue.recent
 	case listedIdle:
-		queue.idle.fix(team.heapPlace)
+		return &queue.idle
 	}
+	return nil
 }
 
 func (queue *Queue[P, O]) move(team *team[P], wanted listing) {
-	switch team.listing {
-	case listedReady:
-		queue.ready.remove(team)
-	case listedIdle:
-		queue.idle.remove(team)
+	if team.listing == wanted {
+		return
+	}
+	if heap := queue.heapOf(team.listing); heap != nil {
+		heap.remove(team)
 	}
 	team.listing = wanted
-	switch wanted {
-	case listedReady:
-		queue.ready.push(team)
-	case listedIdle:
-		queue.idle.push(team)
+	if heap := queue.heapOf(wanted); heap != nil {
+		heap.push(team)
 	}
 }
 
-// forgetIdle drops the idle teams that were served least once there are too many.
+// forgetIdle drops the teams that have been idle longest once there are too many.
 func (queue *Queue[P, O]) forgetIdle() {
 	for len(queue.idle.members) > queue.Settings.IdleTeams {
 		dropped := queue.idle.members[0]
--- a/pkg/queuer/order.go
+++ b/pkg/queuer/order.go
@@ -18,45 +18,43 @@
 	Work time.Duration
 	// Slots is how many slots the work is spread over.
 	Slots identifier.Slots
-	// HeadStart is how much later than an urgent job this one is due.
-	HeadStart time.Duration
 }
 
-// Order ranks the jobs of one team: the job with the earliest key goes first. A
-// key is given once, at the arrival. It grows with the arrival time and by a
-// bounded amount else, so that every job becomes the first in the end: only jobs
-// that arrive within that amount of time can overtake it.
+// Order ranks the jobs of one team: the job that is due first goes first. The
+// moment is given once, at the arrival. It lies after the arrival by a bounded
+// amount, so that every job becomes the first in the end: only jobs that arrive
+// within that amount of time can overtake it.
 type Order interface {
-	Key(shape Shape) identifier.Moment
+	Due(shape Shape) identifier.Moment
 }
 
 // Arrival serves the jobs in the order in which they came.
 type Arrival struct{}
 
-// Key returns the arrival.
-func (Arrival) Key(shape Shape) identifier.Moment { return shape.ArrivedAt.Add(shape.HeadStart) }
+// Due returns the arrival.
+func (Arrival) Due(shape Shape) identifier.Moment { return shape.ArrivedAt }
 
 // ShortestWork serves the job with the least work first. Every second of waiting
 // makes up for a second of work spread over the slots, times Aging.
 type ShortestWork struct{ Aging float64 }
 
-// Key returns the arrival plus the work spread over the slots.
-func (order ShortestWork) Key(shape Shape) identifier.Moment {
+// Due returns the arrival plus the work spread over the slots.
+func (order ShortestWork) Due(shape Shape) identifier.Moment {
 	spread := time.Duration(float64(shape.Work) / float64(max(shape.Slots, 1)) * order.Aging)
-	return shape.ArrivedAt.Add(shape.HeadStart + spread)
+	return shape.ArrivedAt.Add(spread)
 }
 
 // LeastSlack serves the job first that must start first to keep its response
 // within 1+Stretch times its ideal, or to meet its deadline.
 type LeastSlack struct{ Stretch float64 }
 
-// Key returns the moment at which the job should start at the latest.
-func (order LeastSlack) Key(shape Shape) identifier.Moment {
+// Due returns the moment at which the job should start at the latest.
+func (order LeastSlack) Due(shape Shape) identifier.Moment {
 	slack := time.Duration(float64(shape.Ideal) * order.Stretch)
-	key := shape.ArrivedAt.Add(shape.HeadStart + slack)
+	due := shape.ArrivedAt.Add(slack)
 	if shape.Deadline == identifier.Never {
-		return key
+		return due
 	}
 	latest := max(shape.Deadline.Add(-shape.Ideal), shape.ArrivedAt)
-	return identifier.Earlier(key, latest)
+	return identifier.Earlier(due, latest)
 }
--- a/pkg/queuer/queue.go
+++ b/pkg/queuer/queue.go
@@ -20,13 +20,30 @@
 	// ahead of another before the other goes first. Within it, the job that is
 	// due first goes first, whichever team it is of.
 	Tolerance time.Duration
+	// UrgentHeadStart is how much sooner an urgent job counts as due than another
+	// of its team. It bounds how long urgent jobs can overtake others.
+	UrgentHeadStart time.Duration
+	// OverloadFrom is the work that asks to be admitted, as a share of what the
+	// slots can do, from which on the slots count as overloaded.
+	OverloadFrom float64
+	// CalmAllowance and OverloadAllowance scale what a job beyond its team's share
+	// may wait.
+	CalmAllowance     float64
+	OverloadAllowance float64
 	// IdleTeams bounds the teams without queued tasks that are remembered.
 	IdleTeams int
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
 func DefaultSettings() Settings {
-	return Settings{Tolerance: 5 * time.Second, IdleTeams: 1024}
+	return Settings{
+		Tolerance:         300 * time.Millisecond,
+		UrgentHeadStart:   time.Second,
+		OverloadFrom:      1.2,
+		CalmAllowance:     2,
+		OverloadAllowance: 0.6,
+		IdleTeams:         1024,
+	}
 }
 
 // Queue holds jobs with payload P. Set the exported fields before use.
@@ -39,16 +56,23 @@
 	// without waiting tasks.
 	ready ordered[*team[P]]
 	idle  ordered[*team[P]]
-	spare []*team[P]
+	// recent holds the idle teams that are still active, in order of time.
+	recent ordered[*team[P]]
+	spare  []*team[P]
 	// virtual is the tag of the team that was served last.
 	virtual float64
 	highest float64
 	tasks   int
 	work    time.Duration
-	// weights sums the weights of the teams with waiting tasks.
-	weights  int
-	served   meter
+	// weights sums the weights of the active teams.
+	weights int
+	// offered measures the work that asked to be admitted, admitted that which was.
+	offered  meter
+	admitted meter
+	backlogs backlogs
 	sequence uint64
+	// latest is the last moment that was passed in.
+	latest identifier.Moment
 }
 
 // Tasks returns how many tasks wait.
@@ -71,13 +95,23 @@
 	if tasks <= 0 {
 		return
 	}
+	queue.latest = now
 	team := queue.open(entry.Team)
-	team.backlog.advance(now)
+	backlog := team.backlogs.of(entry.Urgent)
+	backlog.advance(now)
+	queue.backlogs.of(entry.Urgent).advance(now)
 	if entry.waiting == 0 {
 		queue.sequence++
 		entry.sequence = queue.sequence
 		entry.team = team
-		entry.bucket = team.backlog.bucketFor(entry.Key)
+		entry.key = entry.Due
+		if !entry.Urgent {
+			entry.key = entry.Due.Add(queue.Settings.UrgentHeadStart)
+		}
+		entry.bucket = backlog.bucketFor(entry.Due)
+		work := time.Duration(tasks) * entry.Cost
+		team.admitted.add(now, work)
+		queue.admitted.add(now, work)
 		team.jobs.push(entry)
 	}
 	queue.setWeight(team, max(weight, 1))
@@ -95,10 +129,9 @@
 
 // Serve takes one task out of the queue and charges it to the team.
 func (queue *Queue[P, O]) Serve(now identifier.Moment, entry *Entry[P]) {
+	queue.latest = now
 	team := entry.team
 	queue.virtual = max(queue.virtual, team.tag)
-	queue.served.add(now, entry.Cost)
-	team.served.add(now, entry.Cost)
 	queue.charge(team, entry.Cost, entry.ClassWeight)
 	queue.Take(entry, 1)
 }
@@ -149,21 +182,20 @@
 func (queue *Queue[P, O]) count(entry *Entry[P], tasks int) {
 	team := entry.team
 	work := time.Duration(tasks) * entry.Cost
-	if team.tasks == 0 {
+	if !team.active {
+		team.active = true
 		queue.weights += team.weight
 	}
 	entry.waiting += tasks
 	team.tasks += tasks
-	team.backlog.add(entry.bucket, work)
+	team.backlogs.of(entry.Urgent).add(entry.bucket, work)
+	queue.backlogs.of(entry.Urgent).add(entry.bucket, work)
 	queue.tasks += tasks
 	queue.work += work
-	if team.tasks == 0 {
-		queue.weights -= team.weight
-	}
 }
 
 func (queue *Queue[P, O]) setWeight(team *team[P], weight int) {
-	if team.tasks > 0 {
+	if team.active {
 		queue.weights += weight - team.weight
 	}
 	team.weight = weight
--- a/pkg/queuer/queue_test.go
+++ b/pkg/queuer/queue_test.go
@@ -66,7 +66,7 @@
 		if other.Team != next.Team || !oracle.eligible(other) {
 			continue
 		}
-		if other.Key < next.Key || other.Key == next.Key && oracle.order[other] < oracle.order[next] {
+		if other.Due < next.Due || other.Due == next.Due && oracle.order[other] < oracle.order[next] {
 			t.Fatalf("job %d was handed out before job %d of the same team", next.Payload, other.Payload)
 		}
 	}
@@ -99,7 +99,7 @@
 		Payload:     len(oracle.entries),
 		Team:        teamName(rapid.IntRange(0, 5).Draw(t, "team")),
 		Cost:        cost,
-		Key:         oracle.queue.Order.Key(queuer.Shape{ArrivedAt: oracle.now, Deadline: identifier.Never, Ideal: cost}),
+		Due:         oracle.queue.Order.Due(queuer.Shape{ArrivedAt: oracle.now, Deadline: identifier.Never, Ideal: cost}),
 		ClassWeight: rapid.IntRange(0, 3).Draw(t, "class-weight"),
 	}
 	oracle.entries = append(oracle.entries, created)
@@ -164,8 +164,8 @@
 		longest := time.Second
 		arrive := func(team int) {
 			cost := time.Duration(rapid.IntRange(1, 1000).Draw(t, "cost")) * time.Millisecond
-			key := queue.Order.Key(queuer.Shape{ArrivedAt: now, Deadline: identifier.Never, Ideal: cost})
-			added := &entry{Payload: team, Team: teamName(team), Cost: cost, Key: key}
+			due := queue.Order.Due(queuer.Shape{ArrivedAt: now, Deadline: identifier.Never, Ideal: cost})
+			added := &entry{Payload: team, Team: teamName(team), Cost: cost, Due: due}
 			queue.Push(now, added, rapid.IntRange(1, 30).Draw(t, "tasks"), weights[team])
 		}
 		for team := range teams {
--- a/pkg/queuer/team.go
+++ b/pkg/queuer/team.go
@@ -12,14 +12,18 @@
 type Entry[P any] struct {
 	Payload P
 	Team    identifier.TeamID
-	// Key is the moment by which the jobs of a team are ordered; see Order.
-	Key identifier.Moment
+	// Due is the moment by which the jobs of a team are ordered; see Order.
+	Due identifier.Moment
+	// Urgent jobs of a team go before the others, until those have been due for
+	// the queue's UrgentHeadStart.
+	Urgent bool
 	// Cost is the expected slot time of one task.
 	Cost time.Duration
 	// ClassWeight divides what the team is charged for the job's tasks; below 1
 	// counts as 1.
 	ClassWeight int
 
+	key      identifier.Moment
 	waiting  int
 	sequence uint64
 	team     *team[P]
@@ -31,8 +35,8 @@
 func (entry *Entry[P]) Waiting() int { return entry.waiting }
 
 func (entry *Entry[P]) before(other *Entry[P]) bool {
-	if entry.Key != other.Key {
-		return entry.Key < other.Key
+	if entry.key != other.key {
+		return entry.key < other.key
 	}
 	return entry.sequence < other.sequence
 }
@@ -49,12 +53,17 @@
 	// in the queue's virtual time.
 	tag float64
 	// rank is the tag in steps of the tolerance.
-	rank      float64
-	paused    bool
+	rank   float64
+	paused bool
+	// active tells that the team counts for the shares: it has waiting tasks, or
+	// was served its last less than activeWindow ago.
+	active    bool
+	idleSince identifier.Moment
 	jobs      ordered[*Entry[P]]
 	tasks     int
-	backlog   backlog
-	served    meter
+	backlogs  backlogs
+	// admitted measures the work that came in.
+	admitted  meter
 	heapPlace int
 	listing   listing
 }
@@ -65,6 +74,7 @@
 const (
 	listedNowhere listing = iota
 	listedReady
+	listedRecent
 	listedIdle
 )
 
@@ -72,10 +82,18 @@
 	if len(team.jobs.members) == 0 {
 		return identifier.Never
 	}
-	return team.jobs.members[0].Key
+	return team.jobs.members[0].key
 }
 
+// before orders teams with waiting tasks by what they were served, and the others
+// by how long they have been idle.
 func (team *team[P]) before(other *team[P]) bool {
+	if team.listing != listedReady {
+		if team.idleSince != other.idleSince {
+			return team.idleSince < other.idleSince
+		}
+		return team.sequence < other.sequence
+	}
 	if team.rank != other.rank {
 		return team.rank < other.rank
 	}
@@ -88,21 +106,21 @@
 func (team *team[P]) place() int         { return team.heapPlace }
 func (team *team[P]) setPlace(place int) { team.heapPlace = place }
 
-// meter measures slot time served for each unit of time, the old decayed.
+// meter measures slot time that comes in for each unit of time, the old decayed.
 type meter struct {
 	rate float64
 	at   identifier.Moment
 }
 
 // meterWindow is the time over which a meter decays.
-const meterWindow = 500 * time.Millisecond
+const meterWindow = time.Second
 
-func (meter *meter) add(now identifier.Moment, served time.Duration) {
-	meter.rate = meter.read(now) + float64(served)/float64(meterWindow)
+func (meter *meter) add(now identifier.Moment, work time.Duration) {
+	meter.rate = meter.read(now) + float64(work)/float64(meterWindow)
 	meter.at = now
 }
 
-// read returns the slots that were kept busy on average of late.
+// read returns how many slots the work of late would keep busy.
 func (meter *meter) read(now identifier.Moment) float64 {
 	if now <= meter.at {
 		return meter.rate
