Limit, order and refuse work in the dispatcher by what was learned

Cause: the queue was a list in order of arrival, bounded only by its length. Change: the dispatcher queues by pkg/queuer, counts by pkg/limiter and learns by pkg/estimator. At admission it refuses what can never run, what no backend server could take for 2 s, what would wait too long or miss its deadline, and what is over its team's rate, each with the nearest thing or the time to come back. A refused start is repeated within the budgets, else it waits; after 8 refusals the job is given up. A task that is declared longest starts first. Cancelled jobs leave the queue and the quota at once.

--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -47,6 +47,7 @@
 		task.spec = &input.Job.Tasks[index]
 		created.byID[task.spec.Task] = task
 	}
+	created.orderTasks()
 	dispatcher.timers.Set(timerKey{kind: timerJobDeadline, submission: input.Job.Submission}, input.Deadline)
 	return created
 }
@@ -101,6 +102,7 @@
 
 // beginFresh starts a job that no lead has seen before.
 func (dispatcher *Dispatcher) beginFresh(cell *cell, job *job) {
+	dispatcher.measureJob(cell, job)
 	if refusal := dispatcher.refuseAtAdmission(cell, job); refusal != nil {
 		dispatcher.finish(job, refusal)
 		return
@@ -113,21 +115,13 @@
 	dispatcher.enqueue(cell, job)
 }
 
-// refuseAtAdmission returns a refusal for a job that can't be served, or nil.
-func (dispatcher *Dispatcher) refuseAtAdmission(cell *cell, job *job) *messenger.JobAnswer {
-	if cell.queuedTasks+len(job.tasks) > dispatcher.Settings.QueuedTasks {
-		return messenger.Refuse(job.spec.Submission, messenger.ReasonQueueFull, "the queue has no room for the job's tasks")
-	}
-	return nil
-}
-
 // resume continues a job that an earlier lead may have started. Tasks that
 // backend servers have are waited for. A task that nobody has was not started,
 // unless a backend server that could have it has not reported.
 func (dispatcher *Dispatcher) resume(cell *cell, job *job, found *orphan) {
 	job.state = jobRunning
 	job.again = true
-	job.anyStarted = true
+	dispatcher.measureJob(cell, job)
 	unaccounted := dispatcher.unaccountedSince(cell, job.firstForwarded)
 	for index := range job.tasks {
 		task := &job.tasks[index]
@@ -150,6 +144,7 @@
 			task.server = id
 			if server := dispatcher.servers.Get(id); server != nil {
 				server.running[task.key()] = task
+				dispatcher.beginFlight(cell, task)
 				cell.free.update(server)
 			}
 			return
@@ -157,9 +152,7 @@
 	}
 	if unaccounted {
 		dispatcher.markUnknown(task)
-		return
 	}
-	cell.queuedTasks++
 }
 
 // unaccountedSince tells whether a backend server that could have been given
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -29,6 +29,10 @@
 		server.refusedFull = true
 	case RefusalLeaving:
 		server.leaving = true
+	case RefusalDeadlinePassed:
+		dispatcher.undoStart(cell, server, task)
+		dispatcher.failJob(task.job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was answered")
+		return
 	}
 	dispatcher.returnToQueue(cell, server, task)
 }
@@ -51,6 +55,7 @@
 // recordAnswer takes the outcome of one task. An answer that comes twice, late,
 // or for a job that has ended is acknowledged and otherwise ignored.
 func (dispatcher *Dispatcher) recordAnswer(cell *cell, server *server, answer ServerAnswer) {
+	dispatcher.noteAnswer(cell, server.running[answer.TaskKey], answer)
 	delete(server.running, answer.TaskKey)
 	cell.free.update(server)
 	job := dispatcher.jobs.Get(answer.Submission)
@@ -64,9 +69,7 @@
 		dispatcher.acknowledgeLate(job, server, answer.TaskKey)
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
-	}
+	dispatcher.takeFromQueue(cell, job, task)
 	dispatcher.resolve(task, server.id, answer)
 }
 
@@ -84,7 +87,6 @@
 	task.state = taskAnswered
 	task.server = server
 	task.result = answer.Result
-	job.anyStarted = true
 	job.unresolved--
 	if answer.Failed || answer.Cancelled {
 		dispatcher.failTask(task, answer)
@@ -119,8 +121,7 @@
 	if job.state == jobFinished {
 		return
 	}
-	mayHaveStarted := job.anyStarted || job.again || job.state == jobRecovering
-	if !mayHaveStarted {
+	if !job.mayHaveStarted() {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
 	}
@@ -132,6 +133,20 @@
 	})
 }
 
+// mayHaveStarted tells whether any task was started by this lead, or may have
+// been by an earlier one. A start that was refused did not happen.
+func (job *job) mayHaveStarted() bool {
+	if job.again || job.state == jobRecovering {
+		return true
+	}
+	for index := range job.tasks {
+		if state := job.tasks[index].state; state != taskQueued && state != taskHeld {
+			return true
+		}
+	}
+	return false
+}
+
 // finish gives a job its one answer, sends it to all who wait, and stops what
 // still runs for it.
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
@@ -142,22 +157,24 @@
 	submission := job.spec.Submission
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
 	dispatcher.timers.Clear(timerKey{kind: timerUnknownWait, submission: submission})
+	dispatcher.timers.Clear(timerKey{kind: timerRetry, submission: submission})
 	forgetAt := dispatcher.now.Add(dispatcher.Settings.AnswerRetention)
 	dispatcher.timers.Set(timerKey{kind: timerForget, submission: submission}, forgetAt)
 	for _, holder := range job.holders {
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
 	dispatcher.stopRunning(job)
+	dispatcher.endLostFlights(job)
 }
 
 func (dispatcher *Dispatcher) leaveQueue(cell *cell, job *job) {
 	if cell == nil || job.state != jobRunning {
 		return
 	}
+	cell.queue.Remove(&job.entry)
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		if task.state == taskQueued {
-			cell.queuedTasks--
+		if task.state == taskQueued || task.state == taskHeld {
 			task.state = taskAnswered
 		}
 	}
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -10,21 +10,30 @@
 // enqueue puts all tasks of a fresh job into its cell's queue.
 func (dispatcher *Dispatcher) enqueue(cell *cell, job *job) {
 	job.state = jobRunning
-	cell.queuedTasks += len(job.tasks)
-	dispatcher.joinQueue(cell, job)
+	dispatcher.pushTasks(cell, job, len(job.tasks))
 }
 
+// joinQueue puts the queued tasks of a resumed job into its cell's queue.
 func (dispatcher *Dispatcher) joinQueue(cell *cell, job *job) {
-	if job.firstQueued() == nil || slices.Contains(cell.queue, job) {
-		return
+	queued := 0
+	for index := range job.tasks {
+		if job.tasks[index].state == taskQueued {
+			queued++
+		}
 	}
-	cell.queue = append(cell.queue, job)
+	dispatcher.pushTasks(cell, job, queued)
+}
+
+func (dispatcher *Dispatcher) pushTasks(cell *cell, job *job, tasks int) {
+	team := job.spec.Team
+	cell.queue.Push(dispatcher.now, &job.entry, tasks, cell.limiter.Weight(dispatcher.now, team))
+	cell.queue.SetPaused(team, !cell.limiter.MayStart(dispatcher.now, team))
 }
 
 // firstQueued returns the job's first task that waits for a slot, or nil.
 func (job *job) firstQueued() *task {
 	for job.nextQueued < len(job.tasks) {
-		task := &job.tasks[job.nextQueued]
+		task := job.taskAt(job.nextQueued)
 		if task.state == taskQueued {
 			return task
 		}
@@ -44,26 +53,22 @@
 }
 
 func (dispatcher *Dispatcher) assignCell(cell *cell) {
-	for len(cell.queue) > 0 {
-		job := cell.queue[0]
-		task := job.firstQueued()
-		if task == nil {
-			cell.queue = cell.queue[1:]
-			continue
-		}
+	if cell.queue.Tasks() > 0 && dispatcher.emptyForLong(cell) {
+		dispatcher.refuseQueued(cell)
+	}
+	for entry := cell.queue.Next(); entry != nil; entry = cell.queue.Next() {
 		server := cell.free.most()
 		if server == nil {
 			return
 		}
-		dispatcher.start(cell, server, task)
+		dispatcher.start(cell, server, entry.Payload.firstQueued())
 	}
 }
 
 func (dispatcher *Dispatcher) start(cell *cell, server *server, task *task) {
 	task.state = taskStarted
 	task.server = server.id
-	task.job.anyStarted = true
-	cell.queuedTasks--
+	dispatcher.noteStart(cell, task)
 	key := task.key()
 	server.running[key] = task
 	cell.free.update(server)
@@ -80,22 +85,27 @@
 
 // returnToQueue puts a task back whose start is known not to have happened.
 func (dispatcher *Dispatcher) returnToQueue(cell *cell, server *server, task *task) {
+	dispatcher.undoStart(cell, server, task)
+	if task.job.state != jobFinished {
+		dispatcher.repeat(cell, task)
+	}
+}
+
+// undoStart notes that a start is known not to have happened.
+func (dispatcher *Dispatcher) undoStart(cell *cell, server *server, task *task) {
 	delete(server.running, task.key())
 	cell.free.update(server)
-	if task.job.state == jobFinished {
-		return
+	dispatcher.endFlight(task)
+	if task.job.state != jobFinished {
+		task.state = taskQueued
+		task.server = ""
 	}
-	task.state = taskQueued
-	task.server = ""
-	task.job.nextQueued = 0
-	cell.queuedTasks++
-	dispatcher.joinQueue(cell, task.job)
 }
 
 // takeFromQueue removes a queued task that turned out to run already.
-func (dispatcher *Dispatcher) takeFromQueue(cell *cell, job *job, _ *task) {
-	if job.state == jobRunning {
-		cell.queuedTasks--
+func (dispatcher *Dispatcher) takeFromQueue(cell *cell, job *job, task *task) {
+	if task.state == taskQueued {
+		cell.queue.Take(&job.entry, 1)
 	}
 }
 
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -19,7 +19,9 @@
 import (
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/estimator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
@@ -41,6 +43,8 @@
 	// HeartbeatTimeout is how long a backend server may stay silent before it
 	// gets no new work and its tasks count as unknown.
 	HeartbeatTimeout time.Duration
+	// Limits says who may queue how much, and what is refused early.
+	Limits LimitSettings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -52,6 +56,7 @@
 		AnswerRetention:  10 * time.Minute,
 		TakeoverTimeout:  500 * time.Millisecond,
 		HeartbeatTimeout: 3 * time.Second,
+		Limits:           DefaultLimitSettings(),
 	}
 }
 
@@ -68,6 +73,10 @@
 	jobs    *tabulator.Table[identifier.SubmissionID, job]
 	timers  *tabulator.Timers[timerKey]
 	outputs outbox
+
+	estimator  *estimator.Estimator
+	teamLimits []limiter.TeamLimits
+	classes    map[identifier.ClassName]ClassLimits
 }
 
 // Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
@@ -99,9 +108,11 @@
 	dispatcher.servers = tabulator.New[identifier.BackendServerID, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
+	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
 }
 
 func (dispatcher *Dispatcher) apply(input Input) {
+	dispatcher.noteCapacity(input)
 	switch input := input.(type) {
 	case *LeadTaken:
 		dispatcher.takeLead(input)
@@ -119,6 +130,8 @@
 		dispatcher.releaseAnswers(input)
 	case *ClaimDecided:
 		dispatcher.decideClaim(input)
+	case *LimitsConfigured:
+		dispatcher.configureLimits(input)
 	case *ServerAnnounced:
 		dispatcher.announceServer(input)
 	case *ServerReported:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/queuer"
 )
 
 // cell is a share of the failure domain's slots that this host leads.
@@ -19,10 +21,15 @@
 	// orphans are the tasks that backend servers reported for submissions whose
 	// job has not been forwarded again yet.
 	orphans map[identifier.SubmissionID]*orphan
-	// queue holds the jobs with queued tasks, the oldest first.
-	queue       []*job
-	queuedTasks int
-	free        freeSlots
+	// queue holds the jobs with queued tasks.
+	queue   *queuer.Queue[*job, queuer.Order]
+	limiter *limiter.Limiter
+	free    freeSlots
+	// slots are those of the usable servers; they are counted again when stale.
+	slots         identifier.Slots
+	capacityStale bool
+	// emptySince is when the last usable server was lost.
+	emptySince identifier.Moment
 }
 
 // recoveredRecord is what another host knew of a submission at the takeover.
@@ -90,10 +97,14 @@
 	holders []identifier.HostID
 	tasks   []task
 	// byID finds tasks; it points into tasks.
-	byID       map[identifier.TaskID]*task
+	byID map[identifier.TaskID]*task
+	// startOrder numbers the tasks in the order in which they start; nil is as
+	// they came.
+	startOrder []int
 	nextQueued int
+	entry      queuer.Entry[*job]
+	measured   measure
 	unresolved int
-	anyStarted bool
 	answer     *messenger.JobAnswer
 	// releasable are the tasks whose answers a backend server still keeps.
 	answerHeld bool
@@ -106,6 +117,10 @@
 	state  taskState
 	server identifier.BackendServerID
 	result []byte
+	// refusals counts the starts that are known not to have happened.
+	refusals int
+	// inFlight tells that the task counts for its team's tasks in flight.
+	inFlight bool
 }
 
 func (task *task) key() TaskKey {
@@ -122,6 +137,8 @@
 	timerServerSilence
 	timerServerForget
 	timerTakeover
+	timerRetry
+	timerNoServer
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/enums.go
+++ b/pkg/dispatcher/enums.go
@@ -33,6 +33,8 @@
 
 const (
 	taskQueued taskState = iota
+	// taskHeld means that the task waits for a budget to be started again.
+	taskHeld
 	// taskStarted means that a start was sent and nothing was heard since.
 	taskStarted
 	// taskUnknown means that the backend server was lost after the start.
--- a/pkg/dispatcher/enums_enumer.go
+++ b/pkg/dispatcher/enums_enumer.go
@@ -197,11 +197,11 @@
 	return err
 }
 
-const _taskStateName = "queuedstartedunknownanswered"
+const _taskStateName = "queuedheldstartedunknownanswered"
 
-var _taskStateIndex = [...]uint8{0, 6, 13, 20, 28}
+var _taskStateIndex = [...]uint8{0, 6, 10, 17, 24, 32}
 
-const _taskStateLowerName = "queuedstartedunknownanswered"
+const _taskStateLowerName = "queuedheldstartedunknownanswered"
 
 func (i taskState) String() string {
 	if i < 0 || i >= taskState(len(_taskStateIndex)-1) {
@@ -215,32 +215,36 @@
 func _taskStateNoOp() {
 	var x [1]struct{}
 	_ = x[taskQueued-(0)]
-	_ = x[taskStarted-(1)]
-	_ = x[taskUnknown-(2)]
-	_ = x[taskAnswered-(3)]
+	_ = x[taskHeld-(1)]
+	_ = x[taskStarted-(2)]
+	_ = x[taskUnknown-(3)]
+	_ = x[taskAnswered-(4)]
 }
 
-var _taskStateValues = []taskState{taskQueued, taskStarted, taskUnknown, taskAnswered}
+var _taskStateValues = []taskState{taskQueued, taskHeld, taskStarted, taskUnknown, taskAnswered}
 
 var _taskStateNameToValueMap = map[string]taskState{
 	_taskStateName[0:6]:   taskQueued,
-	_taskStateName[6:13]:  taskStarted,
-	_taskStateName[13:20]: taskUnknown,
-	_taskStateName[20:28]: taskAnswered,
+	_taskStateName[6:10]:  taskHeld,
+	_taskStateName[10:17]: taskStarted,
+	_taskStateName[17:24]: taskUnknown,
+	_taskStateName[24:32]: taskAnswered,
 }
 
 var _taskStateLowerNameToValueMap = map[string]taskState{
 	_taskStateLowerName[0:6]:   taskQueued,
-	_taskStateLowerName[6:13]:  taskStarted,
-	_taskStateLowerName[13:20]: taskUnknown,
-	_taskStateLowerName[20:28]: taskAnswered,
+	_taskStateLowerName[6:10]:  taskHeld,
+	_taskStateLowerName[10:17]: taskStarted,
+	_taskStateLowerName[17:24]: taskUnknown,
+	_taskStateLowerName[24:32]: taskAnswered,
 }
 
 var _taskStateNames = []string{
 	_taskStateName[0:6],
-	_taskStateName[6:13],
-	_taskStateName[13:20],
-	_taskStateName[20:28],
+	_taskStateName[6:10],
+	_taskStateName[10:17],
+	_taskStateName[17:24],
+	_taskStateName[24:32],
 }
 
 // taskStateString retrieves an enum value from the enum constants string name.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -28,8 +28,13 @@
 		}
 	case timerServerSilence:
 		dispatcher.silenceServer(key.server)
+		dispatcher.markCapacityStale()
 	case timerServerForget:
 		dispatcher.forgetServer(key.server)
+	case timerRetry:
+		dispatcher.repeatHeld(key.submission)
+	case timerNoServer:
+		// The tick that this timer asks for refuses what waits.
 	case timerTakeover:
 		if cell := dispatcher.cells.Get(key.cell); cell != nil && !cell.ready {
 			dispatcher.finishTakeover(cell)
@@ -62,7 +67,7 @@
 // forget drops a submission with all its deadlines.
 func (dispatcher *Dispatcher) forget(job *job) {
 	submission := job.spec.Submission
-	for _, kind := range []timerKind{timerJobDeadline, timerUnknownWait, timerForget} {
+	for _, kind := range [...]timerKind{timerJobDeadline, timerUnknownWait, timerForget, timerRetry} {
 		dispatcher.timers.Clear(timerKey{kind: kind, submission: submission})
 	}
 	dispatcher.jobs.Remove(submission)
--- /dev/null
+++ b/pkg/dispatcher/limits.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/estimator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/queuer"
+)
+
+// LimitSettings says who may queue how much, and what is refused early.
+type LimitSettings struct {
+	Limiter   limiter.Settings
+	Estimator estimator.Settings
+	Queue     queuer.Settings
+	// Order ranks the jobs of one team.
+	Order queuer.Order
+	// QueueWaitRatio bounds the expected wait of a job for its first slot, as a
+	// share of the time that the job takes by itself. What would wait longer is
+	// refused at admission.
+	QueueWaitRatio float64
+	// QueueWaitFloor is a wait that is never too long.
+	QueueWaitFloor time.Duration
+	// RefusalsPerTask is how often the starts of one task may be refused before
+	// its job is given up.
+	RefusalsPerTask int
+	// NoServerWait is how long jobs wait while no backend server is usable before
+	// they are refused.
+	NoServerWait time.Duration
+}
+
+// DefaultLimitSettings returns the settings that the daemon starts from.
+func DefaultLimitSettings() LimitSettings {
+	return LimitSettings{
+		Limiter:         limiter.DefaultSettings(),
+		Estimator:       estimator.DefaultSettings(),
+		Queue:           queuer.DefaultSettings(),
+		Order:           queuer.LeastSlack{Stretch: 1},
+		QueueWaitRatio:  1,
+		QueueWaitFloor:  20 * time.Millisecond,
+		RefusalsPerTask: 8,
+		NoServerWait:    2 * time.Second,
+	}
+}
+
+// ClassLimits is the weight of one urgency class.
+type ClassLimits struct {
+	Class identifier.ClassName
+	// Weight divides what a team is charged for the slot time of the class.
+	Weight int
+	// Urgent jobs go before those of the same team that are not.
+	Urgent bool
+}
+
+// LimitsConfigured replaces the limits of all teams and classes.
+type LimitsConfigured struct {
+	Teams   []limiter.TeamLimits
+	Classes []ClassLimits
+}
+
+func (*LimitsConfigured) isDispatcherInput() {}
+
+// configureLimits takes over new limits. Each cell enforces its part of them.
+func (dispatcher *Dispatcher) configureLimits(input *LimitsConfigured) {
+	dispatcher.teamLimits = input.Teams
+	dispatcher.classes = make(map[identifier.ClassName]ClassLimits, len(input.Classes))
+	for _, class := range input.Classes {
+		dispatcher.classes[class.Class] = class
+	}
+	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		dispatcher.limitCell(cell)
+		return true
+	})
+}
+
+// limitCell gives a cell its part of the teams' limits: submissions are spread
+// over the cells by hash, so each cell has the same part.
+func (dispatcher *Dispatcher) limitCell(cell *cell) {
+	cells := max(dispatcher.Settings.Cells, 1)
+	parts := make([]limiter.TeamLimits, len(dispatcher.teamLimits))
+	for index, limits := range dispatcher.teamLimits {
+		limits.TasksPerSecond /= float64(cells)
+		limits.TasksInFlight = (limits.TasksInFlight + cells - 1) / cells
+		parts[index] = limits
+	}
+	cell.limiter.Configure(dispatcher.now, parts)
+	for _, limits := range parts {
+		cell.queue.SetPaused(limits.Team, !cell.limiter.MayStart(dispatcher.now, limits.Team))
+	}
+}
+
+// prepareLimits gives a new cell its queue and its limits.
+func (dispatcher *Dispatcher) prepareLimits(cell *cell) {
+	settings := dispatcher.Settings.Limits
+	cell.queue = &queuer.Queue[*job, queuer.Order]{Settings: settings.Queue, Order: settings.Order}
+	cell.limiter = &limiter.Limiter{Settings: settings.Limiter}
+	cell.capacityStale = true
+	cell.emptySince = identifier.Never
+	dispatcher.limitCell(cell)
+}
--- /dev/null
+++ b/pkg/dispatcher/limits_test.go
@@ -0,0 +1,244 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher/fake"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// equalRuns returns run times of a job of so many tasks.
+func equalRuns(tasks int, runTime time.Duration) []time.Duration {
+	runTimes := make([]time.Duration, tasks)
+	for index := range runTimes {
+		runTimes[index] = runTime
+	}
+	return runTimes
+}
+
+// submit hands a job with its true run times declared to the lead now.
+func submit(cell *fake.Cell, id string, team identifier.TeamID, runTimes []time.Duration) *fake.Record {
+	declared := func(actual time.Duration) time.Duration { return actual }
+	return cell.Submit(newJob(id, team, "counter", runTimes, declared), identifier.Never, runTimes)
+}
+
+func runFor(cell *fake.Cell, length time.Duration) { cell.Run(cell.Now.Add(length)) }
+
+func checkPromises(t *testing.T, cell *fake.Cell) {
+	t.Helper()
+	for _, violation := range cell.Violations {
+		t.Error(violation)
+	}
+	if tasks, work := cell.Lead().Queued(); tasks != 0 || work != 0 {
+		t.Errorf("%d tasks and %v of work are left in the queue", tasks, work)
+	}
+	for team, running := range cell.Running {
+		if inFlight := cell.Lead().InFlight(team); running == 0 && inFlight != 0 {
+			t.Errorf("%d tasks of team %s count as running and none does", inFlight, team)
+		}
+	}
+}
+
+func checkAnswer(t *testing.T, record *fake.Record, outcome messenger.Outcome, reason messenger.Reason, notRun bool) {
+	t.Helper()
+	answer := record.Answer()
+	if answer == nil || answer.Outcome != outcome || answer.Reason != reason || answer.NotRun != notRun {
+		t.Errorf("%s: got %+v, want %v, %v, not run %v", record.Job.Submission, answer, outcome, reason, notRun)
+	}
+}
+
+// TestRefusedStartsGoElsewhere: symptom: jobs fail, or starts grow without bound,
+// when a backend server refuses starts (row 2). Sequence: one of 17 refuses every
+// start for 20 s. Cause: a refused start is given up, or repeated without budget.
+func TestRefusedStartsGoElsewhere(t *testing.T) {
+	cell := newCell()
+	cell.Refuse = func(server int, _ dispatcher.TaskKey) dispatcher.RefusalKind {
+		if server == 3 {
+			return dispatcher.RefusalNoFreeSlot
+		}
+		return dispatcher.RefusalUnspecified
+	}
+	cell.Open()
+	calm := &load{cell: cell, random: randomOf(0), team: "a", slots: 60, until: identifier.Moment(20 * time.Second)}
+	calm.start()
+	runFor(cell, 30*time.Second)
+	checkPromises(t, cell)
+	for id, record := range cell.Records {
+		if answer := record.Answer(); answer == nil || answer.Outcome != messenger.OutcomeComplete {
+			t.Errorf("%s: %+v", id, answer)
+		}
+	}
+	t.Logf("%d starts, %d of them refused", cell.Starts, cell.Refusals)
+	if cell.Refusals*10 > cell.Starts {
+		t.Errorf("%d of %d starts were refused", cell.Refusals, cell.Starts)
+	}
+}
+
+// TestRefusedEverywhere: symptom: a job whose starts are all refused is answered
+// "failed", or never, though it truly did not run; repeats flood the backend
+// servers. Sequence: every start is refused for 20 s, 100 jobs come. Cause: a
+// refused start counts as a start, and repeats have no budget.
+func TestRefusedEverywhere(t *testing.T) {
+	cell := newCell()
+	cell.Refuse = func(int, dispatcher.TaskKey) dispatcher.RefusalKind { return dispatcher.RefusalNoFreeSlot }
+	cell.Open()
+	for number := range 100 {
+		cell.At(cell.Now.Add(time.Duration(number)*200*time.Millisecond), func() {
+			submit(cell, fmt.Sprintf("s-%d", number), "a", equalRuns(2, 100*time.Millisecond))
+		})
+	}
+	runFor(cell, 20*time.Second)
+	settings := cell.Settings.Limits.Limiter
+	first := 200.0
+	bound := first*(1+settings.RetryRatio) + settings.TeamRetryRate*(20+settings.RetryWindow.Seconds())
+	t.Logf("%d starts, bound %.0f", cell.Starts, bound)
+	if float64(cell.Starts) > bound {
+		t.Errorf("%d starts for %.0f tasks, bound %.0f", cell.Starts, first, bound)
+	}
+	runFor(cell, 400*time.Second)
+	checkPromises(t, cell)
+	for id, record := range cell.Records {
+		if answer := record.Answer(); answer == nil || !answer.NotRun {
+			t.Errorf("%s: %+v", id, answer)
+		}
+	}
+}
+
+// TestCancellationWave: symptom: cancelled work still takes slots, or counts for
+// its team (row 13). Sequence: a team fills the slots and the queue and cancels
+// everything; another job comes. Cause: cancelled tasks stay queued or in flight.
+func TestCancellationWave(t *testing.T) {
+	cell := newCell()
+	cell.Open()
+	cell.Post(&dispatcher.LimitsConfigured{Teams: []limiter.TeamLimits{{Team: "a", TasksInFlight: 100, Weight: 1}}})
+	var wave []*fake.Record
+	for number := range 40 {
+		wave = append(wave, submit(cell, fmt.Sprintf("w-%d", number), "a", equalRuns(10, 10*time.Second)))
+	}
+	runFor(cell, time.Second)
+	if cell.MostRunning["a"] != 100 {
+		t.Errorf("%d tasks of the team ran at once, want its limit of 100", cell.MostRunning["a"])
+	}
+	for _, record := range wave {
+		cell.Cancel(record)
+	}
+	runFor(cell, 10*time.Millisecond)
+	checkPromises(t, cell)
+	next := submit(cell, "next", "a", equalRuns(100, 100*time.Millisecond))
+	runFor(cell, time.Second)
+	checkAnswer(t, next, messenger.OutcomeComplete, messenger.ReasonNone, false)
+	if next.Stretch() > 1.05 {
+		t.Errorf("the job after the wave took %.2f times its ideal", next.Stretch())
+	}
+	for _, record := range wave {
+		answer := record.Answer()
+		if answer == nil || answer.NotRun != (len(record.Started) == 0) {
+			t.Errorf("%s: %+v after %d starts", record.Job.Submission, answer, len(record.Started))
+		}
+	}
+	checkPromises(t, cell)
+}
+
+// TestStragglersHoldOnlyTheirSlot: symptom: short jobs wait behind a straggler, or
+// it starts a second time (row 14). Sequence: 130 of 136 slots hold tasks that
+// run 200 times longer than all others did; short jobs of the same team come.
+// Cause: the estimates, the fair share or the wait are thrown off by stragglers.
+func TestStragglersHoldOnlyTheirSlot(t *testing.T) {
+	cell := newCell()
+	cell.Open()
+	for number := range 50 {
+		submit(cell, fmt.Sprintf("before-%d", number), "a", equalRuns(1, 100*time.Millisecond))
+	}
+	runFor(cell, time.Second)
+	declared := func(time.Duration) time.Duration { return 100 * time.Millisecond }
+	runTimes := equalRuns(130, 20*time.Second)
+	straggler := cell.Submit(newJob("straggler", "a", "counter", runTimes, declared), identifier.Never, runTimes)
+	runFor(cell, time.Second)
+	var short []*fake.Record
+	for number := range 100 {
+		short = append(short, submit(cell, fmt.Sprintf("short-%d", number), "a", equalRuns(1, 100*time.Millisecond)))
+		runFor(cell, 50*time.Millisecond)
+	}
+	runFor(cell, 30*time.Second)
+	checkPromises(t, cell)
+	checkAnswer(t, straggler, messenger.OutcomeComplete, messenger.ReasonNone, false)
+	for _, record := range short {
+		checkAnswer(t, record, messenger.OutcomeComplete, messenger.ReasonNone, false)
+		if record.Stretch() > 1.05 {
+			t.Errorf("%s took %.2f times its ideal", record.Job.Submission, record.Stretch())
+		}
+	}
+}
+
+// TestDeadlinesByWhatWasObserved: symptom: jobs are refused, or admitted and then
+// fail, because of what they declare (row 15). Sequence: a team's tasks run
+// 400 ms whatever they declare; then come jobs with deadlines.
+func TestDeadlinesByWhatWasObserved(t *testing.T) {
+	cell := newCell()
+	cell.Open()
+	send := func(id string, declaredTime, left time.Duration) *fake.Record {
+		runTimes := equalRuns(1, 400*time.Millisecond)
+		declared := func(time.Duration) time.Duration { return declaredTime }
+		return cell.Submit(newJob(id, "a", "counter", runTimes, declared), cell.Now.Add(left), runTimes)
+	}
+	unknown := send("unknown", time.Hour, time.Second)
+	for number := range 30 {
+		send(fmt.Sprintf("learn-%d", number), time.Duration(1+number%7)*time.Second, time.Minute)
+		runFor(cell, 100*time.Millisecond)
+	}
+	overstated := send("overstated", time.Hour, time.Second)
+	understated := send("understated", time.Millisecond, 200*time.Millisecond)
+	runFor(cell, 2*time.Second)
+	checkPromises(t, cell)
+	checkAnswer(t, unknown, messenger.OutcomeComplete, messenger.ReasonNone, false)
+	checkAnswer(t, overstated, messenger.OutcomeComplete, messenger.ReasonNone, false)
+	checkAnswer(t, understated, messenger.OutcomeRefused, messenger.ReasonDeadlineUnreachable, true)
+}
+
+// TestNeverRunnable: symptom: a caller waits for a job that can't ever run (row
+// 16). Each is told at once, as not run, with what would run.
+func TestNeverRunnable(t *testing.T) {
+	cell := newCell()
+	cell.Settings.QueuedTasks = 500
+	cell.Open()
+	wide := submit(cell, "wide", "a", equalRuns(501, time.Millisecond))
+	elsewhere := newJob("elsewhere", "a", "counter", equalRuns(1, time.Millisecond), nil)
+	elsewhere.MayRun = []identifier.FailureDomain{"leuven"}
+	misplaced := cell.Submit(elsewhere, identifier.Never, equalRuns(1, time.Millisecond))
+	cell.Run(cell.Now)
+	runFor(cell, 0)
+	for record, nearest := range map[*fake.Record]string{wide: "up to 500 tasks would run", misplaced: "with it in may-run the job would run"} {
+		checkAnswer(t, record, messenger.OutcomeRefused, messenger.ReasonNeverRunnable, true)
+		if answer := record.Answer(); answer != nil && !strings.Contains(answer.Detail, nearest) {
+			t.Errorf("%q does not name the nearest thing", answer.Detail)
+		}
+	}
+}
+
+// TestNoServerLeft: symptom: jobs without a deadline wait for ever when the last
+// backend server has left. Sequence: all leave; jobs come at once and later. What
+// waited and what comes later is refused as not run, and told when to come back.
+func TestNoServerLeft(t *testing.T) {
+	cell := newCell()
+	cell.Open()
+	for number := range testServers {
+		cell.Leave(number)
+	}
+	waiting := submit(cell, "waiting", "a", equalRuns(3, 100*time.Millisecond))
+	runFor(cell, 3*time.Second)
+	late := submit(cell, "late", "a", equalRuns(3, 100*time.Millisecond))
+	runFor(cell, 0)
+	checkPromises(t, cell)
+	for _, record := range []*fake.Record{waiting, late} {
+		checkAnswer(t, record, messenger.OutcomeRefused, messenger.ReasonNoBackendServer, true)
+	}
+	if late.AnsweredAt != late.ArrivedAt {
+		t.Errorf("the late job was told after %v", late.AnsweredAt.Sub(late.ArrivedAt))
+	}
+}
--- /dev/null
+++ b/pkg/dispatcher/overload.go
@@ -0,0 +1,217 @@
+package dispatcher
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/queuer"
+)
+
+const (
+	// retryAfterMin and retryAfterMax bound what a refusal names as the time
+	// after which another try is worth it.
+	retryAfterMin = 20 * time.Millisecond
+	retryAfterMax = 5 * time.Second
+)
+
+// refuseAtAdmission returns a refusal for a job that can't be served in time, or
+// nil. What is refused here has not started, so every refusal says "not run".
+//
+// Without it a burst fills the queue, every admitted job waits behind work that
+// will miss its purpose too, and the queue is still full when the burst is over.
+// It would show as a response time that grows with the length of the burst.
+func (dispatcher *Dispatcher) refuseAtAdmission(cell *cell, job *job) *messenger.JobAnswer {
+	for _, check := range [...]admissionCheck{
+		(*Dispatcher).refuseNeverRunnable,
+		(*Dispatcher).refuseWithoutServers,
+		(*Dispatcher).refuseFullQueue,
+		(*Dispatcher).refuseLongWait,
+		(*Dispatcher).refuseOverRate,
+	} {
+		if refusal := check(dispatcher, cell, job); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+type admissionCheck func(dispatcher *Dispatcher, cell *cell, job *job) *messenger.JobAnswer
+
+// refuseNeverRunnable refuses what no state of the cell could ever serve, with
+// the nearest thing that would be.
+func (dispatcher *Dispatcher) refuseNeverRunnable(_ *cell, job *job) *messenger.JobAnswer {
+	bound := dispatcher.Settings.QueuedTasks
+	if len(job.tasks) > bound {
+		return messenger.Refuse(job.spec.Submission, messenger.ReasonNeverRunnable, fmt.Sprintf(
+			"the job has %d tasks and at most %d can ever wait here; jobs of up to %d tasks would run", len(job.tasks), bound, bound))
+	}
+	if !job.spec.MayRunIn(dispatcher.FailureDomain) {
+		return messenger.Refuse(job.spec.Submission, messenger.ReasonNeverRunnable, fmt.Sprintf(
+			"the job may run in %v only, and this is failure domain %s; with it in may-run the job would run",
+			job.spec.MayRun, dispatcher.FailureDomain))
+	}
+	return nil
+}
+
+// refuseWithoutServers refuses while no backend server has been usable for long.
+func (dispatcher *Dispatcher) refuseWithoutServers(cell *cell, job *job) *messenger.JobAnswer {
+	if !dispatcher.emptyForLong(cell) {
+		return nil
+	}
+	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonNoBackendServer, dispatcher.noServerDetail())
+	refusal.RetryAfter = dispatcher.Settings.Limits.NoServerWait
+	return refusal
+}
+
+func (dispatcher *Dispatcher) noServerDetail() string {
+	return "no backend server of failure domain " + string(dispatcher.FailureDomain) + " takes tasks now"
+}
+
+// emptyForLong tells whether no backend server of the cell has been usable for
+// longer than jobs wait for one.
+func (dispatcher *Dispatcher) emptyForLong(cell *cell) bool {
+	if dispatcher.capacity(cell) > 0 {
+		return false
+	}
+	return cell.emptySince.Add(dispatcher.Settings.Limits.NoServerWait).Due(dispatcher.now)
+}
+
+// refuseFullQueue bounds the queued tasks. Beyond the bound a team may still
+// queue up to its share of it, so that a flood of another team keeps none out;
+// twice the bound is never passed.
+func (dispatcher *Dispatcher) refuseFullQueue(cell *cell, job *job) *messenger.JobAnswer {
+	bound := dispatcher.Settings.QueuedTasks
+	total := cell.queue.Tasks() + len(job.tasks)
+	if total <= bound {
+		return nil
+	}
+	weight := cell.limiter.Weight(dispatcher.now, job.spec.Team)
+	share := int(cell.queue.Share(job.spec.Team, weight) * float64(bound))
+	if total <= 2*bound && cell.queue.TeamTasks(job.spec.Team)+len(job.tasks) <= share {
+		return nil
+	}
+	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonQueueFull, fmt.Sprintf(
+		"%d tasks wait for a slot and the team's share of the queue is %d", cell.queue.Tasks(), share))
+	slots := max(dispatcher.capacity(cell), 1)
+	refusal.RetryAfter = clampRetryAfter(cell.queue.Work() / time.Duration(slots))
+	return refusal
+}
+
+// refuseLongWait refuses a job whose expected wait is too long for its size, that
+// would make others of its team wait too long, or that can't meet its deadline.
+func (dispatcher *Dispatcher) refuseLongWait(cell *cell, job *job) *messenger.JobAnswer {
+	limits := cell.limiter.Limits(dispatcher.now, job.spec.Team)
+	settings := dispatcher.Settings.Limits
+	verdict := cell.queue.Assess(dispatcher.now, queuer.Candidate{
+		Team:    job.spec.Team,
+		Weight:  max(limits.Weight, 1),
+		Urgent:  job.entry.Urgent,
+		Due:     job.entry.Due,
+		Work:    job.measured.work,
+		Ideal:   job.measured.ideal,
+		Allowed: max(time.Duration(float64(job.measured.ideal)*settings.QueueWaitRatio), settings.QueueWaitFloor),
+		Slots:   dispatcher.capacity(cell),
+		Ceiling: limits.TasksInFlight,
+	})
+	if !verdict.Admitted {
+		return refuseWait(job, verdict)
+	}
+	if job.measured.learned && dispatcher.now.Add(verdict.Wait+job.measured.ideal) > job.deadline {
+		return dispatcher.refuseDeadline(job, verdict.Wait)
+	}
+	return nil
+}
+
+func refuseWait(job *job, verdict queuer.Verdict) *messenger.JobAnswer {
+	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonQueueFull, fmt.Sprintf(
+		"the job would wait about %v for a slot and takes about %v itself; the team's share of the slots is taken",
+		verdict.Wait.Round(time.Millisecond), job.measured.ideal.Round(time.Millisecond)))
+	refusal.RetryAfter = clampRetryAfter(verdict.RetryAfter)
+	return refusal
+}
+
+func (dispatcher *Dispatcher) refuseDeadline(job *job, wait time.Duration) *messenger.JobAnswer {
+	left := job.deadline.Sub(dispatcher.now)
+	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonDeadlineUnreachable, fmt.Sprintf(
+		"%v are left until the deadline; such jobs take about %v and would wait about %v; a deadline of %v would be met",
+		left.Round(time.Millisecond), job.measured.ideal.Round(time.Millisecond), wait.Round(time.Millisecond),
+		(wait+2*job.measured.ideal).Round(time.Millisecond)))
+	if wait > 0 {
+		refusal.RetryAfter = clampRetryAfter(wait)
+	}
+	return refusal
+}
+
+// refuseOverRate comes last, because it charges the team for what is admitted.
+func (dispatcher *Dispatcher) refuseOverRate(cell *cell, job *job) *messenger.JobAnswer {
+	wait, admitted := cell.limiter.Admit(dispatcher.now, job.spec.Team, len(job.tasks))
+	if admitted {
+		return nil
+	}
+	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonOverQuota,
+		"team "+string(job.spec.Team)+" is over its rate of task starts")
+	refusal.RetryAfter = max(wait, time.Millisecond)
+	return refusal
+}
+
+func clampRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, retryAfterMin), retryAfterMax)
+}
+
+// capacity returns the slots of the cell's usable backend servers, busy or not.
+func (dispatcher *Dispatcher) capacity(cell *cell) identifier.Slots {
+	if !cell.capacityStale {
+		return cell.slots
+	}
+	cell.capacityStale = false
+	cell.slots = 0
+	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if server.cell == cell.number && server.serving() {
+			cell.slots += server.slots
+		}
+		return true
+	})
+	if cell.slots > 0 {
+		cell.emptySince = identifier.Never
+		dispatcher.timers.Clear(timerKey{kind: timerNoServer, cell: cell.number})
+	} else if cell.emptySince == identifier.Never {
+		cell.emptySince = dispatcher.now
+		due := dispatcher.now.Add(dispatcher.Settings.Limits.NoServerWait)
+		dispatcher.timers.Set(timerKey{kind: timerNoServer, cell: cell.number}, due)
+	}
+	return cell.slots
+}
+
+// serving tells whether the server takes tasks whenever it has a free slot.
+func (server *server) serving() bool {
+	return server.connected && server.fenced && !server.silent && !server.leaving
+}
+
+// noteCapacity has the capacities counted again after what may change them.
+func (dispatcher *Dispatcher) noteCapacity(input Input) {
+	switch input := input.(type) {
+	case *ServerAnnounced, *ServerReported, *ServerLeaving, *ServerLost, *TasksRefused:
+		dispatcher.markCapacityStale()
+	case *ServerHeartbeat:
+		if server := dispatcher.servers.Get(input.Server); server != nil && server.silent {
+			dispatcher.markCapacityStale()
+		}
+	}
+}
+
+func (dispatcher *Dispatcher) markCapacityStale() {
+	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		cell.capacityStale = true
+		return true
+	})
+}
+
+// refuseQueued ends the jobs that wait although no backend server has been usable
+// for long. Those of which nothing can have started are refused as not run.
+func (dispatcher *Dispatcher) refuseQueued(cell *cell) {
+	for entry := cell.queue.Next(); entry != nil; entry = cell.queue.Next() {
+		dispatcher.failJob(entry.Payload, messenger.ReasonNoBackendServer, dispatcher.noServerDetail())
+	}
+}
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -39,6 +39,7 @@
 func (dispatcher *Dispatcher) loseRestartedTasks(server *server) {
 	for _, task := range dispatcher.tasksOn(server) {
 		delete(server.running, task.key())
+		dispatcher.endFlight(task)
 		dispatcher.failJob(task.job, messenger.ReasonTaskUnknown,
 			"backend server "+string(server.id)+" restarted after it had been told to start task "+string(task.spec.Task))
 	}
@@ -116,6 +117,7 @@
 func (dispatcher *Dispatcher) markUnknown(task *task) {
 	task.state = taskUnknown
 	if task.job.state == jobFinished {
+		dispatcher.endFlight(task)
 		return
 	}
 	key := timerKey{kind: timerUnknownWait, submission: task.job.spec.Submission}
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -22,6 +22,7 @@
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(),
 	}
+	dispatcher.prepareLimits(cell)
 	dispatcher.cells.Put(input.Cell, cell)
 	for _, host := range input.Hosts {
 		cell.awaitedHosts[host] = true
@@ -161,13 +162,11 @@
 	if task == nil || task.state == taskAnswered {
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
-	}
+	dispatcher.takeFromQueue(cell, job, task)
 	task.state = taskStarted
 	task.server = server.id
-	job.anyStarted = true
 	server.running[key] = task
+	dispatcher.beginFlight(cell, task)
 }
 
 func (cell *cell) orphanOf(submission identifier.SubmissionID) *orphan {
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -121,10 +121,14 @@
 	return 0, true
 }
 
-// Start counts a task in flight and tells whether the team may start more.
-func (limiter *Limiter) Start(now identifier.Moment, team identifier.TeamID) bool {
+// Start counts a task in flight and tells whether the team may start more. Only
+// fresh starts, not repeated ones, add to the budgets for repeats.
+func (limiter *Limiter) Start(now identifier.Moment, team identifier.TeamID, fresh bool) bool {
 	account := limiter.account(now, team)
 	account.inFlight++
+	if !fresh {
+		return account.mayStart()
+	}
 	account.retries.add(now, limiter.Settings.RetryRatio)
 	limiter.domain.add(now, limiter.Settings.RetryRatio)
 	return account.mayStart()
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -51,7 +51,7 @@
 	case "retry":
 		return repeat(times, func() (time.Duration, bool) { return tested.Retry(moment, id) })
 	case "start":
-		return repeat(times, func() (time.Duration, bool) { return 0, tested.Start(moment, id) })
+		return repeat(times, func() (time.Duration, bool) { return 0, tested.Start(moment, id, true) })
 	case "end":
 		return repeat(times, func() (time.Duration, bool) { return 0, tested.End(moment, id) })
 	case "in-flight":
