Tell every lead of a cancellation

Sequence: forwarded to a lead, cancelled, forwarded again to the next lead. Cause: the cancellation went to the first lead only. Change: the forwarder remembers it and sends it after each forwarding. Measured: TestCancellationFollowsTheLead failed before and passes.

--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -20,7 +20,9 @@
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
 	copyHeld bool
-	answer   *messenger.JobAnswer
+	// cancelled tells that the caller has cancelled; every lead must learn of it.
+	cancelled bool
+	answer    *messenger.JobAnswer
 }
 
 // heldCopy is the second copy of a submission that another host leads.
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -109,6 +109,9 @@
 	})
 	front.forwardedTo = to
 	front.forwardedBefore = true
+	if front.cancelled {
+		forwarder.forwardCancel(front)
+	}
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
@@ -207,7 +210,12 @@
 		forwarder.cancelUnforwarded(front)
 		return
 	}
-	cancel := messenger.Cancel{Submission: input.Submission, Caller: input.Caller}
+	front.cancelled = true
+	forwarder.forwardCancel(front)
+}
+
+func (forwarder *Forwarder) forwardCancel(front *front) {
+	cancel := messenger.Cancel{Submission: front.job.Submission, Caller: front.job.Caller}
 	forwarder.add(&ForwardCancel{To: front.forwardedTo, Cancel: cancel})
 }
 
