Stop the tasks of a job that ends during a takeover

Sequence: a new lead takes the cell while a backend server runs a task; the job is forwarded again and cancelled, before or after that server's report. Cause: the lead stopped only tasks that it had matched with their job. Change: when a job ends, what was reported of it is matched and stopped; what is reported later is stopped then.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -164,6 +164,7 @@
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
 	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(cell, job)
 	dispatcher.endLostFlights(job)
 }
 
@@ -186,8 +187,7 @@
 		if task.state != taskStarted {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
-		batch.Cancels = append(batch.Cancels, task.key())
+		dispatcher.stop(task.server, task.key())
 	}
 }
 
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -159,6 +159,9 @@
 		return
 	}
 	task := job.byID[key.Task]
+	if task == nil && job.state == jobFinished {
+		dispatcher.stop(server.id, key)
+	}
 	if task == nil || task.state == taskAnswered {
 		return
 	}
@@ -167,6 +170,9 @@
 	task.server = server.id
 	server.running[key] = task
 	dispatcher.beginFlight(cell, task)
+	if job.state == jobFinished {
+		dispatcher.stop(server.id, key)
+	}
 }
 
 func (cell *cell) orphanOf(submission identifier.SubmissionID) *orphan {
--- /dev/null
+++ b/pkg/dispatcher/takeover_cancel_test.go
@@ -0,0 +1,42 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher/fake"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestCancelDuringTakeover: symptom: tasks of a cancelled job go on running (row
+// 13). Sequence: a new lead takes the cell while a backend server runs a task of a
+// submission; the job is forwarded again and cancelled, before or after that
+// server's report. Cause: the lead stops only the tasks that it has matched with
+// their job, and it matches none of a job that ended during the takeover.
+func TestCancelDuringTakeover(t *testing.T) {
+	job := newJob("s-1", "a", "counter", equalRuns(1, 0), nil)
+	key := dispatcher.TaskKey{Submission: "s-1", Task: "t-0"}
+	report := &dispatcher.ServerReported{Server: "server-0", Epoch: 2, Tasks: []dispatcher.TaskKey{key}}
+	forward := &dispatcher.JobForwarded{From: "entry-1", Job: job, Deadline: identifier.Never, Again: true}
+	cancel := &dispatcher.CancelArrived{From: "entry-1", Cancel: messenger.Cancel{Submission: "s-1", Caller: job.Caller}}
+	for name, inputs := range map[string][]dispatcher.Input{
+		"report first": {report, forward, cancel},
+		"report last":  {forward, cancel, report},
+	} {
+		lead := &dispatcher.Dispatcher{Self: "entry-0", FailureDomain: fake.Domain, Settings: dispatcher.DefaultSettings()}
+		lead.Tick(0, []dispatcher.Input{
+			&dispatcher.LeadTaken{Epoch: 2, Hosts: []identifier.HostID{"entry-0", "entry-1"}},
+			&dispatcher.ServerAnnounced{Server: "server-0", Incarnation: 1, Slots: 8},
+		})
+		stopped := 0
+		for _, output := range lead.Tick(1, inputs) {
+			if batch, isBatch := output.(*dispatcher.ToServer); isBatch {
+				stopped += len(batch.Cancels)
+			}
+		}
+		if stopped != 1 {
+			t.Errorf("%s: %d tasks were stopped, want 1", name, stopped)
+		}
+	}
+}
