Keep stopped tasks at the backend server until the answer is held

Symptom: a task starts a second time after the lead has died. Sequence: a job fails and its other task is stopped; that is acknowledged, so the backend server forgets the task; the lead dies before a second host holds the job's answer; the new lead finds no trace of the task and starts it. Cause: outcomes for a job that has ended were acknowledged at once. Change: they are acknowledged with the others, once the answer is held. Measured: TestStoppedTasksAreKeptUntilTheAnswerIsHeld failed before and passes.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -66,17 +66,25 @@
 	}
 	task := job.byID[answer.Task]
 	if job.state == jobFinished || task == nil || task.state == taskAnswered {
-		dispatcher.acknowledgeLate(job, server, answer.TaskKey)
+		dispatcher.acknowledgeLate(job, task, server, answer.TaskKey)
 		return
 	}
 	dispatcher.takeFromQueue(cell, job, task)
 	dispatcher.resolve(task, server.id, answer)
 }
 
-func (dispatcher *Dispatcher) acknowledgeLate(job *job, server *server, key TaskKey) {
+// acknowledgeLate acknowledges the outcome of a task whose job has ended. Until a
+// second host holds the job's answer it waits like the others: a backend server
+// that had forgotten the task would make a new lead believe that it never started.
+func (dispatcher *Dispatcher) acknowledgeLate(job *job, task *task, server *server, key TaskKey) {
 	if job.state != jobFinished {
 		return
 	}
+	if !job.answerHeld && task != nil {
+		task.state = taskAnswered
+		task.server = server.id
+		return
+	}
 	batch := dispatcher.outputs.toServer(server.id)
 	batch.Received = append(batch.Received, key)
 }
