--- a/pkg/assessor/entities.go
+++ b/pkg/assessor/entities.go
@@ -12,6 +12,8 @@
 	incarnation uint64
 	slots       identifier.Slots
 	state       state
+	// seasonedAt is when the server's process is old enough to be used in full.
+	seasonedAt identifier.Moment
 	// ramp bounds the allowance while the server proves itself; each success
 	// raises it by one, so that it doubles with each round of tasks.
 	ramp identifier.Slots
--- a/pkg/assessor/outcomes.go
+++ b/pkg/assessor/outcomes.go
@@ -34,7 +34,8 @@
 		assessor.leave(input.Server)
 	}
 	created := &server{id: input.Server, incarnation: input.Incarnation, slots: input.Slots, ramp: input.Slots, told: -1}
-	if input.Uptime < assessor.Settings.RampUp {
+	created.seasonedAt = assessor.now.Add(assessor.Settings.RampUp - input.Uptime)
+	if !assessor.seasoned(created) && assessor.anySeasoned() {
 		created.ramp = max(1, input.Slots/4)
 	}
 	created.ejectWait = assessor.Settings.EjectWait
@@ -43,6 +44,20 @@
 	assessor.tell(created)
 }
 
+func (assessor *Assessor) seasoned(server *server) bool { return server.seasonedAt.Due(assessor.now) }
+
+// anySeasoned tells whether a server has run for a while. Where all are new, as
+// when a failure domain starts, none is emptier than the others and holding all
+// back would only cost capacity.
+func (assessor *Assessor) anySeasoned() bool {
+	found := false
+	assessor.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		found = assessor.seasoned(server)
+		return !found
+	})
+	return found
+}
+
 func (assessor *Assessor) resize(server *server, slots identifier.Slots) {
 	assessor.slots += slots - server.slots
 	if server.state == stateEjected {
--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -47,6 +47,7 @@
 		task.spec = &input.Job.Tasks[index]
 		created.byID[task.spec.Task] = task
 	}
+	created.orderTasks()
 	dispatcher.timers.Set(timerKey{kind: timerJobDeadline, submission: input.Job.Submission}, input.Deadline)
 	return created
 }
@@ -82,6 +83,7 @@
 
 // beginFresh starts a job that no lead has seen before.
 func (dispatcher *Dispatcher) beginFresh(cell *cell, job *job) {
+	dispatcher.measureJob(cell, job)
 	if refusal := dispatcher.refuseAtAdmission(cell, job); refusal != nil {
 		dispatcher.finish(job, refusal)
 		return
@@ -93,11 +95,3 @@
 	}
 	dispatcher.enqueue(cell, job)
 }
-
-// refuseAtAdmission returns a refusal for a job that can't be served, or nil.
-func (dispatcher *Dispatcher) refuseAtAdmission(cell *cell, job *job) *messenger.JobAnswer {
-	if cell.queuedTasks+len(job.tasks) > dispatcher.Settings.QueuedTasks {
-		return messenger.Refuse(job.spec.Submission, messenger.ReasonQueueFull, "the queue has no room for the job's tasks")
-	}
-	return nil
-}
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -32,6 +32,10 @@
 		dispatcher.fence(cell, server)
 	case RefusalLeaving:
 		dispatcher.setLeaving(server, true)
+	case RefusalDeadlinePassed:
+		dispatcher.undoStart(cell, server, task)
+		dispatcher.failJob(task.job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was answered")
+		return
 	}
 	dispatcher.returnToQueue(cell, server, task)
 }
@@ -52,6 +56,7 @@
 // recordAnswer takes the outcome of one task. An answer that comes twice, late,
 // or for a job that has ended is acknowledged and otherwise ignored.
 func (dispatcher *Dispatcher) recordAnswer(cell *cell, server *server, answer ServerAnswer) {
+	dispatcher.noteAnswer(cell, server.running[answer.TaskKey], answer)
 	delete(server.running, answer.TaskKey)
 	cell.free.update(server)
 	job := dispatcher.jobs.Get(answer.Submission)
@@ -69,9 +74,7 @@
 	if task == nil || task.state == taskAnswered {
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
-	}
+	dispatcher.takeFromQueue(cell, job, task)
 	dispatcher.noteOutcome(job, server, answer)
 	dispatcher.resolve(task, server.id, answer)
 }
@@ -98,7 +101,6 @@
 	task.state = taskAnswered
 	task.server = server
 	task.result = answer.Result
-	job.anyStarted = true
 	job.unresolved--
 	if answer.Failed || answer.Cancelled {
 		dispatcher.failTask(task, answer)
@@ -134,15 +136,10 @@
 		return
 	}
 	if job.state == jobRecovering {
-		// Another host may keep the submission's answer already, and a submission
-		// has one answer. The takeover tells; it ends soon.
-		if job.failure == nil {
-			job.failure = &failure{reason: reason, detail: detail}
-		}
+		dispatcher.failAfterTakeover(job, &failure{reason: reason, detail: detail})
 		return
 	}
-	mayHaveStarted := job.anyStarted || job.again
-	if !mayHaveStarted {
+	if !job.mayHaveStarted() {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
 	}
@@ -154,6 +151,35 @@
 	})
 }
 
+// mayHaveStarted tells whether any task was started by this lead, or may have
+// been by an earlier one. A start that was refused did not happen.
+func (job *job) mayHaveStarted() bool {
+	return job.again || job.state == jobRecovering || job.hasStarted()
+}
+
+// hasStarted tells whether a task of the job was started or is reported by a
+// backend server.
+func (job *job) hasStarted() bool {
+	for index := range job.tasks {
+		if state := job.tasks[index].state; state != taskQueued && state != taskHeld {
+			return true
+		}
+	}
+	return false
+}
+
+// failAfterTakeover stops what runs for a job and fails it when the takeover of its
+// cell is over. Another host may keep the submission's answer already, and a
+// submission has one answer. The takeover tells; it ends soon.
+func (dispatcher *Dispatcher) failAfterTakeover(job *job, cause *failure) {
+	if job.failure != nil {
+		return
+	}
+	job.failure = cause
+	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(dispatcher.cells.Get(job.cell), job)
+}
+
 // finish gives a job its one answer, sends it to all who wait, and stops what
 // still runs for it.
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
@@ -167,22 +193,25 @@
 	submission := job.spec.Submission
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
 	dispatcher.timers.Clear(timerKey{kind: timerUnknownWait, submission: submission})
+	dispatcher.timers.Clear(timerKey{kind: timerRetry, submission: submission})
 	forgetAt := dispatcher.now.Add(dispatcher.Settings.AnswerRetention)
 	dispatcher.timers.Set(timerKey{kind: timerForget, submission: submission}, forgetAt)
 	for _, holder := range job.holders {
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
 	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(cell, job)
+	dispatcher.endLostFlights(job)
 }
 
 func (dispatcher *Dispatcher) leaveQueue(cell *cell, job *job) {
 	if cell == nil || job.state != jobRunning {
 		return
 	}
+	cell.queue.Remove(&job.entry)
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		if task.state == taskQueued {
-			cell.queuedTasks--
+		if task.state == taskQueued || task.state == taskHeld {
 			task.state = taskAnswered
 		}
 	}
@@ -194,8 +223,7 @@
 		if task.state != taskStarted {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(job.cell, task.server)
-		batch.Cancels = append(batch.Cancels, task.key())
+		dispatcher.stop(task.server, task.key())
 	}
 }
 
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -20,7 +20,9 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/estimator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/selector"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
@@ -54,6 +56,8 @@
 	SharedServers bool
 	// Health adjusts how servers are judged.
 	Health assessor.Settings
+	// Limits says who may queue how much, and what is refused early.
+	Limits LimitSettings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -68,6 +72,7 @@
 		ServerDiscovery:  3 * time.Second,
 		Selection:        selector.DefaultSettings(),
 		Health:           assessor.DefaultSettings(),
+		Limits:           DefaultLimitSettings(),
 	}
 }
 
@@ -89,6 +94,10 @@
 	// assessor judges servers by outcomes, the events of this tick.
 	assessor *assessor.Assessor
 	outcomes []assessor.Input
+
+	estimator  *estimator.Estimator
+	teamLimits []limiter.TeamLimits
+	classes    map[identifier.ClassName]ClassLimits
 }
 
 // Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
@@ -123,9 +132,11 @@
 	dispatcher.servers = tabulator.New[serverKey, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
+	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
 }
 
 func (dispatcher *Dispatcher) apply(input Input) {
+	dispatcher.noteCapacity(input)
 	switch input := input.(type) {
 	case *LeadTaken:
 		dispatcher.takeLead(input)
@@ -147,6 +158,8 @@
 		dispatcher.releaseAnswers(input)
 	case *ClaimDecided:
 		dispatcher.decideClaim(input)
+	case *LimitsConfigured:
+		dispatcher.configureLimits(input)
 	case *ServerAnnounced:
 		dispatcher.announceServer(input)
 	case *ServerReported:
--- a/pkg/dispatcher/health.go
+++ b/pkg/dispatcher/health.go
@@ -36,7 +36,11 @@
 func (dispatcher *Dispatcher) assess() {
 	inputs := dispatcher.outcomes
 	dispatcher.outcomes = nil
-	for _, output := range dispatcher.assessor.Tick(dispatcher.now, inputs) {
+	outputs := dispatcher.assessor.Tick(dispatcher.now, inputs)
+	if len(outputs) > 0 {
+		dispatcher.markCapacityStale()
+	}
+	for _, output := range outputs {
 		changed := output.(*assessor.AllowanceChanged)
 		dispatcher.eachView(changed.Server, func(server *server) {
 			server.allowed = changed.Slots
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -23,7 +23,7 @@
 	if known && recovered.knownSince < job.firstForwarded {
 		job.firstForwarded = recovered.knownSince
 	}
-	mayHaveStarted := known || job.again || job.anyStarted || found != nil
+	mayHaveStarted := known || job.again || job.hasStarted() || found != nil
 	if !mayHaveStarted && job.failure == nil {
 		dispatcher.beginFresh(cell, job)
 		return
@@ -51,7 +51,7 @@
 func (dispatcher *Dispatcher) resume(cell *cell, job *job, found *orphan) {
 	job.state = jobRunning
 	job.again = true
-	job.anyStarted = true
+	dispatcher.measureJob(cell, job)
 	for index := range job.tasks {
 		dispatcher.resumeTask(cell, &job.tasks[index], found)
 	}
@@ -82,9 +82,7 @@
 	}
 	if dispatcher.unaccountedSince(cell, task.job.firstForwarded) {
 		dispatcher.markUnknown(task)
-		return
 	}
-	cell.queuedTasks++
 }
 
 // resumeRunning waits for a task that a backend server has reported as running.
@@ -98,6 +96,7 @@
 		return
 	}
 	server.running[task.key()] = task
+	dispatcher.beginFlight(cell, task)
 	cell.free.update(server)
 	if !server.connected || server.silent {
 		dispatcher.markUnknown(task)
@@ -158,14 +157,15 @@
 }
 
 func (dispatcher *Dispatcher) queueUnplaced(cell *cell, job *job) {
+	placed := 0
 	for index := range job.tasks {
 		task := &job.tasks[index]
 		if !task.unplaced() {
 			continue
 		}
 		task.state = taskQueued
-		cell.queuedTasks++
+		placed++
 	}
 	job.nextQueued = 0
-	dispatcher.joinQueue(cell, job)
+	dispatcher.pushTasks(cell, job, placed)
 }
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -54,6 +54,7 @@
 func (dispatcher *Dispatcher) loseRestartedTasks(server *server) {
 	for _, task := range dispatcher.tasksOn(server) {
 		delete(server.running, task.key())
+		dispatcher.endFlight(task)
 		dispatcher.failJob(task.job, messenger.ReasonTaskUnknown,
 			"backend server "+string(server.id)+" restarted after it had been told to start task "+string(task.spec.Task))
 	}
@@ -159,6 +160,7 @@
 func (dispatcher *Dispatcher) markUnknown(task *task) {
 	task.state = taskUnknown
 	if task.job.state == jobFinished {
+		dispatcher.endFlight(task)
 		return
 	}
 	task.unknownUntil = dispatcher.now.Add(dispatcher.Settings.UnknownTaskWait)
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -23,6 +23,7 @@
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(dispatcher.selection(input.Cell)),
 	}
+	dispatcher.prepareLimits(cell)
 	dispatcher.cells.Put(input.Cell, cell)
 	for _, host := range input.Hosts {
 		cell.awaitedHosts[host] = true
@@ -170,21 +171,20 @@
 		return
 	}
 	task := job.byID[key.Task]
-	if job.state == jobFinished {
-		// The job ended while the server could not be told to stop.
-		batch := dispatcher.outputs.toServer(cell.number, server.id)
-		batch.Cancels = append(batch.Cancels, key)
+	if task == nil && job.state == jobFinished {
+		dispatcher.stop(server.id, key)
 	}
 	if task == nil || task.state == taskAnswered {
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
-	}
+	dispatcher.takeFromQueue(cell, job, task)
 	task.state = taskStarted
 	task.server = server.id
-	job.anyStarted = true
 	server.running[key] = task
+	dispatcher.beginFlight(cell, task)
+	if job.state == jobFinished || job.failure != nil {
+		dispatcher.stop(server.id, key)
+	}
 }
 
 func (cell *cell) orphanOf(submission identifier.SubmissionID) *orphan {
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -20,7 +20,9 @@
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
 	copyHeld bool
-	answer   *messenger.JobAnswer
+	// cancelled tells that the caller has cancelled; every lead must learn of it.
+	cancelled bool
+	answer    *messenger.JobAnswer
 	// answerHeldBack tells that the callers hear the answer once another host holds
 	// it, or after a short wait.
 	answerHeldBack bool
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -111,6 +111,9 @@
 	})
 	front.forwardedTo = to
 	front.forwardedBefore = true
+	if front.cancelled {
+		forwarder.forwardCancel(front)
+	}
 	last := forwarder.now
 	if front.deadline != identifier.Never {
 		last = max(last, front.deadline)
@@ -310,7 +313,12 @@
 		forwarder.cancelUnforwarded(front)
 		return
 	}
-	cancel := messenger.Cancel{Submission: input.Submission, Caller: input.Caller}
+	front.cancelled = true
+	forwarder.forwardCancel(front)
+}
+
+func (forwarder *Forwarder) forwardCancel(front *front) {
+	cancel := messenger.Cancel{Submission: front.job.Submission, Caller: front.job.Caller}
 	forwarder.add(&ForwardCancel{To: front.forwardedTo, Cancel: cancel})
 }
 
