Let a host that holds an answer correct a deposed lead's failure

Symptom: one caller hears 'complete', another 'failed', of one submission. Sequence: two leads are cut off from each other; the newer one completes the job, the deposed one fails it and asks the same neighbour to hold that answer. Change: the neighbour sends back the answer that it holds; the failure has not been told yet and is replaced. Answers have their own file.

--- /dev/null
+++ b/pkg/forwarder/answers.go
@@ -0,0 +1,146 @@
+package forwarder
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// recordAnswer takes the one answer of a submission. A second one is ignored.
+func (forwarder *Forwarder) recordAnswer(input *AnswerArrived) {
+	front := forwarder.fronts.Get(input.Answer.Submission)
+	if front == nil {
+		forwarder.answerQuestion(input)
+		return
+	}
+	if front.answerHeldBack && input.From != forwarder.Self {
+		forwarder.replaceHeldBack(input, front)
+		return
+	}
+	if front.answer != nil {
+		forwarder.confirmAnswer(input.From, front)
+		return
+	}
+	front.answer = trustedAnswer(input, front)
+	submission := front.job.Submission
+	forwarder.timers.Clear(timerKey{kind: timerHomeWait, submission: submission})
+	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+	forwarder.timers.Clear(timerKey{kind: timerAskAgain, submission: submission})
+	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
+	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: submission}, forgetAt)
+	forwarder.confirmAnswer(input.From, front)
+	if forwarder.mustSpreadFirst(input.From, front) {
+		front.answerHeldBack = true
+		due := forwarder.now.Add(forwarder.Settings.CopyWait)
+		forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: submission}, due)
+		return
+	}
+	forwarder.answerWaiters(front)
+}
+
+// trustedAnswer takes the claim "not run" out of an answer that does not come from
+// the lead which has the job now: a lead that was deposed can't know what the next
+// one starts.
+func trustedAnswer(input *AnswerArrived, front *front) *messenger.JobAnswer {
+	if !input.Answer.NotRun || input.From == front.forwardedTo {
+		return input.Answer
+	}
+	careful := *input.Answer
+	careful.NotRun = false
+	return &careful
+}
+
+// mustSpreadFirst tells whether another host must hold the answer before a caller
+// hears it. That is so for failures where this host is the lead itself: if it died
+// just after it had told the failure, the next lead could finish the job and a
+// resend would hear that it is complete. It costs one message to a neighbour and
+// back. A complete answer needs no such wait: its parts are kept by the backend
+// servers, and the next lead puts the same answer together.
+func (forwarder *Forwarder) mustSpreadFirst(from identifier.HostID, front *front) bool {
+	return from == forwarder.Self && front.answer.Outcome == messenger.OutcomeFailed && !front.answerAlone
+}
+
+func (forwarder *Forwarder) answerWaiters(front *front) {
+	front.answerHeldBack = false
+	for _, waiter := range front.waiters {
+		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
+	}
+	front.waiters = nil
+}
+
+// confirmAnswer tells the lead that two hosts hold the answer. Where this host
+// is the lead, another host must hold a copy first.
+func (forwarder *Forwarder) confirmAnswer(from identifier.HostID, front *front) {
+	if from != forwarder.Self {
+		forwarder.add(&ConfirmAnswer{To: from, Submission: front.job.Submission})
+		return
+	}
+	second := front.copyAt
+	if second == "" {
+		second = forwarder.secondHost("")
+	}
+	if second == "" {
+		forwarder.keepAnswerAlone(front)
+		return
+	}
+	forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
+}
+
+// keepAnswerAlone waits for a second host to hold the answer. Meanwhile the
+// backend servers keep the answers of the tasks: if they forgot them at once and
+// another host took the cell, it would find no trace of the submission and a
+// resend would run again. The wait is bounded, because backend servers hold the
+// answers of every job meanwhile.
+func (forwarder *Forwarder) keepAnswerAlone(front *front) {
+	front.answerAlone = true
+	due := forwarder.now.Add(forwarder.Settings.LoneAnswerWait)
+	forwarder.timers.Set(timerKey{kind: timerLoneAnswer, submission: front.job.Submission}, due)
+}
+
+// confirmLoneAnswer goes on without a second host once the wait is over.
+func (forwarder *Forwarder) confirmLoneAnswer(submission identifier.SubmissionID) {
+	front := forwarder.fronts.Get(submission)
+	if front == nil || !front.answerAlone {
+		return
+	}
+	front.answerAlone = false
+	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: submission})
+}
+
+// spreadLoneAnswers has a host that has come hold the answers which stand here
+// alone.
+func (forwarder *Forwarder) spreadLoneAnswers() {
+	second := forwarder.secondHost("")
+	if second == "" {
+		return
+	}
+	forwarder.fronts.Each(func(submission identifier.SubmissionID, front *front) bool {
+		if front.answerAlone {
+			front.answerAlone = false
+			forwarder.timers.Clear(timerKey{kind: timerLoneAnswer, submission: submission})
+			forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
+		}
+		return true
+	})
+}
+
+func (forwarder *Forwarder) recordAnswerCopyHeld(input *AnswerCopyHeld) {
+	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: input.Submission})
+	forwarder.releaseHeldBack(input.Submission)
+}
+
+// replaceHeldBack takes the answer that another host holds already in place of one
+// that no caller has heard yet.
+func (forwarder *Forwarder) replaceHeldBack(input *AnswerArrived, front *front) {
+	front.answer = input.Answer
+	forwarder.confirmAnswer(input.From, front)
+	forwarder.releaseHeldBack(input.Answer.Submission)
+}
+
+// releaseHeldBack tells the callers an answer that waited for its second copy.
+func (forwarder *Forwarder) releaseHeldBack(submission identifier.SubmissionID) {
+	front := forwarder.fronts.Get(submission)
+	if front != nil && front.answerHeldBack {
+		forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+		forwarder.answerWaiters(front)
+	}
+}
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -134,6 +134,11 @@
 		held = &heldCopy{record: messenger.CopyRecord{Submission: submission}, heldAt: forwarder.now}
 		forwarder.copies.Put(submission, held)
 	}
+	if held.answer != nil && held.answer.Outcome != input.Answer.Outcome {
+		// The sender was deposed without knowing it, and the new lead has answered.
+		forwarder.add(&SendAnswer{To: input.From, Answer: held.answer})
+		return
+	}
 	held.answer = input.Answer
 	forwarder.expireCopyLater(submission)
 	forwarder.add(&ConfirmAnswerCopy{To: input.From, Submission: submission})
