Hand jobs to another failure domain when home has no room for them

A job of which nothing has started goes whole to the lead of another failure domain of its may-run whose free slots take it at once, when at home it would wait for longer than the way and a margin, or when home has no usable server. A second host remembers where it goes first; it starts at home only after a true 'not run'; the other lead never hands it on.

--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -32,6 +32,21 @@
 	})
 }
 
+// TestPromisesAcrossFailureDomains does the same with two small failure domains
+// that hand jobs to each other.
+func TestPromisesAcrossFailureDomains(t *testing.T) {
+	if !*long {
+		fixSeed(t, "20261203", "400")
+	}
+	domains := []identifier.FailureDomain{"leuven", "roeselare"}
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &machine{network: newNetwork(domains, 2, 2, 2), domains: domains}
+		machine.network.trace = *trace
+		t.Repeat(rapid.StateMachineActions(machine))
+		machine.heal(t)
+	})
+}
+
 // fixSeed makes rapid draw the same runs each time.
 func fixSeed(t *testing.T, seed, checks string) {
 	t.Helper()
@@ -46,6 +61,7 @@
 type machine struct {
 	network *network
 	jobs    []*messenger.Job
+	domains []identifier.FailureDomain
 	// calmAt is when the last fault among hosts is over and made good. The record
 	// of a submission stands in two hosts' memory, so a run has one such fault at a
 	// time; faults of backend servers mix with it freely.
@@ -80,6 +96,18 @@
 	return machine.jobs[rapid.IntRange(0, len(machine.jobs)-1).Draw(t, "job")]
 }
 
+// drawMayRun draws where a job may run; its home comes first.
+func (machine *machine) drawMayRun(t *rapid.T) []identifier.FailureDomain {
+	if len(machine.domains) == 0 {
+		return []identifier.FailureDomain{"leuven"}
+	}
+	mayRun := rapid.Permutation(machine.domains).Draw(t, "may run")
+	if rapid.Bool().Draw(t, "home only") {
+		return mayRun[:1]
+	}
+	return mayRun
+}
+
 // Submit sends a new job.
 func (machine *machine) Submit(t *rapid.T) {
 	number := len(machine.jobs)
@@ -89,7 +117,7 @@
 		Caller:     "desk",
 		Team:       "team",
 		Repeatable: true,
-		MayRun:     []identifier.FailureDomain{"leuven"},
+		MayRun:     machine.drawMayRun(t),
 	}
 	for index := range rapid.IntRange(1, 6).Draw(t, "width") {
 		runTime := rapid.SampledFrom([]string{"1ms", "50ms", "400ms", "4s"}).Draw(t, "run time")
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -86,6 +86,9 @@
 	LeadNotice        *messenger.LeadNotice     `cbor:"11,keyasint,omitempty"`
 	Lookup            *messenger.Lookup         `cbor:"12,keyasint,omitempty"`
 	Cancel            *messenger.Cancel         `cbor:"13,keyasint,omitempty"`
+	Load              *messenger.LoadNotice     `cbor:"20,keyasint,omitempty"`
+	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
+	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -18,10 +18,12 @@
 // and the connections between them. A connection delivers in order; what is under
 // way when it breaks is lost.
 type network struct {
-	now         identifier.Moment
-	events      eventHeap
-	counter     int
-	hosts       []*fakeHost
+	now     identifier.Moment
+	events  eventHeap
+	counter int
+	hosts   []*fakeHost
+	// leads are the hosts that last took a cell in each failure domain.
+	leads       map[identifier.FailureDomain]*fakeHost
 	servers     []*fakeServer
 	connections map[string]*connection
 	oracle      *oracle
@@ -74,7 +76,7 @@
 const hop = 250 * time.Microsecond
 
 func newNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots) *network {
-	created := &network{connections: make(map[string]*connection), oracle: newOracle()}
+	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
 	for _, domain := range domains {
 		for index := range hostsEach {
 			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain}
@@ -139,6 +141,10 @@
 	})
 }
 
+func (network *network) leadOf(domain identifier.FailureDomain) *fakeHost {
+	return network.leads[domain]
+}
+
 func (network *network) host(id identifier.HostID) *fakeHost {
 	for _, host := range network.hosts {
 		if host.id == id {
@@ -244,6 +250,8 @@
 	case *coordinator.ToServer:
 		server := network.server(output.Batch.Server)
 		network.send(string(host.id), string(server.id), func() { server.handle(host, output.Batch) })
+	case *coordinator.LeadChanged:
+		network.leads[host.domain] = host
 	case *coordinator.ToCaller:
 		network.oracle.answered(output.Answer.Waiter, output.Answer.Answer)
 	}
--- a/pkg/coordinator/peers.go
+++ b/pkg/coordinator/peers.go
@@ -20,6 +20,7 @@
 		coordinator.hostsChanged()
 		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host.ID})
 	}
+	coordinator.tellDispatcher(&dispatcher.RemoteReachable{Host: host.ID, Reachable: true})
 	coordinator.tellForwarder(&forwarder.HostReachable{Host: host.ID, Reachable: true})
 	for index := range coordinator.leads.cells {
 		cell := &coordinator.leads.cells[index]
@@ -37,6 +38,7 @@
 		coordinator.hostsChanged()
 		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host.ID})
 	}
+	coordinator.tellDispatcher(&dispatcher.RemoteReachable{Host: host.ID, Reachable: false})
 	coordinator.tellForwarder(&forwarder.HostReachable{Host: host.ID, Reachable: false})
 }
 
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -39,6 +41,14 @@
 		coordinator.tellForwarder(&forwarder.CopiesWanted{From: from, Records: message.CopyRequest})
 	case message.CopyReceipt != nil:
 		coordinator.tellForwarder(&forwarder.CopiesHeld{From: from, Submissions: message.CopyReceipt})
+		coordinator.tellDispatcher(&dispatcher.SpillRecorded{Submissions: message.CopyReceipt})
+	case message.Load != nil:
+		coordinator.tellDispatcher(&dispatcher.LoadNoticed{From: from, Notice: *message.Load})
+	case message.Spill != nil:
+		deadline := identifier.DeadlineFrom(coordinator.now, message.Spill.Remaining)
+		coordinator.tellDispatcher(&dispatcher.SpillArrived{From: from, Request: *message.Spill, Deadline: deadline})
+	case message.SpillAnswer != nil:
+		coordinator.tellDispatcher(&dispatcher.SpillAnswered{From: from, Answer: message.SpillAnswer})
 	case message.AnswerCopy != nil:
 		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Answer: message.AnswerCopy})
 	case message.AnswerCopyReceipt != "":
@@ -61,6 +71,9 @@
 
 func (coordinator *Coordinator) noticeLead(notice messenger.LeadNotice) {
 	coordinator.leads.noticed(notice)
+	if notice.FailureDomain != coordinator.Self.FailureDomain {
+		coordinator.tellDispatcher(&dispatcher.RemoteLeadKnown{Notice: notice})
+	}
 	offeredToSelf := notice.FailureDomain == coordinator.Self.FailureDomain && notice.Host == coordinator.Self.ID
 	if !offeredToSelf {
 		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
@@ -157,6 +170,26 @@
 	}
 }
 
+// recordSpill has a second host of the failure domain remember where a job goes:
+// the caller's, which knows the job already, or else another. A host that is alone
+// goes on without.
+func (coordinator *Coordinator) recordSpill(output *dispatcher.RecordSpill) {
+	others := func(host identifier.HostID) bool {
+		return host != coordinator.Self.ID && slices.Contains(coordinator.leads.living, host)
+	}
+	index := slices.IndexFunc(output.Holders, others)
+	holders := output.Holders
+	if index < 0 {
+		holders = coordinator.leads.living
+		index = slices.IndexFunc(holders, others)
+	}
+	if index < 0 {
+		coordinator.tellDispatcher(&dispatcher.SpillRecorded{Submissions: []identifier.SubmissionID{output.Record.Submission}})
+		return
+	}
+	coordinator.outputs.toPeer(holders[index], PeerMessage{CopyRequest: []messenger.CopyRecord{output.Record}})
+}
+
 func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
 	if to == coordinator.Self.ID {
 		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
@@ -187,6 +220,18 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
+	case *dispatcher.LoadTold:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Load: &output.Notice})
+	case *dispatcher.RecordSpill:
+		coordinator.recordSpill(output)
+	case *dispatcher.SpillJob:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Spill: &output.Request})
+	case *dispatcher.AnswerSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{SpillAnswer: output.Answer})
+	case *dispatcher.ConfirmSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
+	case *dispatcher.CancelSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
 	case *dispatcher.EpochSeen:
 		coordinator.leads.sawEpoch(output.Cell, output.Epoch)
 	}
--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -84,14 +84,27 @@
 // beginFresh starts a job that no lead has seen before.
 func (dispatcher *Dispatcher) beginFresh(cell *cell, job *job) {
 	dispatcher.measureJob(cell, job)
-	if refusal := dispatcher.refuseAtAdmission(cell, job); refusal != nil {
+	if refusal := dispatcher.refuseUnlessSpilled(cell, job); refusal != nil {
 		dispatcher.finish(job, refusal)
 		return
 	}
-	if !job.spec.Repeatable {
+	if !job.spec.Repeatable && !job.claimed {
 		job.state = jobAwaitingClaim
 		dispatcher.outputs.add(&ClaimWanted{Submission: job.spec.Submission, Caller: job.spec.Caller, Job: job.spec.Job})
 		return
 	}
-	dispatcher.enqueue(cell, job)
+	dispatcher.place(cell, job)
+}
+
+// refuseUnlessSpilled returns a refusal for a fresh job that can be served neither
+// here nor elsewhere, or nil. A job that is handed over is charged to its team's
+// rate all the same.
+func (dispatcher *Dispatcher) refuseUnlessSpilled(cell *cell, job *job) *messenger.JobAnswer {
+	if refusal := dispatcher.refuseGuest(cell, job); refusal != nil {
+		return refusal
+	}
+	if dispatcher.spillTarget(cell, job) != nil {
+		return dispatcher.refuseOverRate(cell, job)
+	}
+	return dispatcher.refuseAtAdmission(cell, job)
 }
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -185,6 +185,9 @@
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
 	cell := dispatcher.cells.Get(job.cell)
 	dispatcher.leaveQueue(cell, job)
+	if job.state == jobSpilled && answer.Outcome != messenger.OutcomeComplete {
+		dispatcher.stopSpilled(job)
+	}
 	job.state = jobFinished
 	if cell != nil && cell.mayMissRecords() {
 		answer.NotRun = false
@@ -199,6 +202,10 @@
 	for _, holder := range job.holders {
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
+	if job.guestOf != "" {
+		dispatcher.outputs.add(&AnswerSpill{To: job.guestOf, Answer: answer})
+	}
+	dispatcher.timers.Clear(job.timer(timerSpill))
 	dispatcher.stopRunning(job)
 	dispatcher.stopOrphans(cell, job)
 	dispatcher.endLostFlights(job)
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -54,6 +54,8 @@
 	// of the failure domain. Each lead then sees only its own starts and, with the
 	// heartbeats, how many slots are busy. It is meant for baselines.
 	SharedServers bool
+	// Spill adjusts when jobs are handed to other failure domains.
+	Spill SpillSettings
 	// Health adjusts how servers are judged.
 	Health assessor.Settings
 	// Limits says who may queue how much, and what is refused early.
@@ -72,6 +74,7 @@
 		ServerDiscovery:  3 * time.Second,
 		Selection:        selector.DefaultSettings(),
 		Health:           assessor.DefaultSettings(),
+		Spill:            DefaultSpillSettings(),
 		Limits:           DefaultLimitSettings(),
 	}
 }
@@ -91,6 +94,8 @@
 	jobs      *tabulator.Table[identifier.SubmissionID, job]
 	timers    *tabulator.Timers[timerKey]
 	outputs   outbox
+	// remotes are the leads of other failure domains.
+	remotes *tabulator.Table[remoteKey, remote]
 	// assessor judges servers by outcomes, the events of this tick.
 	assessor *assessor.Assessor
 	outcomes []assessor.Input
@@ -110,6 +115,7 @@
 	dispatcher.expire()
 	dispatcher.assess()
 	dispatcher.assign()
+	dispatcher.tellLoad()
 	return dispatcher.outputs.drain()
 }
 
@@ -131,6 +137,7 @@
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
 	dispatcher.servers = tabulator.New[serverKey, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
+	dispatcher.remotes = tabulator.New[remoteKey, remote]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
 	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
 }
@@ -142,6 +149,18 @@
 		dispatcher.takeLead(input)
 	case *LeadLost:
 		dispatcher.loseLead(input)
+	case *RemoteLeadKnown:
+		dispatcher.recordRemoteLead(input)
+	case *RemoteReachable:
+		dispatcher.recordRemoteReachability(input)
+	case *LoadNoticed:
+		dispatcher.recordLoad(input)
+	case *SpillRecorded:
+		dispatcher.sendSpilled(input)
+	case *SpillArrived:
+		dispatcher.admitGuest(input)
+	case *SpillAnswered:
+		dispatcher.recordSpillAnswer(input)
 	case *HostReturned:
 		dispatcher.askReturnedHost(input)
 	case *HostGone:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -33,6 +33,10 @@
 	// unplaced are jobs with tasks that some backend server may have which has not
 	// reported yet.
 	unplaced []*job
+	// toldFree and toldAt are the free slots that were last told to the leads of
+	// other failure domains, and when.
+	toldFree identifier.Slots
+	toldAt   identifier.Moment
 	// slots are those of the usable servers; they are counted again when stale.
 	slots         identifier.Slots
 	capacityStale bool
@@ -138,6 +142,15 @@
 	answer     *messenger.JobAnswer
 	// answerHeld tells that a second host holds the answer.
 	answerHeld bool
+	// spilledTo is the failure domain that the job is handed over to, spillMode
+	// what its lead may do; after spillUnknownUntil the job fails, because that lead
+	// is out of reach.
+	spilledTo         identifier.FailureDomain
+	spillMode         messenger.SpillMode
+	spillUnknownUntil identifier.Moment
+	// guestOf is the lead of the job's home in another failure domain; empty for
+	// jobs that are at home here.
+	guestOf identifier.HostID
 	// failure is why the job failed while its cell's takeover was under way; it
 	// is told once the takeover has shown that there is no answer yet.
 	failure *failure
@@ -168,6 +181,10 @@
 	return TaskKey{Submission: task.job.spec.Submission, Task: task.spec.Task}
 }
 
+func (job *job) timer(kind timerKind) timerKey {
+	return timerKey{kind: kind, submission: job.spec.Submission}
+}
+
 // timerKind tells which deadline a timer stands for.
 type timerKind int
 
@@ -180,6 +197,8 @@
 	timerTakeover
 	timerRetry
 	timerNoServer
+	timerSpill
+	timerLoad
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/enums.go
+++ b/pkg/dispatcher/enums.go
@@ -50,5 +50,9 @@
 	jobRecovering jobState = iota
 	jobAwaitingClaim
 	jobRunning
+	// jobSpilling means that a second host is to remember where the job goes.
+	jobSpilling
+	// jobSpilled means that another failure domain has the job.
+	jobSpilled
 	jobFinished
 )
--- a/pkg/dispatcher/enums_enumer.go
+++ b/pkg/dispatcher/enums_enumer.go
@@ -294,11 +294,11 @@
 	return err
 }
 
-const _jobStateName = "recoveringawaiting-claimrunningfinished"
+const _jobStateName = "recoveringawaiting-claimrunningspillingspilledfinished"
 
-var _jobStateIndex = [...]uint8{0, 10, 24, 31, 39}
+var _jobStateIndex = [...]uint8{0, 10, 24, 31, 39, 46, 54}
 
-const _jobStateLowerName = "recoveringawaiting-claimrunningfinished"
+const _jobStateLowerName = "recoveringawaiting-claimrunningspillingspilledfinished"
 
 func (i jobState) String() string {
 	if i < 0 || i >= jobState(len(_jobStateIndex)-1) {
@@ -314,23 +314,29 @@
 	_ = x[jobRecovering-(0)]
 	_ = x[jobAwaitingClaim-(1)]
 	_ = x[jobRunning-(2)]
-	_ = x[jobFinished-(3)]
+	_ = x[jobSpilling-(3)]
+	_ = x[jobSpilled-(4)]
+	_ = x[jobFinished-(5)]
 }
 
-var _jobStateValues = []jobState{jobRecovering, jobAwaitingClaim, jobRunning, jobFinished}
+var _jobStateValues = []jobState{jobRecovering, jobAwaitingClaim, jobRunning, jobSpilling, jobSpilled, jobFinished}
 
 var _jobStateNameToValueMap = map[string]jobState{
 	_jobStateName[0:10]:  jobRecovering,
 	_jobStateName[10:24]: jobAwaitingClaim,
 	_jobStateName[24:31]: jobRunning,
-	_jobStateName[31:39]: jobFinished,
+	_jobStateName[31:39]: jobSpilling,
+	_jobStateName[39:46]: jobSpilled,
+	_jobStateName[46:54]: jobFinished,
 }
 
 var _jobStateLowerNameToValueMap = map[string]jobState{
 	_jobStateLowerName[0:10]:  jobRecovering,
 	_jobStateLowerName[10:24]: jobAwaitingClaim,
 	_jobStateLowerName[24:31]: jobRunning,
-	_jobStateLowerName[31:39]: jobFinished,
+	_jobStateLowerName[31:39]: jobSpilling,
+	_jobStateLowerName[39:46]: jobSpilled,
+	_jobStateLowerName[46:54]: jobFinished,
 }
 
 var _jobStateNames = []string{
@@ -338,6 +344,8 @@
 	_jobStateName[10:24],
 	_jobStateName[24:31],
 	_jobStateName[31:39],
+	_jobStateName[39:46],
+	_jobStateName[46:54],
 }
 
 // jobStateString retrieves an enum value from the enum constants string name.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -31,6 +31,10 @@
 		dispatcher.markCapacityStale()
 	case timerServerForget:
 		dispatcher.forgetServer(serverKey{cell: key.cell, server: key.server})
+	case timerSpill:
+		dispatcher.expireSpill(key.submission)
+	case timerLoad:
+		// The tick that this timer asks for tells the load.
 	case timerRetry:
 		dispatcher.repeatHeld(key.submission)
 	case timerNoServer:
@@ -54,6 +58,11 @@
 	if job == nil || job.state == jobFinished {
 		return
 	}
+	if job.state == jobSpilled {
+		dispatcher.failJob(job, messenger.ReasonTaskUnknown,
+			"the job was handed to failure domain "+string(job.spilledTo)+", which is out of reach")
+		return
+	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
 		if task.state == taskUnknown && task.unknownUntil.Due(dispatcher.now) {
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -27,6 +27,49 @@
 	Cell messenger.CellNumber
 }
 
+// RemoteLeadKnown tells who leads a cell of another failure domain.
+type RemoteLeadKnown struct {
+	Notice messenger.LeadNotice
+}
+
+// RemoteReachable tells whether a host of another failure domain can be reached.
+type RemoteReachable struct {
+	Host      identifier.HostID
+	Reachable bool
+}
+
+// LoadNoticed brings the load of a cell of another failure domain.
+type LoadNoticed struct {
+	From   identifier.HostID
+	Notice messenger.LoadNotice
+}
+
+// SpillRecorded tells that a second host remembers where submissions were handed
+// over to.
+type SpillRecorded struct {
+	Submissions []identifier.SubmissionID
+}
+
+// SpillArrived brings a job from the lead of its home.
+type SpillArrived struct {
+	From     identifier.HostID
+	Request  messenger.SpillRequest
+	Deadline identifier.Moment
+}
+
+// SpillAnswered brings the answer of a job that was handed over.
+type SpillAnswered struct {
+	From   identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+func (*RemoteLeadKnown) isDispatcherInput() {}
+func (*RemoteReachable) isDispatcherInput() {}
+func (*LoadNoticed) isDispatcherInput()     {}
+func (*SpillRecorded) isDispatcherInput()   {}
+func (*SpillArrived) isDispatcherInput()    {}
+func (*SpillAnswered) isDispatcherInput()   {}
+
 // HostReturned tells that a host of the failure domain can be reached (again).
 type HostReturned struct {
 	Host identifier.HostID
--- a/pkg/dispatcher/output.go
+++ b/pkg/dispatcher/output.go
@@ -65,6 +65,49 @@
 	Epoch identifier.Epoch
 }
 
+// LoadTold carries the load of a cell to the lead of another failure domain.
+type LoadTold struct {
+	To     identifier.HostID
+	Notice messenger.LoadNotice
+}
+
+// RecordSpill asks a second host, one of Holders or any other of the failure
+// domain, to remember that a job is about to be handed over.
+type RecordSpill struct {
+	Holders []identifier.HostID
+	Record  messenger.CopyRecord
+}
+
+// SpillJob hands a job to the lead of another failure domain.
+type SpillJob struct {
+	To      identifier.HostID
+	Request messenger.SpillRequest
+}
+
+// AnswerSpill carries the answer of a job to the lead of its home.
+type AnswerSpill struct {
+	To     identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+// ConfirmSpill tells a lead that the job's home holds its answer.
+type ConfirmSpill struct {
+	To         identifier.HostID
+	Submission identifier.SubmissionID
+}
+
+// CancelSpill cancels a job that was handed over.
+type CancelSpill struct {
+	To     identifier.HostID
+	Cancel messenger.Cancel
+}
+
+func (*LoadTold) isDispatcherOutput()       {}
+func (*RecordSpill) isDispatcherOutput()    {}
+func (*SpillJob) isDispatcherOutput()       {}
+func (*AnswerSpill) isDispatcherOutput()    {}
+func (*ConfirmSpill) isDispatcherOutput()   {}
+func (*CancelSpill) isDispatcherOutput()    {}
 func (*ToServer) isDispatcherOutput()       {}
 func (*JobAnswered) isDispatcherOutput()    {}
 func (*AnswerWanted) isDispatcherOutput()   {}
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
 // transitAllowance is how much later than the truth a moment can be that this
@@ -32,10 +33,24 @@
 		dispatcher.claimAgain(job)
 		return
 	}
+	if known && recovered.record.SpilledTo != "" && found == nil && job.failure == nil && !job.hasStarted() {
+		dispatcher.askSpilled(job, recovered.record.SpilledTo)
+		return
+	}
 	delete(cell.orphans, job.spec.Submission)
 	dispatcher.resume(cell, job, found)
 }
 
+// askSpilled asks another failure domain for a job that an earlier lead may have
+// handed over. Nothing of it is started there or here before the answer: the
+// earlier lead may have got a refusal and started it at home.
+func (dispatcher *Dispatcher) askSpilled(job *job, spilledTo identifier.FailureDomain) {
+	job.again = true
+	job.state = jobSpilled
+	job.spilledTo = spilledTo
+	dispatcher.sendSpill(job, messenger.SpillAsk)
+}
+
 // claimAgain asks for the claim of a job that an earlier lead knew. That lead may
 // have died before it had the claim; a claim that the submission holds already is
 // granted again.
--- a/pkg/dispatcher/requests.go
+++ b/pkg/dispatcher/requests.go
@@ -35,7 +35,7 @@
 		dispatcher.settleRecovered(cell, job)
 		return
 	}
-	dispatcher.enqueue(cell, job)
+	dispatcher.place(cell, job)
 }
 
 // decideClaim lets a not-repeatable job start, or refuses it truthfully: where
--- a/pkg/dispatcher/slots.go
+++ b/pkg/dispatcher/slots.go
@@ -34,6 +34,9 @@
 	return picked
 }
 
+// slots returns how many slots are free in all.
+func (free *freeSlots) slots() identifier.Slots { return free.policy.Free() }
+
 // load returns what the cell's lead knows of the server. Where leads share
 // servers, the tasks of other leads are as many as the last heartbeat told beyond
 // the own ones at that moment; else all tasks are the own ones.
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -95,6 +95,12 @@
 func (dispatcher *Dispatcher) mergeRecord(cell *cell, holder identifier.HostID, record messenger.CopyRecord) {
 	knownSince := dispatcher.now.Add(-record.Age)
 	known, found := cell.recovered[record.Submission]
+	if found && record.SpilledTo == "" {
+		record.SpilledTo = known.record.SpilledTo
+	}
+	if found && known.record.SpilledTo == "" {
+		known.record.SpilledTo = record.SpilledTo
+	}
 	if found && knownSince > known.knownSince {
 		knownSince = known.knownSince
 	}
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -17,6 +17,9 @@
 			heldAt := forwarder.now.Add(-record.Age)
 			forwarder.copies.Put(record.Submission, &heldCopy{record: record, heldAt: heldAt})
 		}
+		if record.SpilledTo != "" {
+			forwarder.copies.Get(record.Submission).record.SpilledTo = record.SpilledTo
+		}
 		forwarder.expireCopyLater(record.Submission)
 		held = append(held, record.Submission)
 	}
@@ -100,6 +103,9 @@
 		if record.Answered && record.AnswerAt == "" {
 			record.AnswerAt = input.From
 		}
+		if known != nil && record.SpilledTo != "" {
+			known.record.SpilledTo = record.SpilledTo
+		}
 		if known != nil && (known.record.Answered || !record.Answered) {
 			continue
 		}
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -55,6 +55,8 @@
 	AnswerAt identifier.HostID `cbor:"7,keyasint,omitempty"`
 	// Epoch is the epoch of the lead that asks for a copy; zero elsewhere.
 	Epoch identifier.Epoch `cbor:"8,keyasint,omitempty"`
+	// SpilledTo is the failure domain that the job was handed over to.
+	SpilledTo identifier.FailureDomain `cbor:"9,keyasint,omitempty"`
 }
 
 // AnswerRequest asks the keeper of an answer to send it to ReplyTo.
