--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -184,12 +184,15 @@
 	Lookup            *messenger.Lookup         `cbor:"12,keyasint,omitempty"`
 	Cancel            *messenger.Cancel         `cbor:"13,keyasint,omitempty"`
 	// Membership, keepers and configuration.
-	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
-	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
-	KeeperRequest *keeper.Request     `cbor:"16,keyasint,omitempty"`
-	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
-	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
-	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
+	Gossip        *gossiper.Message       `cbor:"14,keyasint,omitempty"`
+	Log           *replicator.Message     `cbor:"15,keyasint,omitempty"`
+	KeeperRequest *keeper.Request         `cbor:"16,keyasint,omitempty"`
+	KeeperReply   *keeper.Reply           `cbor:"17,keyasint,omitempty"`
+	ConfigWanted  bool                    `cbor:"18,keyasint,omitempty"`
+	Config        *configurer.Version     `cbor:"19,keyasint,omitempty"`
+	Load          *messenger.LoadNotice   `cbor:"20,keyasint,omitempty"`
+	Spill         *messenger.SpillRequest `cbor:"21,keyasint,omitempty"`
+	SpillAnswer   *messenger.JobAnswer    `cbor:"22,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -6,16 +6,14 @@
 )
 
 func (dispatcher *Dispatcher) recordRefusals(input *TasksRefused) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
 	for _, refusal := range input.Refusals {
-		dispatcher.recordRefusal(cell, server, refusal)
+		server := dispatcher.viewOf(input.Server, refusal.Submission)
+		if server == nil {
+			continue
+		}
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordRefusal(cell, server, refusal)
+		}
 	}
 }
 
@@ -25,32 +23,40 @@
 		return
 	}
 	switch refusal.Kind {
-	case RefusalNoFreeSlot, RefusalStaleEpoch:
+	case RefusalNoFreeSlot:
 		server.refusedFull = true
+	case RefusalStaleEpoch:
+		// Another host leads, and its takeover counts on no more starts from here.
+		// The server's report tells the epoch.
+		cell.deposed = true
+		dispatcher.fence(cell, server)
 	case RefusalLeaving:
-		server.leaving = true
+		dispatcher.setLeaving(server, true)
+	case RefusalDeadlinePassed:
+		dispatcher.undoStart(cell, server, task)
+		dispatcher.failJob(task.job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was answered")
+		return
 	}
 	dispatcher.returnToQueue(cell, server, task)
 }
 
 func (dispatcher *Dispatcher) recordAnswers(input *TasksAnswered) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
-	server.refusedFull = false
 	for _, answer := range input.Answers {
-		dispatcher.recordAnswer(cell, server, answer)
+		server := dispatcher.viewOf(input.Server, answer.Submission)
+		if server == nil {
+			continue
+		}
+		server.refusedFull = false
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordAnswer(cell, server, answer)
+		}
 	}
 }
 
 // recordAnswer takes the outcome of one task. An answer that comes twice, late,
 // or for a job that has ended is acknowledged and otherwise ignored.
 func (dispatcher *Dispatcher) recordAnswer(cell *cell, server *server, answer ServerAnswer) {
+	dispatcher.noteAnswer(cell, server.running[answer.TaskKey], answer)
 	delete(server.running, answer.TaskKey)
 	cell.free.update(server)
 	job := dispatcher.jobs.Get(answer.Submission)
@@ -60,21 +66,32 @@
 		return
 	}
 	task := job.byID[answer.Task]
-	if job.state == jobFinished || task == nil || task.state == taskAnswered {
-		dispatcher.acknowledgeLate(job, server, answer.TaskKey)
+	if job.state == jobFinished {
+		dispatcher.noteOutcome(job, server, answer)
+		dispatcher.keepLateAnswer(job, task, server, answer.TaskKey)
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
+	if task == nil || task.state == taskAnswered {
+		return
 	}
+	dispatcher.takeFromQueue(cell, job, task)
+	dispatcher.noteOutcome(job, server, answer)
 	dispatcher.resolve(task, server.id, answer)
 }
 
-func (dispatcher *Dispatcher) acknowledgeLate(job *job, server *server, key TaskKey) {
-	if job.state != jobFinished {
+// keepLateAnswer handles an answer for a job that has ended. The answer is
+// acknowledged only once a second host holds the answer of the job: if the
+// backend server forgot the task before and this lead died, the next lead would
+// find no trace of the task and start it again.
+func (dispatcher *Dispatcher) keepLateAnswer(job *job, task *task, server *server, key TaskKey) {
+	if !job.answerHeld {
+		if task != nil {
+			task.state = taskAnswered
+			task.server = server.id
+		}
 		return
 	}
-	batch := dispatcher.outputs.toServer(server.id)
+	batch := dispatcher.outputs.toServer(server.cell, server.id)
 	batch.Received = append(batch.Received, key)
 }
 
@@ -84,7 +101,6 @@
 	task.state = taskAnswered
 	task.server = server
 	task.result = answer.Result
-	job.anyStarted = true
 	job.unresolved--
 	if answer.Failed || answer.Cancelled {
 		dispatcher.failTask(task, answer)
@@ -119,8 +135,11 @@
 	if job.state == jobFinished {
 		return
 	}
-	mayHaveStarted := job.anyStarted || job.again || job.state == jobRecovering
-	if !mayHaveStarted {
+	if job.state == jobRecovering {
+		dispatcher.failAfterTakeover(job, &failure{reason: reason, detail: detail})
+		return
+	}
+	if !job.mayHaveStarted() {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
 	}
@@ -132,32 +151,74 @@
 	})
 }
 
+// mayHaveStarted tells whether any task was started by this lead, or may have
+// been by an earlier one. A start that was refused did not happen.
+func (job *job) mayHaveStarted() bool {
+	return job.again || job.state == jobRecovering || job.hasStarted()
+}
+
+// hasStarted tells whether a task of the job was started or is reported by a
+// backend server.
+func (job *job) hasStarted() bool {
+	for index := range job.tasks {
+		if state := job.tasks[index].state; state != taskQueued && state != taskHeld {
+			return true
+		}
+	}
+	return false
+}
+
+// failAfterTakeover stops what runs for a job and fails it when the takeover of its
+// cell is over. Another host may keep the submission's answer already, and a
+// submission has one answer. The takeover tells; it ends soon.
+func (dispatcher *Dispatcher) failAfterTakeover(job *job, cause *failure) {
+	if job.failure != nil {
+		return
+	}
+	job.failure = cause
+	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(dispatcher.cells.Get(job.cell), job)
+}
+
 // finish gives a job its one answer, sends it to all who wait, and stops what
 // still runs for it.
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
 	cell := dispatcher.cells.Get(job.cell)
 	dispatcher.leaveQueue(cell, job)
+	if job.state == jobSpilled && answer.Outcome != messenger.OutcomeComplete {
+		dispatcher.stopSpilled(job)
+	}
 	job.state = jobFinished
+	if cell != nil && cell.mayMissRecords() {
+		answer.NotRun = false
+	}
 	job.answer = answer
 	submission := job.spec.Submission
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
 	dispatcher.timers.Clear(timerKey{kind: timerUnknownWait, submission: submission})
+	dispatcher.timers.Clear(timerKey{kind: timerRetry, submission: submission})
 	forgetAt := dispatcher.now.Add(dispatcher.Settings.AnswerRetention)
 	dispatcher.timers.Set(timerKey{kind: timerForget, submission: submission}, forgetAt)
 	for _, holder := range job.holders {
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
+	if job.guestOf != "" {
+		dispatcher.outputs.add(&AnswerSpill{To: job.guestOf, Answer: answer})
+	}
+	dispatcher.timers.Clear(job.timer(timerSpill))
 	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(cell, job)
+	dispatcher.endLostFlights(job)
 }
 
 func (dispatcher *Dispatcher) leaveQueue(cell *cell, job *job) {
 	if cell == nil || job.state != jobRunning {
 		return
 	}
+	cell.queue.Remove(&job.entry)
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		if task.state == taskQueued {
-			cell.queuedTasks--
+		if task.state == taskQueued || task.state == taskHeld {
 			task.state = taskAnswered
 		}
 	}
@@ -169,8 +230,7 @@
 		if task.state != taskStarted {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
-		batch.Cancels = append(batch.Cancels, task.key())
+		dispatcher.stop(task.server, task.key())
 	}
 }
 
@@ -187,7 +247,7 @@
 		if task.server == "" || task.state != taskAnswered {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
+		batch := dispatcher.outputs.toServer(job.cell, task.server)
 		batch.Received = append(batch.Received, task.key())
 	}
 	// The results now stand in the answer only.
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -19,8 +19,12 @@
 import (
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/estimator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/selector"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
@@ -41,6 +45,21 @@
 	// HeartbeatTimeout is how long a backend server may stay silent before it
 	// gets no new work and its tasks count as unknown.
 	HeartbeatTimeout time.Duration
+	// ServerDiscovery is how long after its start a host may not yet have a
+	// stream of every backend server.
+	ServerDiscovery time.Duration
+	// Selection adjusts which server gets the next task.
+	Selection selector.Settings
+	// SharedServers lets the leads of all cells start tasks on all backend servers
+	// of the failure domain. Each lead then sees only its own starts and, with the
+	// heartbeats, how many slots are busy. It is meant for baselines.
+	SharedServers bool
+	// Spill adjusts when jobs are handed to other failure domains.
+	Spill SpillSettings
+	// Health adjusts how servers are judged.
+	Health assessor.Settings
+	// Limits says who may queue how much, and what is refused early.
+	Limits LimitSettings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -52,6 +71,11 @@
 		AnswerRetention:  10 * time.Minute,
 		TakeoverTimeout:  500 * time.Millisecond,
 		HeartbeatTimeout: 3 * time.Second,
+		ServerDiscovery:  3 * time.Second,
+		Selection:        selector.DefaultSettings(),
+		Health:           assessor.DefaultSettings(),
+		Spill:            DefaultSpillSettings(),
+		Limits:           DefaultLimitSettings(),
 	}
 }
 
@@ -62,12 +86,23 @@
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
 
-	now     identifier.Moment
-	cells   *tabulator.Table[messenger.CellNumber, cell]
-	servers *tabulator.Table[identifier.BackendServerID, server]
-	jobs    *tabulator.Table[identifier.SubmissionID, job]
-	timers  *tabulator.Timers[timerKey]
-	outputs outbox
+	now identifier.Moment
+	// startedAt is when this host's process began to decide.
+	startedAt identifier.Moment
+	cells     *tabulator.Table[messenger.CellNumber, cell]
+	servers   *tabulator.Table[serverKey, server]
+	jobs      *tabulator.Table[identifier.SubmissionID, job]
+	timers    *tabulator.Timers[timerKey]
+	outputs   outbox
+	// remotes are the leads of other failure domains.
+	remotes *tabulator.Table[remoteKey, remote]
+	// assessor judges servers by outcomes, the events of this tick.
+	assessor *assessor.Assessor
+	outcomes []assessor.Input
+
+	estimator  *estimator.Estimator
+	teamLimits []limiter.TeamLimits
+	classes    map[identifier.ClassName]ClassLimits
 }
 
 // Tick applies the inputs in order, lets deadlines fall due, assigns queued tasks
@@ -78,7 +113,9 @@
 		dispatcher.apply(input)
 	}
 	dispatcher.expire()
+	dispatcher.assess()
 	dispatcher.assign()
+	dispatcher.tellLoad()
 	return dispatcher.outputs.drain()
 }
 
@@ -87,7 +124,7 @@
 	if dispatcher.timers == nil {
 		return identifier.Never
 	}
-	return dispatcher.timers.Next()
+	return identifier.Earlier(dispatcher.timers.Next(), dispatcher.assessor.NextDeadline())
 }
 
 func (dispatcher *Dispatcher) prepare(now identifier.Moment) {
@@ -95,18 +132,39 @@
 	if dispatcher.cells != nil {
 		return
 	}
+	dispatcher.startedAt = now
+	dispatcher.assessor = &assessor.Assessor{Settings: dispatcher.Settings.Health}
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
-	dispatcher.servers = tabulator.New[identifier.BackendServerID, server]()
+	dispatcher.servers = tabulator.New[serverKey, server]()
 	dispatcher.jobs = tabulator.New[identifier.SubmissionID, job]()
+	dispatcher.remotes = tabulator.New[remoteKey, remote]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
+	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
 }
 
 func (dispatcher *Dispatcher) apply(input Input) {
+	dispatcher.noteCapacity(input)
 	switch input := input.(type) {
 	case *LeadTaken:
 		dispatcher.takeLead(input)
 	case *LeadLost:
 		dispatcher.loseLead(input)
+	case *RemoteLeadKnown:
+		dispatcher.recordRemoteLead(input)
+	case *RemoteReachable:
+		dispatcher.recordRemoteReachability(input)
+	case *LoadNoticed:
+		dispatcher.recordLoad(input)
+	case *SpillRecorded:
+		dispatcher.sendSpilled(input)
+	case *SpillArrived:
+		dispatcher.admitGuest(input)
+	case *SpillAnswered:
+		dispatcher.recordSpillAnswer(input)
+	case *HostReturned:
+		dispatcher.askReturnedHost(input)
+	case *HostGone:
+		dispatcher.stopAwaitingHost(input)
 	case *TakeoverReplied:
 		dispatcher.recordTakeoverReply(input)
 	case *JobForwarded:
@@ -119,6 +177,8 @@
 		dispatcher.releaseAnswers(input)
 	case *ClaimDecided:
 		dispatcher.decideClaim(input)
+	case *LimitsConfigured:
+		dispatcher.configureLimits(input)
 	case *ServerAnnounced:
 		dispatcher.announceServer(input)
 	case *ServerReported:
--- a/pkg/dispatcher/enums.go
+++ b/pkg/dispatcher/enums.go
@@ -33,6 +33,8 @@
 
 const (
 	taskQueued taskState = iota
+	// taskHeld means that the task waits for a budget to be started again.
+	taskHeld
 	// taskStarted means that a start was sent and nothing was heard since.
 	taskStarted
 	// taskUnknown means that the backend server was lost after the start.
@@ -48,5 +50,9 @@
 	jobRecovering jobState = iota
 	jobAwaitingClaim
 	jobRunning
+	// jobSpilling means that a second host is to remember where the job goes.
+	jobSpilling
+	// jobSpilled means that another failure domain has the job.
+	jobSpilled
 	jobFinished
 )
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -17,6 +17,9 @@
 	Cell  messenger.CellNumber
 	Epoch identifier.Epoch
 	Hosts []identifier.HostID
+	// Missing are the hosts of the failure domain that this host has seen and that
+	// do not live.
+	Missing []identifier.HostID
 }
 
 // LeadLost tells that another host leads a cell.
@@ -24,6 +27,59 @@
 	Cell messenger.CellNumber
 }
 
+// RemoteLeadKnown tells who leads a cell of another failure domain.
+type RemoteLeadKnown struct {
+	Notice messenger.LeadNotice
+}
+
+// RemoteReachable tells whether a host of another failure domain can be reached.
+type RemoteReachable struct {
+	Host      identifier.HostID
+	Reachable bool
+}
+
+// LoadNoticed brings the load of a cell of another failure domain.
+type LoadNoticed struct {
+	From   identifier.HostID
+	Notice messenger.LoadNotice
+}
+
+// SpillRecorded tells that a second host remembers where submissions were handed
+// over to.
+type SpillRecorded struct {
+	Submissions []identifier.SubmissionID
+}
+
+// SpillArrived brings a job from the lead of its home.
+type SpillArrived struct {
+	From     identifier.HostID
+	Request  messenger.SpillRequest
+	Deadline identifier.Moment
+}
+
+// SpillAnswered brings the answer of a job that was handed over.
+type SpillAnswered struct {
+	From   identifier.HostID
+	Answer *messenger.JobAnswer
+}
+
+func (*RemoteLeadKnown) isDispatcherInput() {}
+func (*RemoteReachable) isDispatcherInput() {}
+func (*LoadNoticed) isDispatcherInput()     {}
+func (*SpillRecorded) isDispatcherInput()   {}
+func (*SpillArrived) isDispatcherInput()    {}
+func (*SpillAnswered) isDispatcherInput()   {}
+
+// HostReturned tells that a host of the failure domain can be reached (again).
+type HostReturned struct {
+	Host identifier.HostID
+}
+
+// HostGone tells that a host of the failure domain can't be reached any more.
+type HostGone struct {
+	Host identifier.HostID
+}
+
 // TakeoverReplied brings what one host knows of a cell's submissions.
 type TakeoverReplied struct {
 	From  identifier.HostID
@@ -69,8 +125,10 @@
 // ServerAnnounced tells that a backend server has opened a stream. Tasks and
 // Unacknowledged are complete: what is absent was not started there.
 type ServerAnnounced struct {
-	Server         identifier.BackendServerID
-	Incarnation    uint64
+	Server      identifier.BackendServerID
+	Incarnation uint64
+	// Uptime is how long ago the server's process started.
+	Uptime         time.Duration
 	Rack           identifier.RackID
 	Slots          identifier.Slots
 	Leaving        bool
@@ -140,6 +198,8 @@
 
 func (*LeadTaken) isDispatcherInput()       {}
 func (*LeadLost) isDispatcherInput()        {}
+func (*HostReturned) isDispatcherInput()    {}
+func (*HostGone) isDispatcherInput()        {}
 func (*TakeoverReplied) isDispatcherInput() {}
 func (*JobForwarded) isDispatcherInput()    {}
 func (*CancelArrived) isDispatcherInput()   {}
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -13,22 +13,31 @@
 // first accept the new epoch, which makes it refuse starts of earlier leads, and
 // report what it has.
 func (dispatcher *Dispatcher) takeLead(input *LeadTaken) {
+	// A lead that was overtaken takes its cell again under a higher epoch. What it
+	// knew comes back with the takeover; its old queue would hold jobs of a cell
+	// that is no more.
+	dispatcher.loseLead(&LeadLost{Cell: input.Cell})
 	cell := &cell{
 		number:         input.Cell,
 		epoch:          input.Epoch,
 		awaitedHosts:   make(map[identifier.HostID]bool),
 		awaitedServers: make(map[identifier.BackendServerID]bool),
+		missingHosts:   make(map[identifier.HostID]bool),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
-		free:           newFreeSlots(),
+		free:           newFreeSlots(dispatcher.selection(input.Cell)),
 	}
+	dispatcher.prepareLimits(cell)
 	dispatcher.cells.Put(input.Cell, cell)
 	for _, host := range input.Hosts {
 		cell.awaitedHosts[host] = true
 		query := messenger.TakeoverQuery{Cell: input.Cell, Epoch: input.Epoch}
 		dispatcher.outputs.add(&TakeoverWanted{To: host, Query: query})
 	}
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	for _, host := range input.Missing {
+		cell.missingHosts[host] = true
+	}
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == cell.number && server.connected {
 			dispatcher.fence(cell, server)
 			cell.awaitedServers[server.id] = true
@@ -44,7 +53,7 @@
 func (dispatcher *Dispatcher) fence(cell *cell, server *server) {
 	server.fenced = false
 	cell.free.remove(server)
-	dispatcher.outputs.toServer(server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
+	dispatcher.outputs.toServer(cell.number, server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
 }
 
 // loseLead forgets a cell that another host leads now. The hosts that wait for
@@ -62,7 +71,7 @@
 		}
 		return true
 	})
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == input.Cell {
 			server.fenced = false
 			clear(server.running)
@@ -79,7 +88,9 @@
 	for _, record := range input.Reply.Records {
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
+	dispatcher.adoptAnswers(cell, input.Reply.Records)
 	delete(cell.awaitedHosts, input.From)
+	delete(cell.missingHosts, input.From)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
 
@@ -88,24 +99,35 @@
 func (dispatcher *Dispatcher) mergeRecord(cell *cell, holder identifier.HostID, record messenger.CopyRecord) {
 	knownSince := dispatcher.now.Add(-record.Age)
 	known, found := cell.recovered[record.Submission]
+	if found && record.SpilledTo == "" {
+		record.SpilledTo = known.record.SpilledTo
+	}
+	if found && known.record.SpilledTo == "" {
+		known.record.SpilledTo = record.SpilledTo
+	}
 	if found && knownSince > known.knownSince {
 		knownSince = known.knownSince
 	}
-	if found && known.record.Answered {
+	betterHolder := record.Answered && record.AnswerAt == "" && known.record.AnswerAt != ""
+	if found && known.record.Answered && !betterHolder {
 		known.knownSince = knownSince
 		cell.recovered[record.Submission] = known
 		return
 	}
+	if record.AnswerAt != "" {
+		holder = record.AnswerAt
+	}
 	cell.recovered[record.Submission] = recoveredRecord{holder: holder, record: record, knownSince: knownSince}
 }
 
 func (dispatcher *Dispatcher) recordReport(input *ServerReported) {
-	server := dispatcher.servers.Get(input.Server)
+	server := dispatcher.servers.Get(serverKey{cell: input.Cell, server: input.Server})
 	cell := dispatcher.cells.Get(input.Cell)
 	if server == nil || cell == nil {
 		return
 	}
 	if input.Epoch > cell.epoch {
+		cell.deposed = true
 		dispatcher.outputs.add(&EpochSeen{Cell: input.Cell, Epoch: input.Epoch})
 		return
 	}
@@ -115,6 +137,7 @@
 	server.fenced = true
 	dispatcher.reconcile(cell, server, input.Tasks, input.Unacknowledged)
 	cell.free.update(server)
+	dispatcher.placeUnplaced(cell)
 	delete(cell.awaitedServers, server.id)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
@@ -154,27 +177,31 @@
 	job := dispatcher.jobs.Get(key.Submission)
 	if job == nil {
 		running := cell.orphanOf(key.Submission).running
-		running[key.Task] = server.id
+		running[key.Task] = orphanTask{server: server.id, incarnation: server.incarnation}
 		return
 	}
 	task := job.byID[key.Task]
+	if task == nil && job.state == jobFinished {
+		dispatcher.stop(server.id, key)
+	}
 	if task == nil || task.state == taskAnswered {
 		return
 	}
-	if task.state == taskQueued {
-		dispatcher.takeFromQueue(cell, job, task)
-	}
+	dispatcher.takeFromQueue(cell, job, task)
 	task.state = taskStarted
 	task.server = server.id
-	job.anyStarted = true
 	server.running[key] = task
+	dispatcher.beginFlight(cell, task)
+	if job.state == jobFinished || job.failure != nil {
+		dispatcher.stop(server.id, key)
+	}
 }
 
 func (cell *cell) orphanOf(submission identifier.SubmissionID) *orphan {
 	found, exists := cell.orphans[submission]
 	if !exists {
 		found = &orphan{
-			running: make(map[identifier.TaskID]identifier.BackendServerID),
+			running: make(map[identifier.TaskID]orphanTask),
 			answers: make(map[identifier.TaskID]orphanAnswer),
 		}
 		cell.orphans[submission] = found
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -20,7 +20,14 @@
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
 	copyHeld bool
-	answer   *messenger.JobAnswer
+	// cancelled tells that the caller has cancelled; every lead must learn of it.
+	cancelled bool
+	answer    *messenger.JobAnswer
+	// answerHeldBack tells that the callers hear the answer once another host holds
+	// it, or after a short wait.
+	answerHeldBack bool
+	// answerAlone tells that the answer waits for a second host to hold it.
+	answerAlone bool
 }
 
 // heldCopy is the second copy of a submission that another host leads.
@@ -40,6 +47,8 @@
 type lead struct {
 	host  identifier.HostID
 	epoch identifier.Epoch
+	// promised is the highest epoch whose takeover this host has answered.
+	promised identifier.Epoch
 	// unreachable tells that no message reaches the lead now.
 	unreachable bool
 }
@@ -51,6 +60,8 @@
 	timerCopyWait
 	timerForgetFront
 	timerForgetCopy
+	timerLoneAnswer
+	timerAskAgain
 )
 
 type timerKey struct {
