--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -74,12 +74,39 @@
 	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
+		coordinator.tellOfNeighbour(change.New)
 	}
+	coordinator.tellDispatcher(&dispatcher.RemoteReachable{Host: member.Host, Reachable: change.New.Living()})
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.changeKeeperReachability(change.New)
 	}
 }
 
+// tellOfNeighbour tells the dispatcher that another host of the failure domain
+// lives or does not.
+func (coordinator *Coordinator) tellOfNeighbour(state gossiper.State) {
+	if state.Living() {
+		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: state.Member.Host})
+		return
+	}
+	coordinator.tellDispatcher(&dispatcher.HostGone{Host: state.Member.Host})
+}
+
+// missingNeighbours lists the hosts of the own failure domain that were seen and
+// do not live. One that left said so itself, and handed over what it knew.
+func (coordinator *Coordinator) missingNeighbours() []identifier.HostID {
+	var missing []identifier.HostID
+	for _, state := range coordinator.gossiper.Members() {
+		member := state.Member
+		neighbour := member.FailureDomain == coordinator.Self.FailureDomain && member.Host != coordinator.Self.Host
+		if neighbour && state.Status == gossiper.StatusDead {
+			missing = append(missing, member.Host)
+		}
+	}
+	slices.Sort(missing)
+	return missing
+}
+
 // livingIn lists the hosts of a failure domain that are counted on, in order of
 // their ids, this host included.
 func (coordinator *Coordinator) livingIn(failureDomain identifier.FailureDomain) []identifier.HostID {
@@ -146,7 +173,7 @@
 		return
 	}
 	coordinator.tellElector(elector.LeadSeen{
-		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: notice.Epoch,
+		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: electedEpoch(notice.Epoch),
 	})
 }
 
@@ -158,20 +185,27 @@
 		coordinator.loseLead(output)
 	case elector.LeadIs:
 		notice := messenger.LeadNotice{
-			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host, Epoch: output.Epoch,
+			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host,
+			Epoch: fencingEpoch(output.Epoch, output.Host),
 		}
 		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+		if output.Host != "" && output.FailureDomain != coordinator.Self.FailureDomain {
+			coordinator.tellDispatcher(&dispatcher.RemoteLeadKnown{Notice: notice})
+		}
 	}
 }
 
 func (coordinator *Coordinator) takeLead(taken elector.LeadTaken) {
 	hosts := coordinator.livingIn(coordinator.Self.FailureDomain)
-	coordinator.tellDispatcher(&dispatcher.LeadTaken{Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts})
+	epoch := fencingEpoch(taken.Epoch, coordinator.Self.Host)
+	coordinator.tellDispatcher(&dispatcher.LeadTaken{
+		Cell: taken.Cell, Epoch: epoch, Hosts: hosts, Missing: coordinator.missingNeighbours(),
+	})
 	notice := messenger.LeadNotice{
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cell:          taken.Cell,
 		Host:          coordinator.Self.Host,
-		Epoch:         taken.Epoch,
+		Epoch:         epoch,
 	}
 	coordinator.publish(leadRecordKey(taken.Cell), strconv.FormatUint(uint64(taken.Epoch), recordNumberBase))
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
@@ -181,7 +215,7 @@
 func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
 	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
 	coordinator.publish(leadRecordKey(lost.Cell), "")
-	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
+	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: fencingEpoch(lost.Epoch, coordinator.Self.Host)}
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
 	coordinator.tellNeighbours(notice)
 }
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
@@ -74,6 +76,14 @@
 		coordinator.tellForwarder(&forwarder.CopiesWanted{From: from, Records: message.CopyRequest})
 	case message.CopyReceipt != nil:
 		coordinator.tellForwarder(&forwarder.CopiesHeld{From: from, Submissions: message.CopyReceipt})
+		coordinator.tellDispatcher(&dispatcher.SpillRecorded{Submissions: message.CopyReceipt})
+	case message.Load != nil:
+		coordinator.tellDispatcher(&dispatcher.LoadNoticed{From: from, Notice: *message.Load})
+	case message.Spill != nil:
+		deadline := identifier.DeadlineFrom(coordinator.now, message.Spill.Remaining)
+		coordinator.tellDispatcher(&dispatcher.SpillArrived{From: from, Request: *message.Spill, Deadline: deadline})
+	case message.SpillAnswer != nil:
+		coordinator.tellDispatcher(&dispatcher.SpillAnswered{From: from, Answer: message.SpillAnswer})
 	case message.AnswerCopy != nil:
 		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Answer: message.AnswerCopy})
 	case message.AnswerCopyReceipt != "":
@@ -84,6 +94,7 @@
 		coordinator.tellForwarder(&forwarder.TakeoverQueried{From: from, Query: *message.TakeoverQuery})
 	case message.TakeoverReply != nil:
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
+		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Records: message.TakeoverReply.Records})
 	case message.LeadNotice != nil:
 		coordinator.noticeLead(from, *message.LeadNotice)
 	case message.Lookup != nil:
@@ -123,6 +134,7 @@
 }
 
 func (coordinator *Coordinator) acceptForward(from identifier.HostID, forward *messenger.Forward) {
+	coordinator.keepRecord(from, forward)
 	coordinator.tellDispatcher(&dispatcher.JobForwarded{
 		From:     from,
 		Job:      forward.Job,
@@ -132,6 +144,28 @@
 	})
 }
 
+// keepRecord makes this host one of the two that know a submission for as long as
+// it lives, whether it goes on leading the cell or not.
+//
+// The dispatcher forgets its jobs with the lead. If nothing else here knew them, a
+// lead that was deposed for a moment and takes the cell again would start a resend
+// anew.
+func (coordinator *Coordinator) keepRecord(from identifier.HostID, forward *messenger.Forward) {
+	number := messenger.CellOf(forward.Job.Submission, coordinator.Settings.Dispatcher.Cells)
+	lead, _ := coordinator.elector.Lead(coordinator.Self.FailureDomain, number)
+	if from == coordinator.Self.Host || lead != coordinator.Self.Host {
+		return
+	}
+	record := messenger.CopyRecord{
+		Submission: forward.Job.Submission,
+		Caller:     forward.Job.Caller,
+		Job:        forward.Job.Job,
+		Cell:       number,
+		Age:        forward.Age,
+	}
+	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.Host, Records: []messenger.CopyRecord{record}})
+}
+
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
 	self := coordinator.Self.Host
 	switch output := output.(type) {
@@ -171,6 +205,8 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{Lookup: &output.Lookup})
+	case *forwarder.TellLead:
+		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	case *forwarder.ReplyTakeover:
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
@@ -180,6 +216,27 @@
 	}
 }
 
+// recordSpill has a second host of the failure domain remember where a job goes:
+// the caller's, which knows the job already, or else another. A host that is alone
+// goes on without.
+func (coordinator *Coordinator) recordSpill(output *dispatcher.RecordSpill) {
+	living := coordinator.livingIn(coordinator.Self.FailureDomain)
+	others := func(host identifier.HostID) bool {
+		return host != coordinator.Self.Host && slices.Contains(living, host)
+	}
+	index := slices.IndexFunc(output.Holders, others)
+	holders := output.Holders
+	if index < 0 {
+		holders = living
+		index = slices.IndexFunc(holders, others)
+	}
+	if index < 0 {
+		coordinator.tellDispatcher(&dispatcher.SpillRecorded{Submissions: []identifier.SubmissionID{output.Record.Submission}})
+		return
+	}
+	coordinator.outputs.toPeer(holders[index], PeerMessage{CopyRequest: []messenger.CopyRecord{output.Record}})
+}
+
 func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
 	if to == coordinator.Self.Host {
 		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
@@ -194,6 +251,7 @@
 	case *dispatcher.ToServer:
 		coordinator.outputs.add(&ToServer{Batch: output})
 	case *dispatcher.JobAnswered:
+		coordinator.tellForwarder(&forwarder.AnswerGiven{Answer: output.Answer})
 		coordinator.sendAnswer(output.To, output.Answer)
 	case *dispatcher.AnswerWanted:
 		if output.Holder == self {
@@ -209,7 +267,19 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
+	case *dispatcher.LoadTold:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Load: &output.Notice})
+	case *dispatcher.RecordSpill:
+		coordinator.recordSpill(output)
+	case *dispatcher.SpillJob:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Spill: &output.Request})
+	case *dispatcher.AnswerSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{SpillAnswer: output.Answer})
+	case *dispatcher.ConfirmSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
+	case *dispatcher.CancelSpill:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
 	case *dispatcher.EpochSeen:
-		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: output.Epoch})
+		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: electedEpoch(output.Epoch)})
 	}
 }
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -6,16 +6,14 @@
 )
 
 func (dispatcher *Dispatcher) recordRefusals(input *TasksRefused) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
 	for _, refusal := range input.Refusals {
-		dispatcher.recordRefusal(cell, server, refusal)
+		server := dispatcher.viewOf(input.Server, refusal.Submission)
+		if server == nil {
+			continue
+		}
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordRefusal(cell, server, refusal)
+		}
 	}
 }
 
@@ -25,10 +23,15 @@
 		return
 	}
 	switch refusal.Kind {
-	case RefusalNoFreeSlot, RefusalStaleEpoch:
+	case RefusalNoFreeSlot:
 		server.refusedFull = true
+	case RefusalStaleEpoch:
+		// Another host leads, and its takeover counts on no more starts from here.
+		// The server's report tells the epoch.
+		cell.deposed = true
+		dispatcher.fence(cell, server)
 	case RefusalLeaving:
-		server.leaving = true
+		dispatcher.setLeaving(server, true)
 	case RefusalDeadlinePassed:
 		dispatcher.undoStart(cell, server, task)
 		dispatcher.failJob(task.job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was answered")
@@ -38,17 +41,15 @@
 }
 
 func (dispatcher *Dispatcher) recordAnswers(input *TasksAnswered) {
-	server := dispatcher.servers.Get(input.Server)
-	if server == nil {
-		return
-	}
-	cell := dispatcher.cells.Get(server.cell)
-	if cell == nil {
-		return
-	}
-	server.refusedFull = false
 	for _, answer := range input.Answers {
-		dispatcher.recordAnswer(cell, server, answer)
+		server := dispatcher.viewOf(input.Server, answer.Submission)
+		if server == nil {
+			continue
+		}
+		server.refusedFull = false
+		if cell := dispatcher.cells.Get(server.cell); cell != nil {
+			dispatcher.recordAnswer(cell, server, answer)
+		}
 	}
 }
 
@@ -65,27 +66,32 @@
 		return
 	}
 	task := job.byID[answer.Task]
-	if job.state == jobFinished || task == nil || task.state == taskAnswered {
-		dispatcher.acknowledgeLate(job, task, server, answer.TaskKey)
+	if job.state == jobFinished {
+		dispatcher.noteOutcome(job, server, answer)
+		dispatcher.keepLateAnswer(job, task, server, answer.TaskKey)
+		return
+	}
+	if task == nil || task.state == taskAnswered {
 		return
 	}
 	dispatcher.takeFromQueue(cell, job, task)
+	dispatcher.noteOutcome(job, server, answer)
 	dispatcher.resolve(task, server.id, answer)
 }
 
-// acknowledgeLate acknowledges the outcome of a task whose job has ended. Until a
-// second host holds the job's answer it waits like the others: a backend server
-// that had forgotten the task would make a new lead believe that it never started.
-func (dispatcher *Dispatcher) acknowledgeLate(job *job, task *task, server *server, key TaskKey) {
-	if job.state != jobFinished {
-		return
-	}
-	if !job.answerHeld && task != nil {
-		task.state = taskAnswered
-		task.server = server.id
+// keepLateAnswer handles an answer for a job that has ended. The answer is
+// acknowledged only once a second host holds the answer of the job: if the
+// backend server forgot the task before and this lead died, the next lead would
+// find no trace of the task and start it again.
+func (dispatcher *Dispatcher) keepLateAnswer(job *job, task *task, server *server, key TaskKey) {
+	if !job.answerHeld {
+		if task != nil {
+			task.state = taskAnswered
+			task.server = server.id
+		}
 		return
 	}
-	batch := dispatcher.outputs.toServer(server.id)
+	batch := dispatcher.outputs.toServer(server.cell, server.id)
 	batch.Received = append(batch.Received, key)
 }
 
@@ -129,6 +135,10 @@
 	if job.state == jobFinished {
 		return
 	}
+	if job.state == jobRecovering {
+		dispatcher.failAfterTakeover(job, &failure{reason: reason, detail: detail})
+		return
+	}
 	if !job.mayHaveStarted() {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
@@ -144,9 +154,12 @@
 // mayHaveStarted tells whether any task was started by this lead, or may have
 // been by an earlier one. A start that was refused did not happen.
 func (job *job) mayHaveStarted() bool {
-	if job.again || job.state == jobRecovering {
-		return true
-	}
+	return job.again || job.state == jobRecovering || job.hasStarted()
+}
+
+// hasStarted tells whether a task of the job was started or is reported by a
+// backend server.
+func (job *job) hasStarted() bool {
 	for index := range job.tasks {
 		if state := job.tasks[index].state; state != taskQueued && state != taskHeld {
 			return true
@@ -155,12 +168,30 @@
 	return false
 }
 
+// failAfterTakeover stops what runs for a job and fails it when the takeover of its
+// cell is over. Another host may keep the submission's answer already, and a
+// submission has one answer. The takeover tells; it ends soon.
+func (dispatcher *Dispatcher) failAfterTakeover(job *job, cause *failure) {
+	if job.failure != nil {
+		return
+	}
+	job.failure = cause
+	dispatcher.stopRunning(job)
+	dispatcher.stopOrphans(dispatcher.cells.Get(job.cell), job)
+}
+
 // finish gives a job its one answer, sends it to all who wait, and stops what
 // still runs for it.
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
 	cell := dispatcher.cells.Get(job.cell)
 	dispatcher.leaveQueue(cell, job)
+	if job.state == jobSpilled && answer.Outcome != messenger.OutcomeComplete {
+		dispatcher.stopSpilled(job)
+	}
 	job.state = jobFinished
+	if cell != nil && cell.mayMissRecords() {
+		answer.NotRun = false
+	}
 	job.answer = answer
 	submission := job.spec.Submission
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
@@ -171,6 +202,10 @@
 	for _, holder := range job.holders {
 		dispatcher.outputs.add(&JobAnswered{To: holder, Answer: answer})
 	}
+	if job.guestOf != "" {
+		dispatcher.outputs.add(&AnswerSpill{To: job.guestOf, Answer: answer})
+	}
+	dispatcher.timers.Clear(job.timer(timerSpill))
 	dispatcher.stopRunning(job)
 	dispatcher.stopOrphans(cell, job)
 	dispatcher.endLostFlights(job)
@@ -212,7 +247,7 @@
 		if task.server == "" || task.state != taskAnswered {
 			continue
 		}
-		batch := dispatcher.outputs.toServer(task.server)
+		batch := dispatcher.outputs.toServer(job.cell, task.server)
 		batch.Received = append(batch.Received, task.key())
 	}
 	// The results now stand in the answer only.
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -45,7 +45,7 @@
 // assign starts queued tasks while slots are free.
 func (dispatcher *Dispatcher) assign() {
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
-		if cell.ready {
+		if cell.ready && !cell.deposed {
 			dispatcher.assignCell(cell)
 		}
 		return true
@@ -72,7 +72,7 @@
 	key := task.key()
 	server.running[key] = task
 	cell.free.update(server)
-	batch := dispatcher.outputs.toServer(server.id)
+	batch := dispatcher.outputs.toServer(cell.number, server.id)
 	batch.Starts = append(batch.Starts, Start{
 		TaskKey:  key,
 		Job:      task.job.spec.Job,
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -13,9 +13,14 @@
 	epoch  identifier.Epoch
 	// ready tells that the takeover is over and tasks may start.
 	ready bool
+	// deposed tells that a backend server follows another lead: nothing more is
+	// started until the hosts have settled who leads.
+	deposed bool
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
+	// missingHosts could not be asked at the takeover.
+	missingHosts map[identifier.HostID]bool
 	// recovered lists the submissions that other hosts knew at the takeover.
 	recovered map[identifier.SubmissionID]recoveredRecord
 	// orphans are the tasks that backend servers reported for submissions whose
@@ -25,6 +30,13 @@
 	queue   *queuer.Queue[*job, queuer.Order]
 	limiter *limiter.Limiter
 	free    freeSlots
+	// unplaced are jobs with tasks that some backend server may have which has not
+	// reported yet.
+	unplaced []*job
+	// toldFree and toldAt are the free slots that were last told to the leads of
+	// other failure domains, and when.
+	toldFree identifier.Slots
+	toldAt   identifier.Moment
 	// slots are those of the usable servers; they are counted again when stale.
 	slots         identifier.Slots
 	capacityStale bool
@@ -32,6 +44,13 @@
 	emptySince identifier.Moment
 }
 
+// holdersOfRecord is how many hosts know a submission before its first start.
+const holdersOfRecord = 2
+
+// mayMissRecords tells whether a submission may be known to missing hosts only.
+// Then nobody here can say of any submission that it did not run.
+func (cell *cell) mayMissRecords() bool { return len(cell.missingHosts) >= holdersOfRecord }
+
 // recoveredRecord is what another host knew of a submission at the takeover.
 type recoveredRecord struct {
 	holder identifier.HostID
@@ -42,10 +61,16 @@
 
 // orphan gathers what backend servers told of a submission's tasks.
 type orphan struct {
-	running map[identifier.TaskID]identifier.BackendServerID
+	running map[identifier.TaskID]orphanTask
 	answers map[identifier.TaskID]orphanAnswer
 }
 
+// orphanTask is where a task runs: in one process of a backend server.
+type orphanTask struct {
+	server      identifier.BackendServerID
+	incarnation uint64
+}
+
 type orphanAnswer struct {
 	server identifier.BackendServerID
 	answer ServerAnswer
@@ -58,14 +83,21 @@
 	incarnation uint64
 	rack        identifier.RackID
 	slots       identifier.Slots
-	connected   bool
+	// allowed is how many of the slots may be used, by the server's health.
+	allowed identifier.Slots
+	// others are the slots that other leads use; zero unless servers are shared.
+	others    identifier.Slots
+	slowness  float64
+	connected bool
 	// silent tells that heartbeats are missing although the stream is open.
 	silent  bool
 	leaving bool
 	// fenced tells that the server has reported under the cell's epoch.
 	fenced bool
-	// lostAt is when the stream ended or the server went silent.
-	lostAt identifier.Moment
+	// startedAt is when the server's process started, by its own account.
+	startedAt identifier.Moment
+	// leftAt is when the server first said that it is leaving, or Never.
+	leftAt identifier.Moment
 	// running holds the tasks that were started here and have not been resolved.
 	running map[TaskKey]*task
 	// refusedFull tells that the server refused for want of a slot; nothing more
@@ -78,8 +110,8 @@
 	return server.connected && server.fenced && !server.silent && !server.leaving && !server.refusedFull
 }
 
-func (server *server) freeSlots() identifier.Slots {
-	return server.slots - identifier.Slots(len(server.running))
+func (server *server) timer(kind timerKind) timerKey {
+	return timerKey{kind: kind, server: server.id, cell: server.cell}
 }
 
 // job is a submission at the host that leads its cell.
@@ -93,6 +125,8 @@
 	firstForwarded identifier.Moment
 	// again tells that an earlier lead may have started tasks of the job.
 	again bool
+	// claimed tells that the claim of a not-repeatable job is granted.
+	claimed bool
 	// holders are the hosts that wait for the answer.
 	holders []identifier.HostID
 	tasks   []task
@@ -106,8 +140,26 @@
 	measured   measure
 	unresolved int
 	answer     *messenger.JobAnswer
-	// releasable are the tasks whose answers a backend server still keeps.
+	// answerHeld tells that a second host holds the answer.
 	answerHeld bool
+	// spilledTo is the failure domain that the job is handed over to, spillMode
+	// what its lead may do; after spillUnknownUntil the job fails, because that lead
+	// is out of reach.
+	spilledTo         identifier.FailureDomain
+	spillMode         messenger.SpillMode
+	spillUnknownUntil identifier.Moment
+	// guestOf is the lead of the job's home in another failure domain; empty for
+	// jobs that are at home here.
+	guestOf identifier.HostID
+	// failure is why the job failed while its cell's takeover was under way; it
+	// is told once the takeover has shown that there is no answer yet.
+	failure *failure
+}
+
+// failure is why a job can't be complete any more.
+type failure struct {
+	reason messenger.Reason
+	detail string
 }
 
 // task is one task of a job.
@@ -116,7 +168,9 @@
 	spec   *messenger.Task
 	state  taskState
 	server identifier.BackendServerID
-	result []byte
+	// unknownUntil is when an unknown task fails its job.
+	unknownUntil identifier.Moment
+	result       []byte
 	// refusals counts the starts that are known not to have happened.
 	refusals int
 	// inFlight tells that the task counts for its team's tasks in flight.
@@ -127,6 +181,10 @@
 	return TaskKey{Submission: task.job.spec.Submission, Task: task.spec.Task}
 }
 
+func (job *job) timer(kind timerKind) timerKey {
+	return timerKey{kind: kind, submission: job.spec.Submission}
+}
+
 // timerKind tells which deadline a timer stands for.
 type timerKind int
 
@@ -139,6 +197,8 @@
 	timerTakeover
 	timerRetry
 	timerNoServer
+	timerSpill
+	timerLoad
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -27,10 +27,14 @@
 			dispatcher.forget(job)
 		}
 	case timerServerSilence:
-		dispatcher.silenceServer(key.server)
+		dispatcher.silenceServer(serverKey{cell: key.cell, server: key.server})
 		dispatcher.markCapacityStale()
 	case timerServerForget:
-		dispatcher.forgetServer(key.server)
+		dispatcher.forgetServer(serverKey{cell: key.cell, server: key.server})
+	case timerSpill:
+		dispatcher.expireSpill(key.submission)
+	case timerLoad:
+		// The tick that this timer asks for tells the load.
 	case timerRetry:
 		dispatcher.repeatHeld(key.submission)
 	case timerNoServer:
@@ -54,14 +58,20 @@
 	if job == nil || job.state == jobFinished {
 		return
 	}
+	if job.state == jobSpilled {
+		dispatcher.failJob(job, messenger.ReasonTaskUnknown,
+			"the job was handed to failure domain "+string(job.spilledTo)+", which is out of reach")
+		return
+	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		if task.state == taskUnknown {
+		if task.state == taskUnknown && task.unknownUntil.Due(dispatcher.now) {
 			dispatcher.failJob(job, messenger.ReasonTaskUnknown,
 				"nobody can tell what became of task "+string(task.spec.Task)+" at "+string(task.server))
 			return
 		}
 	}
+	dispatcher.awaitUnknown(job)
 }
 
 // forget drops a submission with all its deadlines.
--- a/pkg/dispatcher/measuring.go
+++ b/pkg/dispatcher/measuring.go
@@ -116,7 +116,7 @@
 		if !task.inFlight {
 			continue
 		}
-		server := dispatcher.servers.Get(task.server)
+		server := dispatcher.servers.Get(serverKey{cell: job.cell, server: task.server})
 		if task.state == taskUnknown || server == nil || server.running[task.key()] != task {
 			dispatcher.endFlight(task)
 		}
--- a/pkg/dispatcher/overload.go
+++ b/pkg/dispatcher/overload.go
@@ -167,16 +167,17 @@
 	return min(max(wait, retryAfterMin), retryAfterMax)
 }
 
-// capacity returns the slots of the cell's usable backend servers, busy or not.
+// capacity returns the slots of the cell's usable backend servers, busy or not, as
+// far as their health allows to use them.
 func (dispatcher *Dispatcher) capacity(cell *cell) identifier.Slots {
 	if !cell.capacityStale {
 		return cell.slots
 	}
 	cell.capacityStale = false
 	cell.slots = 0
-	dispatcher.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == cell.number && server.serving() {
-			cell.slots += server.slots
+			cell.slots += server.allowed
 		}
 		return true
 	})
@@ -202,9 +203,11 @@
 	case *ServerAnnounced, *ServerReported, *ServerLeaving, *ServerLost, *TasksRefused:
 		dispatcher.markCapacityStale()
 	case *ServerHeartbeat:
-		if server := dispatcher.servers.Get(input.Server); server != nil && server.silent {
-			dispatcher.markCapacityStale()
-		}
+		dispatcher.eachView(input.Server, func(server *server) {
+			if server.silent {
+				dispatcher.markCapacityStale()
+			}
+		})
 	}
 }
 
--- a/pkg/dispatcher/stopping.go
+++ b/pkg/dispatcher/stopping.go
@@ -1,10 +1,13 @@
 package dispatcher
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
 
 // stop asks a backend server to stop a task.
 func (dispatcher *Dispatcher) stop(server identifier.BackendServerID, key TaskKey) {
-	batch := dispatcher.outputs.toServer(server)
+	batch := dispatcher.outputs.toServer(messenger.CellOf(key.Submission, dispatcher.Settings.Cells), server)
 	batch.Cancels = append(batch.Cancels, key)
 }
 
@@ -27,8 +30,8 @@
 			task.server = answer.server
 			continue
 		}
-		id, running := found.running[task.spec.Task]
-		if server := dispatcher.servers.Get(id); running && server != nil {
+		running := found.running[task.spec.Task]
+		if server := dispatcher.servers.Get(serverKey{cell: cell.number, server: running.server}); server != nil {
 			dispatcher.adoptRunning(cell, server, task.key())
 		}
 	}
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -9,14 +9,52 @@
 func (forwarder *Forwarder) holdCopies(input *CopiesWanted) {
 	held := make([]identifier.SubmissionID, 0, len(input.Records))
 	for _, record := range input.Records {
+		if forwarder.refuseStaleLead(input.From, record) {
+			continue
+		}
+		record.Epoch = 0
 		if forwarder.copies.Get(record.Submission) == nil {
 			heldAt := forwarder.now.Add(-record.Age)
 			forwarder.copies.Put(record.Submission, &heldCopy{record: record, heldAt: heldAt})
 		}
+		if record.SpilledTo != "" {
+			forwarder.copies.Get(record.Submission).record.SpilledTo = record.SpilledTo
+		}
 		forwarder.expireCopyLater(record.Submission)
 		held = append(held, record.Submission)
 	}
-	forwarder.add(&ConfirmCopies{To: input.From, Submissions: held})
+	if len(held) > 0 {
+		forwarder.add(&ConfirmCopies{To: input.From, Submissions: held})
+	}
+}
+
+// refuseStaleLead tells whether a copy is asked for by a lead whose cell this
+// host has already helped another to take.
+//
+// Its answer to the takeover was complete only if nothing is added afterwards. If
+// the old lead, which may not know yet, still got its copy confirmed, it would
+// start a submission that the new lead takes for new when the caller resends it.
+func (forwarder *Forwarder) refuseStaleLead(from identifier.HostID, record messenger.CopyRecord) bool {
+	key := cellKey{failureDomain: forwarder.FailureDomain, cell: record.Cell}
+	known := forwarder.leads.Get(key)
+	if known == nil || record.Epoch >= max(known.epoch, known.promised) {
+		return false
+	}
+	if known.epoch > record.Epoch {
+		notice := messenger.LeadNotice{FailureDomain: key.failureDomain, Cell: key.cell, Host: known.host, Epoch: known.epoch}
+		forwarder.add(&TellLead{To: from, Notice: notice})
+	}
+	return true
+}
+
+func (forwarder *Forwarder) promise(query messenger.TakeoverQuery) {
+	key := cellKey{failureDomain: forwarder.FailureDomain, cell: query.Cell}
+	known := forwarder.leads.Get(key)
+	if known == nil {
+		known = &lead{}
+		forwarder.leads.Put(key, known)
+	}
+	known.promised = max(known.promised, query.Epoch)
 }
 
 func (forwarder *Forwarder) expireCopyLater(submission identifier.SubmissionID) {
@@ -55,6 +93,45 @@
 	})
 }
 
+// learnRecords keeps what a new lead has heard at its takeover. With the old lead
+// one of the two hosts that knew each submission is gone. If the new lead kept
+// nothing, the loss of the other one would make a resend look new, and its tasks
+// would run twice.
+func (forwarder *Forwarder) learnRecords(input *RecordsLearned) {
+	for _, record := range input.Records {
+		known := forwarder.copies.Get(record.Submission)
+		if record.Answered && record.AnswerAt == "" {
+			record.AnswerAt = input.From
+		}
+		if known != nil && record.SpilledTo != "" {
+			known.record.SpilledTo = record.SpilledTo
+		}
+		if known != nil && (known.record.Answered || !record.Answered) {
+			continue
+		}
+		heldAt := forwarder.now.Add(-record.Age)
+		learned := &heldCopy{record: record, heldAt: heldAt}
+		if known != nil {
+			learned.answer = known.answer
+		}
+		forwarder.copies.Put(record.Submission, learned)
+		forwarder.expireCopyLater(record.Submission)
+	}
+}
+
+// keepGivenAnswer keeps what this host answered as a lead, so that it still knows
+// when it has lost the cell. A refusal that claims nothing is not the answer of
+// the submission.
+func (forwarder *Forwarder) keepGivenAnswer(answer *messenger.JobAnswer) {
+	held := forwarder.copies.Get(answer.Submission)
+	claimsNothing := answer.Outcome == messenger.OutcomeRefused && !answer.NotRun
+	if held == nil || held.answer != nil || claimsNothing {
+		return
+	}
+	held.answer = answer
+	forwarder.expireCopyLater(answer.Submission)
+}
+
 // holdAnswer keeps the second copy of an answer.
 func (forwarder *Forwarder) holdAnswer(input *AnswerCopyArrived) {
 	submission := input.Answer.Submission
@@ -63,6 +140,11 @@
 		held = &heldCopy{record: messenger.CopyRecord{Submission: submission}, heldAt: forwarder.now}
 		forwarder.copies.Put(submission, held)
 	}
+	if held.answer != nil && held.answer.Outcome != input.Answer.Outcome {
+		// The sender was deposed without knowing it, and the new lead has answered.
+		forwarder.add(&SendAnswer{To: input.From, Answer: held.answer})
+		return
+	}
 	held.answer = input.Answer
 	forwarder.expireCopyLater(submission)
 	forwarder.add(&ConfirmAnswerCopy{To: input.From, Submission: submission})
@@ -91,6 +173,7 @@
 // replyToTakeover lists the submissions of a cell of the own failure domain that
 // this host knows as a caller's host or as the holder of a second copy.
 func (forwarder *Forwarder) replyToTakeover(input *TakeoverQueried) {
+	forwarder.promise(input.Query)
 	reply := messenger.TakeoverReply{Cell: input.Query.Cell, Epoch: input.Query.Epoch}
 	wanted := cellKey{failureDomain: forwarder.FailureDomain, cell: input.Query.Cell}
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
@@ -122,6 +205,9 @@
 func (forwarder *Forwarder) recordOfCopy(held *heldCopy) messenger.CopyRecord {
 	record := held.record
 	record.Age = forwarder.now.Sub(held.heldAt)
-	record.Answered = held.answer != nil
+	if held.answer != nil {
+		record.Answered = true
+		record.AnswerAt = ""
+	}
 	return record
 }
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -19,8 +19,13 @@
 		forwarder.giveUpHome(key)
 	case timerCopyWait:
 		forwarder.askAnotherHost(key)
+		forwarder.releaseHeldBack(key.submission)
 	case timerForgetFront:
 		forwarder.fronts.Remove(key.submission)
+	case timerAskAgain:
+		forwarder.askAgain(key.submission)
+	case timerLoneAnswer:
+		forwarder.confirmLoneAnswer(key.submission)
 	case timerForgetCopy:
 		forwarder.copies.Remove(key.submission)
 	}
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -38,7 +38,7 @@
 }
 
 func (forwarder *Forwarder) join(front *front, waiter WaiterID) {
-	if front.answer != nil {
+	if front.answer != nil && !front.answerHeldBack {
 		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
 		return
 	}
@@ -49,7 +49,7 @@
 func (forwarder *Forwarder) route(front *front) {
 	submission := front.job.Submission
 	lead := forwarder.leads.Get(forwarder.cellOf(front.job))
-	if lead == nil || lead.unreachable {
+	if lead == nil || lead.host == "" || lead.unreachable {
 		front.forwardedTo = ""
 		due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.HomeWait), front.deadline)
 		forwarder.timers.Set(timerKey{kind: timerHomeWait, submission: submission}, due)
@@ -74,7 +74,9 @@
 		return
 	}
 	front.copyAt = second
-	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{forwarder.recordOf(front)}})
+	record := forwarder.recordOf(front)
+	record.Epoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
+	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{record}})
 	due := forwarder.now.Add(forwarder.Settings.CopyWait)
 	forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: front.job.Submission}, due)
 }
@@ -112,6 +114,21 @@
 	if front.cancelled {
 		forwarder.forwardCancel(front)
 	}
+	last := forwarder.now
+	if front.deadline != identifier.Never {
+		last = max(last, front.deadline)
+	}
+	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, last.Add(forwarder.Settings.AskAgain))
+}
+
+// askAgain forwards a job again whose answer is overdue. The answer may have been
+// lost on its way from a third host, over a connection whose end told this host
+// nothing about the lead; the caller would wait for ever. The lead, or the host
+// that it asks, sends the one answer again.
+func (forwarder *Forwarder) askAgain(submission identifier.SubmissionID) {
+	if front := forwarder.fronts.Get(submission); front != nil && front.answer == nil {
+		forwarder.route(front)
+	}
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
@@ -123,7 +140,11 @@
 	case input.Notice.Host == "":
 		forwarder.markUnreachable(key, known)
 	case known == nil || input.Notice.Epoch > known.epoch:
-		forwarder.leads.Put(key, &lead{host: input.Notice.Host, epoch: input.Notice.Epoch})
+		learned := &lead{host: input.Notice.Host, epoch: input.Notice.Epoch}
+		if known != nil {
+			learned.promised = known.promised
+		}
+		forwarder.leads.Put(key, learned)
 		forwarder.routeCell(key)
 	case input.Notice.Epoch == known.epoch && known.unreachable:
 		// The same lead can be reached again. It knows a job that it has already.
@@ -151,52 +172,6 @@
 	})
 }
 
-// recordAnswer takes the one answer of a submission. A second one is ignored.
-func (forwarder *Forwarder) recordAnswer(input *AnswerArrived) {
-	front := forwarder.fronts.Get(input.Answer.Submission)
-	if front == nil {
-		forwarder.answerQuestion(input)
-		return
-	}
-	if front.answer != nil {
-		forwarder.confirmAnswer(input.From, front)
-		return
-	}
-	front.answer = input.Answer
-	submission := front.job.Submission
-	forwarder.timers.Clear(timerKey{kind: timerHomeWait, submission: submission})
-	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
-	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
-	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: submission}, forgetAt)
-	for _, waiter := range front.waiters {
-		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
-	}
-	front.waiters = nil
-	forwarder.confirmAnswer(input.From, front)
-}
-
-// confirmAnswer tells the lead that two hosts hold the answer. Where this host
-// is the lead, another host must hold a copy first.
-func (forwarder *Forwarder) confirmAnswer(from identifier.HostID, front *front) {
-	if from != forwarder.Self {
-		forwarder.add(&ConfirmAnswer{To: from, Submission: front.job.Submission})
-		return
-	}
-	second := front.copyAt
-	if second == "" {
-		second = forwarder.secondHost("")
-	}
-	if second == "" {
-		forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: front.job.Submission})
-		return
-	}
-	forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
-}
-
-func (forwarder *Forwarder) recordAnswerCopyHeld(input *AnswerCopyHeld) {
-	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: input.Submission})
-}
-
 // cancel hands a cancellation to the lead of the caller's own submission.
 func (forwarder *Forwarder) cancel(input *CallerCancelled) {
 	front := forwarder.fronts.Get(input.Submission)
@@ -230,10 +205,7 @@
 
 func (forwarder *Forwarder) answerHere(front *front, answer *messenger.JobAnswer) {
 	front.answer = answer
-	for _, waiter := range front.waiters {
-		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: answer})
-	}
-	front.waiters = nil
+	forwarder.answerWaiters(front)
 	forgetAt := forwarder.now.Add(forwarder.Settings.AnswerRetention)
 	forwarder.timers.Set(timerKey{kind: timerForgetFront, submission: front.job.Submission}, forgetAt)
 }
