--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -6,12 +6,14 @@
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
 // Command is one entry of the replicated log; exactly one field is set.
 type Command struct {
 	Claims *claimer.Command   `cbor:"1,keyasint,omitempty"`
 	Change *configurer.Change `cbor:"2,keyasint,omitempty"`
+	Intent *planner.Command   `cbor:"3,keyasint,omitempty"`
 }
 
 // Result is what applying a command returned; the field of the command's kind is
@@ -19,6 +21,7 @@
 type Result struct {
 	Decisions []claimer.Decision `cbor:"1,keyasint,omitempty"`
 	Change    *configurer.Result `cbor:"2,keyasint,omitempty"`
+	Intent    *planner.Result    `cbor:"3,keyasint,omitempty"`
 }
 
 // Nonce names a request between the host that asks and its reply.
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
@@ -89,6 +90,15 @@
 // Leads tells whether this keeper leads the others.
 func (keeper *Keeper) Leads() bool { return keeper.leader == keeper.Self }
 
+// Intents returns the state of all intents as far as this keeper has applied the
+// log, or nil before the first Tick. It must not be changed.
+func (keeper *Keeper) Intents() *planner.Machine {
+	if keeper.machine == nil {
+		return nil
+	}
+	return &keeper.machine.intents
+}
+
 func (keeper *Keeper) prepare(now identifier.Moment) {
 	keeper.now = now
 	if keeper.replicator != nil {
--- a/pkg/keeper/machine.go
+++ b/pkg/keeper/machine.go
@@ -6,6 +6,7 @@
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
 // Bounds of the replicated state. They must be the same on every keeper, so they
@@ -20,6 +21,7 @@
 type machine struct {
 	claims        claimer.Register
 	configuration configurer.Register
+	intents       planner.Machine
 }
 
 func newMachine() *machine {
@@ -33,6 +35,8 @@
 type snapshot struct {
 	Claims        []byte `cbor:"1,keyasint"`
 	Configuration []byte `cbor:"2,keyasint"`
+	// Intents is missing in snapshots of versions that knew none.
+	Intents []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Apply carries out one command. A command that this version can't read changes
@@ -57,6 +61,9 @@
 	case command.Change != nil:
 		outcome := machine.configuration.Apply(command.Change)
 		return Result{Change: &outcome}
+	case command.Intent != nil:
+		result := machine.intents.Apply(index, *command.Intent)
+		return Result{Intent: &result}
 	default:
 		return Result{}
 	}
@@ -72,7 +79,7 @@
 	if err != nil {
 		panic(err) // Plain data always has a CBOR form.
 	}
-	content, err := cbor.Marshal(&snapshot{Claims: claims, Configuration: configuration})
+	content, err := cbor.Marshal(&snapshot{Claims: claims, Configuration: configuration, Intents: machine.intents.Snapshot()})
 	if err != nil {
 		panic(err) // Plain data always has a CBOR form.
 	}
@@ -88,5 +95,12 @@
 	if err := machine.claims.Restore(state.Claims); err != nil {
 		return err
 	}
-	return machine.configuration.Restore(state.Configuration)
+	if err := machine.configuration.Restore(state.Configuration); err != nil {
+		return err
+	}
+	if state.Intents == nil {
+		machine.intents = planner.Machine{}
+		return nil
+	}
+	return machine.intents.Restore(state.Intents)
 }
