Let the fuzz test refuse starts and cancel across what is under way

Cause: a mutation that queues a refused task of a cancelled intent again was not noticed. Change: workers refuse starts, the driver may hear of the log before it hears the workers, the newest intent is cancelled more often, and a start after the driver was told of a cancellation fails the test.

--- a/pkg/planner/fuzz_test.go
+++ b/pkg/planner/fuzz_test.go
@@ -96,6 +96,14 @@
 					ask(t, drawCommand(t, CommandCancel))
 				}
 			},
+			"cancel-newest": func(t *rapid.T) {
+				command := drawCommand(t, CommandCancel)
+				command.Name = names[len(names)-1]
+				if record := world.machine.Get(command.Name); record != nil {
+					command.Revision = record.Revision
+					ask(t, command)
+				}
+			},
 			"resend": func(t *rapid.T) {
 				if len(order) == 0 {
 					return
@@ -169,6 +177,7 @@
 
 func (world *world) drawStep(t *rapid.T) {
 	wait := time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait")) * time.Millisecond
+	world.logFirst = rapid.Bool().Draw(t, "log-first")
 	world.step(wait, rapid.IntRange(0, 4).Draw(t, "applied"), rapid.Bool().Draw(t, "beats"))
 }
 
@@ -241,6 +250,8 @@
 		runTime = time.Minute
 	case 2:
 		end = EndFailed
+	case 4:
+		end = EndRefused
 	case 3:
 		runTime /= 10
 		used.MilliCPU /= 4
--- a/pkg/planner/world_test.go
+++ b/pkg/planner/world_test.go
@@ -44,6 +44,8 @@
 	assigned  map[identifier.IntentName]State
 	ended     map[identifier.IntentName]bool
 
+	// logFirst tells that the driver hears of the log before it hears the workers.
+	logFirst bool
 	// silent tells that workers send no usage reports.
 	silent bool
 	// reports holds the last report that the driver got of each run.
@@ -217,8 +219,13 @@
 		world.proposals = world.proposals[1:]
 		world.apply(command)
 	}
+	heard := world.inbox
+	world.inbox = nil
 	world.tell()
-	inputs := world.inbox
+	inputs := append(heard, world.inbox...)
+	if world.logFirst {
+		inputs = append(world.inbox, heard...)
+	}
 	world.inbox = nil
 	world.noteReports(inputs)
 	outputs := world.driver.Tick(world.now(), inputs)
@@ -367,6 +374,9 @@
 	if record == nil || record.State < StateConfirmed {
 		world.t.Fatalf("%s started before its plan was confirmed", task)
 	}
+	if world.assigned[start.Intent] == StateCancelling || world.ended[start.Intent] {
+		world.t.Fatalf("%s started after the driver was told that it is cancelled", task)
+	}
 	for _, former := range world.runs[task] {
 		if !former.over {
 			world.t.Fatalf("%s runs twice at once", task)
@@ -376,6 +386,11 @@
 		}
 	}
 	runTime, end, used := world.behave(start)
+	if end == EndRefused {
+		worker.holder.Release(task)
+		world.inbox = append(world.inbox, TaskEnded{Worker: start.Worker, Task: task, Number: start.Grant.Number, End: EndRefused})
+		return
+	}
 	run := &fakeRun{task: task, number: start.Grant.Number, begun: world.real, endsAt: world.real.Add(runTime), end: end, used: used, need: start.Need}
 	worker.running = append(worker.running, run)
 	world.runs[task] = append(world.runs[task], run)
