Show backend servers and work of a host in its status

Cause: operators could not see which backend servers a host knows or how much work waits there. Change: read-only Dispatcher.Servers and Dispatcher.Work in status.go, put into coordinator.Status, with the host's own roles and callers' address.

--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
@@ -11,12 +12,18 @@
 type Status struct {
 	Host          identifier.HostID        `json:"host"`
 	FailureDomain identifier.FailureDomain `json:"failure-domain"`
+	Roles         []gossiper.Role          `json:"roles"`
+	Callers       string                   `json:"callers-address"`
 	Draining      bool                     `json:"draining"`
 	Unanswered    int                      `json:"unanswered"`
 	ConfigVersion identifier.ConfigVersion `json:"config-version"`
 	Hosts         []HostStatus             `json:"hosts"`
 	Cells         []CellStatus             `json:"cells"`
-	Keeper        *keeper.Status           `json:"keeper,omitempty"`
+	// Servers are the backend servers that have announced themselves here.
+	Servers []dispatcher.ServerStatus `json:"backend-servers"`
+	// Work counts the work of the cells that this host leads.
+	Work   dispatcher.WorkStatus `json:"work"`
+	Keeper *keeper.Status        `json:"keeper,omitempty"`
 }
 
 // HostStatus is another host as this one sees it.
@@ -43,6 +50,10 @@
 		Draining:      coordinator.draining,
 		Unanswered:    coordinator.forwarder.Unanswered(),
 		ConfigVersion: coordinator.follower.Version(),
+		Roles:         coordinator.Self.Roles,
+		Callers:       coordinator.Self.Addresses.Callers,
+		Servers:       coordinator.dispatcher.Servers(),
+		Work:          coordinator.dispatcher.Work(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
 		status.Hosts = append(status.Hosts, coordinator.hostStatus(state))
