Add the command line: settings, job, hosts, members, backend-servers, keepers, config

Cause: operators and callers had only try and stand-in. Change: one file a command over one HTTP client, pkg/requester, which the trial uses too. Conclusion: a whole deployment can be run and looked at by hand.

--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -12,8 +13,8 @@
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
-	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/loader"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
@@ -91,12 +92,6 @@
 	}
 }
 
-// configBody is the JSON of a version of the configuration.
-type configBody struct {
-	configurer.Version
-	Document json.RawMessage `json:"document"`
-}
-
 func (operations *operations) showConfig(writer http.ResponseWriter, request *http.Request) {
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.ConfigWanted{Waiter: waiter}
@@ -106,34 +101,10 @@
 	}
 }
 
-func bodyOf(version configurer.Version) configBody {
-	body := configBody{Version: version, Document: version.Document}
-	if len(body.Document) == 0 {
-		body.Document = json.RawMessage("{}")
-	}
-	return body
-}
-
-// changeBody is the JSON of a change of the configuration.
-type changeBody struct {
-	Request  identifier.RequestID     `json:"request"`
-	Expected identifier.ConfigVersion `json:"expected"`
-	Operator string                   `json:"operator"`
-	Document json.RawMessage          `json:"document"`
-}
-
 func (operations *operations) changeConfig(writer http.ResponseWriter, request *http.Request) {
-	var body changeBody
-	limited := http.MaxBytesReader(writer, request.Body, int64(operations.Settings.Limits.RequestBody))
-	decoder := json.NewDecoder(limited)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
-		writeJSON(writer, http.StatusBadRequest, errorBody{Error: "malformed-body", Detail: err.Error()})
-		return
-	}
-	if body.Request == "" || body.Operator == "" || len(body.Document) == 0 {
-		detail := "request, operator and document must not be empty"
-		writeJSON(writer, http.StatusBadRequest, errorBody{Error: "missing-field", Detail: detail})
+	body, problem := operations.readChange(writer, request)
+	if problem != nil {
+		writeJSON(writer, http.StatusBadRequest, problem)
 		return
 	}
 	change := &configurer.Change{
@@ -148,9 +119,31 @@
 	}
 }
 
+// readChange reads a change and checks its document. A wrong document must not
+// reach the log: every host would refuse to put it in force and none could say so
+// to the operator who sent it.
+func (operations *operations) readChange(writer http.ResponseWriter, request *http.Request) (*ChangeBody, *ErrorBody) {
+	var body ChangeBody
+	limited := http.MaxBytesReader(writer, request.Body, int64(operations.Settings.Limits.RequestBody))
+	decoder := json.NewDecoder(limited)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return nil, &ErrorBody{Error: "malformed-body", Detail: err.Error()}
+	}
+	if body.Request == "" || body.Operator == "" || len(body.Document) == 0 {
+		return nil, &ErrorBody{Error: "missing-field", Detail: "request, operator and document must not be empty"}
+	}
+	_, err := loader.ParseConfiguration("document", body.Document)
+	var wrong *loader.Error
+	if errors.As(err, &wrong) {
+		return nil, &ErrorBody{Error: "wrong-document", Detail: "the document has problems", Problems: wrong.Problems}
+	}
+	return &body, nil
+}
+
 func writeChangeResult(writer http.ResponseWriter, answer *coordinator.OperatorAnswer) {
 	if !answer.Applied || answer.Result.Change == nil {
-		writeJSON(writer, http.StatusServiceUnavailable, errorBody{
+		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{
 			Error:  "no-quorum",
 			Detail: "no quorum of the keepers answered; nobody knows whether the change was accepted: send it again with the same request id",
 		})
@@ -171,18 +164,13 @@
 	if !answered {
 		return
 	}
-	bodies := make([]configBody, 0, len(answer.Versions))
+	bodies := make([]ConfigBody, 0, len(answer.Versions))
 	for _, version := range answer.Versions {
 		bodies = append(bodies, bodyOf(version))
 	}
 	writeJSON(writer, http.StatusOK, bodies)
 }
 
-type errorBody struct {
-	Error  string `json:"error"`
-	Detail string `json:"detail"`
-}
-
 // writeJSON writes body. An error means that the operator has hung up, so there
 // is nobody to tell.
 func writeJSON(writer http.ResponseWriter, status int, body any) {
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -7,11 +7,8 @@
 package commander
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -41,33 +38,26 @@
 	return &exitError{code: ExitMalformed, message: fmt.Sprintf(format, arguments...)}
 }
 
-// terminal is what a command talks to.
-type terminal struct {
-	context context.Context
-	output  io.Writer
-	errors  io.Writer
-}
-
-// commonOptions are the options that every command has.
-type commonOptions struct {
-	JSON bool `long:"json" description:"print JSON in place of a table"`
-
-	terminal *terminal
-}
-
 // RunTool runs the command-line tool and returns its exit code.
 func RunTool(arguments []string) int {
 	ctx, stop := interruptible()
 	defer stop()
-	terminal := &terminal{context: ctx, output: os.Stdout, errors: os.Stderr}
+	terminal := newTerminal(ctx)
 	parser := newToolParser(terminal)
 	_, err := parser.ParseArgs(arguments)
 	return terminal.exitCode(err)
 }
 
+// toolDescription is the general help.
+const toolDescription = `Drives stoathitch, a dispatcher for sub-second tasks.
+
+A terminal gets tables and progress lines; a pipe gets tab-separated lines without a header; --json gives JSON to both.
+
+Exit codes: 0 all went well; 1 something was found wanting (a missing answer, a failed or refused job, a conflict, an unreachable host); 2 the command line or an input file is malformed.`
+
 func newToolParser(terminal *terminal) *flags.Parser {
 	parser := flags.NewNamedParser("stoathitch", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Drives stoathitch, a dispatcher for sub-second tasks. Exit codes: 0 all well, 1 something was found wanting, 2 malformed input."
+	parser.LongDescription = toolDescription
 	common := commonOptions{terminal: terminal}
 	addCommand(parser.Command, "try", "Try the whole system in one process",
 		"Starts entry hosts of three failure domains and stand-in backend servers on loopback, runs jobs through them and checks every answer.",
@@ -75,6 +65,13 @@
 	addCommand(parser.Command, "stand-in", "Run stand-in backend servers",
 		"Runs backend servers that follow the published protocol, sleep for the payload's run-time and answer with an echo.",
 		&standInCommand{commonOptions: common})
+	addSettingsCommands(parser.Command, common)
+	addJobCommands(parser.Command, common)
+	addStatusCommands(parser.Command, common)
+	addConfigCommands(parser.Command, common)
+	addCommand(parser.Command, "completion", "Print the completion script for bash",
+		"Prints a script that completes commands and options: source <(stoathitch completion)",
+		&completionCommand{commonOptions: common})
 	return parser
 }
 
--- a/pkg/commander/daemon.go
+++ b/pkg/commander/daemon.go
@@ -20,7 +20,7 @@
 func RunDaemon(arguments []string) int {
 	graceful, hurried, stop := gracefulThenHurried()
 	defer stop()
-	terminal := &terminal{context: graceful, output: os.Stdout, errors: os.Stderr}
+	terminal := newTerminal(graceful)
 	var options daemonOptions
 	parser := flags.NewNamedParser("stoathitchd", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &options); err != nil {
--- a/pkg/initializer/initializer.go
+++ b/pkg/initializer/initializer.go
@@ -222,7 +222,7 @@
 func generatedHosts(files []settingsFile) []GeneratedHost {
 	hosts := make([]GeneratedHost, 0, len(files))
 	for _, file := range files {
-		command := "stoathitchd --settings " + shellQuote(file.path)
+		command := "stoathitchd --settings " + ShellQuote(file.path)
 		hosts = append(hosts, GeneratedHost{Host: file.host, File: file.path, Command: command})
 	}
 	return hosts
--- a/pkg/initializer/quote.go
+++ b/pkg/initializer/quote.go
@@ -9,8 +9,8 @@
 
 var globReplacer = strings.NewReplacer(`\`, `\\`, `*`, `\*`, `?`, `\?`, `[`, `\[`)
 
-// shellQuote returns text as one word of a POSIX shell.
-func shellQuote(text string) string {
+// ShellQuote returns text as one word of a POSIX shell.
+func ShellQuote(text string) string {
 	if plainWord.MatchString(text) {
 		return text
 	}
--- a/pkg/receiver/handlers.go
+++ b/pkg/receiver/handlers.go
@@ -10,8 +10,8 @@
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
-// callerHeader names the caller of a request that has no body.
-const callerHeader = "Stoathitch-Caller"
+// CallerHeader is the HTTP header that names the caller of a request without a body.
+const CallerHeader = "Stoathitch-Caller"
 
 func (receiver *Receiver) submit(writer http.ResponseWriter, request *http.Request) {
 	job, deadline, problem := receiver.readJob(writer, request)
@@ -47,7 +47,7 @@
 }
 
 func callerOf(request *http.Request) identifier.CallerID {
-	return identifier.CallerID(request.Header.Get(callerHeader))
+	return identifier.CallerID(request.Header.Get(CallerHeader))
 }
 
 func (receiver *Receiver) health(writer http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/pkg/requester/operations.go
@@ -0,0 +1,59 @@
+package requester
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/assembler"
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+)
+
+// Status asks the host what operators see of it.
+func (requester *Requester) Status(ctx context.Context) (*coordinator.Status, error) {
+	var status coordinator.Status
+	err := requester.fetch(ctx, &call{method: http.MethodGet, path: "/v1/status"}, http.StatusOK, &status)
+	if err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
+
+// Config asks for the configuration in force on the host.
+func (requester *Requester) Config(ctx context.Context) (*assembler.ConfigBody, error) {
+	var version assembler.ConfigBody
+	err := requester.fetch(ctx, &call{method: http.MethodGet, path: "/v1/config"}, http.StatusOK, &version)
+	if err != nil {
+		return nil, err
+	}
+	return &version, nil
+}
+
+// ConfigHistory asks for the versions that the host has, the oldest first. Only a
+// keeper has more than the one in force.
+func (requester *Requester) ConfigHistory(ctx context.Context) ([]assembler.ConfigBody, error) {
+	var versions []assembler.ConfigBody
+	err := requester.fetch(ctx, &call{method: http.MethodGet, path: "/v1/config/history"}, http.StatusOK, &versions)
+	if err != nil {
+		return nil, err
+	}
+	return versions, nil
+}
+
+// ChangeConfig proposes a configuration. A conflict is a result and no error.
+func (requester *Requester) ChangeConfig(ctx context.Context, change *assembler.ChangeBody) (*configurer.Result, error) {
+	call := &call{method: http.MethodPost, path: "/v1/config"}
+	content, err := json.Marshal(change)
+	if err != nil {
+		return nil, call.failed(ErrorKindWrongRequest, eris.Wrap(err, "encode the change"))
+	}
+	call.body = content
+	var result configurer.Result
+	if err := requester.fetch(ctx, call, http.StatusConflict, &result); err != nil {
+		return nil, err
+	}
+	return &result, nil
+}
--- a/pkg/trier/jobs.go
+++ b/pkg/trier/jobs.go
@@ -1,16 +1,15 @@
 package trier
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/loader"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/receiver"
+	"github.com/stoathitch/stoathitch/pkg/requester"
 )
 
 // networkAllowance is the part of the ideal response that is not work.
@@ -74,9 +73,16 @@
 
 // submit sends a job over HTTP and checks that its answer is whole and its own.
 func (trier *Trier) submit(ctx context.Context, settings *loader.Settings, job *trialJob) outcome {
+	result := outcome{job: job}
+	body, err := json.Marshal(job)
+	if err != nil {
+		result.problem = err.Error()
+		return result
+	}
+	host := &requester.Requester{Host: "http://" + settings.CallersAddress.String()}
 	begun := time.Now()
-	answer, err := post(ctx, "http://"+settings.CallersAddress.String()+"/v1/jobs", job)
-	result := outcome{job: job, response: time.Since(begun)}
+	answer, err := host.Submit(ctx, body)
+	result.response = time.Since(begun)
 	if err != nil {
 		result.problem = err.Error()
 		return result
@@ -86,27 +92,6 @@
 	return result
 }
 
-func post(ctx context.Context, url string, job *trialJob) (*receiver.AnswerBody, error) {
-	body, err := json.Marshal(job)
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	var answer receiver.AnswerBody
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return nil, err
-	}
-	return &answer, nil
-}
-
 // checkAnswer returns what is wrong with an answer, or nothing.
 func checkAnswer(job *trialJob, answer *receiver.AnswerBody) string {
 	if answer.Outcome != messenger.OutcomeComplete {
