--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
@@ -35,6 +36,7 @@
 	peers    *connector.Peers
 	servers  *connector.Servers
 	receiver *receiver.Receiver
+	measurer *measurer.Measurer
 	drained  chan struct{}
 	// keeping is nil on a host without a disk.
 	keeping    *keeping
@@ -82,9 +84,11 @@
 	}
 	daemon.runner.Prepare()
 	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation}
-	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
+	daemon.measurer = measurer.New()
+	daemon.measurer.Gauges = daemon.gauges
+	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock}
 	daemon.servers.Prepare()
-	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock}
+	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock, Measurer: daemon.measurer}
 	daemon.receiver.Prepare()
 	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
@@ -96,6 +100,7 @@
 		case *coordinator.ToPeer:
 			daemon.peers.Send(output.Host, &output.Batch)
 		case *coordinator.ToServer:
+			daemon.measurer.Started(len(output.Batch.Starts))
 			daemon.servers.Send(output.Batch)
 		case *coordinator.ToCaller:
 			daemon.receiver.Answer(output.Answer)
@@ -121,7 +126,7 @@
 	case *coordinator.KeeperHalted:
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.ConfigInForce:
-		daemon.Log.Info("configuration in force", "version", output.Version.Version, "operator", output.Version.Operator)
+		daemon.putInForce(output.Version)
 	case *coordinator.Persist:
 		daemon.keeping.persist(output.Persist)
 	case *coordinator.SaveSnapshot:
@@ -160,10 +165,20 @@
 	case <-daemon.drained:
 		daemon.Log.Info("shut down, every accepted job is answered")
 	case <-deadline.Done():
-		daemon.Log.Error("shut down early, requests lost", "waiting", daemon.receiver.Waiting())
+		daemon.logShutDownEarly()
 	}
 }
 
+// logShutDownEarly says what is lost. With nobody waiting nothing is, so that a
+// process which is told to end at once doesn't cry out.
+func (daemon *Daemon) logShutDownEarly() {
+	if waiting := daemon.receiver.Waiting(); waiting > 0 {
+		daemon.Log.Error("shut down early, requests lost", "waiting", waiting)
+		return
+	}
+	daemon.Log.Info("shut down early, nobody waits for an answer")
+}
+
 func sleep(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
@@ -184,8 +199,9 @@
 	router := mux.NewRouter()
 	daemon.receiver.Register(router)
 	daemon.operations.Register(router)
+	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
-		http:           &http.Server{Handler: router, ReadHeaderTimeout: daemon.Settings.Timeouts.HeaderTimeout.Std()},
+		http:           daemon.newHTTPServer(router),
 		backendServers: grpc.NewServer(),
 		peers:          grpc.NewServer(),
 	}
@@ -197,6 +213,18 @@
 	return created
 }
 
+// newHTTPServer bounds what a caller may hold of this host before it has sent a
+// whole request. The receiver bounds the body.
+func (daemon *Daemon) newHTTPServer(handler http.Handler) *http.Server {
+	timeouts := &daemon.Settings.Timeouts
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: timeouts.HeaderTimeout.Std(),
+		IdleTimeout:       timeouts.IdleTimeout.Std(),
+		MaxHeaderBytes:    int(daemon.Settings.Limits.RequestHeader),
+	}
+}
+
 func (daemon *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		daemon.Log.Error("callers not served", "err", err)
--- /dev/null
+++ b/pkg/assembler/inforce.go
@@ -0,0 +1,46 @@
+package assembler
+
+import (
+	"fmt"
+
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+)
+
+// withConfiguration returns the settings of a host under a configuration document.
+func withConfiguration(settings *loader.Settings, name string, document []byte) (*loader.Settings, error) {
+	configuration, err := loader.ParseConfiguration(name, document)
+	if err != nil {
+		return nil, err
+	}
+	effective := *settings
+	configuration.Fill(&effective)
+	return &effective, nil
+}
+
+// limitsReader reads the limits of teams and classes for the coordinator.
+func limitsReader(settings *loader.Settings) func(document []byte) (dispatcher.LimitsConfigured, bool) {
+	return func(document []byte) (dispatcher.LimitsConfigured, bool) {
+		effective, err := withConfiguration(settings, "document", document)
+		if err != nil {
+			return dispatcher.LimitsConfigured{}, false
+		}
+		return limitsOf(effective), true
+	}
+}
+
+// putInForce gives the receiver its part of a configuration; the coordinator has
+// taken the rest. Every document is checked before it is accepted. One that is
+// wrong all the same was accepted by a host of another release: this host goes on
+// with what it has, and the line is how one notices.
+func (daemon *Daemon) putInForce(version configurer.Version) {
+	name := fmt.Sprintf("version-%d", version.Version)
+	effective, err := withConfiguration(daemon.Settings, name, version.Document)
+	if err != nil {
+		daemon.Log.Error("configuration not understood, the earlier one stays", "version", version.Version, "err", err)
+		return
+	}
+	daemon.receiver.SetLimits(effective.Limits)
+	daemon.Log.Info("configuration in force", "version", version.Version, "operator", version.Operator, "request", version.Request)
+}
--- a/pkg/assembler/limits.go
+++ b/pkg/assembler/limits.go
@@ -9,8 +9,14 @@
 // fillLimits takes over the limits of teams and classes.
 func fillLimits(settings *loader.Settings, target *dispatcher.LimitSettings) {
 	target.Limiter.RetryRatio = settings.Dispatch.RetryBudgetRatio
+	target.Initial = limitsOf(settings)
+}
+
+// limitsOf returns the limits of teams and classes.
+func limitsOf(settings *loader.Settings) dispatcher.LimitsConfigured {
+	var limits dispatcher.LimitsConfigured
 	for _, team := range settings.Teams {
-		target.Initial.Teams = append(target.Initial.Teams, limiter.TeamLimits{
+		limits.Teams = append(limits.Teams, limiter.TeamLimits{
 			Team:           team.Team,
 			TasksPerSecond: team.TasksPerSecond,
 			TasksInFlight:  team.TasksInFlight,
@@ -18,10 +24,11 @@
 		})
 	}
 	for _, class := range settings.Classes {
-		target.Initial.Classes = append(target.Initial.Classes, dispatcher.ClassLimits{
+		limits.Classes = append(limits.Classes, dispatcher.ClassLimits{
 			Class:  class.Class,
 			Weight: class.Weight,
 			Urgent: class.Urgent,
 		})
 	}
+	return limits
 }
--- /dev/null
+++ b/pkg/assembler/measuring.go
@@ -0,0 +1,36 @@
+package assembler
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
+)
+
+// postServerEvent posts an input after it has counted what a backend server said.
+func (daemon *Daemon) postServerEvent(ctx context.Context, input coordinator.Input) bool {
+	if event, isServerEvent := input.(*coordinator.ServerEvent); isServerEvent {
+		switch event := event.Event.(type) {
+		case *dispatcher.TasksRefused:
+			daemon.measurer.StartsRefused(len(event.Refusals))
+		case *dispatcher.TasksAnswered:
+			daemon.measurer.TasksAnswered(len(event.Answers))
+		}
+	}
+	return daemon.runner.Post(ctx, input)
+}
+
+// gauges asks the coordinator for its counts of this moment.
+func (daemon *Daemon) gauges(request *http.Request) measurer.Gauges {
+	gauges := measurer.Gauges{Waiting: daemon.receiver.Waiting(), WaitingBytes: daemon.receiver.WaitingBytes()}
+	output := daemon.operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.StatusWanted{Waiter: waiter}
+	})
+	if answer, answered := output.(*coordinator.StatusAnswer); answered {
+		gauges.Queued = answer.Status.Work.Queued
+		gauges.Running = answer.Status.Work.Running
+	}
+	return gauges
+}
--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -17,6 +17,7 @@
 		Self:     self,
 		Seed:     uint64(incarnation),
 		Settings: coordinatorSettings(settings),
+		LimitsOf: limitsReader(settings),
 	}
 	for _, host := range settings.Hosts {
 		if host.Host != settings.Host {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -24,6 +24,9 @@
 	// Seed makes random choices repeatable; it differs between hosts.
 	Seed     uint64
 	Settings Settings
+	// LimitsOf returns the limits of a configuration document, and false for a
+	// document that can't be read. It must be pure; nil changes no limits.
+	LimitsOf func(document []byte) (dispatcher.LimitsConfigured, bool)
 
 	now        identifier.Moment
 	dispatcher *dispatcher.Dispatcher
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -190,10 +190,22 @@
 	case *configurer.InForce:
 		version := output.Version
 		coordinator.publish(configRecordKey, strconv.FormatUint(uint64(version.Version), recordNumberBase))
+		coordinator.enforceLimits(version.Document)
 		coordinator.outputs.add(&ConfigInForce{Version: version})
 	}
 }
 
+// enforceLimits hands the limits of a configuration to the dispatcher in the tick
+// in which it comes into force. A document that can't be read changes nothing.
+func (coordinator *Coordinator) enforceLimits(document []byte) {
+	if coordinator.LimitsOf == nil {
+		return
+	}
+	if limits, readable := coordinator.LimitsOf(document); readable {
+		coordinator.tellDispatcher(&limits)
+	}
+}
+
 // answerHistory asks the own keeper for the kept versions. A host without one has
 // only the version in force.
 func (coordinator *Coordinator) answerHistory(wanted *ConfigHistoryWanted) {
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -56,6 +56,9 @@
 		Work:          coordinator.dispatcher.Work(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
+		if state.Member.Host == coordinator.Self.Host {
+			continue
+		}
 		status.Hosts = append(status.Hosts, coordinator.hostStatus(state))
 	}
 	for number := range max(coordinator.Settings.Dispatcher.Cells, 1) {
--- a/pkg/loader/defaults.go
+++ b/pkg/loader/defaults.go
@@ -9,6 +9,7 @@
 		Log:   Log{Level: LogLevelInfo},
 		Limits: Limits{
 			RequestBody:   16 << 20,
+			RequestHeader: 64 << 10,
 			Payload:       1 << 20,
 			TasksPerJob:   1000,
 			QueuedTasks:   100_000,
@@ -23,6 +24,8 @@
 			HeartbeatMissed:   4,
 			ShutdownDeadline:  Duration(30 * time.Second),
 			HeaderTimeout:     Duration(5 * time.Second),
+			BodyTimeout:       Duration(30 * time.Second),
+			IdleTimeout:       Duration(2 * time.Minute),
 		},
 		Dispatch: Dispatch{
 			Policy:              PolicyCellLead,
--- a/pkg/loader/numbers_checker.go
+++ b/pkg/loader/numbers_checker.go
@@ -41,6 +41,7 @@
 func (checker *checker) checkLimits() {
 	limits := &checker.settings.Limits
 	atLeast(checker, "limits.request-body-bytes", limits.RequestBody, 1)
+	between(checker, "limits.request-header-bytes", limits.RequestHeader, 4<<10, 1<<20)
 	atLeast(checker, "limits.payload-bytes", limits.Payload, 1)
 	between(checker, "limits.tasks-per-job", limits.TasksPerJob, 1, 100_000)
 	atLeast(checker, "limits.queued-tasks", limits.QueuedTasks, 1)
@@ -50,6 +51,8 @@
 		"no payload of that size could arrive")
 	notBelow(checker, "limits.queued-bytes", limits.QueuedPayload, "limits.payload-bytes", limits.Payload,
 		"a task of that size could never wait")
+	notBelow(checker, "limits.queued-bytes", limits.QueuedPayload, "limits.request-body-bytes", limits.RequestBody,
+		"a job of that size could never wait")
 	notBelow(checker, "limits.queued-tasks", limits.QueuedTasks, "limits.tasks-per-job", limits.TasksPerJob,
 		"a job of that size could never wait")
 }
@@ -65,6 +68,8 @@
 	between(checker, "timeouts.heartbeat-missed", timeouts.HeartbeatMissed, 2, 100)
 	between(checker, "timeouts.shutdown-deadline", timeouts.ShutdownDeadline, Duration(time.Second), Duration(time.Hour))
 	between(checker, "timeouts.header-timeout", timeouts.HeaderTimeout, Duration(100*time.Millisecond), Duration(5*time.Minute))
+	between(checker, "timeouts.body-timeout", timeouts.BodyTimeout, Duration(100*time.Millisecond), Duration(time.Hour))
+	between(checker, "timeouts.idle-timeout", timeouts.IdleTimeout, Duration(100*time.Millisecond), Duration(time.Hour))
 }
 
 func (checker *checker) checkDispatch() {
--- a/pkg/loader/timeouts.go
+++ b/pkg/loader/timeouts.go
@@ -26,4 +26,11 @@
 
 	// HeaderTimeout is how long a caller may take to send the header of a request.
 	HeaderTimeout Duration `json:"header-timeout"`
+
+	// BodyTimeout is how long a caller may take to send the body of a request.
+	BodyTimeout Duration `json:"body-timeout"`
+
+	// IdleTimeout is how long a caller's connection may stay open between two
+	// requests.
+	IdleTimeout Duration `json:"idle-timeout"`
 }
--- /dev/null
+++ b/pkg/measurer/measurer.go
@@ -0,0 +1,135 @@
+// Package measurer counts what a host does and keeps histograms of response times
+// by team and class. It serves both as expvar variables, so that any tool for
+// expvar can read them.
+package measurer
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// The names of the variables.
+const (
+	variableJobs          = "jobs"
+	variableReasons       = "reasons"
+	variableBadRequests   = "bad-requests"
+	variableStarts        = "task-starts"
+	variableStartsRefused = "task-starts-refused"
+	variableTaskAnswers   = "task-answers"
+	variableLateAnswers   = "late-answers"
+	variableHungUp        = "callers-hung-up"
+	variableResponses     = "responses"
+	variableGauges        = "gauges"
+)
+
+// Gauges are the counts of this moment.
+type Gauges struct {
+	// Queued and Running count tasks of the cells that this host leads.
+	Queued  int `json:"queued"`
+	Running int `json:"running"`
+	// Waiting counts the requests of callers that wait for an answer.
+	Waiting int `json:"waiting"`
+	// WaitingBytes is the sum of their bodies.
+	WaitingBytes identifier.Bytes `json:"waiting-bytes"`
+}
+
+// Measurer holds the variables of one host. They are not expvar's global ones,
+// because several hosts may run in one process. Make it by New.
+type Measurer struct {
+	// Gauges returns the counts of the moment for a request that asks for the
+	// variables. Set it before Serve; nil leaves the gauges out.
+	Gauges func(request *http.Request) Gauges
+
+	variables   *expvar.Map
+	jobs        *expvar.Map
+	reasons     *expvar.Map
+	badRequests *expvar.Map
+	mutex       sync.Mutex
+	responses   *histograms
+}
+
+// New returns a measurer that has counted nothing.
+func New() *Measurer {
+	created := &Measurer{
+		variables:   new(expvar.Map).Init(),
+		jobs:        new(expvar.Map).Init(),
+		reasons:     new(expvar.Map).Init(),
+		badRequests: new(expvar.Map).Init(),
+		responses:   newHistograms(),
+	}
+	created.variables.Set(variableJobs, created.jobs)
+	created.variables.Set(variableReasons, created.reasons)
+	created.variables.Set(variableBadRequests, created.badRequests)
+	created.variables.Set(variableResponses, expvar.Func(created.summaries))
+	for _, counter := range []string{variableStarts, variableStartsRefused, variableTaskAnswers, variableLateAnswers, variableHungUp} {
+		created.variables.Add(counter, 0)
+	}
+	return created
+}
+
+// Answered counts the answer of a submission to its caller. late tells that it
+// came after the caller's deadline.
+func (measurer *Measurer) Answered(job *messenger.Job, answer *messenger.JobAnswer, response time.Duration, late bool) {
+	measurer.jobs.Add(answer.Outcome.String(), 1)
+	if answer.Reason != messenger.ReasonNone {
+		measurer.reasons.Add(answer.Reason.String(), 1)
+	}
+	if late {
+		measurer.variables.Add(variableLateAnswers, 1)
+	}
+	if answer.Outcome == messenger.OutcomeRefused {
+		return
+	}
+	measurer.mutex.Lock()
+	defer measurer.mutex.Unlock()
+	measurer.responses.record(label{team: job.Team, class: job.Class}, response)
+}
+
+// BadRequest counts a request that was not accepted, by the kind of its error.
+func (measurer *Measurer) BadRequest(kind string) { measurer.badRequests.Add(kind, 1) }
+
+// HungUp counts a caller that did not wait for its answer.
+func (measurer *Measurer) HungUp() { measurer.variables.Add(variableHungUp, 1) }
+
+// Started counts the starts that were sent to backend servers.
+func (measurer *Measurer) Started(count int) { measurer.variables.Add(variableStarts, int64(count)) }
+
+// StartsRefused counts the starts that backend servers refused.
+func (measurer *Measurer) StartsRefused(count int) {
+	measurer.variables.Add(variableStartsRefused, int64(count))
+}
+
+// TasksAnswered counts the answers of tasks from backend servers.
+func (measurer *Measurer) TasksAnswered(count int) {
+	measurer.variables.Add(variableTaskAnswers, int64(count))
+}
+
+func (measurer *Measurer) summaries() any {
+	measurer.mutex.Lock()
+	defer measurer.mutex.Unlock()
+	return measurer.responses.summaries()
+}
+
+// ServeHTTP writes all variables as JSON, in the form of expvar.Handler.
+func (measurer *Measurer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Content-Type", "application/json; charset=utf-8")
+	separator := "{\n"
+	write := func(variable expvar.KeyValue) {
+		// An error means that the reader has hung up, so there is nobody to tell.
+		_, _ = fmt.Fprintf(writer, "%s%q: %s", separator, variable.Key, variable.Value)
+		separator = ",\n"
+	}
+	if measurer.Gauges != nil {
+		gauges := measurer.Gauges(request)
+		write(expvar.KeyValue{Key: variableGauges, Value: expvar.Func(func() any { return gauges })})
+	}
+	measurer.variables.Do(write)
+	write(expvar.KeyValue{Key: "memstats", Value: expvar.Get("memstats")})
+	_, _ = fmt.Fprint(writer, "\n}\n")
+}
--- /dev/null
+++ b/pkg/measurer/measurer_test.go
@@ -0,0 +1,87 @@
+package measurer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// page is what a reader of the variables sees.
+type page struct {
+	Jobs      map[string]int     `json:"jobs"`
+	Reasons   map[string]int     `json:"reasons"`
+	Starts    int                `json:"task-starts"`
+	Late      int                `json:"late-answers"`
+	Responses []measurer.Summary `json:"responses"`
+	Gauges    measurer.Gauges    `json:"gauges"`
+}
+
+func read(t *testing.T, measured *measurer.Measurer) page {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	measured.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/debug/vars", nil))
+	var seen page
+	if err := json.Unmarshal(recorder.Body.Bytes(), &seen); err != nil {
+		t.Fatalf("the variables are no JSON: %v\n%s", err, recorder.Body)
+	}
+	return seen
+}
+
+func answer(outcome messenger.Outcome, reason messenger.Reason) *messenger.JobAnswer {
+	return &messenger.JobAnswer{Outcome: outcome, Reason: reason}
+}
+
+// TestVariables checks that answers land in the counters and histograms that are
+// named for them, and that refusals have no response time.
+func TestVariables(t *testing.T) {
+	measured := measurer.New()
+	measured.Gauges = func(*http.Request) measurer.Gauges { return measurer.Gauges{Queued: 7} }
+	job := &messenger.Job{Team: "estimates", Class: "counter"}
+	for number := range 100 {
+		response := time.Duration(number+1) * time.Millisecond
+		measured.Answered(job, answer(messenger.OutcomeComplete, messenger.ReasonNone), response, number == 99)
+	}
+	measured.Answered(job, answer(messenger.OutcomeRefused, messenger.ReasonOverQuota), time.Hour, false)
+	measured.Started(50)
+	seen := read(t, measured)
+	if seen.Jobs["complete"] != 100 || seen.Jobs["refused"] != 1 || seen.Reasons["over-quota"] != 1 {
+		t.Errorf("jobs = %v, reasons = %v", seen.Jobs, seen.Reasons)
+	}
+	if seen.Starts != 50 || seen.Late != 1 || seen.Gauges.Queued != 7 {
+		t.Errorf("starts = %d, late = %d, gauges = %+v", seen.Starts, seen.Late, seen.Gauges)
+	}
+	if len(seen.Responses) != 1 {
+		t.Fatalf("responses = %+v, want one pair", seen.Responses)
+	}
+	got := seen.Responses[0]
+	if got.Count != 100 || got.P50 < 49 || got.P50 > 51 || got.P99 < 98 || got.P99 > 100 || got.Max < 99 || got.Max > 101 {
+		t.Errorf("responses = %+v", got)
+	}
+}
+
+// Symptom: a host's memory grows until it is killed, with few jobs in work.
+// Sequence: a caller sends every job under a team name of its own.
+// Cause: each team and class had a histogram that was never dropped.
+func TestHistogramsAreBounded(t *testing.T) {
+	measured := measurer.New()
+	const teams = 5000
+	for number := range teams {
+		job := &messenger.Job{Team: identifier.TeamID(fmt.Sprint("team-", number)), Class: "counter"}
+		measured.Answered(job, answer(messenger.OutcomeComplete, messenger.ReasonNone), time.Millisecond, false)
+	}
+	responses := read(t, measured).Responses
+	if len(responses) != 256 {
+		t.Fatalf("%d histograms, want 256", len(responses))
+	}
+	last := responses[len(responses)-1]
+	if last.Team != "other" || last.Count != teams-255 {
+		t.Errorf("the last histogram is %+v, want the %d others", last, teams-255)
+	}
+}
--- a/pkg/receiver/checks.go
+++ b/pkg/receiver/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -19,8 +20,8 @@
 	if len(body.Tasks) == 0 {
 		return badRequest("no-tasks", "a job needs at least one task")
 	}
-	if most := receiver.Settings.Limits.TasksPerJob; len(body.Tasks) > most {
-		return badRequest("too-many-tasks", fmt.Sprintf("a job has at most %d tasks, this one has %d", most, len(body.Tasks)))
+	if most := receiver.limits.Load().TasksPerJob; len(body.Tasks) > most {
+		return overLimit(http.StatusBadRequest, "too-many-tasks", fmt.Sprintf("a job has at most %d tasks, this one has %d", most, len(body.Tasks)))
 	}
 	return receiver.checkTasks(body.Tasks)
 }
@@ -75,8 +76,8 @@
 	if task.Task == "" || len(task.Task) > maxIDLength {
 		return badRequest("bad-task-id", fmt.Sprintf("a task id has 1 to %d bytes", maxIDLength))
 	}
-	if len(task.Payload) > int(receiver.Settings.Limits.Payload) {
-		return badRequest("payload-too-large", fmt.Sprintf("the payload of task %q is over the limit", task.Task))
+	if len(task.Payload) > int(receiver.limits.Load().Payload) {
+		return overLimit(http.StatusBadRequest, "payload-too-large", fmt.Sprintf("the payload of task %q is over the limit", task.Task))
 	}
 	if task.DeclaredRunTime == "" {
 		return nil
--- a/pkg/receiver/receiver.go
+++ b/pkg/receiver/receiver.go
@@ -13,6 +13,9 @@
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 	"github.com/stoathitch/stoathitch/pkg/runner"
@@ -24,9 +27,14 @@
 	*provider.Common
 	Post  connector.Poster
 	Clock *runner.Clock
+	// Measurer counts what callers ask and are told; nil lets Prepare make one.
+	Measurer *measurer.Measurer
 
+	// limits are those in force; a new configuration replaces them.
+	limits     atomic.Pointer[loader.Limits]
 	ready      atomic.Bool
 	refusing   atomic.Bool
+	waitBytes  atomic.Int64
 	nextWaiter atomic.Uint64
 	mutex      sync.Mutex
 	waiters    map[forwarder.WaiterID]chan *messenger.JobAnswer
@@ -35,8 +43,15 @@
 // Prepare makes the table of waiting requests.
 func (receiver *Receiver) Prepare() {
 	receiver.waiters = make(map[forwarder.WaiterID]chan *messenger.JobAnswer)
+	receiver.SetLimits(receiver.Settings.Limits)
+	if receiver.Measurer == nil {
+		receiver.Measurer = measurer.New()
+	}
 }
 
+// SetLimits puts other limits in force for requests that arrive from now on.
+func (receiver *Receiver) SetLimits(limits loader.Limits) { receiver.limits.Store(&limits) }
+
 // Register adds the callers' paths to router.
 func (receiver *Receiver) Register(router *mux.Router) {
 	router.HandleFunc("/v1/jobs", receiver.submit).Methods(http.MethodPost)
@@ -71,6 +86,11 @@
 	return len(receiver.waiters)
 }
 
+// WaitingBytes returns the sum of the bodies of the jobs that wait for an answer.
+func (receiver *Receiver) WaitingBytes() identifier.Bytes {
+	return identifier.Bytes(receiver.waitBytes.Load())
+}
+
 // await posts an event for a new waiter and waits for the answer, or nil when the
 // caller hangs up. A caller that hangs up has not cancelled.
 func (receiver *Receiver) await(ctx context.Context, event func(forwarder.WaiterID) forwarder.Input) *messenger.JobAnswer {
--- a/pkg/receiver/request.go
+++ b/pkg/receiver/request.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -47,7 +49,7 @@
 
 // readJob reads and checks a submitted job.
 func (receiver *Receiver) readJob(writer http.ResponseWriter, request *http.Request) (*messenger.Job, identifier.Moment, *problem) {
-	limit := int64(receiver.Settings.Limits.RequestBody)
+	limit := int64(receiver.limits.Load().RequestBody)
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, limit))
 	decoder.DisallowUnknownFields()
 	var body jobBody
@@ -67,15 +69,28 @@
 	return receiver.jobOf(&body), deadline, nil
 }
 
+// overLimit is a problem with a limit that operators can lower while the system
+// runs. It doesn't say "not run": the request may be the resend of a submission
+// that was within the limit when it ran.
+func overLimit(status int, kind, detail string) *problem {
+	return &problem{status: status, Kind: kind, Detail: detail + "; this request started nothing"}
+}
+
 func decodeProblem(cause error) *problem {
 	var tooLarge *http.MaxBytesError
-	if errors.As(cause, &tooLarge) {
-		return &problem{
-			status: http.StatusRequestEntityTooLarge, Kind: "body-too-large", NotRun: true,
-			Detail: "the body is over the limit of this entry host's settings",
-		}
+	var wrongType *json.UnmarshalTypeError
+	var wrongTime *time.ParseError
+	switch {
+	case errors.As(cause, &tooLarge):
+		return overLimit(http.StatusRequestEntityTooLarge, "body-too-large",
+			fmt.Sprintf("the body is over the limit of %d bytes", tooLarge.Limit))
+	case errors.As(cause, &wrongType):
+		return badRequest("wrong-type", fmt.Sprintf("%s must not be a %s", wrongType.Field, wrongType.Value))
+	case errors.As(cause, &wrongTime):
+		return badRequest("wrong-type", `deadline must be an RFC 3339 instant such as "2030-01-31T08:00:00Z"`)
+	default:
+		return badRequest("malformed-body", strings.TrimPrefix(cause.Error(), "json: "))
 	}
-	return badRequest("malformed-body", cause.Error())
 }
 
 // deadlineOf turns the caller's instant into a moment of this host's clock. Only
--- a/pkg/receiver/response.go
+++ b/pkg/receiver/response.go
@@ -78,6 +78,8 @@
 		return http.StatusNotFound
 	case messenger.ReasonOverQuota:
 		return http.StatusTooManyRequests
+	case messenger.ReasonDeadlinePassed:
+		return http.StatusBadRequest
 	case messenger.ReasonNeverRunnable:
 		return http.StatusUnprocessableEntity
 	case messenger.ReasonAnswerLost:
