--- /dev/null
+++ b/pkg/assembler/harness_test.go
@@ -0,0 +1,174 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/stoathitch/stoathitch/pkg/assembler"
+	"github.com/stoathitch/stoathitch/pkg/executor"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/provider"
+	"github.com/stoathitch/stoathitch/pkg/requester"
+)
+
+// patience bounds the wait for something that happens in a fraction of it, so that
+// only a fault reaches it.
+const patience = 30 * time.Second
+
+// deployment is a running system of one failure domain on loopback.
+type deployment struct {
+	settings []*loader.Settings
+	hosts    []*requester.Requester
+	logs     lockedBuffer
+}
+
+// lockedBuffer takes the logs of several daemons.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (locked *lockedBuffer) Write(content []byte) (int, error) {
+	locked.mutex.Lock()
+	defer locked.mutex.Unlock()
+	return locked.buffer.Write(content)
+}
+
+// String returns what was written.
+func (locked *lockedBuffer) String() string {
+	locked.mutex.Lock()
+	defer locked.mutex.Unlock()
+	return locked.buffer.String()
+}
+
+// startDeployment runs hosts, the first one a keeper, until the test ends. change
+// may edit the settings of each.
+func startDeployment(tb testing.TB, hosts int, change func(*loader.Settings)) *deployment {
+	tb.Helper()
+	created := &deployment{settings: deploymentSettings(tb, hosts)}
+	var group sync.WaitGroup
+	running, stop := context.WithCancel(context.Background())
+	tb.Cleanup(func() {
+		stop()
+		group.Wait()
+	})
+	for _, settings := range created.settings {
+		if change != nil {
+			change(settings)
+		}
+		daemon := &assembler.Daemon{Common: provider.New(settings, &created.logs)}
+		group.Go(func() {
+			if err := daemon.Run(running, running); err != nil {
+				tb.Errorf("daemon: %v", err)
+			}
+		})
+		created.hosts = append(created.hosts, &requester.Requester{Host: "http://" + settings.CallersAddress.String()})
+	}
+	return created
+}
+
+// startServers runs stand-in backend servers until the test ends.
+func (deployment *deployment) startServers(tb testing.TB, count, slots int) {
+	var group sync.WaitGroup
+	running, stop := context.WithCancel(context.Background())
+	tb.Cleanup(func() {
+		stop()
+		group.Wait()
+	})
+	var addresses []string
+	for _, settings := range deployment.settings {
+		addresses = append(addresses, settings.BackendServersAddress.String())
+	}
+	for number := range count {
+		standIn := &executor.Executor{
+			Name: fmt.Sprintf("server-%d", number), FailureDomain: "thu-duc", Rack: "rack-0", Slots: slots,
+			EntryHosts: addresses, Log: log.New(&deployment.logs),
+		}
+		group.Go(func() { standIn.Run(running) })
+	}
+}
+
+// waitUntilServing sends small jobs to each host until one is complete.
+func (deployment *deployment) waitUntilServing(tb testing.TB) {
+	tb.Helper()
+	for index, host := range deployment.hosts {
+		attempt := 0
+		eventually(tb, fmt.Sprintf("host %d serves", index), func(ctx context.Context) bool {
+			attempt++
+			answer, err := host.Submit(ctx, smallJob(fmt.Sprintf("probe-%d-%d", index, attempt)))
+			return err == nil && answer.Outcome.String() == "complete"
+		})
+	}
+}
+
+// smallJob is a repeatable job of one task that takes no time.
+func smallJob(name string) []byte {
+	return fmt.Appendf(nil, `{"submission":%q,"job":%q,"caller":"garage-7","team":"estimates","class":"counter",`+
+		`"repeatable":true,"tasks":[{"task":"a","payload":{"run-time":"0s"}}]}`, name, name)
+}
+
+// eventually tries until it succeeds.
+func eventually(tb testing.TB, what string, try func(ctx context.Context) bool) {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !try(ctx) {
+		if ctx.Err() != nil {
+			tb.Fatalf("not in %s: %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func deploymentSettings(tb testing.TB, count int) []*loader.Settings {
+	tb.Helper()
+	addresses := freeAddresses(tb, 3*count)
+	hosts := make([]loader.Host, 0, count)
+	for number := range count {
+		host := loader.Host{
+			Host: identifier.HostID(fmt.Sprintf("thu-duc-entry-%d", number)), FailureDomain: "thu-duc",
+			Roles:          []loader.Role{loader.RoleEntry},
+			CallersAddress: addresses[3*number], BackendServersAddress: addresses[3*number+1], PeersAddress: addresses[3*number+2],
+		}
+		if number == 0 {
+			host.Roles = append(host.Roles, loader.RoleKeeper)
+		}
+		hosts = append(hosts, host)
+	}
+	var all []*loader.Settings
+	for _, host := range hosts {
+		settings := loader.Defaults()
+		settings.Host, settings.FailureDomain, settings.Roles = host.Host, host.FailureDomain, host.Roles
+		settings.CallersAddress, settings.BackendServersAddress, settings.PeersAddress = host.CallersAddress, host.BackendServersAddress, host.PeersAddress
+		settings.FailureDomains = []identifier.FailureDomain{"thu-duc"}
+		settings.Hosts = hosts
+		settings.DataFolder = tb.TempDir()
+		all = append(all, &settings)
+	}
+	return all
+}
+
+// freeAddresses asks the system for free loopback ports.
+func freeAddresses(tb testing.TB, count int) []netip.AddrPort {
+	tb.Helper()
+	var addresses []netip.AddrPort
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return addresses
+}
