Let several processes run stand-ins of one failure domain

Cause: the names of stand-ins were counted from 0 in each process, so that two processes in one failure domain had the same names, and no single backend server could be killed. Conclusion: tests can kill and stop one backend server.

--- a/pkg/commander/standin.go
+++ b/pkg/commander/standin.go
@@ -21,6 +21,7 @@
 	SettingsDir   string `long:"settings-dir" value-name:"DIR" required:"yes" description:"the folder with the settings of all hosts"`
 	FailureDomain string `long:"failure-domain" required:"yes" description:"where the backend servers stand"`
 	Count         int    `long:"count" default:"4" description:"how many backend servers to run"`
+	First         int    `long:"first" default:"0" description:"the number of the first, so that several processes can run stand-ins of one failure domain"`
 	Slots         int    `long:"slots" default:"8" description:"how many tasks each runs at once"`
 	Record        string `long:"record" value-name:"FILE" description:"write one JSON line for each start to this file"`
 }
@@ -37,7 +38,8 @@
 	}
 	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 	var group sync.WaitGroup
-	for number := range command.Count {
+	for index := range command.Count {
+		number := command.First + index
 		standIn := &executor.Executor{
 			Name:          fmt.Sprintf("%s-%d", command.FailureDomain, number),
 			FailureDomain: command.FailureDomain,
