Have a home neighbour remember jobs that come from another failure domain

Symptom: a resend runs again after its lead died. Sequence: the caller is connected to a host of another failure domain; the home lead runs the job and dies; the caller sends the job to a third host. Cause: the record stood at the lead and at the caller's host, but a new lead asks only the hosts of its own failure domain. Change: such a job is passed to the dispatcher when a neighbour holds its record, and backend servers forget its answers when a neighbour holds the answer. Copies of answers carry the lead's epoch, so that a neighbour refuses a deposed lead's.

--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -40,7 +40,7 @@
 	}
 	domains := []identifier.FailureDomain{"leuven", "roeselare"}
 	rapid.Check(t, func(t *rapid.T) {
-		machine := &machine{network: newNetwork(domains, 2, 2, 2), domains: domains}
+		machine := &machine{network: newNetwork(domains, 3, 2, 2), domains: domains}
 		machine.network.trace = *trace
 		t.Repeat(rapid.StateMachineActions(machine))
 		machine.heal(t)
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -78,7 +78,7 @@
 	AnswerReceipt     identifier.SubmissionID   `cbor:"3,keyasint,omitempty"`
 	CopyRequest       []messenger.CopyRecord    `cbor:"4,keyasint,omitempty"`
 	CopyReceipt       []identifier.SubmissionID `cbor:"5,keyasint,omitempty"`
-	AnswerCopy        *messenger.JobAnswer      `cbor:"6,keyasint,omitempty"`
+	AnswerCopy        *messenger.AnswerCopy     `cbor:"6,keyasint,omitempty"`
 	AnswerCopyReceipt identifier.SubmissionID   `cbor:"7,keyasint,omitempty"`
 	AnswerRequest     *messenger.AnswerRequest  `cbor:"8,keyasint,omitempty"`
 	TakeoverQuery     *messenger.TakeoverQuery  `cbor:"9,keyasint,omitempty"`
@@ -89,6 +89,7 @@
 	Load              *messenger.LoadNotice     `cbor:"20,keyasint,omitempty"`
 	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
 	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
+	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -32,11 +32,13 @@
 func (coordinator *Coordinator) applyPeerMessage(from identifier.HostID, message *PeerMessage) {
 	switch {
 	case message.Forward != nil:
-		coordinator.acceptForward(from, message.Forward)
+		coordinator.receiveForward(from, message.Forward)
 	case message.Answer != nil:
 		coordinator.tellForwarder(&forwarder.AnswerArrived{From: from, Answer: message.Answer})
 	case message.AnswerReceipt != "":
-		coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: message.AnswerReceipt})
+		coordinator.receiveAnswerReceipt(from, message.AnswerReceipt)
+	case message.SpillReceipt != "":
+		coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: message.SpillReceipt})
 	case message.CopyRequest != nil:
 		coordinator.tellForwarder(&forwarder.CopiesWanted{From: from, Records: message.CopyRequest})
 	case message.CopyReceipt != nil:
@@ -50,7 +52,7 @@
 	case message.SpillAnswer != nil:
 		coordinator.tellDispatcher(&dispatcher.SpillAnswered{From: from, Answer: message.SpillAnswer})
 	case message.AnswerCopy != nil:
-		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Answer: message.AnswerCopy})
+		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Copy: *message.AnswerCopy})
 	case message.AnswerCopyReceipt != "":
 		coordinator.tellForwarder(&forwarder.AnswerCopyHeld{Submission: message.AnswerCopyReceipt})
 	case message.AnswerRequest != nil:
@@ -99,6 +101,29 @@
 	})
 }
 
+// receiveForward has a job from another failure domain remembered by a neighbour
+// before it may start.
+func (coordinator *Coordinator) receiveForward(from identifier.HostID, forward *messenger.Forward) {
+	if coordinator.ownDomain(from) {
+		coordinator.acceptForward(from, forward)
+		return
+	}
+	deadline := identifier.DeadlineFrom(coordinator.now, forward.Remaining)
+	coordinator.tellForwarder(&forwarder.JobRelayed{From: from, Forward: forward, Deadline: deadline})
+}
+
+// receiveAnswerReceipt notes that the caller's host holds an answer. Where that
+// host belongs to another failure domain, only a neighbour's copy counts.
+func (coordinator *Coordinator) receiveAnswerReceipt(from identifier.HostID, submission identifier.SubmissionID) {
+	if coordinator.ownDomain(from) || len(coordinator.leads.living) == 1 {
+		coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: submission})
+	}
+}
+
+func (coordinator *Coordinator) ownDomain(host identifier.HostID) bool {
+	return slices.Contains(coordinator.leads.seen, host) || host == coordinator.Self.ID
+}
+
 // keepRecord makes this host one of the two that know a submission for as long as
 // it lives, whether it goes on leading the cell or not.
 //
@@ -142,7 +167,7 @@
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
 	case *forwarder.HoldAnswer:
-		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopy: output.Answer})
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopy: &output.Copy})
 	case *forwarder.ConfirmAnswerCopy:
 		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopyReceipt: output.Submission})
 	case *forwarder.SendAnswer:
@@ -159,6 +184,12 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{Lookup: &output.Lookup})
+	case *forwarder.PassJob:
+		coordinator.keepRecord(output.From, &output.Forward)
+		coordinator.tellDispatcher(&dispatcher.JobForwarded{
+			From: output.From, Job: output.Forward.Job, Deadline: output.Deadline,
+			Again: output.Forward.Again, Age: output.Forward.Age,
+		})
 	case *forwarder.TellLead:
 		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	case *forwarder.ReplyTakeover:
@@ -229,7 +260,7 @@
 	case *dispatcher.AnswerSpill:
 		coordinator.outputs.toPeer(output.To, PeerMessage{SpillAnswer: output.Answer})
 	case *dispatcher.ConfirmSpill:
-		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
+		coordinator.outputs.toPeer(output.To, PeerMessage{SpillReceipt: output.Submission})
 	case *dispatcher.CancelSpill:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
 	case *dispatcher.EpochSeen:
--- a/pkg/forwarder/answers.go
+++ b/pkg/forwarder/answers.go
@@ -82,7 +82,8 @@
 		forwarder.keepAnswerAlone(front)
 		return
 	}
-	forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
+	known := forwarder.leads.Get(forwarder.cellOf(front.job))
+	forwarder.add(&HoldAnswer{To: second, Copy: messenger.AnswerCopy{Answer: front.answer, Epoch: known.epoch}})
 }
 
 // keepAnswerAlone waits for a second host to hold the answer. Meanwhile the
@@ -117,7 +118,7 @@
 		if front.answerAlone {
 			front.answerAlone = false
 			forwarder.timers.Clear(timerKey{kind: timerLoneAnswer, submission: submission})
-			forwarder.add(&HoldAnswer{To: second, Answer: front.answer})
+			forwarder.add(&HoldAnswer{To: second, Copy: messenger.AnswerCopy{Answer: front.answer}})
 		}
 		return true
 	})
@@ -136,6 +137,14 @@
 	forwarder.releaseHeldBack(input.Answer.Submission)
 }
 
+func (forwarder *Forwarder) withdrawAnswer(front *front) {
+	front.answer = nil
+	front.answerHeldBack = false
+	submission := front.job.Submission
+	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
+	forwarder.timers.Clear(timerKey{kind: timerForgetFront, submission: submission})
+}
+
 // releaseHeldBack tells the callers an answer that waited for its second copy.
 func (forwarder *Forwarder) releaseHeldBack(submission identifier.SubmissionID) {
 	front := forwarder.fronts.Get(submission)
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -9,7 +9,7 @@
 func (forwarder *Forwarder) holdCopies(input *CopiesWanted) {
 	held := make([]identifier.SubmissionID, 0, len(input.Records))
 	for _, record := range input.Records {
-		if forwarder.refuseStaleLead(input.From, record) {
+		if forwarder.refuseStaleLead(input.From, record.Cell, record.Epoch) {
 			continue
 		}
 		record.Epoch = 0
@@ -34,13 +34,14 @@
 // Its answer to the takeover was complete only if nothing is added afterwards. If
 // the old lead, which may not know yet, still got its copy confirmed, it would
 // start a submission that the new lead takes for new when the caller resends it.
-func (forwarder *Forwarder) refuseStaleLead(from identifier.HostID, record messenger.CopyRecord) bool {
-	key := cellKey{failureDomain: forwarder.FailureDomain, cell: record.Cell}
+// An answer of the old lead could differ in the same way from the new one's.
+func (forwarder *Forwarder) refuseStaleLead(from identifier.HostID, cell messenger.CellNumber, epoch identifier.Epoch) bool {
+	key := cellKey{failureDomain: forwarder.FailureDomain, cell: cell}
 	known := forwarder.leads.Get(key)
-	if known == nil || record.Epoch >= max(known.epoch, known.promised) {
+	if known == nil || epoch >= max(known.epoch, known.promised) {
 		return false
 	}
-	if known.epoch > record.Epoch {
+	if known.epoch > epoch {
 		notice := messenger.LeadNotice{FailureDomain: key.failureDomain, Cell: key.cell, Host: known.host, Epoch: known.epoch}
 		forwarder.add(&TellLead{To: from, Notice: notice})
 	}
@@ -65,6 +66,7 @@
 // recordCopiesHeld forwards the jobs whose second copy stands now.
 func (forwarder *Forwarder) recordCopiesHeld(input *CopiesHeld) {
 	for _, submission := range input.Submissions {
+		forwarder.recordRelayCopy(submission, input.From)
 		front := forwarder.fronts.Get(submission)
 		if front == nil || front.copyHeld || front.copyAt != input.From {
 			continue
@@ -123,6 +125,7 @@
 // when it has lost the cell. A refusal that claims nothing is not the answer of
 // the submission.
 func (forwarder *Forwarder) keepGivenAnswer(answer *messenger.JobAnswer) {
+	forwarder.spreadRelayAnswer(answer)
 	held := forwarder.copies.Get(answer.Submission)
 	claimsNothing := answer.Outcome == messenger.OutcomeRefused && !answer.NotRun
 	if held == nil || held.answer != nil || claimsNothing {
@@ -134,18 +137,22 @@
 
 // holdAnswer keeps the second copy of an answer.
 func (forwarder *Forwarder) holdAnswer(input *AnswerCopyArrived) {
-	submission := input.Answer.Submission
+	submission := input.Copy.Answer.Submission
+	cell := messenger.CellOf(submission, forwarder.Settings.Cells)
+	if input.Copy.Epoch > 0 && forwarder.refuseStaleLead(input.From, cell, input.Copy.Epoch) {
+		return
+	}
 	held := forwarder.copies.Get(submission)
 	if held == nil {
 		held = &heldCopy{record: messenger.CopyRecord{Submission: submission}, heldAt: forwarder.now}
 		forwarder.copies.Put(submission, held)
 	}
-	if held.answer != nil && held.answer.Outcome != input.Answer.Outcome {
+	if held.answer != nil && held.answer.Outcome != input.Copy.Answer.Outcome {
 		// The sender was deposed without knowing it, and the new lead has answered.
 		forwarder.add(&SendAnswer{To: input.From, Answer: held.answer})
 		return
 	}
-	held.answer = input.Answer
+	held.answer = input.Copy.Answer
 	forwarder.expireCopyLater(submission)
 	forwarder.add(&ConfirmAnswerCopy{To: input.From, Submission: submission})
 }
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -62,6 +62,8 @@
 	timerForgetCopy
 	timerLoneAnswer
 	timerAskAgain
+	timerRelay
+	timerForgetRelay
 )
 
 type timerKey struct {
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -22,6 +22,10 @@
 		forwarder.releaseHeldBack(key.submission)
 	case timerForgetFront:
 		forwarder.fronts.Remove(key.submission)
+	case timerRelay:
+		forwarder.expireRelay(key.submission)
+	case timerForgetRelay:
+		forwarder.relays.Remove(key.submission)
 	case timerAskAgain:
 		forwarder.askAgain(key.submission)
 	case timerLoneAnswer:
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -61,6 +61,7 @@
 	now     identifier.Moment
 	fronts  *tabulator.Table[identifier.SubmissionID, front]
 	copies  *tabulator.Table[identifier.SubmissionID, heldCopy]
+	relays  *tabulator.Table[identifier.SubmissionID, relay]
 	leads   *tabulator.Table[cellKey, lead]
 	timers  *tabulator.Timers[timerKey]
 	living  []identifier.HostID
@@ -110,6 +111,7 @@
 	}
 	forwarder.fronts = tabulator.New[identifier.SubmissionID, front]()
 	forwarder.copies = tabulator.New[identifier.SubmissionID, heldCopy]()
+	forwarder.relays = tabulator.New[identifier.SubmissionID, relay]()
 	forwarder.leads = tabulator.New[cellKey, lead]()
 	forwarder.timers = tabulator.NewTimers[timerKey]()
 }
@@ -140,6 +142,8 @@
 		forwarder.recordCopiesHeld(input)
 	case *RecordsLearned:
 		forwarder.learnRecords(input)
+	case *JobRelayed:
+		forwarder.relayJob(input)
 	case *AnswerGiven:
 		forwarder.keepGivenAnswer(input.Answer)
 	case *AnswerCopyArrived:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -77,8 +77,8 @@
 
 // AnswerCopyArrived asks this host to hold the second copy of an answer.
 type AnswerCopyArrived struct {
-	From   identifier.HostID
-	Answer *messenger.JobAnswer
+	From identifier.HostID
+	Copy messenger.AnswerCopy
 }
 
 // AnswerCopyHeld tells that a host holds the second copy of an answer.
@@ -92,6 +92,16 @@
 	Query messenger.TakeoverQuery
 }
 
+// JobRelayed brings a job that a host of another failure domain has forwarded to
+// this host, the lead of its cell.
+type JobRelayed struct {
+	From     identifier.HostID
+	Forward  *messenger.Forward
+	Deadline identifier.Moment
+}
+
+func (*JobRelayed) isForwarderInput() {}
+
 // AnswerGiven brings an answer that this host gave as a lead.
 type AnswerGiven struct {
 	Answer *messenger.JobAnswer
--- a/pkg/forwarder/output.go
+++ b/pkg/forwarder/output.go
@@ -41,8 +41,8 @@
 
 // HoldAnswer asks another host to hold the second copy of an answer.
 type HoldAnswer struct {
-	To     identifier.HostID
-	Answer *messenger.JobAnswer
+	To   identifier.HostID
+	Copy messenger.AnswerCopy
 }
 
 // ConfirmAnswerCopy tells the sender of a HoldAnswer that the copy is held.
@@ -69,6 +69,15 @@
 	Lookup messenger.Lookup
 }
 
+// PassJob hands a relayed job to the dispatcher of this host.
+type PassJob struct {
+	From     identifier.HostID
+	Forward  messenger.Forward
+	Deadline identifier.Moment
+}
+
+func (*PassJob) isForwarderOutput() {}
+
 // TellLead tells a host that another one leads its cell.
 type TellLead struct {
 	To     identifier.HostID
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -150,7 +150,14 @@
 // routeCell forwards the unanswered jobs of a cell anew.
 func (forwarder *Forwarder) routeCell(key cellKey) {
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
-		if front.answer == nil && forwarder.cellOf(front.job) == key {
+		if forwarder.cellOf(front.job) != key {
+			return true
+		}
+		if front.answerHeldBack {
+			// Nobody has heard this answer, and the new lead may give another.
+			forwarder.withdrawAnswer(front)
+		}
+		if front.answer == nil {
 			forwarder.route(front)
 		}
 		return true
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -59,6 +59,14 @@
 	SpilledTo identifier.FailureDomain `cbor:"9,keyasint,omitempty"`
 }
 
+// AnswerCopy asks a second host to hold an answer.
+type AnswerCopy struct {
+	Answer *JobAnswer `cbor:"1,keyasint"`
+	// Epoch is the epoch of the lead that gave the answer; zero when it does not
+	// matter any more, because the answer was told.
+	Epoch identifier.Epoch `cbor:"2,keyasint,omitempty"`
+}
+
 // AnswerRequest asks the keeper of an answer to send it to ReplyTo.
 type AnswerRequest struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
