--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -106,7 +106,7 @@
 		dispatcher.failTask(task, answer)
 		return
 	}
-	if job.unresolved == 0 {
+	if job.unresolved == 0 && job.failure == nil {
 		dispatcher.complete(job)
 	}
 }
