--- a/pkg/selector/leastloaded.go
+++ b/pkg/selector/leastloaded.go
@@ -16,11 +16,18 @@
 }
 
 type bucket[K comparable] struct {
-	racks  [][]K
-	count  int
+	racks []rackServers[K]
+	// filled numbers the racks that have servers here; cursor goes round it.
+	filled []int
 	cursor int
 }
 
+type rackServers[K comparable] struct {
+	servers []K
+	// position is where the rack stands among the filled ones.
+	position int
+}
+
 // place is where a server stands.
 type place struct {
 	free, rack, index int
@@ -42,12 +49,7 @@
 		policy.buckets = append(policy.buckets, bucket[K]{})
 	}
 	target := &policy.buckets[free]
-	for len(target.racks) <= rack {
-		target.racks = append(target.racks, nil)
-	}
-	policy.places[server] = place{free: free, rack: rack, index: len(target.racks[rack])}
-	target.racks[rack] = append(target.racks[rack], server)
-	target.count++
+	policy.places[server] = place{free: free, rack: rack, index: target.add(rack, server)}
 	policy.free += identifier.Slots(free)
 	policy.top = max(policy.top, free)
 }
@@ -67,23 +69,15 @@
 	if !found {
 		return
 	}
-	source := &policy.buckets[known.free]
-	list := source.racks[known.rack]
-	last := len(list) - 1
-	moved := list[last]
-	list[known.index] = moved
+	moved := policy.buckets[known.free].remove(known.rack, known.index)
 	policy.places[moved] = known
-	var none K
-	list[last] = none
-	source.racks[known.rack] = list[:last]
-	source.count--
 	policy.free -= identifier.Slots(known.free)
 	delete(policy.places, server)
 }
 
 // Pick is part of Policy.
 func (policy *leastLoaded[K]) Pick() (K, bool) {
-	for policy.top > 0 && policy.buckets[policy.top].count == 0 {
+	for policy.top > 0 && len(policy.buckets[policy.top].filled) == 0 {
 		policy.top--
 	}
 	if policy.top == 0 {
@@ -95,12 +89,42 @@
 
 // next returns a server of the next rack that has one; the bucket isn't empty.
 func (bucket *bucket[K]) next() K {
-	for {
-		bucket.cursor = (bucket.cursor + 1) % len(bucket.racks)
-		if list := bucket.racks[bucket.cursor]; len(list) > 0 {
-			return list[len(list)-1]
-		}
+	bucket.cursor = (bucket.cursor + 1) % len(bucket.filled)
+	servers := bucket.racks[bucket.filled[bucket.cursor]].servers
+	return servers[len(servers)-1]
+}
+
+// add puts a server into the bucket and returns its index within its rack.
+func (bucket *bucket[K]) add(rack int, server K) int {
+	for len(bucket.racks) <= rack {
+		bucket.racks = append(bucket.racks, rackServers[K]{})
+	}
+	target := &bucket.racks[rack]
+	if len(target.servers) == 0 {
+		target.position = len(bucket.filled)
+		bucket.filled = append(bucket.filled, rack)
+	}
+	target.servers = append(target.servers, server)
+	return len(target.servers) - 1
+}
+
+// remove takes out the server at index of a rack and returns the one that takes
+// its place, which is itself when it was the last.
+func (bucket *bucket[K]) remove(rack, index int) K {
+	source := &bucket.racks[rack]
+	last := len(source.servers) - 1
+	moved := source.servers[last]
+	source.servers[index] = moved
+	var none K
+	source.servers[last] = none
+	source.servers = source.servers[:last]
+	if last == 0 {
+		end := len(bucket.filled) - 1
+		bucket.filled[source.position] = bucket.filled[end]
+		bucket.racks[bucket.filled[end]].position = source.position
+		bucket.filled = bucket.filled[:end]
 	}
+	return moved
 }
 
 // Free is part of Policy.
