--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -3,10 +3,15 @@
 import (
 	"slices"
 
+	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
 func (coordinator *Coordinator) apply(input Input) {
@@ -16,16 +21,48 @@
 			coordinator.applyPeerMessage(input.From, &input.Batch.Messages[index])
 		}
 	case *PeerConnected:
-		coordinator.connectPeer(input.Host)
+		coordinator.tellGossiper(gossiper.PeerConnected{Host: input.Host})
+		coordinator.tellForwarder(&forwarder.LeadReconnected{Host: input.Host})
+		coordinator.tellDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
 	case *PeerDisconnected:
-		coordinator.disconnectPeer(input.Host)
+		coordinator.tellGossiper(gossiper.PeerConnectionClosed{Host: input.Host})
 	case *ServerEvent:
 		coordinator.toDispatcher = append(coordinator.toDispatcher, input.Event)
 	case *CallerEvent:
 		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
 	case *ShutdownRequested:
-		coordinator.draining = true
-		coordinator.leads.resign()
+		coordinator.shutDown()
+	default:
+		coordinator.applyOperation(input)
+	}
+}
+
+// shutDown begins a graceful shutdown: the cells go to other hosts, which take no
+// longer than after a loss, and nothing is lost with them.
+func (coordinator *Coordinator) shutDown() {
+	coordinator.draining = true
+	coordinator.tellElector(elector.Resign{})
+	coordinator.tellGossiper(gossiper.LeaveRequested{})
+	coordinator.tellKeeper(&keeper.ToLog{Input: replicator.TransferRequested{}})
+}
+
+// applyOperation applies the inputs of the journal and of operators.
+func (coordinator *Coordinator) applyOperation(input Input) {
+	switch input := input.(type) {
+	case *Restored:
+		coordinator.tellKeeper(&keeper.ToLog{Input: input.Restored})
+	case *Persisted:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.Persisted{Sequence: input.Sequence}})
+	case *SnapshotSaved:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.SnapshotSaved{Index: input.Index}})
+	case *OperatorRequest:
+		coordinator.petitions.begin(input)
+	case *ConfigHistoryWanted:
+		coordinator.answerHistory(input)
+	case *ConfigWanted:
+		coordinator.outputs.add(&ConfigAnswer{Waiter: input.Waiter, Version: coordinator.follower.InForce()})
+	case *StatusWanted:
+		coordinator.outputs.add(&StatusAnswer{Waiter: input.Waiter, Status: coordinator.status()})
 	}
 }
 
@@ -63,22 +100,32 @@
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
 		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Records: message.TakeoverReply.Records})
 	case message.LeadNotice != nil:
-		coordinator.noticeLead(*message.LeadNotice)
+		coordinator.noticeLead(from, *message.LeadNotice)
 	case message.Lookup != nil:
 		coordinator.tellDispatcher(&dispatcher.LookupArrived{From: from, Lookup: *message.Lookup})
 	case message.Cancel != nil:
 		coordinator.tellDispatcher(&dispatcher.CancelArrived{From: from, Cancel: *message.Cancel})
+	default:
+		coordinator.applyControlMessage(from, message)
 	}
 }
 
-func (coordinator *Coordinator) noticeLead(notice messenger.LeadNotice) {
-	coordinator.leads.noticed(notice)
-	if notice.FailureDomain != coordinator.Self.FailureDomain {
-		coordinator.tellDispatcher(&dispatcher.RemoteLeadKnown{Notice: notice})
-	}
-	offeredToSelf := notice.FailureDomain == coordinator.Self.FailureDomain && notice.Host == coordinator.Self.ID
-	if !offeredToSelf {
-		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+// applyControlMessage applies the messages of membership, keepers and
+// configuration.
+func (coordinator *Coordinator) applyControlMessage(from identifier.HostID, message *PeerMessage) {
+	switch {
+	case message.Gossip != nil:
+		coordinator.tellGossiper(gossiper.MessageReceived{Message: *message.Gossip})
+	case message.Log != nil:
+		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.MessageArrived{From: from, Message: *message.Log}})
+	case message.KeeperRequest != nil:
+		coordinator.tellKeeper(&keeper.Requested{Request: *message.KeeperRequest})
+	case message.KeeperReply != nil:
+		coordinator.takeReply(message.KeeperReply)
+	case message.ConfigWanted:
+		coordinator.tellFollower(&configurer.VersionRequested{From: from})
+	case message.Config != nil:
+		coordinator.tellFollower(&configurer.VersionFetched{Version: *message.Config})
 	}
 }
 
@@ -115,15 +162,11 @@
 // receiveAnswerReceipt notes that the caller's host holds an answer. Where that
 // host belongs to another failure domain, only a neighbour's copy counts.
 func (coordinator *Coordinator) receiveAnswerReceipt(from identifier.HostID, submission identifier.SubmissionID) {
-	if coordinator.ownDomain(from) || len(coordinator.leads.living) == 1 {
+	if coordinator.ownDomain(from) || len(coordinator.livingIn(coordinator.Self.FailureDomain)) == 1 {
 		coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: submission})
 	}
 }
 
-func (coordinator *Coordinator) ownDomain(host identifier.HostID) bool {
-	return slices.Contains(coordinator.leads.seen, host) || host == coordinator.Self.ID
-}
-
 // keepRecord makes this host one of the two that know a submission for as long as
 // it lives, whether it goes on leading the cell or not.
 //
@@ -132,7 +175,8 @@
 // anew.
 func (coordinator *Coordinator) keepRecord(from identifier.HostID, forward *messenger.Forward) {
 	number := messenger.CellOf(forward.Job.Submission, coordinator.Settings.Dispatcher.Cells)
-	if from == coordinator.Self.ID || !coordinator.leads.cells[number].held {
+	lead, _ := coordinator.elector.Lead(coordinator.Self.FailureDomain, number)
+	if from == coordinator.Self.Host || lead != coordinator.Self.Host {
 		return
 	}
 	record := messenger.CopyRecord{
@@ -142,11 +186,11 @@
 		Cell:       number,
 		Age:        forward.Age,
 	}
-	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.ID, Records: []messenger.CopyRecord{record}})
+	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.Host, Records: []messenger.CopyRecord{record}})
 }
 
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
-	self := coordinator.Self.ID
+	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *forwarder.AnswerCaller:
 		coordinator.outputs.add(&ToCaller{Answer: output})
@@ -205,13 +249,14 @@
 // the caller's, which knows the job already, or else another. A host that is alone
 // goes on without.
 func (coordinator *Coordinator) recordSpill(output *dispatcher.RecordSpill) {
+	living := coordinator.livingIn(coordinator.Self.FailureDomain)
 	others := func(host identifier.HostID) bool {
-		return host != coordinator.Self.ID && slices.Contains(coordinator.leads.living, host)
+		return host != coordinator.Self.Host && slices.Contains(living, host)
 	}
 	index := slices.IndexFunc(output.Holders, others)
 	holders := output.Holders
 	if index < 0 {
-		holders = coordinator.leads.living
+		holders = living
 		index = slices.IndexFunc(holders, others)
 	}
 	if index < 0 {
@@ -222,7 +267,7 @@
 }
 
 func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
-	if to == coordinator.Self.ID {
+	if to == coordinator.Self.Host {
 		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
 		return
 	}
@@ -230,7 +275,7 @@
 }
 
 func (coordinator *Coordinator) routeDispatcherOutput(output dispatcher.Output) {
-	self := coordinator.Self.ID
+	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *dispatcher.ToServer:
 		coordinator.outputs.add(&ToServer{Batch: output})
@@ -264,12 +309,6 @@
 	case *dispatcher.CancelSpill:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
 	case *dispatcher.EpochSeen:
-		coordinator.leads.sawEpoch(output.Cell, output.Epoch)
+		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: output.Epoch})
 	}
 }
-
-// claim refuses every claim until the keepers' claims are wired in: a
-// not-repeatable job must not run without one.
-func (coordinator *Coordinator) claim(wanted *dispatcher.ClaimWanted) {
-	coordinator.tellDispatcher(&dispatcher.ClaimDecided{Submission: wanted.Submission, Verdict: dispatcher.ClaimUnavailable})
-}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -151,8 +151,8 @@
 		dispatcher.loseLead(input)
 	case *RemoteLeadKnown:
 		dispatcher.recordRemoteLead(input)
-	case *RemoteReachable:
-		dispatcher.recordRemoteReachability(input)
+	case *RemoteReconnected:
+		dispatcher.askReconnected(input)
 	case *LoadNoticed:
 		dispatcher.recordLoad(input)
 	case *SpillRecorded:
--- a/pkg/dispatcher/remotes.go
+++ b/pkg/dispatcher/remotes.go
@@ -51,28 +51,43 @@
 func (dispatcher *Dispatcher) recordRemoteLead(input *RemoteLeadKnown) {
 	key := remoteKey{failureDomain: input.Notice.FailureDomain, cell: input.Notice.Cell}
 	known := dispatcher.remotes.Get(key)
-	if known != nil && known.epoch >= input.Notice.Epoch {
-		return
+	switch {
+	case input.Notice.Host == "":
+		dispatcher.loseRemote(known)
+	case known == nil || input.Notice.Epoch > known.epoch:
+		known = &remote{key: key, host: input.Notice.Host, epoch: input.Notice.Epoch}
+		dispatcher.remotes.Put(key, known)
+		dispatcher.greetRemote(known)
+	case input.Notice.Epoch == known.epoch && known.unreachable:
+		known.unreachable = false
+		dispatcher.greetRemote(known)
 	}
-	created := &remote{key: key, host: input.Notice.Host, epoch: input.Notice.Epoch}
-	dispatcher.remotes.Put(key, created)
-	if cell := dispatcher.cells.Get(key.cell); cell != nil {
+}
+
+// greetRemote tells a lead that is new or has come back the own load, and asks it
+// for the jobs that were handed to its cell.
+func (dispatcher *Dispatcher) greetRemote(remote *remote) {
+	if cell := dispatcher.cells.Get(remote.key.cell); cell != nil {
 		cell.toldFree = -1
 	}
-	dispatcher.askRemote(created)
+	dispatcher.askRemote(remote)
+}
+
+func (dispatcher *Dispatcher) loseRemote(remote *remote) {
+	if remote == nil || remote.unreachable {
+		return
+	}
+	remote.unreachable = true
+	remote.free = 0
+	dispatcher.suspectSpilled(remote)
 }
 
-func (dispatcher *Dispatcher) recordRemoteReachability(input *RemoteReachable) {
+// askReconnected asks again after a new connection: what was under way on the old
+// one may be lost.
+func (dispatcher *Dispatcher) askReconnected(input *RemoteReconnected) {
 	dispatcher.remotes.Each(func(_ remoteKey, remote *remote) bool {
-		if remote.host != input.Host || remote.unreachable == !input.Reachable {
-			return true
-		}
-		remote.unreachable = !input.Reachable
-		remote.free = 0
-		if input.Reachable {
-			dispatcher.askRemote(remote)
-		} else {
-			dispatcher.suspectSpilled(remote)
+		if remote.host == input.Host && !remote.unreachable {
+			dispatcher.greetRemote(remote)
 		}
 		return true
 	})
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -134,8 +134,8 @@
 		forwarder.living = input.Living
 		forwarder.replaceLostCopyHolders()
 		forwarder.spreadLoneAnswers()
-	case *HostReachable:
-		forwarder.recordReachability(input)
+	case *LeadReconnected:
+		forwarder.routeToAgain(input.Host)
 	case *CopiesWanted:
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -132,18 +132,33 @@
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
-// to a new lead.
+// to a new lead. A notice without a host tells that no living host leads it.
 func (forwarder *Forwarder) recordLead(input *LeadKnown) {
 	key := cellKey{failureDomain: input.Notice.FailureDomain, cell: input.Notice.Cell}
 	known := forwarder.leads.Get(key)
-	if known != nil && known.epoch >= input.Notice.Epoch {
-		return
+	switch {
+	case input.Notice.Host == "":
+		forwarder.markUnreachable(key, known)
+	case known == nil || input.Notice.Epoch > known.epoch:
+		learned := &lead{host: input.Notice.Host, epoch: input.Notice.Epoch}
+		if known != nil {
+			learned.promised = known.promised
+		}
+		forwarder.leads.Put(key, learned)
+		forwarder.routeCell(key)
+	case input.Notice.Epoch == known.epoch && known.unreachable:
+		// The same lead can be reached again. It knows a job that it has already.
+		known.unreachable = false
+		forwarder.routeCell(key)
 	}
-	learned := &lead{host: input.Notice.Host, epoch: input.Notice.Epoch}
-	if known != nil {
-		learned.promised = known.promised
+}
+
+// markUnreachable holds the unanswered jobs of a cell back until it has a lead.
+func (forwarder *Forwarder) markUnreachable(key cellKey, known *lead) {
+	if known == nil || known.unreachable {
+		return
 	}
-	forwarder.leads.Put(key, learned)
+	known.unreachable = true
 	forwarder.routeCell(key)
 }
 
@@ -164,15 +179,14 @@
 	})
 }
 
-// recordReachability holds back the jobs of a lead that can't be reached, and
-// forwards them again once it can; the lead knows a resend when it sees one.
-func (forwarder *Forwarder) recordReachability(input *HostReachable) {
+// routeToAgain forwards the unanswered jobs of a lead again to which a new
+// connection stands: what was under way on the old one may be lost. The lead knows
+// a resend when it sees one.
+func (forwarder *Forwarder) routeToAgain(host identifier.HostID) {
 	forwarder.leads.Each(func(key cellKey, lead *lead) bool {
-		if lead.host != input.Host || lead.unreachable == !input.Reachable {
-			return true
+		if lead.host == host && !lead.unreachable {
+			forwarder.routeCell(key)
 		}
-		lead.unreachable = !input.Reachable
-		forwarder.routeCell(key)
 		return true
 	})
 }
