--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -140,6 +140,7 @@
 	dispatcher.remotes = tabulator.New[remoteKey, remote]()
 	dispatcher.timers = tabulator.NewTimers[timerKey]()
 	dispatcher.estimator = &estimator.Estimator{Settings: dispatcher.Settings.Limits.Estimator}
+	dispatcher.configureLimits(&dispatcher.Settings.Limits.Initial)
 }
 
 func (dispatcher *Dispatcher) apply(input Input) {
