--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -21,9 +21,7 @@
 // faults of backend servers, connections and one entry host, and asks the oracle
 // after each step whether a promise was broken.
 func TestPromisesUnderFaults(t *testing.T) {
-	if !*long {
-		fixSeed(t, "20261202", "150")
-	}
+	bound(t, "150")
 	rapid.Check(t, func(t *rapid.T) {
 		machine := &machine{network: newNetwork([]identifier.FailureDomain{"leuven"}, 3, 4, 2)}
 		machine.network.trace = *trace
@@ -35,9 +33,7 @@
 // TestPromisesAcrossFailureDomains does the same with two small failure domains
 // that hand jobs to each other.
 func TestPromisesAcrossFailureDomains(t *testing.T) {
-	if !*long {
-		fixSeed(t, "20261203", "100")
-	}
+	bound(t, "100")
 	domains := []identifier.FailureDomain{"leuven", "roeselare"}
 	rapid.Check(t, func(t *rapid.T) {
 		machine := &machine{network: newNetwork(domains, 3, 2, 2), domains: domains}
@@ -47,10 +43,15 @@
 	})
 }
 
-// fixSeed makes rapid draw the same runs each time.
-func fixSeed(t *testing.T, seed, checks string) {
+// bound keeps a run in CI short; the seed is fixed by pkg/seeder. With -long the
+// seed is random and the number of runs that of -rapid.checks.
+func bound(t *testing.T, checks string) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true", "rapid.shrinktime": "15s"} {
+	values := map[string]string{"rapid.checks": checks, "rapid.nofailfile": "true", "rapid.shrinktime": "15s"}
+	if *long {
+		values = map[string]string{"rapid.seed": "0"}
+	}
+	for name, value := range values {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/pkg/selector/seed_test.go
@@ -0,0 +1,4 @@
+package selector_test
+
+// The random tests draw from a fixed seed, so that CI has one verdict.
+import _ "github.com/stoathitch/stoathitch/pkg/seeder"
