Give up a cell before taking it again

Symptom: the daemon panics in the queue (index out of range), or jobs hang. Sequence: backend servers refuse a lead as stale and nobody shows the higher epoch; the elector has the lead take its cell again, without a LeadLost. Cause: the jobs from before stood in the queue of the replaced cell.

--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -13,6 +13,10 @@
 // first accept the new epoch, which makes it refuse starts of earlier leads, and
 // report what it has.
 func (dispatcher *Dispatcher) takeLead(input *LeadTaken) {
+	// A lead that backend servers refused takes its cell again under a higher epoch.
+	// Its jobs come again with it, like those of any other lead; kept from before,
+	// they would stand in a queue that is gone.
+	dispatcher.loseLead(&LeadLost{Cell: input.Cell})
 	cell := &cell{
 		number:         input.Cell,
 		epoch:          input.Epoch,
