Make good for the copies of a host whose memory is lost

Symptom: a resend runs again after two hosts were lost minutes apart. Sequence: the second holder of a submission dies or restarts; later its lead dies; the caller sends the job again. Change: the lead has a third host hold the records and answers. The fuzz test now crashes hosts again and again, 15 s apart.

--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -140,7 +140,7 @@
 
 // Wait lets time pass.
 func (machine *machine) Wait(t *rapid.T) {
-	waits := []time.Duration{100 * time.Microsecond, 300 * time.Microsecond, 2 * time.Millisecond, 60 * time.Millisecond, time.Second, 4 * time.Second}
+	waits := []time.Duration{100 * time.Microsecond, 300 * time.Microsecond, 2 * time.Millisecond, 60 * time.Millisecond, time.Second, 4 * time.Second, 20 * time.Second}
 	machine.network.advance(rapid.SampledFrom(waits).Draw(t, "wait"))
 }
 
@@ -209,16 +209,14 @@
 	machine.network.at(later, func() { machine.network.connectHosts(first, second) })
 }
 
-// CrashHost ends one entry host and starts it again later, without its memory.
-// Copies that stood there are not made good yet, so that a second fault among
-// hosts within the retention can lose the record of a submission: a crash is the
-// last such fault of a run.
+// CrashHost ends one entry host and starts it again later, without its memory. The
+// next fault among hosts comes when the others have noticed and made good for it.
 func (machine *machine) CrashHost(t *rapid.T) {
 	machine.skipUnlessCalm(t)
 	host := machine.drawHost(t)
 	machine.network.crashHost(host)
 	later := rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 3 * time.Second}).Draw(t, "restart")
-	machine.calmAt = identifier.Never
+	machine.calmAt = machine.network.now.Add(later + 15*time.Second)
 	machine.network.at(later, func() { machine.network.startHost(host) })
 }
 
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -88,6 +88,9 @@
 // for one that is gone.
 func (coordinator *Coordinator) tellHostChanged(change gossiper.MemberChanged, restarted bool) {
 	lived := change.Old != nil && change.Old.Living() && !restarted
+	if restarted || (lived && !change.New.Living()) {
+		coordinator.tellForwarder(&forwarder.MemoryLost{Host: change.New.Member.Host})
+	}
 	switch host := change.New.Member.Host; {
 	case change.New.Living() && !lived:
 		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -186,7 +186,7 @@
 		Cell:       number,
 		Age:        forward.Age,
 	}
-	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.Host, Records: []messenger.CopyRecord{record}})
+	coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Records: []messenger.CopyRecord{record}})
 }
 
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		heldAt := forwarder.now.Add(-record.Age)
-		learned := &heldCopy{record: record, heldAt: heldAt}
+		learned := &heldCopy{partner: input.From, record: record, heldAt: heldAt}
 		if known != nil {
 			learned.answer = known.answer
 		}
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -32,9 +32,12 @@
 
 // heldCopy is the second copy of a submission that another host leads.
 type heldCopy struct {
-	record messenger.CopyRecord
-	heldAt identifier.Moment
-	answer *messenger.JobAnswer
+	// partner is the other host that knows the submission, where this host is the
+	// one to replace it.
+	partner identifier.HostID
+	record  messenger.CopyRecord
+	heldAt  identifier.Moment
+	answer  *messenger.JobAnswer
 }
 
 // cellKey names a cell among all failure domains.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -134,6 +134,8 @@
 		forwarder.living = input.Living
 		forwarder.replaceLostCopyHolders()
 		forwarder.spreadLoneAnswers()
+	case *MemoryLost:
+		forwarder.repairCopies(input.Host)
 	case *LeadReconnected:
 		forwarder.routeToAgain(input.Host)
 	case *CopiesWanted:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -57,6 +57,13 @@
 	Living []identifier.HostID
 }
 
+// MemoryLost tells that a host of the failure domain is gone, or has a new process.
+type MemoryLost struct {
+	Host identifier.HostID
+}
+
+func (*MemoryLost) isForwarderInput() {}
+
 // LeadReconnected tells that a new connection to a host stands.
 type LeadReconnected struct {
 	Host identifier.HostID
@@ -110,7 +117,7 @@
 
 func (*AnswerGiven) isForwarderInput() {}
 
-// RecordsLearned brings what another host knew of a cell that this host has taken.
+// RecordsLearned brings what another host knows of a cell that this host has taken.
 type RecordsLearned struct {
 	From    identifier.HostID
 	Records []messenger.CopyRecord
