--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -38,6 +38,9 @@
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
 		SettleTime:    coordinator.Settings.LeadSettle,
+		NextEpoch: func(after identifier.Epoch) identifier.Epoch {
+			return nextEpoch(after, coordinator.Self.Host)
+		},
 	}
 }
 
@@ -74,39 +77,45 @@
 	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
-		coordinator.tellOfNeighbour(change.New)
+		coordinator.tellHostChanged(change, restarted)
 	}
-	coordinator.tellDispatcher(&dispatcher.RemoteReachable{Host: member.Host, Reachable: change.New.Living()})
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.changeKeeperReachability(change.New)
 	}
 }
 
-// tellOfNeighbour tells the dispatcher that another host of the failure domain
-// lives or does not.
-func (coordinator *Coordinator) tellOfNeighbour(state gossiper.State) {
-	if state.Living() {
-		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: state.Member.Host})
-		return
+// tellHostChanged has the dispatcher ask a host that has come, and no longer wait
+// for one that is gone.
+func (coordinator *Coordinator) tellHostChanged(change gossiper.MemberChanged, restarted bool) {
+	lived := change.Old != nil && change.Old.Living() && !restarted
+	if restarted || (lived && !change.New.Living()) {
+		coordinator.tellForwarder(&forwarder.MemoryLost{Host: change.New.Member.Host})
+	}
+	switch host := change.New.Member.Host; {
+	case change.New.Living() && !lived:
+		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
+	case !change.New.Living() && lived:
+		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host})
 	}
-	coordinator.tellDispatcher(&dispatcher.HostGone{Host: state.Member.Host})
 }
 
-// missingNeighbours lists the hosts of the own failure domain that were seen and
-// do not live. One that left said so itself, and handed over what it knew.
-func (coordinator *Coordinator) missingNeighbours() []identifier.HostID {
+// missing lists the hosts of the own failure domain that are known and don't live.
+func (coordinator *Coordinator) missing() []identifier.HostID {
 	var missing []identifier.HostID
 	for _, state := range coordinator.gossiper.Members() {
-		member := state.Member
-		neighbour := member.FailureDomain == coordinator.Self.FailureDomain && member.Host != coordinator.Self.Host
-		if neighbour && state.Status == gossiper.StatusDead {
-			missing = append(missing, member.Host)
+		if state.Member.FailureDomain == coordinator.Self.FailureDomain && state.Status == gossiper.StatusDead {
+			missing = append(missing, state.Member.Host)
 		}
 	}
-	slices.Sort(missing)
 	return missing
 }
 
+// ownDomain tells whether a host belongs to the own failure domain.
+func (coordinator *Coordinator) ownDomain(host identifier.HostID) bool {
+	state, known := coordinator.gossiper.State(host)
+	return host == coordinator.Self.Host || (known && state.Member.FailureDomain == coordinator.Self.FailureDomain)
+}
+
 // livingIn lists the hosts of a failure domain that are counted on, in order of
 // their ids, this host included.
 func (coordinator *Coordinator) livingIn(failureDomain identifier.FailureDomain) []identifier.HostID {
@@ -173,7 +182,7 @@
 		return
 	}
 	coordinator.tellElector(elector.LeadSeen{
-		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: electedEpoch(notice.Epoch),
+		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: notice.Epoch,
 	})
 }
 
@@ -185,11 +194,10 @@
 		coordinator.loseLead(output)
 	case elector.LeadIs:
 		notice := messenger.LeadNotice{
-			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host,
-			Epoch: fencingEpoch(output.Epoch, output.Host),
+			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host, Epoch: output.Epoch,
 		}
 		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
-		if output.Host != "" && output.FailureDomain != coordinator.Self.FailureDomain {
+		if output.FailureDomain != coordinator.Self.FailureDomain {
 			coordinator.tellDispatcher(&dispatcher.RemoteLeadKnown{Notice: notice})
 		}
 	}
@@ -197,15 +205,14 @@
 
 func (coordinator *Coordinator) takeLead(taken elector.LeadTaken) {
 	hosts := coordinator.livingIn(coordinator.Self.FailureDomain)
-	epoch := fencingEpoch(taken.Epoch, coordinator.Self.Host)
 	coordinator.tellDispatcher(&dispatcher.LeadTaken{
-		Cell: taken.Cell, Epoch: epoch, Hosts: hosts, Missing: coordinator.missingNeighbours(),
+		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missing(),
 	})
 	notice := messenger.LeadNotice{
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cell:          taken.Cell,
 		Host:          coordinator.Self.Host,
-		Epoch:         epoch,
+		Epoch:         taken.Epoch,
 	}
 	coordinator.publish(leadRecordKey(taken.Cell), strconv.FormatUint(uint64(taken.Epoch), recordNumberBase))
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
@@ -215,7 +222,7 @@
 func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
 	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
 	coordinator.publish(leadRecordKey(lost.Cell), "")
-	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: fencingEpoch(lost.Epoch, coordinator.Self.Host)}
+	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
 	coordinator.tellNeighbours(notice)
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -175,7 +175,7 @@
 	AnswerReceipt     identifier.SubmissionID   `cbor:"3,keyasint,omitempty"`
 	CopyRequest       []messenger.CopyRecord    `cbor:"4,keyasint,omitempty"`
 	CopyReceipt       []identifier.SubmissionID `cbor:"5,keyasint,omitempty"`
-	AnswerCopy        *messenger.JobAnswer      `cbor:"6,keyasint,omitempty"`
+	AnswerCopy        *messenger.AnswerCopy     `cbor:"6,keyasint,omitempty"`
 	AnswerCopyReceipt identifier.SubmissionID   `cbor:"7,keyasint,omitempty"`
 	AnswerRequest     *messenger.AnswerRequest  `cbor:"8,keyasint,omitempty"`
 	TakeoverQuery     *messenger.TakeoverQuery  `cbor:"9,keyasint,omitempty"`
@@ -183,16 +183,17 @@
 	LeadNotice        *messenger.LeadNotice     `cbor:"11,keyasint,omitempty"`
 	Lookup            *messenger.Lookup         `cbor:"12,keyasint,omitempty"`
 	Cancel            *messenger.Cancel         `cbor:"13,keyasint,omitempty"`
+	Load              *messenger.LoadNotice     `cbor:"20,keyasint,omitempty"`
+	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
+	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
+	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
 	// Membership, keepers and configuration.
-	Gossip        *gossiper.Message       `cbor:"14,keyasint,omitempty"`
-	Log           *replicator.Message     `cbor:"15,keyasint,omitempty"`
-	KeeperRequest *keeper.Request         `cbor:"16,keyasint,omitempty"`
-	KeeperReply   *keeper.Reply           `cbor:"17,keyasint,omitempty"`
-	ConfigWanted  bool                    `cbor:"18,keyasint,omitempty"`
-	Config        *configurer.Version     `cbor:"19,keyasint,omitempty"`
-	Load          *messenger.LoadNotice   `cbor:"20,keyasint,omitempty"`
-	Spill         *messenger.SpillRequest `cbor:"21,keyasint,omitempty"`
-	SpillAnswer   *messenger.JobAnswer    `cbor:"22,keyasint,omitempty"`
+	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
+	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
+	KeeperRequest *keeper.Request     `cbor:"16,keyasint,omitempty"`
+	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
+	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
+	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -27,15 +27,15 @@
 	Cell messenger.CellNumber
 }
 
-// RemoteLeadKnown tells who leads a cell of another failure domain.
+// RemoteLeadKnown tells who leads a cell of another failure domain; without a
+// host, that no living host does.
 type RemoteLeadKnown struct {
 	Notice messenger.LeadNotice
 }
 
-// RemoteReachable tells whether a host of another failure domain can be reached.
-type RemoteReachable struct {
-	Host      identifier.HostID
-	Reachable bool
+// RemoteReconnected tells that a new connection to a host stands.
+type RemoteReconnected struct {
+	Host identifier.HostID
 }
 
 // LoadNoticed brings the load of a cell of another failure domain.
@@ -63,12 +63,12 @@
 	Answer *messenger.JobAnswer
 }
 
-func (*RemoteLeadKnown) isDispatcherInput() {}
-func (*RemoteReachable) isDispatcherInput() {}
-func (*LoadNoticed) isDispatcherInput()     {}
-func (*SpillRecorded) isDispatcherInput()   {}
-func (*SpillArrived) isDispatcherInput()    {}
-func (*SpillAnswered) isDispatcherInput()   {}
+func (*RemoteLeadKnown) isDispatcherInput()   {}
+func (*RemoteReconnected) isDispatcherInput() {}
+func (*LoadNoticed) isDispatcherInput()       {}
+func (*SpillRecorded) isDispatcherInput()     {}
+func (*SpillArrived) isDispatcherInput()      {}
+func (*SpillAnswered) isDispatcherInput()     {}
 
 // HostReturned tells that a host of the failure domain can be reached (again).
 type HostReturned struct {
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -158,12 +158,19 @@
 }
 
 func (elector *Elector) takeLead(id identifier.CellID, cell *cellEntity) {
-	cell.mine = cell.highest + 1
+	cell.mine = elector.nextEpoch(cell.highest)
 	cell.overtakenUntil = identifier.Never
 	cell.announce(announcement{elector.Self, cell.mine})
 	elector.emit(LeadTaken{Cell: id, Epoch: cell.mine})
 }
 
+func (elector *Elector) nextEpoch(after identifier.Epoch) identifier.Epoch {
+	if elector.NextEpoch == nil {
+		return after + 1
+	}
+	return elector.NextEpoch(after)
+}
+
 // tell outputs the lead of a cell when it differs from the one told before.
 func (elector *Elector) tell(key cellKey, cell *cellEntity) {
 	lead := elector.lead(key.domain, cell)
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -29,6 +29,10 @@
 	// so that it doesn't duel with a living lead it has not heard of yet; and how
 	// long a lead that is overtaken waits for the one who overtook it.
 	SettleTime time.Duration
+	// NextEpoch returns the epoch under which this host takes a cell after another;
+	// nil counts on by one. Hosts that lose sight of each other must not take the
+	// same one: backend servers could not tell them apart.
+	NextEpoch func(after identifier.Epoch) identifier.Epoch
 
 	started  bool
 	resigned bool
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -57,6 +57,20 @@
 	Living []identifier.HostID
 }
 
+// MemoryLost tells that a host of the failure domain is gone, or has a new process.
+type MemoryLost struct {
+	Host identifier.HostID
+}
+
+func (*MemoryLost) isForwarderInput() {}
+
+// LeadReconnected tells that a new connection to a host stands.
+type LeadReconnected struct {
+	Host identifier.HostID
+}
+
+func (*LeadReconnected) isForwarderInput() {}
+
 // CopiesWanted asks this host to hold the second copy of submissions.
 type CopiesWanted struct {
 	From    identifier.HostID
@@ -71,8 +85,8 @@
 
 // AnswerCopyArrived asks this host to hold the second copy of an answer.
 type AnswerCopyArrived struct {
-	From   identifier.HostID
-	Answer *messenger.JobAnswer
+	From identifier.HostID
+	Copy messenger.AnswerCopy
 }
 
 // AnswerCopyHeld tells that a host holds the second copy of an answer.
@@ -86,6 +100,16 @@
 	Query messenger.TakeoverQuery
 }
 
+// JobRelayed brings a job that a host of another failure domain has forwarded to
+// this host, the lead of its cell.
+type JobRelayed struct {
+	From     identifier.HostID
+	Forward  *messenger.Forward
+	Deadline identifier.Moment
+}
+
+func (*JobRelayed) isForwarderInput() {}
+
 // AnswerGiven brings an answer that this host gave as a lead.
 type AnswerGiven struct {
 	Answer *messenger.JobAnswer
@@ -93,7 +117,7 @@
 
 func (*AnswerGiven) isForwarderInput() {}
 
-// RecordsLearned brings what another host knew of a cell that this host has taken.
+// RecordsLearned brings what another host knows of a cell that this host has taken.
 type RecordsLearned struct {
 	From    identifier.HostID
 	Records []messenger.CopyRecord
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -165,13 +165,32 @@
 // routeCell forwards the unanswered jobs of a cell anew.
 func (forwarder *Forwarder) routeCell(key cellKey) {
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
-		if front.answer == nil && forwarder.cellOf(front.job) == key {
+		if forwarder.cellOf(front.job) != key {
+			return true
+		}
+		if front.answerHeldBack {
+			// Nobody has heard this answer, and the new lead may give another.
+			forwarder.withdrawAnswer(front)
+		}
+		if front.answer == nil {
 			forwarder.route(front)
 		}
 		return true
 	})
 }
 
+// routeToAgain forwards the unanswered jobs of a lead again to which a new
+// connection stands: what was under way on the old one may be lost. The lead knows
+// a resend when it sees one.
+func (forwarder *Forwarder) routeToAgain(host identifier.HostID) {
+	forwarder.leads.Each(func(key cellKey, lead *lead) bool {
+		if lead.host == host && !lead.unreachable {
+			forwarder.routeCell(key)
+		}
+		return true
+	})
+}
+
 // cancel hands a cancellation to the lead of the caller's own submission.
 func (forwarder *Forwarder) cancel(input *CallerCancelled) {
 	front := forwarder.fronts.Get(input.Submission)
