Replay traces in virtual time on the real coordinators

Cause: the promises and the response time were checked by no run of whole hosts. Change: pkg/replayer runs the coordinators of all entry hosts, fake backend servers and callers on one virtual clock; connections hold messages back in a silent partition and close when a process dies. Messages are counted batch by batch, control traffic by bytes. The checker takes a refusal as not known to have run for no final answer; among final answers it is as strict as before.

--- a/pkg/replayer/answerchecker.go
+++ b/pkg/replayer/answerchecker.go
@@ -7,7 +7,8 @@
 	"github.com/stoathitch/stoathitch/pkg/tracer"
 )
 
-// OutcomeCounts counts submissions by the answer that their caller got first.
+// OutcomeCounts counts submissions by the first final answer that their caller
+// got, or else by the first.
 type OutcomeCounts struct {
 	Submissions, Tasks        int
 	Complete, Failed, Refused int
@@ -81,24 +82,32 @@
 }
 
 // checkOneAnswer wants at most one answer for each request, and the same answer
-// for all of them.
+// for all of them but the refusals as not known to have run.
 func (checker *Checker) checkOneAnswer(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
 	submission.answers++
-	if submission.answers == 1 {
-		submission.first = answer
-		return
-	}
 	if submission.answers > submission.requests {
 		checker.violate("exactly one answer for each submission", answer.Submission, at,
 			"%d answers to %d requests", submission.answers, submission.requests)
 	}
-	if !sameAnswer(submission.first, answer) {
+	if submission.answers == 1 || (!submission.first.Final() && answer.Final()) {
+		submission.first = answer
+		return
+	}
+	if submission.first.Final() && answer.Final() && !sameAnswer(submission.first, answer) {
 		checker.violate("exactly one answer for each submission", answer.Submission, at,
 			"the first answer was %s, this one is %s", describe(submission.first), describe(answer))
 	}
 }
 
-// Outcome returns the first answer that the submission's caller got.
+// Final tells whether the answer says what became of the submission. A refusal
+// as not known to have run says only that nobody could tell it there and then;
+// the answer to a resend may.
+func (answer *CallerAnswer) Final() bool {
+	return answer.Outcome != tracer.OutcomeRefused || answer.NotRun
+}
+
+// Outcome returns the first final answer that the submission's caller got, or else
+// the first.
 func (checker *Checker) Outcome(submission identifier.SubmissionID) (tracer.Outcome, bool) {
 	checked := checker.submissions[submission]
 	if checked == nil || checked.answers == 0 {
--- a/pkg/replayer/error.go
+++ b/pkg/replayer/error.go
@@ -14,6 +14,7 @@
 // The kinds of errors.
 const (
 	ErrorEncoding ErrorKind = iota
+	ErrorUnknownPolicy
 )
 
 // Error is the one error type of this package.
--- a/pkg/replayer/errorkind_enumer.go
+++ b/pkg/replayer/errorkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ErrorKindName = "encoding"
+const _ErrorKindName = "encodingunknown-policy"
 
-var _ErrorKindIndex = [...]uint8{0, 8}
+var _ErrorKindIndex = [...]uint8{0, 8, 22}
 
-const _ErrorKindLowerName = "encoding"
+const _ErrorKindLowerName = "encodingunknown-policy"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -25,20 +25,24 @@
 func _ErrorKindNoOp() {
 	var x [1]struct{}
 	_ = x[ErrorEncoding-(0)]
+	_ = x[ErrorUnknownPolicy-(1)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorEncoding}
+var _ErrorKindValues = []ErrorKind{ErrorEncoding, ErrorUnknownPolicy}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
-	_ErrorKindName[0:8]: ErrorEncoding,
+	_ErrorKindName[0:8]:  ErrorEncoding,
+	_ErrorKindName[8:22]: ErrorUnknownPolicy,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
-	_ErrorKindLowerName[0:8]: ErrorEncoding,
+	_ErrorKindLowerName[0:8]:  ErrorEncoding,
+	_ErrorKindLowerName[8:22]: ErrorUnknownPolicy,
 }
 
 var _ErrorKindNames = []string{
 	_ErrorKindName[0:8],
+	_ErrorKindName[8:22],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/replayer/figures.go
+++ b/pkg/replayer/figures.go
@@ -55,8 +55,9 @@
 	// ResponsesOverIdeal has one ratio for each complete job.
 	ResponsesOverIdeal []float64
 	Messages           int
-	WastedMessages     int
-	ControlBytes       []HostBytes
+	// WastedMessages counts a message by the share of it that nobody needed.
+	WastedMessages float64
+	ControlBytes   []HostBytes
 }
 
 // HostBytes is the control traffic that one entry host sent.
@@ -78,7 +79,7 @@
 		TasksStarted:          measurements.TasksStarted,
 		Violations:            append([]string{}, measurements.Violations...),
 		ResponseOverIdeal:     NewDistribution(measurements.ResponsesOverIdeal),
-		MessagesPerTask:       ratio(measurements.Messages, measurements.Tasks),
+		MessagesPerTask:       ratio(float64(measurements.Messages), measurements.Tasks),
 		WastedMessagesPerTask: ratio(measurements.WastedMessages, measurements.Tasks),
 		ControlBytesPerSecond: make(map[identifier.HostID]float64),
 		Policy:                measurements.Policy,
@@ -171,11 +172,11 @@
 	return sorted[max(rank, 1)-1]
 }
 
-func ratio(part, whole int) float64 {
+func ratio(part float64, whole int) float64 {
 	if whole == 0 {
 		return 0
 	}
-	return rounded(float64(part) / float64(whole))
+	return rounded(part / float64(whole))
 }
 
 func perSecond(bytes identifier.Bytes, length time.Duration) float64 {
--- /dev/null
+++ b/pkg/replayer/replayer.go
@@ -0,0 +1,217 @@
+package replayer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/replayer/fakenetwork"
+	"github.com/stoathitch/stoathitch/pkg/tracer"
+)
+
+const (
+	// warmUp is the time before the trace in which hosts connect and cells get
+	// their leads.
+	warmUp = 5 * time.Second
+	// afterwards is how long the replay goes on after the last work or deadline,
+	// so that a late breach of a promise is still seen.
+	afterwards = 30 * time.Second
+	// reconnectPause is how long backend servers and entry hosts wait before they
+	// dial again.
+	reconnectPause = 100 * time.Millisecond
+)
+
+// Replayer replays one trace in virtual time against the coordinators that the
+// daemon runs. Set the exported fields before Run.
+type Replayer struct {
+	Trace *tracer.Trace
+	// Policy is one of Policies; empty means the default.
+	Policy string
+	// Seed drives the choices of the fake balancer. With the same trace, policy
+	// and seed, Run returns the same figures.
+	Seed uint64
+}
+
+// Result is what came of a replay.
+type Result struct {
+	Figures *Figures
+	// Unmet has one sentence for each stated outcome that does not hold.
+	Unmet []string
+}
+
+// Sound tells whether no promise was broken and every stated outcome holds.
+func (result *Result) Sound() bool {
+	return len(result.Figures.Violations) == 0 && len(result.Unmet) == 0
+}
+
+// Run replays the trace to its end.
+func (replayer *Replayer) Run() (*Result, error) {
+	policy, err := findPolicy(replayer.Policy)
+	if err != nil {
+		return nil, err
+	}
+	replay := newReplay(replayer, policy)
+	replay.start()
+	replay.schedule()
+	replay.clock.Run(replay.end)
+	figures := NewFigures(replay.measurements())
+	unmet := UnmetExpectations(replayer.Trace, figures, replay.checker.Outcome)
+	return &Result{Figures: figures, Unmet: unmet}, nil
+}
+
+// replay is the state of one run. Moment zero of its clock is the start of the
+// trace.
+type replay struct {
+	trace    *tracer.Trace
+	policy   *policy
+	seed     uint64
+	random   *rand.Rand
+	clock    *fakenetwork.Clock
+	network  *fakenetwork.Network
+	checker  *Checker
+	ledger   *ledger
+	settings coordinator.Settings
+	end      identifier.Moment
+
+	hosts       []*entryHost
+	hostByID    map[identifier.HostID]*entryHost
+	servers     []*backendServer
+	serverByID  map[identifier.BackendServerID]*backendServer
+	callers     map[identifier.FailureDomain]*callers
+	submissions map[identifier.SubmissionID]*submission
+	requests    []*request
+}
+
+func newReplay(replayer *Replayer, policy *policy) *replay {
+	deployment := &replayer.Trace.Deployment
+	clock := fakenetwork.NewClock(-identifier.Moment(warmUp))
+	created := &replay{
+		trace:       replayer.Trace,
+		policy:      policy,
+		seed:        replayer.Seed,
+		random:      rand.New(rand.NewPCG(replayer.Seed, deployment.Seed)),
+		clock:       clock,
+		checker:     NewChecker(),
+		ledger:      newLedger(),
+		settings:    coordinator.DefaultSettings(),
+		hostByID:    make(map[identifier.HostID]*entryHost),
+		serverByID:  make(map[identifier.BackendServerID]*backendServer),
+		callers:     make(map[identifier.FailureDomain]*callers),
+		submissions: make(map[identifier.SubmissionID]*submission),
+	}
+	created.network = &fakenetwork.Network{Clock: clock, Delay: created.delay, ReconnectPause: reconnectPause}
+	policy.fill(&created.settings)
+	created.end = created.lastMoment()
+	created.build(deployment)
+	return created
+}
+
+// delay returns the one-way delay between two places.
+func (replay *replay) delay(from, to *fakenetwork.Place) time.Duration {
+	deployment := &replay.trace.Deployment
+	switch {
+	case isCallers(from.Address) || isCallers(to.Address):
+		return deployment.ClientOneWay
+	case from.FailureDomain == to.FailureDomain:
+		return OneWayWithinFailureDomain
+	default:
+		return deployment.OneWay
+	}
+}
+
+// lastMoment returns when the replay ends.
+func (replay *replay) lastMoment() identifier.Moment {
+	last, lastWork := identifier.Moment(0), identifier.Moment(0)
+	for _, event := range replay.trace.Events {
+		last = max(last, event.Moment())
+		job, isJob := event.(*tracer.Job)
+		if !isJob {
+			continue
+		}
+		lastWork = max(lastWork, job.At.Add(job.LongestRunTime()))
+		if job.Deadline != identifier.Never {
+			lastWork = max(lastWork, job.Deadline)
+		}
+	}
+	return max(last, lastWork.Add(afterwards))
+}
+
+// build makes the places of the deployment and the connections between them.
+func (replay *replay) build(deployment *tracer.Deployment) {
+	for _, domain := range deployment.FailureDomains {
+		for number := range deployment.EntryHostsPerFailureDomain {
+			replay.addHost(tracer.EntryHost(domain, number), domain)
+		}
+	}
+	for _, domain := range deployment.FailureDomains {
+		replay.addCallers(domain)
+		for number := range deployment.ExecutorsPerFailureDomain {
+			replay.addServer(tracer.Executor(domain, number), domain)
+		}
+	}
+}
+
+func (replay *replay) start() {
+	for _, host := range replay.hosts {
+		host.start()
+	}
+	for _, domain := range replay.trace.Deployment.FailureDomains {
+		replay.network.Start(replay.callers[domain].place, replay.callers[domain])
+	}
+	for _, server := range replay.servers {
+		server.start()
+	}
+}
+
+// schedule puts the events of the trace on the clock.
+func (replay *replay) schedule() {
+	for _, event := range replay.trace.Events {
+		switch event := event.(type) {
+		case *tracer.Job:
+			replay.clock.At(event.At, func() { replay.sendJob(event) })
+		case *tracer.Cancel:
+			replay.clock.At(event.At, func() { replay.sendCancel(event) })
+		case *tracer.Expect:
+		default:
+			replay.clock.At(event.Moment(), func() { replay.strike(event) })
+		}
+	}
+}
+
+func (replay *replay) measurements() *Measurements {
+	counts := replay.checker.Counts()
+	measurements := &Measurements{
+		Policy:       replay.policy.name,
+		Seed:         replay.seed,
+		Length:       time.Duration(replay.end),
+		Jobs:         counts.Submissions,
+		Tasks:        counts.Tasks,
+		Complete:     counts.Complete,
+		Failed:       counts.Failed,
+		Refused:      counts.Refused,
+		TasksStarted: replay.checker.TasksStarted(),
+		Violations:   replay.checker.Violations(),
+		Messages:     replay.ledger.messages(),
+	}
+	measurements.WastedMessages = replay.ledger.wasted(replay.submissions)
+	for _, event := range replay.trace.Events {
+		if job, isJob := event.(*tracer.Job); isJob {
+			measurements.addResponse(replay.submissions[job.Submission], job)
+		}
+	}
+	for _, host := range replay.hosts {
+		measurements.ControlBytes = append(measurements.ControlBytes, HostBytes{Host: host.id, Bytes: replay.ledger.control[host.id]})
+	}
+	return measurements
+}
+
+// addResponse adds the response time of a complete job, once for its first
+// sending.
+func (measurements *Measurements) addResponse(submission *submission, job *tracer.Job) {
+	if submission == nil || !submission.complete || submission.job != job {
+		return
+	}
+	response := submission.completeAt.Sub(submission.sentAt)
+	measurements.ResponsesOverIdeal = append(measurements.ResponsesOverIdeal, float64(response)/float64(submission.ideal))
+}
