--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -75,6 +75,7 @@
 	addCommand(parser.Command, "stand-in", "Run stand-in backend servers",
 		"Runs backend servers that follow the published protocol, sleep for the payload's run-time and answer with an echo.",
 		&standInCommand{commonOptions: common})
+	addReplayCommands(parser.Command, common)
 	return parser
 }
 
--- /dev/null
+++ b/pkg/replayer/bound.go
@@ -0,0 +1,192 @@
+package replayer
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/tracer"
+)
+
+// Order is the order in which one central queue serves its jobs.
+type Order int
+
+// The orders of a central queue.
+const (
+	// OrderFirstCome serves jobs in the order of their arrival.
+	OrderFirstCome Order = iota
+	// OrderFewestTasks serves the narrowest job first, which needs no estimate.
+	OrderFewestTasks
+	// OrderLeastWork serves the job with the least work first, as if every run
+	// time were known.
+	OrderLeastWork
+)
+
+// Reach is where a central queue may run a job.
+type Reach int
+
+// The reaches of a central queue.
+const (
+	// ReachMayRun is every failure domain in which the job may run.
+	ReachMayRun Reach = iota
+	// ReachHome is the job's home only: one queue for each failure domain.
+	ReachHome
+)
+
+// CentralQueue returns response over ideal of one queue over all slots, which
+// knows every run time, pays no delay beyond the ideal's, loses nothing and
+// leaves no slot idle that a waiting task may use. It ignores faults,
+// cancellations, deadlines and resends. No dispatcher that serves jobs in the
+// same order has shorter queues, so an aim below it can't be met on this trace.
+func CentralQueue(trace *tracer.Trace, order Order, reach Reach) Distribution {
+	queue := newCentralQueue(trace, order, reach)
+	for _, event := range trace.Events {
+		if job, isJob := event.(*tracer.Job); isJob {
+			queue.arrive(job)
+		}
+	}
+	queue.runUntil(identifier.Never)
+	return NewDistribution(queue.ratios)
+}
+
+type centralQueue struct {
+	deployment *tracer.Deployment
+	order      Order
+	reach      Reach
+	free       map[identifier.FailureDomain]identifier.Slots
+	waiting    []*centralJob
+	ends       endHeap
+	known      map[identifier.SubmissionID]bool
+	ratios     []float64
+}
+
+type centralJob struct {
+	job     *tracer.Job
+	domains []identifier.FailureDomain
+	rank    int64
+	// queued are the run times of the tasks that have not started, the longest
+	// first, because the job is as slow as its last task.
+	queued  []time.Duration
+	running int
+}
+
+type taskEnd struct {
+	at     identifier.Moment
+	job    *centralJob
+	domain identifier.FailureDomain
+}
+
+func newCentralQueue(trace *tracer.Trace, order Order, reach Reach) *centralQueue {
+	deployment := &trace.Deployment
+	queue := &centralQueue{
+		deployment: deployment,
+		order:      order,
+		reach:      reach,
+		free:       make(map[identifier.FailureDomain]identifier.Slots),
+		known:      make(map[identifier.SubmissionID]bool),
+	}
+	for _, domain := range deployment.FailureDomains {
+		queue.free[domain] = identifier.Slots(deployment.ExecutorsPerFailureDomain) * deployment.Slots
+	}
+	return queue
+}
+
+func (queue *centralQueue) arrive(job *tracer.Job) {
+	queue.runUntil(job.At)
+	if queue.known[job.Submission] {
+		return
+	}
+	queue.known[job.Submission] = true
+	created := &centralJob{job: job, domains: job.FailureDomains(queue.deployment)}
+	for _, task := range job.Tasks {
+		created.queued = append(created.queued, task.RunTime)
+	}
+	slices.SortFunc(created.queued, func(first, second time.Duration) int { return cmp.Compare(second, first) })
+	if queue.reach == ReachHome {
+		created.domains = created.domains[:1]
+	}
+	created.rank = queue.rank(job)
+	position, _ := slices.BinarySearchFunc(queue.waiting, created.rank+1, func(other *centralJob, after int64) int {
+		return cmp.Compare(other.rank, after)
+	})
+	queue.waiting = slices.Insert(queue.waiting, position, created)
+	queue.fill(job.At)
+}
+
+// rank is what jobs wait in the order of; equal ones wait in order of arrival.
+func (queue *centralQueue) rank(job *tracer.Job) int64 {
+	switch queue.order {
+	case OrderFewestTasks:
+		return int64(len(job.Tasks))
+	case OrderLeastWork:
+		return int64(job.Work())
+	default:
+		return 0
+	}
+}
+
+// runUntil ends the tasks that end by then and gives their slots on.
+func (queue *centralQueue) runUntil(moment identifier.Moment) {
+	for len(queue.ends) > 0 && queue.ends[0].at <= moment {
+		ended := heap.Pop(&queue.ends).(taskEnd)
+		queue.free[ended.domain]++
+		ended.job.running--
+		if ended.job.running == 0 && len(ended.job.queued) == 0 {
+			queue.complete(ended.job, ended.at)
+		}
+		queue.fill(ended.at)
+	}
+}
+
+func (queue *centralQueue) complete(done *centralJob, at identifier.Moment) {
+	ideal := IdealResponse(done.job, queue.deployment)
+	network := ideal - done.job.LongestRunTime()
+	queue.ratios = append(queue.ratios, float64(at.Sub(done.job.At)+network)/float64(ideal))
+}
+
+// fill starts what waits wherever it may run and a slot is free.
+func (queue *centralQueue) fill(now identifier.Moment) {
+	for _, waiting := range queue.waiting {
+		if queue.full() {
+			break
+		}
+		for _, domain := range waiting.domains {
+			for queue.free[domain] > 0 && len(waiting.queued) > 0 {
+				queue.free[domain]--
+				heap.Push(&queue.ends, taskEnd{at: now.Add(waiting.queued[0]), job: waiting, domain: domain})
+				waiting.queued = waiting.queued[1:]
+				waiting.running++
+			}
+		}
+	}
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(job *centralJob) bool { return len(job.queued) == 0 })
+}
+
+func (queue *centralQueue) full() bool {
+	for _, domain := range queue.deployment.FailureDomains {
+		if queue.free[domain] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// endHeap orders running tasks by their end.
+type endHeap []taskEnd
+
+func (ends endHeap) Len() int                    { return len(ends) }
+func (ends endHeap) Less(first, second int) bool { return ends[first].at < ends[second].at }
+func (ends endHeap) Swap(first, second int)      { ends[first], ends[second] = ends[second], ends[first] }
+
+// Push adds a task; only container/heap calls it.
+func (ends *endHeap) Push(added any) { *ends = append(*ends, added.(taskEnd)) }
+
+// Pop removes the last task; only container/heap calls it.
+func (ends *endHeap) Pop() any {
+	last := len(*ends) - 1
+	popped := (*ends)[last]
+	*ends = (*ends)[:last]
+	return popped
+}
