--- a/pkg/commander/trace.go
+++ b/pkg/commander/trace.go
@@ -45,6 +45,7 @@
 	Slack       time.Duration `long:"deadline-slack" default:"2s" description:"time from the end of a job's longest task to its deadline"`
 	Resends     float64       `long:"resend-share" description:"share of jobs that are sent twice"`
 	Cancels     float64       `long:"cancel-share" description:"share of jobs that are cancelled"`
+	Faults      int           `long:"random-faults" description:"how many faults of any kind strike at random, each with its end"`
 	BurstFactor float64       `long:"burst-factor" description:"multiplies the rate of arrivals during the burst"`
 	BurstFrom   time.Duration `long:"burst-from" description:"when the burst begins"`
 	BurstTo     time.Duration `long:"burst-to" description:"when the burst ends"`
@@ -66,6 +67,7 @@
 	}
 	command.changeWork(parameters)
 	command.changeHosts(&parameters.Deployment)
+	parameters.AddRandomFaults(command.Faults)
 	trace, err := generator.Generate(parameters)
 	if err != nil {
 		return malformed("%v", err)
--- a/pkg/replayer/entryhost.go
+++ b/pkg/replayer/entryhost.go
@@ -218,16 +218,13 @@
 		}})
 		return
 	}
-	deadline := request.submission.job.Deadline
-	switch {
-	case process.refusing:
-		process.respond(request, messenger.Refuse(request.submission.job.Submission, messenger.ReasonShuttingDown, "the entry host shuts down"))
-		return
-	case deadline != identifier.Never && deadline <= process.replay.clock.Now():
-		process.respond(request, messenger.RefuseUnknown(request.submission.job.Submission, messenger.ReasonDeadlinePassed, "the deadline lies in the past"))
+	if process.refusing {
+		process.respond(request, messenger.RefuseUnknown(request.submission.job.Submission, messenger.ReasonShuttingDown, "the entry host shuts down"))
 		return
-	case deadline != identifier.Never:
-		deadline -= process.bootedAt
+	}
+	deadline := request.submission.job.Deadline
+	if deadline != identifier.Never {
+		deadline = max(deadline-process.bootedAt, process.now())
 	}
 	process.waiting[request.waiter] = request
 	process.post(&coordinator.CallerEvent{Event: &forwarder.CallerSubmitted{
