Hand jobs past their deadline to whoever has their record

Cause: the receiver refused a deadline in the past as not run, also for the resend of a submission that had run in time. Change: such a job goes to its lead with no time left; a known submission gets its one answer, an unknown one is refused as not run by the lead.

--- a/pkg/receiver/request.go
+++ b/pkg/receiver/request.go
@@ -60,11 +60,7 @@
 	if problem := receiver.checkJob(&body); problem != nil {
 		return nil, 0, problem
 	}
-	deadline, problem := receiver.deadlineOf(&body)
-	if problem != nil {
-		return nil, 0, problem
-	}
-	return receiver.jobOf(&body), deadline, nil
+	return receiver.jobOf(&body), receiver.deadlineOf(&body), nil
 }
 
 func decodeProblem(cause error) *problem {
@@ -80,15 +76,15 @@
 
 // deadlineOf turns the caller's instant into a moment of this host's clock. Only
 // the time that remains counts from here on.
-func (receiver *Receiver) deadlineOf(body *jobBody) (identifier.Moment, *problem) {
+//
+// A deadline that has passed is no fault of the request: it may be the resend of a
+// submission that ran in time. Refused here as not run, that would be a lie about
+// work that was done; the lead has the record and answers truly.
+func (receiver *Receiver) deadlineOf(body *jobBody) identifier.Moment {
 	if body.Deadline == nil {
-		return identifier.Never, nil
-	}
-	remaining := time.Until(*body.Deadline)
-	if remaining <= 0 {
-		return 0, badRequest("deadline-past", "the deadline lies in the past")
+		return identifier.Never
 	}
-	return receiver.Clock.Now().Add(remaining), nil
+	return receiver.Clock.Now().Add(max(time.Until(*body.Deadline), 0))
 }
 
 // jobOf makes the job with its home first in MayRun.
