--- a/pkg/replayer/entryhost.go
+++ b/pkg/replayer/entryhost.go
@@ -8,6 +8,7 @@
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/replayer/fakedisk"
 	"github.com/stoathitch/stoathitch/pkg/replayer/fakenetwork"
 )
 
@@ -27,6 +28,8 @@
 	process     *hostProcess
 	// startAgain tells to start as soon as the shutdown has ended.
 	startAgain bool
+	// disk is nil on a host that is no keeper.
+	disk *fakedisk.Disk
 }
 
 // hostProcess drives one life of a coordinator as pkg/runner does: a tick as soon
@@ -67,6 +70,7 @@
 		waiting:     make(map[forwarder.WaiterID]*request),
 	}
 	host.process = process
+	process.mount()
 	host.replay.network.Start(host.place, process)
 	process.scheduleTick()
 }
@@ -78,6 +82,9 @@
 		return
 	}
 	host.process = nil
+	if host.disk != nil {
+		host.disk.Crash()
+	}
 	host.replay.network.Stop(host.place)
 }
 
@@ -142,6 +149,10 @@
 		process.toServer(output.Batch)
 	case *coordinator.ToCaller:
 		process.toCaller(output.Answer)
+	case *coordinator.Persist:
+		process.persist(output.Persist)
+	case *coordinator.SaveSnapshot:
+		process.saveSnapshot(output.Snapshot)
 	case *coordinator.Drained:
 		process.end()
 	}
@@ -175,7 +186,7 @@
 // Connected posts that a connection stands.
 func (process *hostProcess) Connected(peer fakenetwork.Address) {
 	if host := process.replay.hostByID[identifier.HostID(peer)]; host != nil && process.lives() {
-		process.post(peerConnected(host))
+		process.post(&coordinator.PeerConnected{Host: host.id})
 	}
 }
 
@@ -185,7 +196,7 @@
 		return
 	}
 	if host := process.replay.hostByID[identifier.HostID(peer)]; host != nil {
-		process.post(peerDisconnected(host))
+		process.post(&coordinator.PeerDisconnected{Host: host.id})
 	}
 	if server := process.replay.serverByID[identifier.BackendServerID(peer)]; server != nil {
 		process.post(&coordinator.ServerEvent{Event: &dispatcher.ServerLost{Server: server.id}})
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -137,6 +137,10 @@
 	return max(last, lastWork.Add(afterwards))
 }
 
+func (replay *replay) after(delay time.Duration, action func()) {
+	replay.clock.At(replay.clock.Now().Add(delay), action)
+}
+
 // build makes the places of the deployment and the connections between them.
 func (replay *replay) build(deployment *tracer.Deployment) {
 	for _, domain := range deployment.FailureDomains {
@@ -144,6 +148,7 @@
 			replay.addHost(tracer.EntryHost(domain, number), domain)
 		}
 	}
+	replay.addDisks()
 	for _, domain := range deployment.FailureDomains {
 		replay.addCallers(domain)
 		for number := range deployment.ExecutorsPerFailureDomain {
