Follow a lead that changes within one epoch

Cause: two hosts that start together both took epoch 1; when one gave way, the forwarders went on handing jobs to it, because the notice of the other had no higher epoch. The jobs were never answered. Change: a notice with the same epoch and another host replaces the known lead.

--- /dev/null
+++ b/pkg/forwarder/lead_test.go
@@ -0,0 +1,32 @@
+package forwarder
+
+import (
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// Symptom: jobs that come through two of three hosts are never answered, from the
+// start of the system on.
+// Sequence: two hosts start together and both take the cell under epoch 1; one
+// gives way, and the elector names the other as the lead, under the same epoch.
+// Cause: the forwarder took only notices with a higher epoch for news, so that it
+// went on handing jobs to the host that had given way.
+func TestLeadChangesWithinOneEpoch(t *testing.T) {
+	forwarder := &Forwarder{Self: "a", FailureDomain: "geel", Settings: DefaultSettings()}
+	lead := func(host identifier.HostID) *LeadKnown {
+		return &LeadKnown{Notice: messenger.LeadNotice{FailureDomain: "geel", Host: host, Epoch: 1}}
+	}
+	job := &messenger.Job{Submission: "s", Caller: "c", MayRun: []identifier.FailureDomain{"geel"}}
+	forwarder.Tick(0, []Input{lead("b"), &CallerSubmitted{Job: job, Deadline: identifier.Never}})
+	for _, output := range forwarder.Tick(1, []Input{lead(""), lead("c")}) {
+		if forwarded, forwards := output.(*ForwardJob); forwards {
+			if forwarded.To != "c" {
+				t.Errorf("the job went to %q", forwarded.To)
+			}
+			return
+		}
+	}
+	t.Error("the job was not forwarded to the lead that remains")
+}
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -122,7 +122,7 @@
 	switch {
 	case input.Notice.Host == "":
 		forwarder.markUnreachable(key, known)
-	case known == nil || input.Notice.Epoch > known.epoch:
+	case known == nil || input.Notice.Epoch > known.epoch, known.replacedBy(input.Notice):
 		forwarder.leads.Put(key, &lead{host: input.Notice.Host, epoch: input.Notice.Epoch})
 		forwarder.routeCell(key)
 	case input.Notice.Epoch == known.epoch && known.unreachable:
@@ -132,6 +132,12 @@
 	}
 }
 
+// replacedBy tells whether another host leads under the same epoch. Two hosts that
+// start together may both take the first epoch; the elector then settles on one.
+func (lead *lead) replacedBy(notice messenger.LeadNotice) bool {
+	return notice.Epoch == lead.epoch && notice.Host != lead.host
+}
+
 // markUnreachable holds the unanswered jobs of a cell back until it has a lead.
 func (forwarder *Forwarder) markUnreachable(key cellKey, known *lead) {
 	if known == nil || known.unreachable {
