Begin anew when a lead takes its own cell again

Cause: a lead that learns of a higher epoch takes its cell anew above it; the new epoch began with an empty queue while its jobs still stood in the old one. A cancellation then ended the process in a panic; without one the jobs were never started. Change: taking a cell gives up what this host led of it, as losing it does; the callers' hosts forward their jobs again.

--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -13,6 +13,10 @@
 // first accept the new epoch, which makes it refuse starts of earlier leads, and
 // report what it has.
 func (dispatcher *Dispatcher) takeLead(input *LeadTaken) {
+	// A lead that takes its own cell again, because another had a higher epoch,
+	// begins anew like any other: the jobs of its earlier epoch stand in a queue
+	// that goes with that epoch, and their hosts forward them again.
+	dispatcher.loseLead(&LeadLost{Cell: input.Cell})
 	cell := &cell{
 		number:         input.Cell,
 		epoch:          input.Epoch,
