Take jobs that are older than the process into the backlog

Cause: a job that another host forwards to a lead whose process is younger than the job is due before the clock's zero; the backlog looked up a negative bucket and the process ended in a panic. Change: what was due before the first bucket is overdue.

--- a/pkg/queuer/backlog.go
+++ b/pkg/queuer/backlog.go
@@ -95,7 +95,9 @@
 // capacity of so many slots, when so much work is done by the jobs due until key.
 func (backlog *backlog) crowded(now, key identifier.Moment, before time.Duration, capacity float64) bool {
 	later := backlog.total - backlog.ahead(key)
-	for number := backlog.bucketFor(key) + 1; later > 0 && number < backlog.first+bucketCount; number++ {
+	// What was due before the first bucket, even before this host's clock began, is
+	// overdue and counted ahead.
+	for number := max(backlog.bucketFor(key)+1, backlog.first); later > 0 && number < backlog.first+bucketCount; number++ {
 		work := backlog.work[number%bucketCount]
 		if work == 0 {
 			continue
