Keep a silently isolated host from taking the lead

Cause: a host that is cut off sees all others die, took the cell under a higher epoch and asked nobody what had run; its epoch waited in its connections, deposed the healthy lead when the network was back, and submissions ran again. Change: a host that sees no other host of its failure domain takes a cell only after it has heard a backend server since, and listens for the settling time once it hears anyone again.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -71,7 +71,9 @@
 		coordinator.tellElector(elector.HostRestarted{FailureDomain: member.FailureDomain, Host: member.Host})
 	}
 	living := coordinator.livingIn(member.FailureDomain)
-	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
+	coordinator.tellElector(elector.HostsChanged{
+		FailureDomain: member.FailureDomain, Living: living, Missing: coordinator.missingIn(member.FailureDomain),
+	})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
 	}
@@ -97,6 +99,18 @@
 	return living
 }
 
+// missingIn counts the hosts of a failure domain that are known and may live
+// somewhere out of reach.
+func (coordinator *Coordinator) missingIn(failureDomain identifier.FailureDomain) int {
+	missing := 0
+	for _, state := range coordinator.gossiper.Members() {
+		if state.Member.FailureDomain == failureDomain && state.Status == gossiper.StatusDead {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (coordinator *Coordinator) hostsChanged() {
 	living := coordinator.livingIn(coordinator.Self.FailureDomain)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -23,7 +23,7 @@
 	case *PeerDisconnected:
 		coordinator.tellGossiper(gossiper.PeerConnectionClosed{Host: input.Host})
 	case *ServerEvent:
-		coordinator.toDispatcher = append(coordinator.toDispatcher, input.Event)
+		coordinator.hearServer(input.Event)
 	case *CallerEvent:
 		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
 	case *ShutdownRequested:
@@ -33,6 +33,13 @@
 	}
 }
 
+func (coordinator *Coordinator) hearServer(event dispatcher.Input) {
+	coordinator.tellDispatcher(event)
+	if _, lost := event.(*dispatcher.ServerLost); !lost {
+		coordinator.tellElector(elector.ServerHeard{})
+	}
+}
+
 // shutDown begins a graceful shutdown: the cells go to other hosts, which take no
 // longer than after a loss, and nothing is lost with them.
 func (coordinator *Coordinator) shutDown() {
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -10,6 +10,11 @@
 	switch input := input.(type) {
 	case HostsChanged:
 		elector.setLiving(input.FailureDomain, input.Living)
+		if input.FailureDomain == elector.FailureDomain {
+			elector.noteHosts(elector.others(), input.Missing)
+		}
+	case ServerHeard:
+		elector.noteServer()
 	case HostRestarted:
 		elector.dropAnnouncements(input.FailureDomain, input.Host)
 	case LeadSeen:
@@ -38,6 +43,17 @@
 	elector.domains.Put(domain, &domainEntity{living: living})
 }
 
+// others counts the living hosts of the own failure domain but this one.
+func (elector *Elector) others() int {
+	count := 0
+	for _, host := range elector.domains.Get(elector.FailureDomain).living {
+		if host != elector.Self {
+			count++
+		}
+	}
+	return count
+}
+
 func (elector *Elector) isLiving(domain identifier.FailureDomain, host identifier.HostID) bool {
 	found := elector.domains.Get(domain)
 	return found != nil && slices.Contains(found.living, host)
@@ -112,7 +128,7 @@
 		elector.defend(id, cell, lead)
 		return
 	}
-	if lead.host != "" || elector.resigned || !elector.settled() {
+	if lead.host != "" || elector.resigned || !elector.settled() || elector.cutOff() {
 		return
 	}
 	if elector.first(id) == elector.Self {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -30,13 +30,14 @@
 	// long a lead that is overtaken waits for the one who overtook it.
 	SettleTime time.Duration
 
-	started  bool
-	resigned bool
-	now      identifier.Moment
-	settles  identifier.Moment
-	outputs  []Output
-	domains  *tabulator.Table[identifier.FailureDomain, domainEntity]
-	cells    *tabulator.Table[cellKey, cellEntity]
+	started   bool
+	resigned  bool
+	now       identifier.Moment
+	settles   identifier.Moment
+	isolation isolation
+	outputs   []Output
+	domains   *tabulator.Table[identifier.FailureDomain, domainEntity]
+	cells     *tabulator.Table[cellKey, cellEntity]
 }
 
 // domainEntity holds the living hosts of a failure domain.
--- a/pkg/elector/elector_test.go
+++ b/pkg/elector/elector_test.go
@@ -62,6 +62,11 @@
 			hosts = append(hosts, identifier.HostID(word))
 		}
 		return HostsChanged{FailureDomain: domain, Living: hosts}
+	case "cut-off":
+		// All hosts of the own failure domain but this one are out of reach.
+		return HostsChanged{FailureDomain: domain, Living: []identifier.HostID{"b"}, Missing: 2}
+	case "server-heard":
+		return ServerHeard{}
 	case "restarted":
 		return HostRestarted{FailureDomain: domain, Host: identifier.HostID(words[2])}
 	case "lead-seen":
--- /dev/null
+++ b/pkg/elector/isolation.go
@@ -0,0 +1,51 @@
+package elector
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// isolation keeps a host that is silently cut off from taking the lead.
+//
+// Such a host sees every other host of its failure domain die, as the last one
+// that lives does. If it took the cell, its epoch would wait in its connections and
+// reach the backend servers when the network is back: it would depose the lead that
+// served on, although it has asked nobody which submissions ran, and run them again.
+// It would show as a task that starts twice right after a host is back. The last
+// host that lives hears backend servers; a host that is cut off does not. So a host
+// that sees no other host must hear a backend server first. Once it hears one, or
+// another host, it listens for the settling time, because the lead that served on
+// shows itself then.
+type isolation struct {
+	// alone tells that other hosts are known and that none of them lives.
+	alone bool
+	// heard tells that a backend server was heard since.
+	heard bool
+}
+
+// noteHosts follows who lives in the own failure domain.
+func (elector *Elector) noteHosts(others, missing int) {
+	alone := others == 0 && missing > 0
+	if alone == elector.isolation.alone {
+		return
+	}
+	wasCutOff := elector.isolation.alone && !elector.isolation.heard
+	elector.isolation = isolation{alone: alone}
+	if wasCutOff {
+		elector.settles = elector.now.Add(elector.SettleTime)
+	}
+}
+
+// noteServer notes that a backend server was heard.
+func (elector *Elector) noteServer() {
+	if !elector.isolation.alone || elector.isolation.heard {
+		return
+	}
+	elector.isolation.heard = true
+	settles := elector.now.Add(elector.SettleTime)
+	if elector.settles == identifier.Never || elector.settles < settles {
+		elector.settles = settles
+	}
+}
+
+// cutOff tells whether this host may be cut off from all others.
+func (elector *Elector) cutOff() bool {
+	return elector.isolation.alone && !elector.isolation.heard
+}
--- a/pkg/elector/messages.go
+++ b/pkg/elector/messages.go
@@ -10,8 +10,13 @@
 type HostsChanged struct {
 	FailureDomain identifier.FailureDomain
 	Living        []identifier.HostID
+	// Missing counts the hosts that are known, have not left and don't live.
+	Missing int
 }
 
+// ServerHeard tells that a backend server of the own failure domain was heard.
+type ServerHeard struct{}
+
 // HostRestarted tells that a host has a new process, which leads nothing of what
 // the old one announced.
 type HostRestarted struct {
@@ -47,6 +52,7 @@
 type Resign struct{}
 
 func (HostsChanged) input()  {}
+func (ServerHeard) input()   {}
 func (HostRestarted) input() {}
 func (LeadSeen) input()      {}
 func (LeadWithdrawn) input() {}
