--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -64,7 +64,7 @@
 	go daemon.peers.Run(running)
 	daemon.receiver.SetReady(true)
 	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
-		"backend-servers", listeners.backendServers.Addr(), "peers", listeners.peers.Addr())
+		"backend-servers", listeners.backendServersAddress(), "peers", listeners.peers.Addr())
 	<-ctx.Done()
 	daemon.drain(running, hurry)
 	servers.stop()
@@ -208,7 +208,9 @@
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
 	go daemon.serveHTTP(created.http, listeners.callers)
-	go daemon.serveGRPC(created.backendServers, listeners.backendServers)
+	if listeners.backendServers != nil {
+		go daemon.serveGRPC(created.backendServers, listeners.backendServers)
+	}
 	go daemon.serveGRPC(created.peers, listeners.peers)
 	return created
 }
--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -35,7 +35,8 @@
 // Unwrap returns the cause.
 func (failure *Error) Unwrap() error { return failure.Err }
 
-// listeners are the bound addresses of one daemon.
+// listeners are the bound addresses of one daemon. A host without the role entry
+// may have no address for backend servers.
 type listeners struct {
 	callers        net.Listener
 	backendServers net.Listener
@@ -53,6 +54,9 @@
 		{daemon.Settings.PeersAddress, &bound.peers},
 	}
 	for _, wish := range wanted {
+		if !wish.address.IsValid() {
+			continue
+		}
 		listener, err := net.Listen("tcp", wish.address.String())
 		if err != nil {
 			bound.close()
@@ -63,6 +67,14 @@
 	return bound, nil
 }
 
+// backendServersAddress is for the log.
+func (bound *listeners) backendServersAddress() string {
+	if bound.backendServers == nil {
+		return "none"
+	}
+	return bound.backendServers.Addr().String()
+}
+
 func (bound *listeners) close() {
 	for _, listener := range []net.Listener{bound.callers, bound.backendServers, bound.peers} {
 		if listener != nil {
