--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -54,14 +55,17 @@
 	}
 	running, stop := context.WithCancel(context.Background())
 	defer daemon.closeJournal()
+	// The runner must have ended before the journal closes: it may hand over writes.
+	var runners sync.WaitGroup
+	defer runners.Wait()
 	defer stop()
 	if err := daemon.openJournal(running); err != nil {
 		listeners.close()
 		return err
 	}
 	servers := daemon.serve(listeners)
-	go daemon.runner.Run(running)
-	go daemon.peers.Run(running)
+	runners.Go(func() { daemon.runner.Run(running) })
+	runners.Go(func() { daemon.peers.Run(running) })
 	daemon.receiver.SetReady(true)
 	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
 		"backend-servers", listeners.backendServersAddress(), "peers", listeners.peers.Addr())
--- a/pkg/commander/backendservers.go
+++ b/pkg/commander/backendservers.go
@@ -82,7 +82,7 @@
 		if server.FromLead {
 			running = number(server.Running)
 		}
-		listed.add(string(server.Server), string(server.FailureDomain), string(server.Rack), number(server.Cell),
+		listed.add(string(server.Server), string(server.FailureDomain), orDash(string(server.Rack)), number(server.Cell),
 			number(server.Slots), running, serverState(server.ServerStatus), string(server.SeenBy))
 	}
 	return command.terminal.printTable(listed)
--- a/pkg/commander/configdiff.go
+++ b/pkg/commander/configdiff.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 
 	"github.com/pmezard/go-difflib/difflib"
 
@@ -45,7 +46,7 @@
 	if difference.Diff == "" {
 		return nil
 	}
-	return command.terminal.printLine("%s", difference.Diff)
+	return command.terminal.printLine("%s", strings.TrimSpace(difference.Diff))
 }
 
 func (command *configDiffCommand) compare(versions []assembler.ConfigBody) (*configDifference, error) {
--- a/pkg/commander/configwait.go
+++ b/pkg/commander/configwait.go
@@ -54,7 +54,7 @@
 			return command.report(seen)
 		}
 		if !pause(ctx, waitInterval) {
-			return command.late(seen)
+			return command.late(seen, err)
 		}
 	}
 }
@@ -103,7 +103,10 @@
 	return command.terminal.printLine("in force\tversion %d\t%d hosts", seen.Version, seen.Living)
 }
 
-func (command *configWaitCommand) late(seen *rollout) error {
+func (command *configWaitCommand) late(seen *rollout, unreached error) error {
+	if seen.Living == 0 {
+		return remoteFailure(unreached)
+	}
 	if command.JSON {
 		if err := command.terminal.printJSON(seen); err != nil {
 			return err
