--- a/pkg/replicator/focused_fuzz_test.go
+++ b/pkg/replicator/focused_fuzz_test.go
@@ -15,6 +15,7 @@
 // keeper with clocks at the ends of the drift bound. Cause, where it happens: a
 // lease that outlives the promises that it rests on.
 func TestReadsAreNeverStale(t *testing.T) {
+	fixedChecks("100")
 	var total tally
 	rapid.Check(t, func(t *rapid.T) {
 		settings := DefaultSettings()
@@ -74,6 +75,7 @@
 // many messages are lost. Cause, where it happens: a vote or an acknowledgement
 // that was sent before it was durable.
 func TestCrashesBetweenWriteAndSync(t *testing.T) {
+	fixedChecks("500")
 	var total tally
 	rapid.Check(t, func(t *rapid.T) {
 		settings := fuzzSettings(t)
