Work out the capacity from measured slopes

Cause: the users ask for docs/CAPACITY.md: whether the design carries 5,200 workers and 360,000 starts a second, from slopes that were measured.

--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -73,6 +73,9 @@
 		"Prints a script that completes commands and options: source <(stoathitch completion)",
 		&completionCommand{commonOptions: common})
 	addReplayCommands(parser.Command, common)
+	addCommand(parser.Command, "capacity", "Work out what the system needs at a size",
+		"Computes state, messages, processor time and memory of each role from measured slopes, and what does not fit.",
+		&capacityCommand{commonOptions: common})
 	return parser
 }
 
