--- a/pkg/assembler/daemon_test.go
+++ b/pkg/assembler/daemon_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/assembler"
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
@@ -44,10 +45,30 @@
 	}
 }
 
+// Symptom: a job that reaches a host in its first moments fails after 10 s as
+// "task-unknown", although no backend server was ever told to start it.
+// Sequence: the host starts, the job arrives, the host takes its first lead.
+// Cause: in the tick of the first lead the forwarder hands the job to it, and only
+// then answers the lead's takeover query; it names the job as one that was forwarded
+// before, so that the lead believes an earlier lead may have started it.
+func TestJobBeforeFirstLead(t *testing.T) {
+	deployment := startDeployment(t, 1, nil)
+	eventually(t, "the host takes requests", func(ctx context.Context) bool {
+		_, err := deployment.hosts[0].Status(ctx)
+		return err == nil
+	})
+	deployment.startServers(t, 1, 4)
+	answer, err := deployment.hosts[0].Submit(t.Context(), smallJob("early"))
+	if err != nil || answer.Outcome != messenger.OutcomeComplete {
+		t.Errorf("the answer is %+v, %v; want a complete one", answer, err)
+	}
+}
+
 // TestMetrics reads the variables of a host that has answered jobs.
 func TestMetrics(t *testing.T) {
 	deployment := startDeployment(t, 1, nil)
 	deployment.startServers(t, 1, 4)
+	deployment.waitUntilLed(t)
 	deployment.waitUntilServing(t)
 	_, body := send(t, deployment.hosts[0].Host, "GET /debug/vars\nAccept: */*")
 	for _, wanted := range []string{`"jobs": {"complete": 1`, `"task-starts": 1`, `"team":"estimates","class":"counter","count":1`, `"waiting":0`} {
--- a/pkg/assembler/harness_test.go
+++ b/pkg/assembler/harness_test.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// waitUntilLed waits until the first host sees a lead of the cell and a backend
+// server.
+func (deployment *deployment) waitUntilLed(tb testing.TB) {
+	tb.Helper()
+	eventually(tb, "the cell has a lead and a backend server", func(ctx context.Context) bool {
+		status, err := deployment.hosts[0].Status(ctx)
+		return err == nil && len(status.Servers) > 0 && len(status.Cells) > 0 && status.Cells[0].Lead != ""
+	})
+}
+
 // waitUntilServing sends small jobs to each host until one is complete.
 func (deployment *deployment) waitUntilServing(tb testing.TB) {
 	tb.Helper()
