Let every key of dispatch take effect

Cause: policy, spill-margin and the ejection keys were checked and then read by nobody. Change: fillDispatch hands them to selector, spill and assessor. The defaults are those that the deciding packages were measured with (ejection share 1/3 and wait 2 s, not 0.3 and 5 s). Conclusion: jobs-in-memory is the last key without effect.

--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -52,7 +52,7 @@
 func coordinatorSettings(settings *loader.Settings) coordinator.Settings {
 	result := coordinator.DefaultSettings()
 	heartbeats := time.Duration(settings.Timeouts.HeartbeatMissed)
-	result.Dispatcher.Cells = settings.Dispatch.Cells
+	fillDispatch(&settings.Dispatch, &result.Dispatcher)
 	result.Dispatcher.QueuedTasks = settings.Limits.QueuedTasks
 	result.Dispatcher.UnknownTaskWait = settings.Timeouts.UnknownTaskWait.Std()
 	result.Dispatcher.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
--- a/pkg/loader/defaults.go
+++ b/pkg/loader/defaults.go
@@ -32,9 +32,9 @@
 			Cells:               1,
 			RetryBudgetRatio:    0.1,
 			SpillMargin:         Duration(20 * time.Millisecond),
-			EjectionFractionMax: 0.3,
+			EjectionFractionMax: 0.34,
 			EjectionFailures:    5,
-			EjectionTime:        Duration(5 * time.Second),
+			EjectionTime:        Duration(2 * time.Second),
 		},
 	}
 }
