--- a/pkg/replicator/promises_test.go
+++ b/pkg/replicator/promises_test.go
@@ -329,3 +329,24 @@
 		t.Errorf("sent %+v before the sync", message.AppendReply)
 	}
 }
+
+// Symptom: a keeper shows an older state than before. Sequence: a snapshot that is
+// older than what the keeper has applied arrives late. Cause: it is installed.
+func TestLateSnapshotTakesNothingBack(t *testing.T) {
+	hand := newHand()
+	older := Snapshot{Index: 5, Term: 1, Members: hand.InitialMembers, Data: (&register{index: 5}).Snapshot()}
+	newer := Snapshot{Index: 9, Term: 1, Members: hand.InitialMembers, Data: (&register{index: 9}).Snapshot()}
+	hand.tick(Restored{HardState: HardState{Term: 1}, Snapshot: &newer})
+	data, err := encode("encode snapshot", older)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chunk := SnapshotChunk{Index: 5, LastTerm: 1, TotalBytes: identifier.Bytes(len(data)), Data: data}
+	sent := messages(hand.from("k1", Message{Term: 1, SnapshotChunk: &chunk}))
+	if len(sent) != 1 || sent[0].AppendReply == nil || sent[0].AppendReply.Match != 9 {
+		t.Errorf("sent %+v, want an acknowledgement of 9", sent)
+	}
+	if hand.Commit() != 9 || hand.StateMachine.(*register).index != 9 {
+		t.Errorf("went back to commit %d, state of %d", hand.Commit(), hand.StateMachine.(*register).index)
+	}
+}
