--- a/pkg/coordinator/epochs.go
+++ b/pkg/coordinator/epochs.go
@@ -6,18 +6,23 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
-// hostBits is how many low bits of an epoch tell the host that took it.
+// hostBits is how many low bits of a fencing epoch tell the host that took it.
 const hostBits = 32
 
-// nextEpoch returns the epoch under which host takes a cell after seen. The high
-// bits count the takings and the low bits are a hash of the host.
+// fencingEpoch returns the epoch that backend servers and other hosts compare. The
+// high bits are the elector's epoch and the low bits are a hash of the host.
 //
 // Two hosts that lose sight of each other take the same cell after the same
-// epoch. If both got the same number, backend servers would accept the starts of
-// both and a task could run twice; it would show as two hosts that report to lead
-// under one epoch. With the host in it, one of the two is higher and fences the
-// other.
-func nextEpoch(seen identifier.Epoch, host identifier.HostID) identifier.Epoch {
-	taking := seen>>hostBits + 1
-	return taking<<hostBits | identifier.Epoch(uint32(xxhash.Sum64String(string(host))))
+// epoch. If both came with the same number, backend servers would accept the starts
+// of both and a task could run twice; it would show as two hosts that report to
+// lead under one epoch. With the host in it, one of the two is higher and fences
+// the other until the elector has settled who stays.
+func fencingEpoch(elected identifier.Epoch, host identifier.HostID) identifier.Epoch {
+	if elected == 0 {
+		return 0
+	}
+	return elected<<hostBits | identifier.Epoch(uint32(xxhash.Sum64String(string(host))))
 }
+
+// electedEpoch returns the elector's part of a fencing epoch.
+func electedEpoch(fencing identifier.Epoch) identifier.Epoch { return fencing >> hostBits }
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -309,6 +309,6 @@
 	case *dispatcher.CancelSpill:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
 	case *dispatcher.EpochSeen:
-		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: output.Epoch})
+		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: electedEpoch(output.Epoch)})
 	}
 }
--- a/pkg/receiver/checks.go
+++ b/pkg/receiver/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -19,8 +20,8 @@
 	if len(body.Tasks) == 0 {
 		return badRequest("no-tasks", "a job needs at least one task")
 	}
-	if most := receiver.Settings.Limits.TasksPerJob; len(body.Tasks) > most {
-		return badRequest("too-many-tasks", fmt.Sprintf("a job has at most %d tasks, this one has %d", most, len(body.Tasks)))
+	if most := receiver.limits.Load().TasksPerJob; len(body.Tasks) > most {
+		return overLimit(http.StatusBadRequest, "too-many-tasks", fmt.Sprintf("a job has at most %d tasks, this one has %d", most, len(body.Tasks)))
 	}
 	return receiver.checkTasks(body.Tasks)
 }
@@ -45,10 +46,15 @@
 }
 
 func (receiver *Receiver) checkFailureDomains(body *jobBody) *problem {
+	known := receiver.sortedFailureDomains()
+	if body.FailureDomain != "" && !slices.Contains(known, body.FailureDomain) {
+		return badRequest("unknown-failure-domain", fmt.Sprintf("failure-domain is %q, which is none of %v",
+			body.FailureDomain, known))
+	}
 	for index, failureDomain := range body.MayRun {
-		if !slices.Contains(receiver.allFailureDomains(), failureDomain) {
+		if !slices.Contains(known, failureDomain) {
 			return badRequest("unknown-failure-domain", fmt.Sprintf("may-run names %q, which is none of %v",
-				failureDomain, receiver.allFailureDomains()))
+				failureDomain, known))
 		}
 		if slices.Contains(body.MayRun[:index], failureDomain) {
 			return badRequest("duplicate-failure-domain", fmt.Sprintf("may-run names %q twice", failureDomain))
@@ -75,8 +81,8 @@
 	if task.Task == "" || len(task.Task) > maxIDLength {
 		return badRequest("bad-task-id", fmt.Sprintf("a task id has 1 to %d bytes", maxIDLength))
 	}
-	if len(task.Payload) > int(receiver.Settings.Limits.Payload) {
-		return badRequest("payload-too-large", fmt.Sprintf("the payload of task %q is over the limit", task.Task))
+	if len(task.Payload) > int(receiver.limits.Load().Payload) {
+		return overLimit(http.StatusBadRequest, "payload-too-large", fmt.Sprintf("the payload of task %q is over the limit", task.Task))
 	}
 	if task.DeclaredRunTime == "" {
 		return nil
--- a/pkg/receiver/request.go
+++ b/pkg/receiver/request.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -16,15 +18,17 @@
 
 // jobBody is the JSON of a submitted job.
 type jobBody struct {
-	Submission identifier.SubmissionID    `json:"submission"`
-	Job        identifier.JobID           `json:"job"`
-	Caller     identifier.CallerID        `json:"caller"`
-	Team       identifier.TeamID          `json:"team"`
-	Class      identifier.ClassName       `json:"class"`
-	Repeatable bool                       `json:"repeatable"`
-	Deadline   *time.Time                 `json:"deadline"`
-	MayRun     []identifier.FailureDomain `json:"may-run"`
-	Tasks      []taskBody                 `json:"tasks"`
+	Submission identifier.SubmissionID `json:"submission"`
+	Job        identifier.JobID        `json:"job"`
+	Caller     identifier.CallerID     `json:"caller"`
+	Team       identifier.TeamID       `json:"team"`
+	Class      identifier.ClassName    `json:"class"`
+	Repeatable bool                    `json:"repeatable"`
+	Deadline   *time.Time              `json:"deadline"`
+	// FailureDomain is the job's own failure domain: its home where MayRun is empty.
+	FailureDomain identifier.FailureDomain   `json:"failure-domain"`
+	MayRun        []identifier.FailureDomain `json:"may-run"`
+	Tasks         []taskBody                 `json:"tasks"`
 }
 
 type taskBody struct {
@@ -47,7 +51,7 @@
 
 // readJob reads and checks a submitted job.
 func (receiver *Receiver) readJob(writer http.ResponseWriter, request *http.Request) (*messenger.Job, identifier.Moment, *problem) {
-	limit := int64(receiver.Settings.Limits.RequestBody)
+	limit := int64(receiver.limits.Load().RequestBody)
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, limit))
 	decoder.DisallowUnknownFields()
 	var body jobBody
@@ -67,15 +71,28 @@
 	return receiver.jobOf(&body), deadline, nil
 }
 
+// overLimit is a problem with a limit that operators can lower while the system
+// runs. It doesn't say "not run": the request may be the resend of a submission
+// that was within the limit when it ran.
+func overLimit(status int, kind, detail string) *problem {
+	return &problem{status: status, Kind: kind, Detail: detail + "; this request started nothing"}
+}
+
 func decodeProblem(cause error) *problem {
 	var tooLarge *http.MaxBytesError
-	if errors.As(cause, &tooLarge) {
-		return &problem{
-			status: http.StatusRequestEntityTooLarge, Kind: "body-too-large", NotRun: true,
-			Detail: "the body is over the limit of this entry host's settings",
-		}
+	var wrongType *json.UnmarshalTypeError
+	var wrongTime *time.ParseError
+	switch {
+	case errors.As(cause, &tooLarge):
+		return overLimit(http.StatusRequestEntityTooLarge, "body-too-large",
+			fmt.Sprintf("the body is over the limit of %d bytes", tooLarge.Limit))
+	case errors.As(cause, &wrongType):
+		return badRequest("wrong-type", fmt.Sprintf("%s must not be a %s", wrongType.Field, wrongType.Value))
+	case errors.As(cause, &wrongTime):
+		return badRequest("wrong-type", `deadline must be an RFC 3339 instant such as "2030-01-31T08:00:00Z"`)
+	default:
+		return badRequest("malformed-body", strings.TrimPrefix(cause.Error(), "json: "))
 	}
-	return badRequest("malformed-body", cause.Error())
 }
 
 // deadlineOf turns the caller's instant into a moment of this host's clock. Only
@@ -100,12 +117,9 @@
 		Team:       body.Team,
 		Class:      body.Class,
 		Repeatable: body.Repeatable,
-		MayRun:     body.MayRun,
+		MayRun:     receiver.mayRunOf(body),
 		Tasks:      make([]messenger.Task, 0, len(body.Tasks)),
 	}
-	if len(job.MayRun) == 0 {
-		job.MayRun = receiver.allFailureDomains()
-	}
 	for _, task := range body.Tasks {
 		// checkJob has parsed the duration; an empty one means none.
 		declared, _ := time.ParseDuration(task.DeclaredRunTime)
@@ -113,15 +127,3 @@
 	}
 	return job
 }
-
-// allFailureDomains lists this host's own failure domain first, then the others.
-func (receiver *Receiver) allFailureDomains() []identifier.FailureDomain {
-	own := receiver.Settings.FailureDomain
-	all := []identifier.FailureDomain{own}
-	for _, failureDomain := range receiver.Settings.FailureDomains {
-		if failureDomain != own {
-			all = append(all, failureDomain)
-		}
-	}
-	return all
-}
