--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -54,17 +55,20 @@
 	}
 	running, stop := context.WithCancel(context.Background())
 	defer daemon.closeJournal()
+	// The runner must have ended before the journal closes: it may hand over writes.
+	var runners sync.WaitGroup
+	defer runners.Wait()
 	defer stop()
 	if err := daemon.openJournal(running); err != nil {
 		listeners.close()
 		return err
 	}
 	servers := daemon.serve(listeners)
-	go daemon.runner.Run(running)
-	go daemon.peers.Run(running)
+	runners.Go(func() { daemon.runner.Run(running) })
+	runners.Go(func() { daemon.peers.Run(running) })
 	daemon.receiver.SetReady(true)
 	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
-		"backend-servers", listeners.backendServers.Addr(), "peers", listeners.peers.Addr())
+		"backend-servers", listeners.backendServersAddress(), "peers", listeners.peers.Addr())
 	<-ctx.Done()
 	daemon.drain(running, hurry)
 	servers.stop()
@@ -208,7 +212,9 @@
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
 	go daemon.serveHTTP(created.http, listeners.callers)
-	go daemon.serveGRPC(created.backendServers, listeners.backendServers)
+	if listeners.backendServers != nil {
+		go daemon.serveGRPC(created.backendServers, listeners.backendServers)
+	}
 	go daemon.serveGRPC(created.peers, listeners.peers)
 	return created
 }
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -72,6 +72,7 @@
 	addCommand(parser.Command, "completion", "Print the completion script for bash",
 		"Prints a script that completes commands and options: source <(stoathitch completion)",
 		&completionCommand{commonOptions: common})
+	addReplayCommands(parser.Command, common)
 	return parser
 }
 
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -38,6 +38,9 @@
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
 		SettleTime:    coordinator.Settings.LeadSettle,
+		NextEpoch: func(after identifier.Epoch) identifier.Epoch {
+			return nextEpoch(after, coordinator.Self.Host)
+		},
 	}
 }
 
@@ -71,7 +74,9 @@
 		coordinator.tellElector(elector.HostRestarted{FailureDomain: member.FailureDomain, Host: member.Host})
 	}
 	living := coordinator.livingIn(member.FailureDomain)
-	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
+	coordinator.tellElector(elector.HostsChanged{
+		FailureDomain: member.FailureDomain, Living: living, Missing: coordinator.missingIn(member.FailureDomain),
+	})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
 		coordinator.tellHostChanged(change, restarted)
@@ -81,15 +86,14 @@
 	}
 }
 
-// tellHostChanged tells of another host of the failure domain that has come, is gone
-// or has a new process.
+// tellHostChanged has the dispatcher ask a host that has come, and no longer wait
+// for one that is gone.
 func (coordinator *Coordinator) tellHostChanged(change gossiper.MemberChanged, restarted bool) {
-	host := change.New.Member.Host
 	lived := change.Old != nil && change.Old.Living() && !restarted
 	if restarted || (lived && !change.New.Living()) {
-		coordinator.tellForwarder(&forwarder.MemoryLost{Host: host})
+		coordinator.tellForwarder(&forwarder.MemoryLost{Host: change.New.Member.Host})
 	}
-	switch {
+	switch host := change.New.Member.Host; {
 	case change.New.Living() && !lived:
 		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
 	case !change.New.Living() && lived:
@@ -97,27 +101,23 @@
 	}
 }
 
-// ownDomain tells whether a host belongs to the own failure domain.
-func (coordinator *Coordinator) ownDomain(host identifier.HostID) bool {
-	state, known := coordinator.gossiper.State(host)
-	return host == coordinator.Self.Host || (known && state.Member.FailureDomain == coordinator.Self.FailureDomain)
-}
-
-// missingNeighbours lists the hosts of the own failure domain that were seen and
-// do not live. One that left said so itself, and handed over what it knew.
-func (coordinator *Coordinator) missingNeighbours() []identifier.HostID {
+// missing lists the hosts of the own failure domain that are known and don't live.
+func (coordinator *Coordinator) missing() []identifier.HostID {
 	var missing []identifier.HostID
 	for _, state := range coordinator.gossiper.Members() {
-		member := state.Member
-		neighbour := member.FailureDomain == coordinator.Self.FailureDomain && member.Host != coordinator.Self.Host
-		if neighbour && state.Status == gossiper.StatusDead {
-			missing = append(missing, member.Host)
+		if state.Member.FailureDomain == coordinator.Self.FailureDomain && state.Status == gossiper.StatusDead {
+			missing = append(missing, state.Member.Host)
 		}
 	}
-	slices.Sort(missing)
 	return missing
 }
 
+// ownDomain tells whether a host belongs to the own failure domain.
+func (coordinator *Coordinator) ownDomain(host identifier.HostID) bool {
+	state, known := coordinator.gossiper.State(host)
+	return host == coordinator.Self.Host || (known && state.Member.FailureDomain == coordinator.Self.FailureDomain)
+}
+
 // livingIn lists the hosts of a failure domain that are counted on, in order of
 // their ids, this host included.
 func (coordinator *Coordinator) livingIn(failureDomain identifier.FailureDomain) []identifier.HostID {
@@ -135,6 +135,18 @@
 	return living
 }
 
+// missingIn counts the hosts of a failure domain that are known and may live
+// somewhere out of reach.
+func (coordinator *Coordinator) missingIn(failureDomain identifier.FailureDomain) int {
+	missing := 0
+	for _, state := range coordinator.gossiper.Members() {
+		if state.Member.FailureDomain == failureDomain && state.Status == gossiper.StatusDead {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (coordinator *Coordinator) hostsChanged() {
 	living := coordinator.livingIn(coordinator.Self.FailureDomain)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
@@ -184,7 +196,7 @@
 		return
 	}
 	coordinator.tellElector(elector.LeadSeen{
-		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: electedEpoch(notice.Epoch),
+		FailureDomain: notice.FailureDomain, Host: notice.Host, Cell: notice.Cell, Epoch: notice.Epoch,
 	})
 }
 
@@ -196,8 +208,7 @@
 		coordinator.loseLead(output)
 	case elector.LeadIs:
 		notice := messenger.LeadNotice{
-			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host,
-			Epoch: fencingEpoch(output.Epoch, output.Host),
+			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host, Epoch: output.Epoch,
 		}
 		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
 		if output.FailureDomain != coordinator.Self.FailureDomain {
@@ -208,15 +219,14 @@
 
 func (coordinator *Coordinator) takeLead(taken elector.LeadTaken) {
 	hosts := coordinator.livingIn(coordinator.Self.FailureDomain)
-	epoch := fencingEpoch(taken.Epoch, coordinator.Self.Host)
 	coordinator.tellDispatcher(&dispatcher.LeadTaken{
-		Cell: taken.Cell, Epoch: epoch, Hosts: hosts, Missing: coordinator.missingNeighbours(),
+		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missing(),
 	})
 	notice := messenger.LeadNotice{
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cell:          taken.Cell,
 		Host:          coordinator.Self.Host,
-		Epoch:         epoch,
+		Epoch:         taken.Epoch,
 	}
 	coordinator.publish(leadRecordKey(taken.Cell), strconv.FormatUint(uint64(taken.Epoch), recordNumberBase))
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
@@ -226,7 +236,7 @@
 func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
 	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
 	coordinator.publish(leadRecordKey(lost.Cell), "")
-	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: fencingEpoch(lost.Epoch, coordinator.Self.Host)}
+	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
 	coordinator.tellNeighbours(notice)
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -183,6 +183,10 @@
 	LeadNotice        *messenger.LeadNotice     `cbor:"11,keyasint,omitempty"`
 	Lookup            *messenger.Lookup         `cbor:"12,keyasint,omitempty"`
 	Cancel            *messenger.Cancel         `cbor:"13,keyasint,omitempty"`
+	Load              *messenger.LoadNotice     `cbor:"20,keyasint,omitempty"`
+	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
+	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
+	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
 	// Membership, keepers and configuration.
 	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
 	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
@@ -190,11 +194,6 @@
 	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
 	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
 	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
-	// Jobs that are handed to another failure domain.
-	Load         *messenger.LoadNotice   `cbor:"20,keyasint,omitempty"`
-	Spill        *messenger.SpillRequest `cbor:"21,keyasint,omitempty"`
-	SpillAnswer  *messenger.JobAnswer    `cbor:"22,keyasint,omitempty"`
-	SpillReceipt identifier.SubmissionID `cbor:"23,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
