Lose a cell before taking it again

Symptom: index out of range in queuer.heap. Cause: a lead that was overtaken takes its cell again under a higher epoch without losing it first; the jobs of the old cell were then removed from the new cell's queue.

--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -13,6 +13,10 @@
 // first accept the new epoch, which makes it refuse starts of earlier leads, and
 // report what it has.
 func (dispatcher *Dispatcher) takeLead(input *LeadTaken) {
+	// A lead that was overtaken takes its cell again under a higher epoch. What it
+	// knew comes back with the takeover; its old queue would hold jobs of a cell
+	// that is no more.
+	dispatcher.loseLead(&LeadLost{Cell: input.Cell})
 	cell := &cell{
 		number:         input.Cell,
 		epoch:          input.Epoch,
