Keep every record at two living hosts when hosts die, restart and leave

Cause: copies that stood at a lost host were not made good; a leaving host took its copies with it; an answer whose receipt was lost kept the backend servers' memory for ever; a takeover went on without a living host whose reply was lost. Change: each record names its partner; when that dies, restarts or leaves, or this host leaves, record and answer go to another host in paced batches. The lead sends unconfirmed answers again and has a second host hold them. Unanswered jobs are forwarded again at growing intervals, and at once on a new connection. A new lead asks leaving hosts too and asks again before it goes on.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -49,6 +49,8 @@
 	toFollower   []configurer.Input
 	outputs      outbox
 	draining     bool
+	// connected are the hosts to which a connection stands.
+	connected map[identifier.HostID]bool
 }
 
 // Tick applies the inputs, lets deadlines fall due and returns what to do.
@@ -102,6 +104,7 @@
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
 	coordinator.petitions = newPetitions(coordinator)
+	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
 	coordinator.tellRequester(&claimer.KeepersChanged{Keepers: coordinator.keepersInOrder()})
 }
@@ -169,9 +172,9 @@
 }
 
 // reportDrained tells, during a graceful shutdown, that every caller's
-// submission has its answer.
+// submission has its answer and that other hosts know all that this one knows.
 func (coordinator *Coordinator) reportDrained() {
-	if coordinator.draining && coordinator.forwarder.Unanswered() == 0 {
+	if coordinator.draining && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.Unhanded() == 0 {
 		coordinator.outputs.add(&Drained{})
 	}
 }
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -77,6 +77,9 @@
 	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
+		if restarted {
+			coordinator.tellForwarder(&forwarder.HostRestarted{Host: member.Host})
+		}
 		coordinator.tellHostChanged(change, restarted)
 	}
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
@@ -91,11 +94,43 @@
 	switch host := change.New.Member.Host; {
 	case change.New.Living() && !lived:
 		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
-	case !change.New.Living() && lived:
+	case !change.New.Living() && lived && !coordinator.leaver(change.New):
 		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host})
 	}
 }
 
+// leavers lists the hosts of the own failure domain that are leaving and can still
+// be asked what they know. A host that gave up the cell has not handed over
+// everything at that moment.
+func (coordinator *Coordinator) leavers() []identifier.HostID {
+	var leavers []identifier.HostID
+	for _, state := range coordinator.gossiper.Members() {
+		if coordinator.leaver(state) {
+			leavers = append(leavers, state.Member.Host)
+		}
+	}
+	slices.Sort(leavers)
+	return leavers
+}
+
+func (coordinator *Coordinator) leaver(state gossiper.State) bool {
+	return state.Member.FailureDomain == coordinator.Self.FailureDomain && state.Status == gossiper.StatusLeft &&
+		state.Member.Host != coordinator.Self.Host && coordinator.connected[state.Member.Host]
+}
+
+// loseLeaver waits no longer for a host that has left.
+func (coordinator *Coordinator) loseLeaver(host identifier.HostID) {
+	if state, known := coordinator.gossiper.State(host); known && state.Status == gossiper.StatusLeft {
+		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host})
+	}
+}
+
+// reachable tells whether a message to a host may arrive.
+func (coordinator *Coordinator) reachable(host identifier.HostID) bool {
+	state, known := coordinator.gossiper.State(host)
+	return known && (state.Living() || coordinator.connected[host])
+}
+
 // missing lists the hosts of the own failure domain that are known and don't live.
 func (coordinator *Coordinator) missing() []identifier.HostID {
 	var missing []identifier.HostID
@@ -201,7 +236,7 @@
 }
 
 func (coordinator *Coordinator) takeLead(taken elector.LeadTaken) {
-	hosts := coordinator.livingIn(coordinator.Self.FailureDomain)
+	hosts := append(coordinator.livingIn(coordinator.Self.FailureDomain), coordinator.leavers()...)
 	coordinator.tellDispatcher(&dispatcher.LeadTaken{
 		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missing(),
 	})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -187,6 +187,8 @@
 	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
 	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
 	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
+	Replicas          []messenger.Replica       `cbor:"30,keyasint,omitempty"`
+	ReplicaReceipt    *messenger.ReplicaReceipt `cbor:"31,keyasint,omitempty"`
 	// Membership, keepers and configuration.
 	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
 	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -21,10 +21,13 @@
 			coordinator.applyPeerMessage(input.From, &input.Batch.Messages[index])
 		}
 	case *PeerConnected:
+		coordinator.connected[input.Host] = true
 		coordinator.tellGossiper(gossiper.PeerConnected{Host: input.Host})
 		coordinator.tellForwarder(&forwarder.LeadReconnected{Host: input.Host})
 		coordinator.tellDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
 	case *PeerDisconnected:
+		delete(coordinator.connected, input.Host)
+		coordinator.loseLeaver(input.Host)
 		coordinator.tellGossiper(gossiper.PeerConnectionClosed{Host: input.Host})
 	case *ServerEvent:
 		coordinator.toDispatcher = append(coordinator.toDispatcher, input.Event)
@@ -42,6 +45,7 @@
 func (coordinator *Coordinator) shutDown() {
 	coordinator.draining = true
 	coordinator.tellElector(elector.Resign{})
+	coordinator.tellForwarder(&forwarder.LeaveRequested{})
 	coordinator.tellGossiper(gossiper.LeaveRequested{})
 	coordinator.tellKeeper(&keeper.ToLog{Input: replicator.TransferRequested{}})
 }
@@ -91,14 +95,19 @@
 	case message.AnswerCopy != nil:
 		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Copy: *message.AnswerCopy})
 	case message.AnswerCopyReceipt != "":
-		coordinator.tellForwarder(&forwarder.AnswerCopyHeld{Submission: message.AnswerCopyReceipt})
+		coordinator.tellForwarder(&forwarder.AnswerCopyHeld{From: from, Submission: message.AnswerCopyReceipt})
 	case message.AnswerRequest != nil:
 		coordinator.tellForwarder(&forwarder.AnswerRequested{Request: *message.AnswerRequest})
 	case message.TakeoverQuery != nil:
 		coordinator.tellForwarder(&forwarder.TakeoverQueried{From: from, Query: *message.TakeoverQuery})
 	case message.TakeoverReply != nil:
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
-		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Records: message.TakeoverReply.Records})
+		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Partner: from, Records: message.TakeoverReply.Records})
+	case message.Replicas != nil:
+		coordinator.tellForwarder(&forwarder.ReplicasArrived{From: from, Replicas: message.Replicas})
+		coordinator.tellDispatcher(&dispatcher.RecordsReplicated{Replicas: message.Replicas})
+	case message.ReplicaReceipt != nil:
+		coordinator.tellForwarder(&forwarder.ReplicasHeld{From: from, Receipt: *message.ReplicaReceipt})
 	case message.LeadNotice != nil:
 		coordinator.noticeLead(from, *message.LeadNotice)
 	case message.Lookup != nil:
@@ -138,7 +147,7 @@
 }
 
 func (coordinator *Coordinator) acceptForward(from identifier.HostID, forward *messenger.Forward) {
-	coordinator.keepRecord(from, forward)
+	coordinator.keepRecord(from, from, forward)
 	coordinator.tellDispatcher(&dispatcher.JobForwarded{
 		From:     from,
 		Job:      forward.Job,
@@ -173,7 +182,7 @@
 // The dispatcher forgets its jobs with the lead. If nothing else here knew them, a
 // lead that was deposed for a moment and takes the cell again would start a resend
 // anew.
-func (coordinator *Coordinator) keepRecord(from identifier.HostID, forward *messenger.Forward) {
+func (coordinator *Coordinator) keepRecord(from, partner identifier.HostID, forward *messenger.Forward) {
 	number := messenger.CellOf(forward.Job.Submission, coordinator.Settings.Dispatcher.Cells)
 	lead, _ := coordinator.elector.Lead(coordinator.Self.FailureDomain, number)
 	if from == coordinator.Self.Host || lead != coordinator.Self.Host {
@@ -185,8 +194,11 @@
 		Job:        forward.Job.Job,
 		Cell:       number,
 		Age:        forward.Age,
+		Remaining:  forward.Remaining,
 	}
-	coordinator.tellForwarder(&forwarder.RecordsLearned{From: coordinator.Self.Host, Records: []messenger.CopyRecord{record}})
+	coordinator.tellForwarder(&forwarder.RecordsLearned{
+		From: coordinator.Self.Host, Partner: partner, Records: []messenger.CopyRecord{record},
+	})
 }
 
 func (coordinator *Coordinator) routeForwarderOutput(output forwarder.Output) {
@@ -229,11 +241,15 @@
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{Lookup: &output.Lookup})
 	case *forwarder.PassJob:
-		coordinator.keepRecord(output.From, &output.Forward)
+		coordinator.keepRecord(output.From, output.Partner, &output.Forward)
 		coordinator.tellDispatcher(&dispatcher.JobForwarded{
 			From: output.From, Job: output.Forward.Job, Deadline: output.Deadline,
 			Again: output.Forward.Again, Age: output.Forward.Age,
 		})
+	case *forwarder.SendReplicas:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Replicas: output.Replicas})
+	case *forwarder.ConfirmReplicas:
+		coordinator.outputs.toPeer(output.To, PeerMessage{ReplicaReceipt: &output.Receipt})
 	case *forwarder.TellLead:
 		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	case *forwarder.ReplyTakeover:
@@ -282,8 +298,11 @@
 	case *dispatcher.JobAnswered:
 		coordinator.tellForwarder(&forwarder.AnswerGiven{Answer: output.Answer})
 		coordinator.sendAnswer(output.To, output.Answer)
+	case *dispatcher.SecondHolderWanted:
+		coordinator.tellForwarder(&forwarder.SecondHolderWanted{Submission: output.Submission})
 	case *dispatcher.AnswerWanted:
-		if output.Holder == self {
+		if output.Holder == self || !coordinator.reachable(output.Holder) {
+			// What a lost host kept has been copied; the lead is the first to get it.
 			coordinator.tellForwarder(&forwarder.AnswerRequested{Request: output.Request})
 			return
 		}
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -189,6 +189,7 @@
 		dispatcher.stopSpilled(job)
 	}
 	job.state = jobFinished
+	job.finishedAt = dispatcher.now
 	if cell != nil && cell.mayMissRecords() {
 		answer.NotRun = false
 	}
@@ -206,6 +207,7 @@
 		dispatcher.outputs.add(&AnswerSpill{To: job.guestOf, Answer: answer})
 	}
 	dispatcher.timers.Clear(job.timer(timerSpill))
+	dispatcher.awaitHolder(job)
 	dispatcher.stopRunning(job)
 	dispatcher.stopOrphans(cell, job)
 	dispatcher.endLostFlights(job)
@@ -242,6 +244,7 @@
 		return
 	}
 	job.answerHeld = true
+	dispatcher.timers.Clear(job.timer(timerConfirm))
 	for index := range job.tasks {
 		task := &job.tasks[index]
 		if task.server == "" || task.state != taskAnswered {
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -45,6 +45,12 @@
 	// HeartbeatTimeout is how long a backend server may stay silent before it
 	// gets no new work and its tasks count as unknown.
 	HeartbeatTimeout time.Duration
+	// AnswerResend is how long a lead waits until another host holds an answer
+	// before it sends the answer again.
+	AnswerResend time.Duration
+	// LoneAnswerWait is how long backend servers keep the answers of a job's tasks
+	// for want of a second host.
+	LoneAnswerWait time.Duration
 	// ServerDiscovery is how long after its start a host may not yet have a
 	// stream of every backend server.
 	ServerDiscovery time.Duration
@@ -71,6 +77,8 @@
 		AnswerRetention:  10 * time.Minute,
 		TakeoverTimeout:  500 * time.Millisecond,
 		HeartbeatTimeout: 3 * time.Second,
+		AnswerResend:     time.Second,
+		LoneAnswerWait:   30 * time.Second,
 		ServerDiscovery:  3 * time.Second,
 		Selection:        selector.DefaultSettings(),
 		Health:           assessor.DefaultSettings(),
@@ -162,6 +170,8 @@
 		dispatcher.admitGuest(input)
 	case *SpillAnswered:
 		dispatcher.recordSpillAnswer(input)
+	case *RecordsReplicated:
+		dispatcher.learnReplicas(input)
 	case *HostReturned:
 		dispatcher.askReturnedHost(input)
 	case *HostGone:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -19,6 +19,8 @@
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
+	// takeoverAttempts counts how often hosts were asked.
+	takeoverAttempts int
 	// missingHosts could not be asked at the takeover.
 	missingHosts map[identifier.HostID]bool
 	// recovered lists the submissions that other hosts knew at the takeover.
@@ -59,6 +61,11 @@
 	knownSince identifier.Moment
 }
 
+// keptBySelf tells whether this host keeps the answer.
+func (recovered recoveredRecord) keptBySelf(self identifier.HostID) bool {
+	return recovered.holder == self && recovered.record.Answered && recovered.record.AnswerAt == ""
+}
+
 // orphan gathers what backend servers told of a submission's tasks.
 type orphan struct {
 	running map[identifier.TaskID]orphanTask
@@ -142,6 +149,8 @@
 	answer     *messenger.JobAnswer
 	// answerHeld tells that a second host holds the answer.
 	answerHeld bool
+	// finishedAt is when the job got its answer.
+	finishedAt identifier.Moment
 	// spilledTo is the failure domain that the job is handed over to, spillMode
 	// what its lead may do; after spillUnknownUntil the job fails, because that lead
 	// is out of reach.
@@ -199,6 +208,8 @@
 	timerNoServer
 	timerSpill
 	timerLoad
+	// timerConfirm asks again for the second holder of an answer.
+	timerConfirm
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -31,6 +31,8 @@
 		dispatcher.markCapacityStale()
 	case timerServerForget:
 		dispatcher.forgetServer(serverKey{cell: key.cell, server: key.server})
+	case timerConfirm:
+		dispatcher.confirmAgain(key.submission)
 	case timerSpill:
 		dispatcher.expireSpill(key.submission)
 	case timerLoad:
@@ -41,7 +43,7 @@
 		// The tick that this timer asks for refuses what waits.
 	case timerTakeover:
 		if cell := dispatcher.cells.Get(key.cell); cell != nil && !cell.ready {
-			dispatcher.finishTakeover(cell)
+			dispatcher.retryTakeover(cell)
 		}
 	}
 }
@@ -77,7 +79,7 @@
 // forget drops a submission with all its deadlines.
 func (dispatcher *Dispatcher) forget(job *job) {
 	submission := job.spec.Submission
-	for _, kind := range [...]timerKind{timerJobDeadline, timerUnknownWait, timerForget, timerRetry} {
+	for _, kind := range [...]timerKind{timerJobDeadline, timerUnknownWait, timerForget, timerRetry, timerConfirm} {
 		dispatcher.timers.Clear(timerKey{kind: kind, submission: submission})
 	}
 	dispatcher.jobs.Remove(submission)
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -108,7 +108,8 @@
 	if found && knownSince > known.knownSince {
 		knownSince = known.knownSince
 	}
-	betterHolder := record.Answered && record.AnswerAt == "" && known.record.AnswerAt != ""
+	nearer := recoveredRecord{holder: holder, record: record}
+	betterHolder := nearer.keptBySelf(dispatcher.Self) || record.Answered && record.AnswerAt == "" && known.record.AnswerAt != ""
 	if found && known.record.Answered && !betterHolder {
 		known.knownSince = knownSince
 		cell.recovered[record.Submission] = known
--- a/pkg/forwarder/answers.go
+++ b/pkg/forwarder/answers.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -22,6 +24,7 @@
 	}
 	front.answer = trustedAnswer(input, front)
 	submission := front.job.Submission
+	forwarder.keepHandingOver(submission)
 	forwarder.timers.Clear(timerKey{kind: timerHomeWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerAskAgain, submission: submission})
@@ -61,6 +64,7 @@
 
 func (forwarder *Forwarder) answerWaiters(front *front) {
 	front.answerHeldBack = false
+	front.job = front.job.WithoutTasks()
 	for _, waiter := range front.waiters {
 		forwarder.add(&AnswerCaller{Waiter: waiter, Answer: front.answer})
 	}
@@ -75,7 +79,7 @@
 		return
 	}
 	second := front.copyAt
-	if second == "" {
+	if !slices.Contains(forwarder.living, second) {
 		second = forwarder.secondHost("")
 	}
 	if second == "" {
@@ -125,6 +129,9 @@
 }
 
 func (forwarder *Forwarder) recordAnswerCopyHeld(input *AnswerCopyHeld) {
+	if front := forwarder.fronts.Get(input.Submission); front != nil {
+		front.partner = input.From
+	}
 	forwarder.add(&ConfirmAnswer{To: forwarder.Self, Submission: input.Submission})
 	forwarder.releaseHeldBack(input.Submission)
 }
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -15,12 +17,16 @@
 		record.Epoch = 0
 		if forwarder.copies.Get(record.Submission) == nil {
 			heldAt := forwarder.now.Add(-record.Age)
-			forwarder.copies.Put(record.Submission, &heldCopy{record: record, heldAt: heldAt})
+			forwarder.copies.Put(record.Submission, &heldCopy{
+				record: record, heldAt: heldAt, partner: input.From,
+				deadline: identifier.DeadlineFrom(forwarder.now, record.Remaining),
+			})
 		}
 		if record.SpilledTo != "" {
 			forwarder.copies.Get(record.Submission).record.SpilledTo = record.SpilledTo
 		}
 		forwarder.expireCopyLater(record.Submission)
+		forwarder.keepHandingOver(record.Submission)
 		held = append(held, record.Submission)
 	}
 	if len(held) > 0 {
@@ -60,9 +66,28 @@
 
 func (forwarder *Forwarder) expireCopyLater(submission identifier.SubmissionID) {
 	due := forwarder.now.Add(forwarder.Settings.AnswerRetention)
+	held := forwarder.copies.Get(submission)
+	if held != nil && held.answer == nil && held.deadline != identifier.Never {
+		due = max(due, held.deadline.Add(forwarder.Settings.AnswerRetention))
+	}
 	forwarder.timers.Set(timerKey{kind: timerForgetCopy, submission: submission}, due)
 }
 
+// forgetCopy forgets a copy whose retention is over. An unanswered job without a
+// deadline may still run.
+func (forwarder *Forwarder) forgetCopy(submission identifier.SubmissionID) {
+	held := forwarder.copies.Get(submission)
+	if held == nil {
+		return
+	}
+	mayRun := held.answer == nil && !held.record.Answered && held.deadline == identifier.Never
+	if mayRun && forwarder.now.Sub(held.heldAt) < forwarder.Settings.LongestJob {
+		forwarder.expireCopyLater(submission)
+		return
+	}
+	forwarder.copies.Remove(submission)
+}
+
 // recordCopiesHeld forwards the jobs whose second copy stands now.
 func (forwarder *Forwarder) recordCopiesHeld(input *CopiesHeld) {
 	for _, submission := range input.Submissions {
@@ -72,6 +97,7 @@
 			continue
 		}
 		front.copyHeld = true
+		front.partner = input.From
 		forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
 		if front.answer == nil {
 			forwarder.route(front)
@@ -79,6 +105,47 @@
 	}
 }
 
+// changeLiving brings the copies up to date when hosts come or go: what a host held
+// that is gone goes to another one, and what stands here alone to one that has come.
+func (forwarder *Forwarder) changeLiving(living []identifier.HostID) {
+	forwarder.living = living
+	forwarder.replaceLostCopyHolders()
+	forwarder.spreadLoneAnswers()
+	forwarder.replicateWith(func(partner identifier.HostID) bool { return !slices.Contains(living, partner) })
+	if forwarder.replications.Len() > 0 {
+		forwarder.flushReplicasAt(forwarder.now.Add(forwarder.Settings.Replicas.Pace))
+	}
+}
+
+// replaceRestarted copies anew what the process before held.
+func (forwarder *Forwarder) replaceRestarted(host identifier.HostID) {
+	forwarder.replicateWith(func(partner identifier.HostID) bool { return partner == host })
+	forwarder.askCopiesAgain(host)
+}
+
+// reconnect sends again what may have been lost with the connection before. A lead
+// knows a resend when it sees one.
+func (forwarder *Forwarder) reconnect(host identifier.HostID) {
+	forwarder.routeToAgain(host)
+	forwarder.askCopiesAgain(host)
+	forwarder.replications.Each(func(submission identifier.SubmissionID, replication *replication) bool {
+		if replication.to == host {
+			forwarder.replicate(submission)
+		}
+		return true
+	})
+}
+
+// askCopiesAgain asks a host again for copies that it has not confirmed.
+func (forwarder *Forwarder) askCopiesAgain(host identifier.HostID) {
+	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
+		if front.copyAt == host && !front.copyHeld && front.answer == nil {
+			forwarder.route(front)
+		}
+		return true
+	})
+}
+
 // replaceLostCopyHolders asks another host for the copies that a lost host was
 // asked for and has not confirmed.
 func (forwarder *Forwarder) replaceLostCopyHolders() {
@@ -112,12 +179,16 @@
 			continue
 		}
 		heldAt := forwarder.now.Add(-record.Age)
-		learned := &heldCopy{record: record, heldAt: heldAt}
+		learned := &heldCopy{
+			record: record, heldAt: heldAt, partner: input.Partner,
+			deadline: identifier.DeadlineFrom(forwarder.now, record.Remaining),
+		}
 		if known != nil {
 			learned.answer = known.answer
 		}
 		forwarder.copies.Put(record.Submission, learned)
 		forwarder.expireCopyLater(record.Submission)
+		forwarder.keepHandingOver(record.Submission)
 	}
 }
 
@@ -133,6 +204,7 @@
 	}
 	held.answer = answer
 	forwarder.expireCopyLater(answer.Submission)
+	forwarder.keepHandingOver(answer.Submission)
 }
 
 // holdAnswer keeps the second copy of an answer.
@@ -144,7 +216,9 @@
 	}
 	held := forwarder.copies.Get(submission)
 	if held == nil {
-		held = &heldCopy{record: messenger.CopyRecord{Submission: submission}, heldAt: forwarder.now}
+		held = &heldCopy{
+			record: messenger.CopyRecord{Submission: submission, Cell: cell}, heldAt: forwarder.now, partner: input.From,
+		}
 		forwarder.copies.Put(submission, held)
 	}
 	if held.answer != nil && held.answer.Outcome != input.Copy.Answer.Outcome {
@@ -154,6 +228,7 @@
 	}
 	held.answer = input.Copy.Answer
 	forwarder.expireCopyLater(submission)
+	forwarder.keepHandingOver(submission)
 	forwarder.add(&ConfirmAnswerCopy{To: input.From, Submission: submission})
 }
 
@@ -206,12 +281,14 @@
 		Cell:       messenger.CellOf(front.job.Submission, forwarder.Settings.Cells),
 		Age:        forwarder.now.Sub(front.arrivedAt),
 		Answered:   front.answer != nil,
+		Remaining:  front.deadline.Remaining(forwarder.now),
 	}
 }
 
 func (forwarder *Forwarder) recordOfCopy(held *heldCopy) messenger.CopyRecord {
 	record := held.record
 	record.Age = forwarder.now.Sub(held.heldAt)
+	record.Remaining = held.deadline.Remaining(forwarder.now)
 	if held.answer != nil {
 		record.Answered = true
 		record.AnswerAt = ""
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -20,6 +20,10 @@
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
 	copyHeld bool
+	// partner is the other host that knows the submission.
+	partner identifier.HostID
+	// resends counts the forwardings to one lead, to make them rarer.
+	resends int
 	// cancelled tells that the caller has cancelled; every lead must learn of it.
 	cancelled bool
 	answer    *messenger.JobAnswer
@@ -35,6 +39,10 @@
 	record messenger.CopyRecord
 	heldAt identifier.Moment
 	answer *messenger.JobAnswer
+	// partner is the other host that knows the submission.
+	partner identifier.HostID
+	// deadline is the job's; a copy without an answer stays at least until then.
+	deadline identifier.Moment
 }
 
 // cellKey names a cell among all failure domains.
@@ -64,6 +72,8 @@
 	timerAskAgain
 	timerRelay
 	timerForgetRelay
+	// timerReplicas stands for all records that are to be copied.
+	timerReplicas
 )
 
 type timerKey struct {
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -31,7 +31,9 @@
 	case timerLoneAnswer:
 		forwarder.confirmLoneAnswer(key.submission)
 	case timerForgetCopy:
-		forwarder.copies.Remove(key.submission)
+		forwarder.forgetCopy(key.submission)
+	case timerReplicas:
+		forwarder.sendReplicas()
 	}
 }
 
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -34,9 +34,14 @@
 	// LoneAnswerWait is how long the only living host of a failure domain waits
 	// for a second one to hold an answer before it does without.
 	LoneAnswerWait time.Duration
-	// AskAgain is how long after a job's deadline, or after each forwarding of one
-	// without a deadline, the job is forwarded again for want of an answer.
+	// AskAgain is how long after its forwarding a job is forwarded again for want of
+	// an answer; each wait is twice as long as the one before.
 	AskAgain time.Duration
+	// LongestJob is how long the copy of an unanswered job without a deadline is
+	// kept.
+	LongestJob time.Duration
+	// Replicas paces the copying of records when hosts come and go.
+	Replicas ReplicaSettings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -48,6 +53,8 @@
 		AnswerRetention: 10 * time.Minute,
 		LoneAnswerWait:  30 * time.Second,
 		AskAgain:        5 * time.Second,
+		LongestJob:      time.Hour,
+		Replicas:        DefaultReplicaSettings(),
 	}
 }
 
@@ -58,14 +65,18 @@
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
 
-	now     identifier.Moment
-	fronts  *tabulator.Table[identifier.SubmissionID, front]
-	copies  *tabulator.Table[identifier.SubmissionID, heldCopy]
-	relays  *tabulator.Table[identifier.SubmissionID, relay]
-	leads   *tabulator.Table[cellKey, lead]
-	timers  *tabulator.Timers[timerKey]
-	living  []identifier.HostID
-	outputs []Output
+	now    identifier.Moment
+	fronts *tabulator.Table[identifier.SubmissionID, front]
+	copies *tabulator.Table[identifier.SubmissionID, heldCopy]
+	relays *tabulator.Table[identifier.SubmissionID, relay]
+	leads  *tabulator.Table[cellKey, lead]
+	timers *tabulator.Timers[timerKey]
+	living []identifier.HostID
+	// leaving tells that this host hands over what it knows.
+	leaving      bool
+	replications *tabulator.Table[identifier.SubmissionID, replication]
+	nextReplicas identifier.Moment
+	outputs      []Output
 }
 
 // Tick applies the inputs in order, lets deadlines fall due and returns the
@@ -112,6 +123,7 @@
 	forwarder.fronts = tabulator.New[identifier.SubmissionID, front]()
 	forwarder.copies = tabulator.New[identifier.SubmissionID, heldCopy]()
 	forwarder.relays = tabulator.New[identifier.SubmissionID, relay]()
+	forwarder.replications = tabulator.New[identifier.SubmissionID, replication]()
 	forwarder.leads = tabulator.New[cellKey, lead]()
 	forwarder.timers = tabulator.NewTimers[timerKey]()
 }
@@ -131,11 +143,19 @@
 	case *LeadKnown:
 		forwarder.recordLead(input)
 	case *HostsChanged:
-		forwarder.living = input.Living
-		forwarder.replaceLostCopyHolders()
-		forwarder.spreadLoneAnswers()
+		forwarder.changeLiving(input.Living)
+	case *HostRestarted:
+		forwarder.replaceRestarted(input.Host)
 	case *LeadReconnected:
-		forwarder.routeToAgain(input.Host)
+		forwarder.reconnect(input.Host)
+	case *LeaveRequested:
+		forwarder.handOver()
+	case *ReplicasArrived:
+		forwarder.holdReplicas(input)
+	case *ReplicasHeld:
+		forwarder.recordReplicasHeld(input)
+	case *SecondHolderWanted:
+		forwarder.replicate(input.Submission)
 	case *CopiesWanted:
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -62,6 +62,39 @@
 	Host identifier.HostID
 }
 
+// HostRestarted tells that another host of the failure domain runs a new process,
+// which knows nothing of what the old one held.
+type HostRestarted struct {
+	Host identifier.HostID
+}
+
+// LeaveRequested tells that this host leaves and must hand over what it knows.
+type LeaveRequested struct{}
+
+// ReplicasArrived asks this host to hold what another can't keep alone.
+type ReplicasArrived struct {
+	From     identifier.HostID
+	Replicas []messenger.Replica
+}
+
+// ReplicasHeld tells that another host holds replicas.
+type ReplicasHeld struct {
+	From    identifier.HostID
+	Receipt messenger.ReplicaReceipt
+}
+
+// SecondHolderWanted asks that another host of the failure domain holds the answer
+// of a submission that this host leads; ConfirmAnswer follows.
+type SecondHolderWanted struct {
+	Submission identifier.SubmissionID
+}
+
+func (*HostRestarted) isForwarderInput()      {}
+func (*LeaveRequested) isForwarderInput()     {}
+func (*ReplicasArrived) isForwarderInput()    {}
+func (*ReplicasHeld) isForwarderInput()       {}
+func (*SecondHolderWanted) isForwarderInput() {}
+
 func (*LeadReconnected) isForwarderInput() {}
 
 // CopiesWanted asks this host to hold the second copy of submissions.
@@ -84,6 +117,7 @@
 
 // AnswerCopyHeld tells that a host holds the second copy of an answer.
 type AnswerCopyHeld struct {
+	From       identifier.HostID
 	Submission identifier.SubmissionID
 }
 
@@ -112,7 +146,9 @@
 
 // RecordsLearned brings what another host knew of a cell that this host has taken.
 type RecordsLearned struct {
-	From    identifier.HostID
+	From identifier.HostID
+	// Partner is the other host that knows the records.
+	Partner identifier.HostID
 	Records []messenger.CopyRecord
 }
 
--- a/pkg/forwarder/output.go
+++ b/pkg/forwarder/output.go
@@ -71,13 +71,30 @@
 
 // PassJob hands a relayed job to the dispatcher of this host.
 type PassJob struct {
-	From     identifier.HostID
+	From identifier.HostID
+	// Partner is the neighbour that remembers the job.
+	Partner  identifier.HostID
 	Forward  messenger.Forward
 	Deadline identifier.Moment
 }
 
 func (*PassJob) isForwarderOutput() {}
 
+// SendReplicas has another host hold what this one knows.
+type SendReplicas struct {
+	To       identifier.HostID
+	Replicas []messenger.Replica
+}
+
+// ConfirmReplicas tells that this host holds replicas.
+type ConfirmReplicas struct {
+	To      identifier.HostID
+	Receipt messenger.ReplicaReceipt
+}
+
+func (*SendReplicas) isForwarderOutput()    {}
+func (*ConfirmReplicas) isForwarderOutput() {}
+
 // TellLead tells a host that another one leads its cell.
 type TellLead struct {
 	To     identifier.HostID
--- a/pkg/forwarder/relays.go
+++ b/pkg/forwarder/relays.go
@@ -76,7 +76,8 @@
 
 func (forwarder *Forwarder) passRelay(relay *relay) {
 	relay.passed = true
-	forwarder.add(&PassJob{From: relay.from, Forward: *relay.forward, Deadline: relay.deadline})
+	forwarder.add(&PassJob{From: relay.from, Partner: relay.copyAt, Forward: *relay.forward, Deadline: relay.deadline})
+	relay.forward = &messenger.Forward{Job: relay.forward.Job.WithoutTasks()}
 }
 
 // spreadRelayAnswer has a neighbour hold the answer of a relayed job.
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -17,9 +17,25 @@
 		forwarder.answerConflict(input)
 		return
 	}
+	if known.answer != nil && known.answer.ClaimsNothing() {
+		forwarder.beginAgain(known, input)
+		return
+	}
 	forwarder.join(known, input.Waiter)
 }
 
+// beginAgain asks anew for a submission that was refused because nobody could tell
+// what became of it. Its home may be back.
+func (forwarder *Forwarder) beginAgain(known *front, input *CallerSubmitted) {
+	known.answer = nil
+	known.job = input.Job
+	known.deadline = input.Deadline
+	known.forwardedTo = ""
+	forwarder.timers.Clear(timerKey{kind: timerForgetFront, submission: input.Job.Submission})
+	known.waiters = append(known.waiters, input.Waiter)
+	forwarder.route(known)
+}
+
 func (forwarder *Forwarder) begin(input *CallerSubmitted) {
 	created := &front{
 		job:       input.Job,
@@ -109,22 +125,29 @@
 		},
 		Deadline: front.deadline,
 	})
+	if front.forwardedTo != to {
+		front.resends = 0
+	}
 	front.forwardedTo = to
 	front.forwardedBefore = true
+	if to != forwarder.Self {
+		front.partner = to
+	}
 	if front.cancelled {
 		forwarder.forwardCancel(front)
 	}
-	last := forwarder.now
-	if front.deadline != identifier.Never {
-		last = max(last, front.deadline)
-	}
-	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, last.Add(forwarder.Settings.AskAgain))
+	wait := forwarder.Settings.AskAgain << min(front.resends, mostDoublings)
+	front.resends++
+	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, forwarder.now.Add(wait))
 }
 
-// askAgain forwards a job again whose answer is overdue. The answer may have been
-// lost on its way from a third host, over a connection whose end told this host
-// nothing about the lead; the caller would wait for ever. The lead, or the host
-// that it asks, sends the one answer again.
+// mostDoublings bounds how rare the resends of an unanswered job become.
+const mostDoublings = 4
+
+// askAgain forwards a job again that has no answer yet. The job, or its answer from
+// a third host, may have been lost with a connection whose end told this host
+// nothing; the caller would wait for ever. The lead knows the submission and sends
+// the one answer again, or has the host send it that keeps it.
 func (forwarder *Forwarder) askAgain(submission identifier.SubmissionID) {
 	if front := forwarder.fronts.Get(submission); front != nil && front.answer == nil {
 		forwarder.route(front)
--- a/pkg/messenger/answer.go
+++ b/pkg/messenger/answer.go
@@ -92,6 +92,12 @@
 	Answers    []TaskAnswer  `cbor:"7,keyasint,omitempty"`
 }
 
+// ClaimsNothing tells whether the answer says nothing about the submission: nobody
+// knew whether it ran. Another host may know better.
+func (answer *JobAnswer) ClaimsNothing() bool {
+	return answer.Outcome == OutcomeRefused && !answer.NotRun
+}
+
 // Refuse returns the refusal of a submission of which nothing started or ever
 // will.
 func Refuse(submission identifier.SubmissionID, reason Reason, detail string) *JobAnswer {
--- a/pkg/messenger/job.go
+++ b/pkg/messenger/job.go
@@ -33,6 +33,13 @@
 	DeclaredRunTime time.Duration     `cbor:"3,keyasint,omitempty"`
 }
 
+// WithoutTasks returns the job as it is remembered once it has its answer.
+func (job *Job) WithoutTasks() *Job {
+	slim := *job
+	slim.Tasks = nil
+	return &slim
+}
+
 // Home returns the failure domain whose lead keeps the record of the job.
 func (job *Job) Home() identifier.FailureDomain {
 	if len(job.MayRun) == 0 {
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -57,6 +57,8 @@
 	Epoch identifier.Epoch `cbor:"8,keyasint,omitempty"`
 	// SpilledTo is the failure domain that the job was handed over to.
 	SpilledTo identifier.FailureDomain `cbor:"9,keyasint,omitempty"`
+	// Remaining is the time until the job's deadline; nil when there is none.
+	Remaining *time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // AnswerCopy asks a second host to hold an answer.
