Find submissions from any host, give claims back, refuse lost homes at once

Questions: GET and DELETE ask the lead of the own failure domain, then all others, with a number for each question so that one caller never gets another's answer. Claims: the claim of a submission of which nothing started goes back after 3 s if no host is out of sight; a resubmission gets the answer of the submission that holds the claim. A home of which no host lives is refused after 0.2 s instead of 3 s; waits are bounded by the job's deadline; tables are bounded by Records, and recovered records are swept after their retention. Fault found by TestPromisesAcrossFailureDomains meanwhile: a question to the lead that had a job as a guest got its passing 'not run'; guests are answered by their home alone now.

--- a/pkg/claimer/requester.go
+++ b/pkg/claimer/requester.go
@@ -118,7 +118,7 @@
 	case *Wanted:
 		requester.want(input.Claim)
 	case *Released:
-		requester.ask.Releases = append(requester.ask.Releases, input.Release)
+		requester.release(input.Release)
 	case *KeepersChanged:
 		requester.keepers = input.Keepers
 	case *Decided:
@@ -134,6 +134,16 @@
 	requester.send(pending)
 }
 
+// release gives a claim back. One that is still asked for may be granted after its
+// release; it is then given back again.
+func (requester *Requester) release(release Release) {
+	if pending := requester.pending.Get(release.Submission); pending != nil {
+		requester.pending.Remove(release.Submission)
+		requester.watchLateGrant(pending)
+	}
+	requester.ask.Releases = append(requester.ask.Releases, release)
+}
+
 func (requester *Requester) send(pending *pendingClaim) {
 	requester.ask.Claims = append(requester.ask.Claims, pending.claim)
 	pending.attempts++
@@ -190,6 +200,11 @@
 func (requester *Requester) giveUp(pending *pendingClaim) {
 	submission := pending.claim.Submission
 	requester.decide(Decision{Submission: submission, Verdict: VerdictUnavailable})
+	requester.watchLateGrant(pending)
+}
+
+func (requester *Requester) watchLateGrant(pending *pendingClaim) {
+	submission := pending.claim.Submission
 	requester.givenUp.Put(submission, &pending.claim)
 	forgetAt := requester.now.Add(lateGrantRetention)
 	requester.timers.Set(requestTimer{submission: submission}, forgetAt)
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -142,6 +142,15 @@
 	}})
 }
 
+// releaseClaim gives a claim back under which nothing ran.
+func (coordinator *Coordinator) releaseClaim(released *dispatcher.ClaimReleased) {
+	coordinator.tellRequester(&claimer.Released{Release: claimer.Release{
+		Caller:     released.Caller,
+		Job:        released.Job,
+		Submission: released.Submission,
+	}})
+}
+
 func (coordinator *Coordinator) tellRequester(input claimer.Input) {
 	coordinator.toRequester = append(coordinator.toRequester, input)
 }
@@ -164,7 +173,7 @@
 }
 
 func claimDecided(decision claimer.Decision) *dispatcher.ClaimDecided {
-	decided := &dispatcher.ClaimDecided{Submission: decision.Submission, Holder: decision.Holder}
+	decided := &dispatcher.ClaimDecided{Submission: decision.Submission, Holder: decision.Holder, HolderHome: decision.HolderHome}
 	switch decision.Verdict {
 	case claimer.VerdictGranted:
 		decided.Verdict = dispatcher.ClaimGranted
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -75,6 +75,7 @@
 	}
 	living := coordinator.livingIn(member.FailureDomain)
 	coordinator.tellElector(elector.HostsChanged{FailureDomain: member.FailureDomain, Living: living})
+	coordinator.tellForwarder(&forwarder.DomainChanged{FailureDomain: member.FailureDomain, Living: len(living) > 0})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
 		if restarted {
@@ -95,7 +96,8 @@
 	case change.New.Living() && !lived:
 		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
 	case !change.New.Living() && lived && !coordinator.leaver(change.New):
-		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host})
+		left := change.New.Status == gossiper.StatusLeft
+		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host, Left: left})
 	}
 }
 
@@ -121,7 +123,7 @@
 // loseLeaver waits no longer for a host that has left.
 func (coordinator *Coordinator) loseLeaver(host identifier.HostID) {
 	if state, known := coordinator.gossiper.State(host); known && state.Status == gossiper.StatusLeft {
-		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host})
+		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host, Left: true})
 	}
 }
 
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -189,6 +189,7 @@
 	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
 	Replicas          []messenger.Replica       `cbor:"30,keyasint,omitempty"`
 	ReplicaReceipt    *messenger.ReplicaReceipt `cbor:"31,keyasint,omitempty"`
+	LookupReply       *messenger.LookupReply    `cbor:"32,keyasint,omitempty"`
 	// Membership, keepers and configuration.
 	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
 	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -103,6 +103,8 @@
 	case message.TakeoverReply != nil:
 		coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
 		coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Partner: from, Records: message.TakeoverReply.Records})
+	case message.LookupReply != nil:
+		coordinator.tellForwarder(&forwarder.QuestionAnswered{From: from, Reply: *message.LookupReply})
 	case message.Replicas != nil:
 		coordinator.tellForwarder(&forwarder.ReplicasArrived{From: from, Replicas: message.Replicas})
 		coordinator.tellDispatcher(&dispatcher.RecordsReplicated{Replicas: message.Replicas})
@@ -246,6 +248,10 @@
 			From: output.From, Job: output.Forward.Job, Deadline: output.Deadline,
 			Again: output.Forward.Again, Age: output.Forward.Age,
 		})
+	case *forwarder.AnswerQuestion:
+		coordinator.sendLookupReply(output.To, output.Reply)
+	case *forwarder.HolderAnswered:
+		coordinator.tellDispatcher(&dispatcher.HolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
 	case *forwarder.SendReplicas:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Replicas: output.Replicas})
 	case *forwarder.ConfirmReplicas:
@@ -290,6 +296,14 @@
 	coordinator.outputs.toPeer(to, PeerMessage{Answer: answer})
 }
 
+func (coordinator *Coordinator) sendLookupReply(to identifier.HostID, reply messenger.LookupReply) {
+	if to == coordinator.Self.Host {
+		coordinator.tellForwarder(&forwarder.QuestionAnswered{From: to, Reply: reply})
+		return
+	}
+	coordinator.outputs.toPeer(to, PeerMessage{LookupReply: &reply})
+}
+
 func (coordinator *Coordinator) routeDispatcherOutput(output dispatcher.Output) {
 	self := coordinator.Self.Host
 	switch output := output.(type) {
@@ -298,6 +312,14 @@
 	case *dispatcher.JobAnswered:
 		coordinator.tellForwarder(&forwarder.AnswerGiven{Answer: output.Answer})
 		coordinator.sendAnswer(output.To, output.Answer)
+	case *dispatcher.LookupAnswered:
+		coordinator.sendLookupReply(output.To, output.Reply)
+	case *dispatcher.HolderWanted:
+		coordinator.tellForwarder(&forwarder.HolderAsked{
+			Claimant: output.Claimant, Caller: output.Caller, Holder: output.Holder, Home: output.Home,
+		})
+	case *dispatcher.ClaimReleased:
+		coordinator.releaseClaim(output)
 	case *dispatcher.SecondHolderWanted:
 		coordinator.tellForwarder(&forwarder.SecondHolderWanted{Submission: output.Submission})
 	case *dispatcher.AnswerWanted:
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -139,6 +139,10 @@
 		dispatcher.failAfterTakeover(job, &failure{reason: reason, detail: detail})
 		return
 	}
+	if job.state == jobAwaitingClaim {
+		dispatcher.failUnclaimed(job, reason, detail)
+		return
+	}
 	if !job.mayHaveStarted() {
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
@@ -184,6 +188,7 @@
 // still runs for it.
 func (dispatcher *Dispatcher) finish(job *job, answer *messenger.JobAnswer) {
 	cell := dispatcher.cells.Get(job.cell)
+	dispatcher.planRelease(cell, job)
 	dispatcher.leaveQueue(cell, job)
 	if job.state == jobSpilled && answer.Outcome != messenger.OutcomeComplete {
 		dispatcher.stopSpilled(job)
@@ -208,6 +213,7 @@
 	}
 	dispatcher.timers.Clear(job.timer(timerSpill))
 	dispatcher.awaitHolder(job)
+	dispatcher.answerAskers(job)
 	dispatcher.stopRunning(job)
 	dispatcher.stopOrphans(cell, job)
 	dispatcher.endLostFlights(job)
--- /dev/null
+++ b/pkg/dispatcher/claims.go
@@ -0,0 +1,126 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// HolderWanted asks for the answer of the submission that holds the claim of a
+// not-repeatable job.
+type HolderWanted struct {
+	Claimant identifier.SubmissionID
+	Caller   identifier.CallerID
+	Holder   identifier.SubmissionID
+	Home     identifier.FailureDomain
+}
+
+// ClaimReleased gives back the claim of a submission of which nothing has started
+// or ever will.
+type ClaimReleased struct {
+	Submission identifier.SubmissionID
+	Caller     identifier.CallerID
+	Job        identifier.JobID
+}
+
+// HolderAnswered answers a HolderWanted.
+type HolderAnswered struct {
+	Claimant identifier.SubmissionID
+	Answer   *messenger.JobAnswer
+}
+
+func (*HolderWanted) isDispatcherOutput()  {}
+func (*ClaimReleased) isDispatcherOutput() {}
+func (*HolderAnswered) isDispatcherInput() {}
+
+// followHolder has a submission wait for the answer of the one that holds its claim.
+func (dispatcher *Dispatcher) followHolder(job *job, input *ClaimDecided) {
+	job.again = true
+	job.claimHolder = input.Holder
+	if input.Holder == "" {
+		dispatcher.finish(job, messenger.RefuseUnknown(input.Submission, messenger.ReasonAlreadyClaimed,
+			"an earlier submission had the claim of this not-repeatable job; its answer is no longer kept"))
+		return
+	}
+	dispatcher.outputs.add(&HolderWanted{
+		Claimant: input.Submission, Caller: job.spec.Caller, Holder: input.Holder, Home: input.HolderHome,
+	})
+}
+
+// takeHolderAnswer gives a submission the answer of the one that holds its claim.
+func (dispatcher *Dispatcher) takeHolderAnswer(input *HolderAnswered) {
+	job := dispatcher.jobs.Get(input.Claimant)
+	if job == nil || job.state != jobAwaitingClaim || job.claimHolder != input.Answer.Submission {
+		return
+	}
+	holder := "submission " + string(job.claimHolder)
+	switch {
+	case input.Answer.NotRun:
+		refusal := messenger.RefuseUnknown(input.Claimant, messenger.ReasonAlreadyClaimed,
+			holder+" had the claim of this not-repeatable job and was refused; its claim is given back soon")
+		refusal.RetryAfter = 2 * claimReleaseWait
+		dispatcher.finish(job, refusal)
+	case input.Answer.ClaimsNothing():
+		dispatcher.finish(job, messenger.RefuseUnknown(input.Claimant, messenger.ReasonAlreadyClaimed,
+			holder+" has the claim of this not-repeatable job, and its answer can't be found; it is not known to have run"))
+	default:
+		answer := *input.Answer
+		answer.Submission = input.Claimant
+		answer.Detail = "this is the answer of " + holder + ", which ran the not-repeatable job; " + answer.Detail
+		dispatcher.finish(job, &answer)
+	}
+}
+
+// failUnclaimed ends a submission whose claim is not decided. Another submission of
+// the job may have run, so the refusal does not say "not run".
+func (dispatcher *Dispatcher) failUnclaimed(job *job, reason messenger.Reason, detail string) {
+	dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason,
+		detail+"; another submission of this not-repeatable job may have run"))
+}
+
+// claimReleaseWait is how long a claim is kept after its submission was refused.
+// A lead that was replaced hears of it within this time.
+const claimReleaseWait = 3 * time.Second
+
+// planRelease gives the claim of a refused submission back after a while, so that a
+// resubmission can run. It is called before the job ends.
+//
+// If the claim went back although something had started, a resubmission would run
+// the job a second time; it would show as two submissions of one job with starts.
+// That can only be when another host leads the cell without this one knowing. So the
+// claim goes back only after that would have become known, and while no host of the
+// failure domain is out of sight.
+func (dispatcher *Dispatcher) planRelease(cell *cell, job *job) {
+	holds := job.claimed || job.state == jobAwaitingClaim
+	if job.spec.Repeatable || job.guestOf != "" || job.claimHolder != "" || !holds {
+		return
+	}
+	if cell == nil || cell.mayMissRecords() || job.mayHaveStarted() {
+		return
+	}
+	dispatcher.timers.Set(job.timer(timerRelease), dispatcher.now.Add(claimReleaseWait))
+}
+
+// releaseClaim is reached only while this host leads the cell without a break: jobs
+// are forgotten with the lead, and their timers with them.
+func (dispatcher *Dispatcher) releaseClaim(submission identifier.SubmissionID) {
+	job := dispatcher.jobs.Get(submission)
+	if job == nil {
+		return
+	}
+	cell := dispatcher.cells.Get(job.cell)
+	if cell == nil || cell.deposed || len(cell.missingHosts) > 0 || len(dispatcher.lostHosts) > 0 {
+		return
+	}
+	dispatcher.outputs.add(&ClaimReleased{Submission: submission, Caller: job.spec.Caller, Job: job.spec.Job})
+}
+
+// noteHost follows which hosts of the failure domain are out of sight.
+func (dispatcher *Dispatcher) noteHost(host identifier.HostID, lost bool) {
+	if lost {
+		dispatcher.lostHosts[host] = true
+		return
+	}
+	delete(dispatcher.lostHosts, host)
+}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -102,6 +102,8 @@
 	jobs      *tabulator.Table[identifier.SubmissionID, job]
 	timers    *tabulator.Timers[timerKey]
 	outputs   outbox
+	// lostHosts are the hosts of the failure domain that are out of sight.
+	lostHosts map[identifier.HostID]bool
 	// remotes are the leads of other failure domains.
 	remotes *tabulator.Table[remoteKey, remote]
 	// assessor judges servers by outcomes, the events of this tick.
@@ -141,6 +143,7 @@
 		return
 	}
 	dispatcher.startedAt = now
+	dispatcher.lostHosts = make(map[identifier.HostID]bool)
 	dispatcher.assessor = &assessor.Assessor{Settings: dispatcher.Settings.Health}
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
 	dispatcher.servers = tabulator.New[serverKey, server]()
@@ -170,6 +173,8 @@
 		dispatcher.admitGuest(input)
 	case *SpillAnswered:
 		dispatcher.recordSpillAnswer(input)
+	case *HolderAnswered:
+		dispatcher.takeHolderAnswer(input)
 	case *RecordsReplicated:
 		dispatcher.learnReplicas(input)
 	case *HostReturned:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -59,6 +59,7 @@
 	record messenger.CopyRecord
 	// knownSince is the record's moment on this host's clock.
 	knownSince identifier.Moment
+	keptUntil  identifier.Moment
 }
 
 // keptBySelf tells whether this host keeps the answer.
@@ -134,6 +135,10 @@
 	again bool
 	// claimed tells that the claim of a not-repeatable job is granted.
 	claimed bool
+	// claimHolder is the submission that holds the claim in place of this one.
+	claimHolder identifier.SubmissionID
+	// askers look the submission up.
+	askers []asker
 	// holders are the hosts that wait for the answer.
 	holders []identifier.HostID
 	tasks   []task
@@ -210,6 +215,10 @@
 	timerLoad
 	// timerConfirm asks again for the second holder of an answer.
 	timerConfirm
+	// timerRelease gives a claim back.
+	timerRelease
+	// timerSweep forgets recovered records whose retention is over.
+	timerSweep
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -31,6 +31,10 @@
 		dispatcher.markCapacityStale()
 	case timerServerForget:
 		dispatcher.forgetServer(serverKey{cell: key.cell, server: key.server})
+	case timerRelease:
+		dispatcher.releaseClaim(key.submission)
+	case timerSweep:
+		dispatcher.sweepRecovered(key.cell)
 	case timerConfirm:
 		dispatcher.confirmAgain(key.submission)
 	case timerSpill:
@@ -79,7 +83,7 @@
 // forget drops a submission with all its deadlines.
 func (dispatcher *Dispatcher) forget(job *job) {
 	submission := job.spec.Submission
-	for _, kind := range [...]timerKind{timerJobDeadline, timerUnknownWait, timerForget, timerRetry, timerConfirm} {
+	for _, kind := range [...]timerKind{timerJobDeadline, timerUnknownWait, timerForget, timerRetry, timerConfirm, timerRelease} {
 		dispatcher.timers.Clear(timerKey{kind: kind, submission: submission})
 	}
 	dispatcher.jobs.Remove(submission)
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -78,6 +78,8 @@
 // HostGone tells that a host of the failure domain can't be reached any more.
 type HostGone struct {
 	Host identifier.HostID
+	// Left tells that the host itself said that it leaves.
+	Left bool
 }
 
 // TakeoverReplied brings what one host knows of a cell's submissions.
@@ -120,6 +122,8 @@
 	Verdict    ClaimVerdict
 	// Holder is the submission that holds the claim, when it is another.
 	Holder identifier.SubmissionID
+	// HolderHome is the failure domain whose lead answers for the holder.
+	HolderHome identifier.FailureDomain
 }
 
 // ServerAnnounced tells that a backend server has opened a stream. Tasks and
--- a/pkg/dispatcher/returns.go
+++ b/pkg/dispatcher/returns.go
@@ -11,6 +11,7 @@
 	if input.Host == dispatcher.Self {
 		return
 	}
+	dispatcher.noteHost(input.Host, false)
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
 		if !cell.ready {
 			cell.awaitedHosts[input.Host] = true
@@ -23,6 +24,7 @@
 
 // stopAwaitingHost goes on without a host that is gone.
 func (dispatcher *Dispatcher) stopAwaitingHost(input *HostGone) {
+	dispatcher.noteHost(input.Host, !input.Left)
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
 		delete(cell.awaitedHosts, input.Host)
 		dispatcher.finishTakeoverIfComplete(cell)
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -118,7 +118,10 @@
 	if record.AnswerAt != "" {
 		holder = record.AnswerAt
 	}
-	cell.recovered[record.Submission] = recoveredRecord{holder: holder, record: record, knownSince: knownSince}
+	cell.recovered[record.Submission] = recoveredRecord{
+		holder: holder, record: record, knownSince: knownSince, keptUntil: dispatcher.retentionOf(record),
+	}
+	dispatcher.sweepLater(cell)
 }
 
 func (dispatcher *Dispatcher) recordReport(input *ServerReported) {
--- a/pkg/forwarder/answers.go
+++ b/pkg/forwarder/answers.go
@@ -11,7 +11,6 @@
 func (forwarder *Forwarder) recordAnswer(input *AnswerArrived) {
 	front := forwarder.fronts.Get(input.Answer.Submission)
 	if front == nil {
-		forwarder.answerQuestion(input)
 		return
 	}
 	if front.answerHeldBack && input.From != forwarder.Self {
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -15,6 +15,9 @@
 			continue
 		}
 		record.Epoch = 0
+		if forwarder.copies.Get(record.Submission) == nil && forwarder.full() {
+			continue
+		}
 		if forwarder.copies.Get(record.Submission) == nil {
 			heldAt := forwarder.now.Add(-record.Age)
 			forwarder.copies.Put(record.Submission, &heldCopy{
@@ -235,6 +238,11 @@
 // sendKeptAnswer sends an answer that this host keeps, or says that it is lost.
 func (forwarder *Forwarder) sendKeptAnswer(input *AnswerRequested) {
 	answer := forwarder.keptAnswer(input.Request.Submission)
+	if input.Request.Question > 0 {
+		reply := messenger.LookupReply{Question: input.Request.Question, Found: answer != nil, Answer: answer}
+		forwarder.add(&AnswerQuestion{To: input.Request.ReplyTo, Reply: reply})
+		return
+	}
 	if answer == nil {
 		answer = messenger.RefuseUnknown(input.Request.Submission, messenger.ReasonAnswerLost,
 			"the submission had ended, but its answer is no longer kept")
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -74,9 +74,11 @@
 	timerForgetRelay
 	// timerReplicas stands for all records that are to be copied.
 	timerReplicas
+	timerQuestion
 )
 
 type timerKey struct {
 	kind       timerKind
 	submission identifier.SubmissionID
+	question   messenger.QuestionNumber
 }
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -1,7 +1,5 @@
 package forwarder
 
-import "github.com/stoathitch/stoathitch/pkg/messenger"
-
 // expire handles every deadline that has been reached.
 func (forwarder *Forwarder) expire() {
 	for {
@@ -32,30 +30,23 @@
 		forwarder.confirmLoneAnswer(key.submission)
 	case timerForgetCopy:
 		forwarder.forgetCopy(key.submission)
+	case timerQuestion:
+		forwarder.expireQuestion(key.question)
 	case timerReplicas:
 		forwarder.sendReplicas()
 	}
 }
 
-// giveUpHome refuses a job whose home has no reachable lead. An earlier sending
-// may have reached the home, so the refusal does not say "not run".
-func (forwarder *Forwarder) giveUpHome(key timerKey) {
-	front := forwarder.fronts.Get(key.submission)
-	if front == nil || front.answer != nil {
-		return
-	}
-	refusal := messenger.RefuseUnknown(key.submission, messenger.ReasonHomeUnreachable,
-		"no lead of the job's home failure domain "+string(front.job.Home())+
-			" can be reached; submit it under a new id with another failure domain first")
-	refusal.RetryAfter = forwarder.Settings.HomeWait
-	forwarder.answerHere(front, refusal)
-}
-
 // askAnotherHost tries the next living host for a second copy that was not
 // confirmed in time.
 func (forwarder *Forwarder) askAnotherHost(key timerKey) {
 	front := forwarder.fronts.Get(key.submission)
-	if front != nil && front.answer == nil && !front.copyHeld {
-		forwarder.route(front)
+	if front == nil || front.answer != nil || front.copyHeld {
+		return
+	}
+	if front.deadline.Due(forwarder.now) {
+		forwarder.refuseLate(front, "the deadline passed before a second host remembered the job")
+		return
 	}
+	forwarder.route(front)
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -37,6 +37,14 @@
 	// AskAgain is how long after its forwarding a job is forwarded again for want of
 	// an answer; each wait is twice as long as the one before.
 	AskAgain time.Duration
+	// LostHomeWait is how long a job waits for a home of which no host lives.
+	LostHomeWait time.Duration
+	// QuestionWait is how long leads may take to tell what they know of a
+	// submission before others are asked and the same ones again.
+	QuestionWait time.Duration
+	// Records bounds the submissions that this host remembers; beyond it new ones
+	// are refused.
+	Records int
 	// LongestJob is how long the copy of an unanswered job without a deadline is
 	// kept.
 	LongestJob time.Duration
@@ -53,6 +61,9 @@
 		AnswerRetention: 10 * time.Minute,
 		LoneAnswerWait:  30 * time.Second,
 		AskAgain:        5 * time.Second,
+		LostHomeWait:    200 * time.Millisecond,
+		QuestionWait:    500 * time.Millisecond,
+		Records:         2_000_000,
 		LongestJob:      time.Hour,
 		Replicas:        DefaultReplicaSettings(),
 	}
@@ -72,6 +83,10 @@
 	leads  *tabulator.Table[cellKey, lead]
 	timers *tabulator.Timers[timerKey]
 	living []identifier.HostID
+	// lostDomains are the failure domains of which no host lives.
+	lostDomains  map[identifier.FailureDomain]bool
+	questions    *tabulator.Table[messenger.QuestionNumber, question]
+	lastQuestion messenger.QuestionNumber
 	// leaving tells that this host hands over what it knows.
 	leaving      bool
 	replications *tabulator.Table[identifier.SubmissionID, replication]
@@ -123,6 +138,8 @@
 	forwarder.fronts = tabulator.New[identifier.SubmissionID, front]()
 	forwarder.copies = tabulator.New[identifier.SubmissionID, heldCopy]()
 	forwarder.relays = tabulator.New[identifier.SubmissionID, relay]()
+	forwarder.questions = tabulator.New[messenger.QuestionNumber, question]()
+	forwarder.lostDomains = make(map[identifier.FailureDomain]bool)
 	forwarder.replications = tabulator.New[identifier.SubmissionID, replication]()
 	forwarder.leads = tabulator.New[cellKey, lead]()
 	forwarder.timers = tabulator.NewTimers[timerKey]()
@@ -144,6 +161,12 @@
 		forwarder.recordLead(input)
 	case *HostsChanged:
 		forwarder.changeLiving(input.Living)
+	case *DomainChanged:
+		forwarder.changeDomain(input)
+	case *QuestionAnswered:
+		forwarder.answerQuestion(input)
+	case *HolderAsked:
+		forwarder.askHolder(input)
 	case *HostRestarted:
 		forwarder.replaceRestarted(input.Host)
 	case *LeadReconnected:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -62,6 +62,31 @@
 	Host identifier.HostID
 }
 
+// DomainChanged tells whether any host of a failure domain lives.
+type DomainChanged struct {
+	FailureDomain identifier.FailureDomain
+	Living        bool
+}
+
+// HolderAsked asks for the answer of the submission that holds the claim of
+// another one, whose home is known.
+type HolderAsked struct {
+	Claimant identifier.SubmissionID
+	Caller   identifier.CallerID
+	Holder   identifier.SubmissionID
+	Home     identifier.FailureDomain
+}
+
+// QuestionAnswered brings what another host knows of a submission.
+type QuestionAnswered struct {
+	From  identifier.HostID
+	Reply messenger.LookupReply
+}
+
+func (*DomainChanged) isForwarderInput()    {}
+func (*HolderAsked) isForwarderInput()      {}
+func (*QuestionAnswered) isForwarderInput() {}
+
 // HostRestarted tells that another host of the failure domain runs a new process,
 // which knows nothing of what the old one held.
 type HostRestarted struct {
--- a/pkg/forwarder/output.go
+++ b/pkg/forwarder/output.go
@@ -80,6 +80,21 @@
 
 func (*PassJob) isForwarderOutput() {}
 
+// AnswerQuestion sends a kept answer to a host that looks for it.
+type AnswerQuestion struct {
+	To    identifier.HostID
+	Reply messenger.LookupReply
+}
+
+// HolderAnswered answers a HolderAsked.
+type HolderAnswered struct {
+	Claimant identifier.SubmissionID
+	Answer   *messenger.JobAnswer
+}
+
+func (*AnswerQuestion) isForwarderOutput() {}
+func (*HolderAnswered) isForwarderOutput() {}
+
 // SendReplicas has another host hold what this one knows.
 type SendReplicas struct {
 	To       identifier.HostID
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -9,6 +9,10 @@
 // the first sending.
 func (forwarder *Forwarder) submit(input *CallerSubmitted) {
 	known := forwarder.fronts.Get(input.Job.Submission)
+	if known == nil && forwarder.full() {
+		forwarder.refuseFull(input)
+		return
+	}
 	if known == nil {
 		forwarder.begin(input)
 		return
@@ -67,7 +71,7 @@
 	lead := forwarder.leads.Get(forwarder.cellOf(front.job))
 	if lead == nil || lead.host == "" || lead.unreachable {
 		front.forwardedTo = ""
-		due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.HomeWait), front.deadline)
+		due := identifier.Earlier(forwarder.now.Add(forwarder.homeWait(front.job.Home())), front.deadline)
 		forwarder.timers.Set(timerKey{kind: timerHomeWait, submission: submission}, due)
 		return
 	}
@@ -93,7 +97,7 @@
 	record := forwarder.recordOf(front)
 	record.Epoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
 	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{record}})
-	due := forwarder.now.Add(forwarder.Settings.CopyWait)
+	due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.CopyWait), front.deadline)
 	forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: front.job.Submission}, due)
 }
 
@@ -138,7 +142,20 @@
 	}
 	wait := forwarder.Settings.AskAgain << min(front.resends, mostDoublings)
 	front.resends++
-	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, forwarder.now.Add(wait))
+	due := forwarder.now.Add(wait)
+	if latest := forwarder.latestAnswer(front); latest > forwarder.now {
+		due = identifier.Earlier(due, latest)
+	}
+	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, due)
+}
+
+// latestAnswer is when the lead's answer must be here: it comes with the deadline,
+// if the lead can be reached.
+func (forwarder *Forwarder) latestAnswer(front *front) identifier.Moment {
+	if front.deadline == identifier.Never {
+		return identifier.Never
+	}
+	return front.deadline.Add(forwarder.Settings.HomeWait)
 }
 
 // mostDoublings bounds how rare the resends of an unanswered job become.
@@ -149,9 +166,15 @@
 // nothing; the caller would wait for ever. The lead knows the submission and sends
 // the one answer again, or has the host send it that keeps it.
 func (forwarder *Forwarder) askAgain(submission identifier.SubmissionID) {
-	if front := forwarder.fronts.Get(submission); front != nil && front.answer == nil {
-		forwarder.route(front)
+	front := forwarder.fronts.Get(submission)
+	if front == nil || front.answer != nil {
+		return
+	}
+	if forwarder.latestAnswer(front).Due(forwarder.now) {
+		forwarder.refuseLate(front, "the deadline passed and the lead of the job's home does not answer")
+		return
 	}
+	forwarder.route(front)
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -73,6 +73,9 @@
 type AnswerRequest struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
 	ReplyTo    identifier.HostID       `cbor:"2,keyasint"`
+	// Question is the question that the answer is wanted for; zero for a submission
+	// that was sent again.
+	Question QuestionNumber `cbor:"3,keyasint,omitempty"`
 }
 
 // TakeoverQuery asks every host of the failure domain which submissions of the
@@ -97,12 +100,6 @@
 	Epoch         identifier.Epoch         `cbor:"4,keyasint"`
 }
 
-// Lookup asks a lead for the state of a submission.
-type Lookup struct {
-	Submission identifier.SubmissionID `cbor:"1,keyasint"`
-	Caller     identifier.CallerID     `cbor:"2,keyasint"`
-}
-
 // Cancel asks a lead to cancel a submission on behalf of its caller.
 type Cancel struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
--- /dev/null
+++ b/pkg/messenger/question.go
@@ -0,0 +1,21 @@
+package messenger
+
+import "github.com/stoathitch/stoathitch/pkg/identifier"
+
+// QuestionNumber names a question among all that one host has asked.
+type QuestionNumber uint64
+
+// Lookup asks a lead for the state of a submission.
+type Lookup struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Caller     identifier.CallerID     `cbor:"2,keyasint"`
+	Question   QuestionNumber          `cbor:"3,keyasint"`
+}
+
+// LookupReply answers a Lookup. A submission that is found without an answer still
+// runs; another reply follows when it ends.
+type LookupReply struct {
+	Question QuestionNumber `cbor:"1,keyasint"`
+	Found    bool           `cbor:"2,keyasint,omitempty"`
+	Answer   *JobAnswer     `cbor:"3,keyasint,omitempty"`
+}
