--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -19,6 +19,8 @@
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
+	// takeoverAttempts counts how often hosts were asked.
+	takeoverAttempts int
 	// missingHosts could not be asked at the takeover.
 	missingHosts map[identifier.HostID]bool
 	// recovered lists the submissions that other hosts knew at the takeover.
@@ -57,6 +59,12 @@
 	record messenger.CopyRecord
 	// knownSince is the record's moment on this host's clock.
 	knownSince identifier.Moment
+	keptUntil  identifier.Moment
+}
+
+// keptBySelf tells whether this host keeps the answer.
+func (recovered recoveredRecord) keptBySelf(self identifier.HostID) bool {
+	return recovered.holder == self && recovered.record.Answered && recovered.record.AnswerAt == ""
 }
 
 // orphan gathers what backend servers told of a submission's tasks.
@@ -127,6 +135,10 @@
 	again bool
 	// claimed tells that the claim of a not-repeatable job is granted.
 	claimed bool
+	// claimHolder is the submission that holds the claim in place of this one.
+	claimHolder identifier.SubmissionID
+	// askers look the submission up.
+	askers []asker
 	// holders are the hosts that wait for the answer.
 	holders []identifier.HostID
 	tasks   []task
@@ -142,6 +154,8 @@
 	answer     *messenger.JobAnswer
 	// answerHeld tells that a second host holds the answer.
 	answerHeld bool
+	// finishedAt is when the job got its answer.
+	finishedAt identifier.Moment
 	// spilledTo is the failure domain that the job is handed over to, spillMode
 	// what its lead may do; after spillUnknownUntil the job fails, because that lead
 	// is out of reach.
@@ -199,6 +213,12 @@
 	timerNoServer
 	timerSpill
 	timerLoad
+	// timerConfirm asks again for the second holder of an answer.
+	timerConfirm
+	// timerRelease gives a claim back.
+	timerRelease
+	// timerSweep forgets recovered records whose retention is over.
+	timerSweep
 )
 
 // timerKey names one deadline.
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -16,10 +16,16 @@
 	forwardedTo identifier.HostID
 	// forwardedBefore tells that some lead has had the job.
 	forwardedBefore bool
+	// firstEpoch is the epoch of the first lead that the job was forwarded to.
+	firstEpoch identifier.Epoch
 	// copyAt is the second host that was asked to hold a copy; only used where
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
 	copyHeld bool
+	// partner is the other host that knows the submission.
+	partner identifier.HostID
+	// resends counts the forwardings to one lead, to make them rarer.
+	resends int
 	// cancelled tells that the caller has cancelled; every lead must learn of it.
 	cancelled bool
 	answer    *messenger.JobAnswer
@@ -32,12 +38,15 @@
 
 // heldCopy is the second copy of a submission that another host leads.
 type heldCopy struct {
-	// partner is the other host that knows the submission, where this host is the
-	// one to replace it.
+	record messenger.CopyRecord
+	heldAt identifier.Moment
+	answer *messenger.JobAnswer
+	// partner is the other host that knows the submission.
 	partner identifier.HostID
-	record  messenger.CopyRecord
-	heldAt  identifier.Moment
-	answer  *messenger.JobAnswer
+	// askedUnder is the epoch of the lead that asked for the copy first.
+	askedUnder identifier.Epoch
+	// deadline is the job's; a copy without an answer stays at least until then.
+	deadline identifier.Moment
 }
 
 // cellKey names a cell among all failure domains.
@@ -67,9 +76,13 @@
 	timerAskAgain
 	timerRelay
 	timerForgetRelay
+	// timerReplicas stands for all records that are to be copied.
+	timerReplicas
+	timerQuestion
 )
 
 type timerKey struct {
 	kind       timerKind
 	submission identifier.SubmissionID
+	question   messenger.QuestionNumber
 }
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -34,9 +34,22 @@
 	// LoneAnswerWait is how long the only living host of a failure domain waits
 	// for a second one to hold an answer before it does without.
 	LoneAnswerWait time.Duration
-	// AskAgain is how long after a job's deadline, or after each forwarding of one
-	// without a deadline, the job is forwarded again for want of an answer.
+	// AskAgain is how long after its forwarding a job is forwarded again for want of
+	// an answer; each wait is twice as long as the one before.
 	AskAgain time.Duration
+	// LostHomeWait is how long a job waits for a home of which no host lives.
+	LostHomeWait time.Duration
+	// QuestionWait is how long leads may take to tell what they know of a
+	// submission before others are asked and the same ones again.
+	QuestionWait time.Duration
+	// Records bounds the submissions that this host remembers; beyond it new ones
+	// are refused.
+	Records int
+	// LongestJob is how long the copy of an unanswered job without a deadline is
+	// kept.
+	LongestJob time.Duration
+	// Replicas paces the copying of records when hosts come and go.
+	Replicas ReplicaSettings
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -48,6 +61,11 @@
 		AnswerRetention: 10 * time.Minute,
 		LoneAnswerWait:  30 * time.Second,
 		AskAgain:        5 * time.Second,
+		LostHomeWait:    200 * time.Millisecond,
+		QuestionWait:    500 * time.Millisecond,
+		Records:         2_000_000,
+		LongestJob:      time.Hour,
+		Replicas:        DefaultReplicaSettings(),
 	}
 }
 
@@ -58,14 +76,22 @@
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
 
-	now     identifier.Moment
-	fronts  *tabulator.Table[identifier.SubmissionID, front]
-	copies  *tabulator.Table[identifier.SubmissionID, heldCopy]
-	relays  *tabulator.Table[identifier.SubmissionID, relay]
-	leads   *tabulator.Table[cellKey, lead]
-	timers  *tabulator.Timers[timerKey]
-	living  []identifier.HostID
-	outputs []Output
+	now    identifier.Moment
+	fronts *tabulator.Table[identifier.SubmissionID, front]
+	copies *tabulator.Table[identifier.SubmissionID, heldCopy]
+	relays *tabulator.Table[identifier.SubmissionID, relay]
+	leads  *tabulator.Table[cellKey, lead]
+	timers *tabulator.Timers[timerKey]
+	living []identifier.HostID
+	// lostDomains are the failure domains of which no host lives.
+	lostDomains  map[identifier.FailureDomain]bool
+	questions    *tabulator.Table[messenger.QuestionNumber, question]
+	lastQuestion messenger.QuestionNumber
+	// leaving tells that this host hands over what it knows.
+	leaving      bool
+	replications *tabulator.Table[identifier.SubmissionID, replication]
+	nextReplicas identifier.Moment
+	outputs      []Output
 }
 
 // Tick applies the inputs in order, lets deadlines fall due and returns the
@@ -112,6 +138,9 @@
 	forwarder.fronts = tabulator.New[identifier.SubmissionID, front]()
 	forwarder.copies = tabulator.New[identifier.SubmissionID, heldCopy]()
 	forwarder.relays = tabulator.New[identifier.SubmissionID, relay]()
+	forwarder.questions = tabulator.New[messenger.QuestionNumber, question]()
+	forwarder.lostDomains = make(map[identifier.FailureDomain]bool)
+	forwarder.replications = tabulator.New[identifier.SubmissionID, replication]()
 	forwarder.leads = tabulator.New[cellKey, lead]()
 	forwarder.timers = tabulator.NewTimers[timerKey]()
 }
@@ -131,13 +160,25 @@
 	case *LeadKnown:
 		forwarder.recordLead(input)
 	case *HostsChanged:
-		forwarder.living = input.Living
-		forwarder.replaceLostCopyHolders()
-		forwarder.spreadLoneAnswers()
-	case *MemoryLost:
-		forwarder.repairCopies(input.Host)
+		forwarder.changeLiving(input.Living)
+	case *DomainChanged:
+		forwarder.changeDomain(input)
+	case *QuestionAnswered:
+		forwarder.answerQuestion(input)
+	case *HolderAsked:
+		forwarder.askHolder(input)
+	case *HostRestarted:
+		forwarder.replaceRestarted(input.Host)
 	case *LeadReconnected:
-		forwarder.routeToAgain(input.Host)
+		forwarder.reconnect(input.Host)
+	case *LeaveRequested:
+		forwarder.handOver()
+	case *ReplicasArrived:
+		forwarder.holdReplicas(input)
+	case *ReplicasHeld:
+		forwarder.recordReplicasHeld(input)
+	case *SecondHolderWanted:
+		forwarder.replicate(input.Submission)
 	case *CopiesWanted:
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -57,18 +57,69 @@
 	Living []identifier.HostID
 }
 
-// MemoryLost tells that a host of the failure domain is gone, or has a new process.
-type MemoryLost struct {
+// LeadReconnected tells that a new connection to a host stands.
+type LeadReconnected struct {
 	Host identifier.HostID
 }
 
-func (*MemoryLost) isForwarderInput() {}
+// DomainChanged tells whether any host of a failure domain lives.
+type DomainChanged struct {
+	FailureDomain identifier.FailureDomain
+	Living        bool
+}
 
-// LeadReconnected tells that a new connection to a host stands.
-type LeadReconnected struct {
+// HolderAsked asks for the answer of the submission that holds the claim of
+// another one, whose home is known.
+type HolderAsked struct {
+	Claimant identifier.SubmissionID
+	Caller   identifier.CallerID
+	Holder   identifier.SubmissionID
+	Home     identifier.FailureDomain
+}
+
+// QuestionAnswered brings what another host knows of a submission.
+type QuestionAnswered struct {
+	From  identifier.HostID
+	Reply messenger.LookupReply
+}
+
+func (*DomainChanged) isForwarderInput()    {}
+func (*HolderAsked) isForwarderInput()      {}
+func (*QuestionAnswered) isForwarderInput() {}
+
+// HostRestarted tells that another host of the failure domain runs a new process,
+// which knows nothing of what the old one held.
+type HostRestarted struct {
 	Host identifier.HostID
 }
 
+// LeaveRequested tells that this host leaves and must hand over what it knows.
+type LeaveRequested struct{}
+
+// ReplicasArrived asks this host to hold what another can't keep alone.
+type ReplicasArrived struct {
+	From     identifier.HostID
+	Replicas []messenger.Replica
+}
+
+// ReplicasHeld tells that another host holds replicas.
+type ReplicasHeld struct {
+	From    identifier.HostID
+	Receipt messenger.ReplicaReceipt
+}
+
+// SecondHolderWanted asks that another host of the failure domain holds the answer
+// of a submission that this host leads; ConfirmAnswer follows.
+type SecondHolderWanted struct {
+	Submission identifier.SubmissionID
+}
+
+func (*HostRestarted) isForwarderInput()      {}
+func (*LeaveRequested) isForwarderInput()     {}
+func (*ReplicasArrived) isForwarderInput()    {}
+func (*ReplicasHeld) isForwarderInput()       {}
+func (*SecondHolderWanted) isForwarderInput() {}
+
 func (*LeadReconnected) isForwarderInput() {}
 
 // CopiesWanted asks this host to hold the second copy of submissions.
@@ -91,6 +142,7 @@
 
 // AnswerCopyHeld tells that a host holds the second copy of an answer.
 type AnswerCopyHeld struct {
+	From       identifier.HostID
 	Submission identifier.SubmissionID
 }
 
@@ -119,7 +171,9 @@
 
 // RecordsLearned brings what another host knows of a cell that this host has taken.
 type RecordsLearned struct {
-	From    identifier.HostID
+	From identifier.HostID
+	// Partner is the other host that knows the records.
+	Partner identifier.HostID
 	Records []messenger.CopyRecord
 }
 
--- a/pkg/forwarder/output.go
+++ b/pkg/forwarder/output.go
@@ -71,13 +71,45 @@
 
 // PassJob hands a relayed job to the dispatcher of this host.
 type PassJob struct {
-	From     identifier.HostID
+	From identifier.HostID
+	// Partner is the neighbour that remembers the job.
+	Partner  identifier.HostID
 	Forward  messenger.Forward
 	Deadline identifier.Moment
 }
 
 func (*PassJob) isForwarderOutput() {}
 
+// AnswerQuestion sends a kept answer to a host that looks for it.
+type AnswerQuestion struct {
+	To    identifier.HostID
+	Reply messenger.LookupReply
+}
+
+// HolderAnswered answers a HolderAsked.
+type HolderAnswered struct {
+	Claimant identifier.SubmissionID
+	Answer   *messenger.JobAnswer
+}
+
+func (*AnswerQuestion) isForwarderOutput() {}
+func (*HolderAnswered) isForwarderOutput() {}
+
+// SendReplicas has another host hold what this one knows.
+type SendReplicas struct {
+	To       identifier.HostID
+	Replicas []messenger.Replica
+}
+
+// ConfirmReplicas tells that this host holds replicas.
+type ConfirmReplicas struct {
+	To      identifier.HostID
+	Receipt messenger.ReplicaReceipt
+}
+
+func (*SendReplicas) isForwarderOutput()    {}
+func (*ConfirmReplicas) isForwarderOutput() {}
+
 // TellLead tells a host that another one leads its cell.
 type TellLead struct {
 	To     identifier.HostID
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -9,6 +9,10 @@
 // the first sending.
 func (forwarder *Forwarder) submit(input *CallerSubmitted) {
 	known := forwarder.fronts.Get(input.Job.Submission)
+	if known == nil && forwarder.full() {
+		forwarder.refuseFull(input)
+		return
+	}
 	if known == nil {
 		forwarder.begin(input)
 		return
@@ -17,9 +21,25 @@
 		forwarder.answerConflict(input)
 		return
 	}
+	if known.answer != nil && known.answer.ClaimsNothing() {
+		forwarder.beginAgain(known, input)
+		return
+	}
 	forwarder.join(known, input.Waiter)
 }
 
+// beginAgain asks anew for a submission that was refused because nobody could tell
+// what became of it. Its home may be back.
+func (forwarder *Forwarder) beginAgain(known *front, input *CallerSubmitted) {
+	known.answer = nil
+	known.job = input.Job
+	known.deadline = input.Deadline
+	known.forwardedTo = ""
+	forwarder.timers.Clear(timerKey{kind: timerForgetFront, submission: input.Job.Submission})
+	known.waiters = append(known.waiters, input.Waiter)
+	forwarder.route(known)
+}
+
 func (forwarder *Forwarder) begin(input *CallerSubmitted) {
 	created := &front{
 		job:       input.Job,
@@ -51,7 +71,7 @@
 	lead := forwarder.leads.Get(forwarder.cellOf(front.job))
 	if lead == nil || lead.host == "" || lead.unreachable {
 		front.forwardedTo = ""
-		due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.HomeWait), front.deadline)
+		due := identifier.Earlier(forwarder.now.Add(forwarder.homeWait(front.job.Home())), front.deadline)
 		forwarder.timers.Set(timerKey{kind: timerHomeWait, submission: submission}, due)
 		return
 	}
@@ -77,7 +97,7 @@
 	record := forwarder.recordOf(front)
 	record.Epoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
 	forwarder.add(&HoldCopies{To: second, Records: []messenger.CopyRecord{record}})
-	due := forwarder.now.Add(forwarder.Settings.CopyWait)
+	due := identifier.Earlier(forwarder.now.Add(forwarder.Settings.CopyWait), front.deadline)
 	forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: front.job.Submission}, due)
 }
 
@@ -109,26 +129,55 @@
 		},
 		Deadline: front.deadline,
 	})
+	if front.forwardedTo != to {
+		front.resends = 0
+	}
 	front.forwardedTo = to
+	if !front.forwardedBefore {
+		front.firstEpoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
+	}
 	front.forwardedBefore = true
+	if to != forwarder.Self {
+		front.partner = to
+	}
 	if front.cancelled {
 		forwarder.forwardCancel(front)
 	}
-	last := forwarder.now
-	if front.deadline != identifier.Never {
-		last = max(last, front.deadline)
+	wait := forwarder.Settings.AskAgain << min(front.resends, mostDoublings)
+	front.resends++
+	due := forwarder.now.Add(wait)
+	if latest := forwarder.latestAnswer(front); latest > forwarder.now {
+		due = identifier.Earlier(due, latest)
+	}
+	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, due)
+}
+
+// latestAnswer is when the lead's answer must be here: it comes with the deadline,
+// if the lead can be reached.
+func (forwarder *Forwarder) latestAnswer(front *front) identifier.Moment {
+	if front.deadline == identifier.Never {
+		return identifier.Never
 	}
-	forwarder.timers.Set(timerKey{kind: timerAskAgain, submission: front.job.Submission}, last.Add(forwarder.Settings.AskAgain))
+	return front.deadline.Add(forwarder.Settings.HomeWait)
 }
 
-// askAgain forwards a job again whose answer is overdue. The answer may have been
-// lost on its way from a third host, over a connection whose end told this host
-// nothing about the lead; the caller would wait for ever. The lead, or the host
-// that it asks, sends the one answer again.
+// mostDoublings bounds how rare the resends of an unanswered job become.
+const mostDoublings = 4
+
+// askAgain forwards a job again that has no answer yet. The job, or its answer from
+// a third host, may have been lost with a connection whose end told this host
+// nothing; the caller would wait for ever. The lead knows the submission and sends
+// the one answer again, or has the host send it that keeps it.
 func (forwarder *Forwarder) askAgain(submission identifier.SubmissionID) {
-	if front := forwarder.fronts.Get(submission); front != nil && front.answer == nil {
-		forwarder.route(front)
+	front := forwarder.fronts.Get(submission)
+	if front == nil || front.answer != nil {
+		return
+	}
+	if forwarder.latestAnswer(front).Due(forwarder.now) {
+		forwarder.refuseLate(front, "the deadline passed and the lead of the job's home does not answer")
+		return
 	}
+	forwarder.route(front)
 }
 
 // recordLead notes who leads a cell and forwards the unanswered jobs of the cell
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -57,6 +57,8 @@
 	Epoch identifier.Epoch `cbor:"8,keyasint,omitempty"`
 	// SpilledTo is the failure domain that the job was handed over to.
 	SpilledTo identifier.FailureDomain `cbor:"9,keyasint,omitempty"`
+	// Remaining is the time until the job's deadline; nil when there is none.
+	Remaining *time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // AnswerCopy asks a second host to hold an answer.
@@ -71,6 +73,9 @@
 type AnswerRequest struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
 	ReplyTo    identifier.HostID       `cbor:"2,keyasint"`
+	// Question is the question that the answer is wanted for; zero for a submission
+	// that was sent again.
+	Question QuestionNumber `cbor:"3,keyasint,omitempty"`
 }
 
 // TakeoverQuery asks every host of the failure domain which submissions of the
@@ -95,12 +100,6 @@
 	Epoch         identifier.Epoch         `cbor:"4,keyasint"`
 }
 
-// Lookup asks a lead for the state of a submission.
-type Lookup struct {
-	Submission identifier.SubmissionID `cbor:"1,keyasint"`
-	Caller     identifier.CallerID     `cbor:"2,keyasint"`
-}
-
 // Cancel asks a lead to cancel a submission on behalf of its caller.
 type Cancel struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
--- a/pkg/replayer/answerchecker.go
+++ b/pkg/replayer/answerchecker.go
@@ -28,13 +28,27 @@
 	checker.checkOneAnswer(submission, answer, at)
 }
 
+// ranAs returns the submission whose results the answer must hold: its own, or the
+// one that ran the not-repeatable job, whose answer a resubmission gets.
+func (checker *Checker) ranAs(submission *checkedSubmission, id identifier.SubmissionID) (identifier.SubmissionID, *checkedSubmission) {
+	if submission.request == nil || len(submission.starts) > 0 {
+		return id, submission
+	}
+	first, ran := checker.runs[*submission.request]
+	if !ran || checker.submissions[first] == nil {
+		return id, submission
+	}
+	return first, checker.submissions[first]
+}
+
 func (checker *Checker) checkCaller(submission *checkedSubmission, answer CallerAnswer, at identifier.Moment) {
 	if answer.Caller != submission.caller {
 		checker.violate("every caller gets its own answer", answer.Submission, at,
 			"caller %s got the answer of caller %s", answer.Caller, submission.caller)
 	}
+	ranAs, _ := checker.ranAs(submission, answer.Submission)
 	for _, result := range answer.Answers {
-		if result.Submission != answer.Submission {
+		if result.Submission != ranAs {
 			checker.violate("every caller gets its own answer", answer.Submission, at,
 				"the answer holds the result of task %s of submission %s", result.Task, result.Submission)
 		}
@@ -47,6 +61,7 @@
 	if answer.Outcome != tracer.OutcomeComplete {
 		return
 	}
+	_, ran := checker.ranAs(submission, answer.Submission)
 	counts := make(map[identifier.TaskID]int, len(submission.tasks))
 	for _, result := range answer.Answers {
 		counts[result.Task]++
@@ -56,7 +71,7 @@
 			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
 				"task %s has %d results", task, counts[task])
 		}
-		if submission.starts[task] == 0 {
+		if ran.starts[task] == 0 {
 			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
 				"task %s has never started", task)
 		}
