--- a/pkg/replayer/backendserver.go
+++ b/pkg/replayer/backendserver.go
@@ -1,6 +1,8 @@
 package replayer
 
 import (
+	"time"
+
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/replayer/fakebackend"
@@ -10,6 +12,9 @@
 // serverBatch is what a backend server sends an entry host at once.
 type serverBatch []dispatcher.Input
 
+// runningBefore is how long backend servers have run when the replay begins.
+const runningBefore = time.Hour
+
 // backendServer is the place of one fake backend server.
 type backendServer struct {
 	replay      *replay
@@ -40,6 +45,11 @@
 		Connections: deployment.Connections,
 		Incarnation: server.incarnation,
 		World:       server,
+		StartedAt:   server.Now(),
+	}
+	if server.incarnation == 1 {
+		// The trace begins in the midst of an ordinary day.
+		server.process.StartedAt = server.Now().Add(-runningBefore)
 	}
 	server.process.Run()
 	server.replay.network.Start(server.place, &serverProcess{server: server, process: server.process})
--- a/pkg/replayer/controlsize.go
+++ b/pkg/replayer/controlsize.go
@@ -43,6 +43,7 @@
 		return proto.Size(&backendv1.ServerMessage{Announce: &backendv1.Announce{
 			BackendServer: string(input.Server), Incarnation: input.Incarnation, Slots: int32(input.Slots),
 			Tasks: taskStates(input.Tasks), Unacknowledged: answers(input.Unacknowledged), Leaving: input.Leaving,
+			UptimeNanos: int64(input.Uptime),
 		}})
 	}
 	return 0
--- a/pkg/replayer/fakebackend/server.go
+++ b/pkg/replayer/fakebackend/server.go
@@ -38,6 +38,8 @@
 	Connections int
 	Incarnation uint64
 	World       World
+	// StartedAt is when the process started.
+	StartedAt identifier.Moment
 	// FailsEveryTask and Slowdown are faults; a Slowdown of zero is none.
 	FailsEveryTask bool
 	Slowdown       float64
@@ -112,6 +114,7 @@
 func (server *Server) announce(host identifier.HostID) {
 	announced := &dispatcher.ServerAnnounced{
 		Server: server.ID, Incarnation: server.Incarnation, Slots: server.Slots, Leaving: server.leaving,
+		Uptime: server.World.Now().Sub(server.StartedAt),
 	}
 	announced.Tasks, announced.Unacknowledged = server.state(func(*task) bool { return true })
 	server.queue(host, announced)
--- a/pkg/replayer/ledger.go
+++ b/pkg/replayer/ledger.go
@@ -17,6 +17,8 @@
 	// ranAt tells which backend server ran a task.
 	ranAt   map[dispatcher.TaskKey]identifier.BackendServerID
 	control map[identifier.HostID]identifier.Bytes
+	// cameBack are the jobs that another failure domain sent back as not run.
+	cameBack map[identifier.SubmissionID]bool
 }
 
 type batch struct{ parts []part }
@@ -42,14 +44,17 @@
 	partForward
 	// partRecord is a copy of a submission's record or a receipt.
 	partRecord
+	// partSpill is a job handed to another failure domain, or its answer.
+	partSpill
 	partStart
 	partTaskAnswer
 )
 
 func newLedger() *ledger {
 	return &ledger{
-		ranAt:   make(map[dispatcher.TaskKey]identifier.BackendServerID),
-		control: make(map[identifier.HostID]identifier.Bytes),
+		ranAt:    make(map[dispatcher.TaskKey]identifier.BackendServerID),
+		control:  make(map[identifier.HostID]identifier.Bytes),
+		cameBack: make(map[identifier.SubmissionID]bool),
 	}
 }
 
@@ -110,6 +115,9 @@
 	var parts []part
 	for index := range output.Batch.Messages {
 		message := &output.Batch.Messages[index]
+		if answer := message.SpillAnswer; answer != nil && answer.NotRun {
+			ledger.cameBack[answer.Submission] = true
+		}
 		data := peerParts(from, output.Host, message)
 		if data == nil {
 			ledger.addControl(from, peerControlSize(message))
@@ -119,48 +127,6 @@
 	ledger.add(parts)
 }
 
-// peerParts returns the parts of a message between entry hosts, or nothing for
-// control traffic.
-func peerParts(from, to identifier.HostID, message *coordinator.PeerMessage) []part {
-	switch {
-	case message.Forward != nil:
-		return []part{{kind: partForward, submission: message.Forward.Job.Submission, host: from}}
-	case message.Answer != nil:
-		return []part{{kind: partForward, submission: message.Answer.Submission, host: to}}
-	case message.AnswerReceipt != "":
-		return []part{{kind: partRecord, submission: message.AnswerReceipt}}
-	case message.AnswerCopy != nil:
-		return []part{{kind: partRecord, submission: message.AnswerCopy.Answer.Submission}}
-	case message.AnswerCopyReceipt != "":
-		return []part{{kind: partRecord, submission: message.AnswerCopyReceipt}}
-	case message.AnswerRequest != nil:
-		return []part{{kind: partForward, submission: message.AnswerRequest.Submission, host: message.AnswerRequest.ReplyTo}}
-	case message.Lookup != nil:
-		return []part{{kind: partForward, submission: message.Lookup.Submission, host: from}}
-	case message.Cancel != nil:
-		return []part{{kind: partRecord, submission: message.Cancel.Submission}}
-	case message.Spill != nil:
-		return []part{{kind: partRecord, submission: message.Spill.Job.Submission}}
-	case message.SpillAnswer != nil:
-		return []part{{kind: partRecord, submission: message.SpillAnswer.Submission}}
-	case message.SpillReceipt != "":
-		return []part{{kind: partRecord, submission: message.SpillReceipt}}
-	case message.CopyRequest != nil:
-		var parts []part
-		for index := range message.CopyRequest {
-			parts = append(parts, part{kind: partRecord, submission: message.CopyRequest[index].Submission})
-		}
-		return parts
-	case message.CopyReceipt != nil:
-		var parts []part
-		for _, submission := range message.CopyReceipt {
-			parts = append(parts, part{kind: partRecord, submission: submission})
-		}
-		return parts
-	}
-	return nil
-}
-
 func (ledger *ledger) addControl(host identifier.HostID, size int) {
 	ledger.control[host] += identifier.Bytes(size)
 }
@@ -197,6 +163,8 @@
 		return part.host == known.answeredBy.host.id
 	case partRecord:
 		return true
+	case partSpill:
+		return !ledger.cameBack[part.submission]
 	case partStart:
 		key := dispatcher.TaskKey{Submission: part.submission, Task: part.task}
 		return known.complete && ledger.ranAt[key] == part.server
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -101,7 +101,7 @@
 		submissions: make(map[identifier.SubmissionID]*submission),
 	}
 	created.network = &fakenetwork.Network{Clock: clock, Delay: created.delay, ReconnectPause: reconnectPause}
-	policy.fill(&created.settings)
+	policy.fill(&created.settings, deployment)
 	created.end = created.lastMoment()
 	created.build(deployment)
 	return created
