Let a lead that is cut off step down, and doubt what no neighbour holds

Cause: an isolated lead went on deciding: it told its callers that jobs had failed or did not run, while another lead completed them; the answers came through when the network was back. Change: a lead that sees no other host gives up its cells until it hears a backend server; failures and 'not run' that a lead tells its own callers wait for a neighbour's copy, which is sent anyway, and after HomeWait without one the caller hears that nobody here can tell.

--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -141,6 +141,11 @@
 // defend keeps or gives up a cell that this host leads.
 func (elector *Elector) defend(id identifier.CellID, cell *cellEntity, lead announcement) {
 	switch {
+	case elector.cutOff():
+		elector.emit(LeadLost{Cell: id, Epoch: cell.mine})
+		cell.mine = 0
+		cell.overtakenUntil = identifier.Never
+		cell.withdraw(elector.Self)
 	case lead.host != elector.Self:
 		next := lead.host
 		if next == "" {
--- a/pkg/elector/isolation.go
+++ b/pkg/elector/isolation.go
@@ -2,7 +2,7 @@
 
 import "github.com/stoathitch/stoathitch/pkg/identifier"
 
-// isolation keeps a host that is silently cut off from taking the lead.
+// isolation keeps a host that is silently cut off from taking or keeping the lead.
 //
 // Such a host sees every other host of its failure domain die, as the last one
 // that lives does. If it took the cell, its epoch would wait in its connections and
@@ -13,6 +13,10 @@
 // that sees no other host must hear a backend server first. Once it hears one, or
 // another host, it listens for the settling time, because the lead that served on
 // shows itself then.
+//
+// A lead that is cut off gives its cells up for the same reason: others have taken
+// them, and what it told its callers of its jobs, that they failed or did not run,
+// could be untrue.
 type isolation struct {
 	// alone tells that other hosts are known and that none of them lives.
 	alone bool
--- a/pkg/forwarder/answers.go
+++ b/pkg/forwarder/answers.go
@@ -30,6 +30,7 @@
 	forwarder.confirmAnswer(input.From, front)
 	if forwarder.mustSpreadFirst(input.From, front) {
 		front.answerHeldBack = true
+		front.heldBackAt = forwarder.now
 		due := forwarder.now.Add(forwarder.Settings.CopyWait)
 		forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: submission}, due)
 		return
@@ -50,13 +51,35 @@
 }
 
 // mustSpreadFirst tells whether another host must hold the answer before a caller
-// hears it. That is so for failures where this host is the lead itself: if it died
-// just after it had told the failure, the next lead could finish the job and a
-// resend would hear that it is complete. It costs one message to a neighbour and
-// back. A complete answer needs no such wait: its parts are kept by the backend
-// servers, and the next lead puts the same answer together.
+// hears it. That is so for failures, and for what did not run, where this host is
+// the lead itself: if it died just after it had told them, the next lead could
+// finish the job and a resend would hear that it is complete. It costs one message
+// to a neighbour and back, which is sent anyway. A complete answer needs no such
+// wait: its parts are kept by the backend servers, and the next lead puts the same
+// answer together.
 func (forwarder *Forwarder) mustSpreadFirst(from identifier.HostID, front *front) bool {
-	return from == forwarder.Self && front.answer.Outcome == messenger.OutcomeFailed && !front.answerAlone
+	mayChange := front.answer.Outcome == messenger.OutcomeFailed || front.answer.NotRun
+	return from == forwarder.Self && mayChange && !front.answerAlone
+}
+
+// spreadHeldBack asks the next neighbour to hold an answer that none has confirmed
+// in time. Where that goes on, this host may be cut off from the others, and one of
+// them may have taken the cell: then the caller hears that nobody here can tell.
+func (forwarder *Forwarder) spreadHeldBack(submission identifier.SubmissionID) {
+	front := forwarder.fronts.Get(submission)
+	if front == nil || !front.answerHeldBack {
+		return
+	}
+	second := forwarder.secondHost(front.spreadTo)
+	if second == "" || forwarder.now.Sub(front.heldBackAt) >= forwarder.Settings.HomeWait {
+		front.answer = messenger.RefuseUnknown(submission, front.answer.Reason, front.answer.Detail)
+		forwarder.answerWaiters(front)
+		return
+	}
+	front.spreadTo = second
+	forwarder.holdAnswerAt(second, front)
+	due := forwarder.now.Add(forwarder.Settings.CopyWait)
+	forwarder.timers.Set(timerKey{kind: timerCopyWait, submission: submission}, due)
 }
 
 func (forwarder *Forwarder) answerWaiters(front *front) {
@@ -82,8 +105,17 @@
 		forwarder.keepAnswerAlone(front)
 		return
 	}
-	known := forwarder.leads.Get(forwarder.cellOf(front.job))
-	forwarder.add(&HoldAnswer{To: second, Copy: messenger.AnswerCopy{Answer: front.answer, Epoch: known.epoch}})
+	front.spreadTo = second
+	forwarder.holdAnswerAt(second, front)
+}
+
+// holdAnswerAt asks a neighbour to hold an answer of the lead's epoch.
+func (forwarder *Forwarder) holdAnswerAt(neighbour identifier.HostID, front *front) {
+	copied := messenger.AnswerCopy{Answer: front.answer}
+	if known := forwarder.leads.Get(forwarder.cellOf(front.job)); known != nil {
+		copied.Epoch = known.epoch
+	}
+	forwarder.add(&HoldAnswer{To: neighbour, Copy: copied})
 }
 
 // keepAnswerAlone waits for a second host to hold the answer. Meanwhile the
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -26,6 +26,10 @@
 	// answerHeldBack tells that the callers hear the answer once another host holds
 	// it, or after a short wait.
 	answerHeldBack bool
+	// spreadTo is the neighbour that was last asked to hold the answer, heldBackAt
+	// when the answer began to wait for one.
+	spreadTo   identifier.HostID
+	heldBackAt identifier.Moment
 	// answerAlone tells that the answer waits for a second host to hold it.
 	answerAlone bool
 }
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -19,7 +19,7 @@
 		forwarder.giveUpHome(key)
 	case timerCopyWait:
 		forwarder.askAnotherHost(key)
-		forwarder.releaseHeldBack(key.submission)
+		forwarder.spreadHeldBack(key.submission)
 	case timerForgetFront:
 		forwarder.fronts.Remove(key.submission)
 	case timerRelay:
