Take only the report that was asked for as proof of what did not start

Cause: a server that was silent answers two Leads with two reports; the lead started tasks after the first and took the second, under way already, for proof that they had not started; they started again elsewhere. Change: only the first report after a Lead returns absent tasks to the queue.

--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -134,26 +134,42 @@
 	if input.Epoch < cell.epoch {
 		return
 	}
+	// A server that was told twice who leads reports twice. Only the first report
+	// comes before everything that was started since; the second may have been
+	// under way when a start was sent, and says nothing of tasks that it lacks.
+	asked := !server.fenced
 	server.fenced = true
 	dispatcher.reconcile(cell, server, input.Tasks, input.Unacknowledged)
+	if asked {
+		dispatcher.returnAbsent(cell, server, input)
+	}
 	cell.free.update(server)
 	dispatcher.placeUnplaced(cell)
 	delete(cell.awaitedServers, server.id)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
 
-// reconcile compares a complete report with the starts that this host has sent.
-// A task that is absent was never started and goes back to the queue.
+// reconcile takes over what a report tells of running and ended tasks.
 func (dispatcher *Dispatcher) reconcile(cell *cell, server *server, tasks []TaskKey, answers []ServerAnswer) {
-	present := make(map[TaskKey]bool, len(tasks)+len(answers))
 	for _, key := range tasks {
-		present[key] = true
 		dispatcher.adoptRunning(cell, server, key)
 	}
 	for _, answer := range answers {
-		present[answer.TaskKey] = true
 		dispatcher.recordAnswer(cell, server, answer)
 	}
+}
+
+// returnAbsent compares a complete report with the starts that this host has sent
+// before it asked. A task that is absent was never started and goes back to the
+// queue.
+func (dispatcher *Dispatcher) returnAbsent(cell *cell, server *server, report *ServerReported) {
+	present := make(map[TaskKey]bool, len(report.Tasks)+len(report.Unacknowledged))
+	for _, key := range report.Tasks {
+		present[key] = true
+	}
+	for index := range report.Unacknowledged {
+		present[report.Unacknowledged[index].TaskKey] = true
+	}
 	for _, task := range dispatcher.tasksOn(server) {
 		if !present[task.key()] {
 			dispatcher.returnToQueue(cell, server, task)
