Step down after two silent heartbeats, and hold back till contact is proven

Cause: a lead that saw the last other host die stepped down at once, forgot what it alone knew of spilled and running jobs, and started them again when it took the cell back. Change: it keeps its cells for 2 s unless it hears a backend server; until it hears one its forwarder goes on asking the others for copies, so that it tells nobody what could turn out untrue.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -41,6 +41,9 @@
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
+	// aloneUnproven tells that no other host of the failure domain lives, as far as
+	// is seen here, and that no backend server was heard since.
+	aloneUnproven bool
 
 	// What the parts have still to apply in this tick.
 	toDispatcher []dispatcher.Input
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -147,9 +147,26 @@
 	return missing
 }
 
+// hostsChanged tells the forwarder who lives. A host that sees no other one live
+// may be cut off itself, so it goes on asking the others for copies, and holds back
+// what it could not keep true, until a backend server proves that it is not.
 func (coordinator *Coordinator) hostsChanged() {
-	living := coordinator.livingIn(coordinator.Self.FailureDomain)
-	coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
+	own := coordinator.Self.FailureDomain
+	living := coordinator.livingIn(own)
+	coordinator.aloneUnproven = len(living) == 1 && coordinator.missingIn(own) > 0
+	if !coordinator.aloneUnproven {
+		coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
+	}
+}
+
+// proveContact notes that a backend server was heard.
+func (coordinator *Coordinator) proveContact() {
+	coordinator.tellElector(elector.ServerHeard{})
+	if !coordinator.aloneUnproven {
+		return
+	}
+	coordinator.aloneUnproven = false
+	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
 }
 
 // changeRecord reads what another host spreads about itself.
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -40,7 +40,7 @@
 func (coordinator *Coordinator) hearServer(event dispatcher.Input) {
 	coordinator.tellDispatcher(event)
 	if _, lost := event.(*dispatcher.ServerLost); !lost {
-		coordinator.tellElector(elector.ServerHeard{})
+		coordinator.proveContact()
 	}
 }
 
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -141,7 +141,7 @@
 // defend keeps or gives up a cell that this host leads.
 func (elector *Elector) defend(id identifier.CellID, cell *cellEntity, lead announcement) {
 	switch {
-	case elector.cutOff():
+	case elector.stepsDown():
 		elector.emit(LeadLost{Cell: id, Epoch: cell.mine})
 		cell.mine = 0
 		cell.overtakenUntil = identifier.Never
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -103,6 +103,9 @@
 		return 0
 	}
 	next := elector.settles
+	if elector.cutOff() && !elector.stepsDown() {
+		next = min(next, elector.isolation.stepsDownAt)
+	}
 	elector.cells.Each(func(_ cellKey, cell *cellEntity) bool {
 		next = min(next, cell.overtakenUntil)
 		return true
--- a/pkg/elector/isolation.go
+++ b/pkg/elector/isolation.go
@@ -1,6 +1,10 @@
 package elector
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
 
 // isolation keeps a host that is silently cut off from taking or keeping the lead.
 //
@@ -16,14 +20,20 @@
 //
 // A lead that is cut off gives its cells up for the same reason: others have taken
 // them, and what it told its callers of its jobs, that they failed or did not run,
-// could be untrue.
+// could be untrue. It waits for two heartbeats first: the last host that lives would
+// forget what it alone knows of its jobs.
 type isolation struct {
 	// alone tells that other hosts are known and that none of them lives.
 	alone bool
 	// heard tells that a backend server was heard since.
 	heard bool
+	// stepsDownAt is when a lead gives its cells up unless it hears one.
+	stepsDownAt identifier.Moment
 }
 
+// stepDownWait covers two heartbeats of backend servers.
+const stepDownWait = 2 * time.Second
+
 // noteHosts follows who lives in the own failure domain.
 func (elector *Elector) noteHosts(others, missing int) {
 	alone := others == 0 && missing > 0
@@ -31,7 +41,7 @@
 		return
 	}
 	wasCutOff := elector.isolation.alone && !elector.isolation.heard
-	elector.isolation = isolation{alone: alone}
+	elector.isolation = isolation{alone: alone, stepsDownAt: elector.now.Add(stepDownWait)}
 	if wasCutOff {
 		elector.settles = elector.now.Add(elector.SettleTime)
 	}
@@ -53,3 +63,8 @@
 func (elector *Elector) cutOff() bool {
 	return elector.isolation.alone && !elector.isolation.heard
 }
+
+// stepsDown tells whether a lead has been cut off for too long.
+func (elector *Elector) stepsDown() bool {
+	return elector.cutOff() && elector.isolation.stepsDownAt.Due(elector.now)
+}
