Test both signals of a shutdown; close connections that get no answer

Cause: after a second signal the HTTP server left the connections of unanswered callers open, which in one process (try, tests) made them wait for ever. Change: they are closed once the second's grace is over.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -243,11 +243,15 @@
 	}
 }
 
-// stop lets requests that have their answer finish writing it.
+// stop lets requests that have their answer finish writing it, and closes the
+// connections of those that get none, so that their callers learn it at once.
 func (servers *servers) stop() {
 	deadline, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = servers.http.Shutdown(deadline)
+	if servers.http.Shutdown(deadline) != nil {
+		// Nothing is left to do about a connection that can't be closed.
+		_ = servers.http.Close()
+	}
 	servers.backendServers.Stop()
 	servers.peers.Stop()
 }
--- a/pkg/assembler/harness_test.go
+++ b/pkg/assembler/harness_test.go
@@ -28,9 +28,18 @@
 type deployment struct {
 	settings []*loader.Settings
 	hosts    []*requester.Requester
+	signals  []*signals
 	logs     lockedBuffer
 }
 
+// signals are what an operator can tell a daemon: the first termination signal and
+// the second. ended is closed when the daemon has ended.
+type signals struct {
+	terminate context.CancelFunc
+	hurry     context.CancelFunc
+	ended     chan struct{}
+}
+
 // lockedBuffer takes the logs of several daemons.
 type lockedBuffer struct {
 	mutex  sync.Mutex
@@ -56,27 +65,35 @@
 func startDeployment(tb testing.TB, hosts int, change func(*loader.Settings)) *deployment {
 	tb.Helper()
 	created := &deployment{settings: deploymentSettings(tb, hosts)}
-	var group sync.WaitGroup
-	running, stop := context.WithCancel(context.Background())
-	tb.Cleanup(func() {
-		stop()
-		group.Wait()
-	})
 	for _, settings := range created.settings {
 		if change != nil {
 			change(settings)
 		}
-		daemon := &assembler.Daemon{Common: provider.New(settings, &created.logs)}
-		group.Go(func() {
-			if err := daemon.Run(running, running); err != nil {
-				tb.Errorf("daemon: %v", err)
-			}
-		})
+		created.signals = append(created.signals, created.startDaemon(tb, settings))
 		created.hosts = append(created.hosts, &requester.Requester{Host: "http://" + settings.CallersAddress.String()})
 	}
 	return created
 }
 
+func (deployment *deployment) startDaemon(tb testing.TB, settings *loader.Settings) *signals {
+	serving, terminate := context.WithCancel(context.Background())
+	patient, hurry := context.WithCancel(context.Background())
+	created := &signals{terminate: terminate, hurry: hurry, ended: make(chan struct{})}
+	daemon := &assembler.Daemon{Common: provider.New(settings, &deployment.logs)}
+	go func() {
+		defer close(created.ended)
+		if err := daemon.Run(serving, patient); err != nil {
+			tb.Errorf("daemon: %v", err)
+		}
+	}()
+	tb.Cleanup(func() {
+		hurry()
+		terminate()
+		<-created.ended
+	})
+	return created
+}
+
 // startServers runs stand-in backend servers until the test ends.
 func (deployment *deployment) startServers(tb testing.TB, count, slots int) {
 	var group sync.WaitGroup
