--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -75,15 +75,22 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
+	// keeper gives the host a part in the replicated log, with a disk that forgets
+	// with the process.
+	keeper bool
 }
 
 // member describes the host's present process.
 func (host *fakeHost) member() gossiper.Member {
+	roles := []gossiper.Role{gossiper.RoleEntry}
+	if host.keeper {
+		roles = append(roles, gossiper.RoleKeeper)
+	}
 	return gossiper.Member{
 		Host:          host.id,
 		FailureDomain: host.domain,
 		Region:        "vlaanderen",
-		Roles:         []gossiper.Role{gossiper.RoleEntry},
+		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
 	}
@@ -274,6 +281,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.Persist:
+		network.persist(host, output)
 	case *coordinator.Drained:
 		network.endDrained(host)
 	case *coordinator.ToCaller:
--- a/pkg/coordinator/oracle_test.go
+++ b/pkg/coordinator/oracle_test.go
@@ -19,15 +19,18 @@
 	finals   map[identifier.SubmissionID]*messenger.JobAnswer
 	next     forwarder.WaiterID
 	breaches []string
+	// strangers wait for submissions of other callers.
+	strangers map[forwarder.WaiterID]bool
 }
 
 func newOracle() *oracle {
 	return &oracle{
-		starts:  make(map[dispatcher.TaskKey]identifier.BackendServerID),
-		started: make(map[identifier.SubmissionID]bool),
-		waiters: make(map[forwarder.WaiterID]*messenger.Job),
-		done:    make(map[forwarder.WaiterID]*messenger.JobAnswer),
-		finals:  make(map[identifier.SubmissionID]*messenger.JobAnswer),
+		strangers: make(map[forwarder.WaiterID]bool),
+		starts:    make(map[dispatcher.TaskKey]identifier.BackendServerID),
+		started:   make(map[identifier.SubmissionID]bool),
+		waiters:   make(map[forwarder.WaiterID]*messenger.Job),
+		done:      make(map[forwarder.WaiterID]*messenger.JobAnswer),
+		finals:    make(map[identifier.SubmissionID]*messenger.JobAnswer),
 	}
 }
 
@@ -61,6 +64,9 @@
 	if answer.Submission != job.Submission {
 		oracle.breach("waiter of %s got the answer of %s", job.Submission, answer.Submission)
 	}
+	if oracle.strangers[waiter] && !answer.ClaimsNothing() {
+		oracle.breach("a stranger got the answer of %s", job.Submission)
+	}
 	if answer.NotRun && oracle.started[job.Submission] {
 		oracle.breach("%s was answered as not run, but it has run", job.Submission)
 	}
--- a/pkg/coordinator/records_fuzz_test.go
+++ b/pkg/coordinator/records_fuzz_test.go
@@ -57,6 +57,19 @@
 	machine.later(delay, func() { machine.startAgain(host) })
 }
 
+// Ask asks any host for a known job, as its caller or as a stranger.
+func (machine *recordsMachine) Ask(t *rapid.T) {
+	host, job := machine.drawHost(t), machine.drawJob(t)
+	if !rapid.Bool().Draw(t, "stranger") {
+		machine.network.ask(host, job)
+		return
+	}
+	stranger := *job
+	stranger.Caller = "stranger"
+	machine.network.oracle.strangers[machine.network.oracle.next+1] = true
+	machine.network.ask(host, &stranger)
+}
+
 func (machine *recordsMachine) startAgain(host *fakeHost) {
 	if host.coordinator == nil {
 		machine.network.startHost(host)
