--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -32,6 +32,8 @@
 	trace       bool
 	// settings are those of the hosts that start from now on.
 	settings coordinator.Settings
+	// cost counts messages between hosts unless it is nil.
+	cost *cost
 }
 
 // connection counts its breaks, so that messages of an older one are dropped.
@@ -270,6 +272,9 @@
 func (network *network) carryOut(host *fakeHost, output coordinator.Output) {
 	switch output := output.(type) {
 	case *coordinator.ToPeer:
+		if network.cost != nil {
+			network.cost.count(output)
+		}
 		peer := network.host(output.Host)
 		network.send(string(host.id), string(peer.id), func() {
 			network.tick(peer, &coordinator.PeerBatchArrived{From: host.id, Batch: output.Batch})
