--- a/pkg/coordinator/fuzz_test.go
+++ b/pkg/coordinator/fuzz_test.go
@@ -111,6 +111,10 @@
 
 // Submit sends a new job.
 func (machine *machine) Submit(t *rapid.T) {
+	machine.send(t, machine.drawNewJob(t))
+}
+
+func (machine *machine) drawNewJob(t *rapid.T) *messenger.Job {
 	number := len(machine.jobs)
 	job := &messenger.Job{
 		Submission: identifier.SubmissionID(fmt.Sprintf("submission-%d", number)),
@@ -124,6 +128,10 @@
 		runTime := rapid.SampledFrom([]string{"1ms", "50ms", "400ms", "4s"}).Draw(t, "run time")
 		job.Tasks = append(job.Tasks, messenger.Task{Task: identifier.TaskID(fmt.Sprint(index)), Payload: []byte(runTime)})
 	}
+	return job
+}
+
+func (machine *machine) send(t *rapid.T, job *messenger.Job) {
 	machine.jobs = append(machine.jobs, job)
 	machine.network.submit(machine.drawHost(t), job, rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second}).Draw(t, "timeout"))
 }
--- a/pkg/coordinator/lookups_test.go
+++ b/pkg/coordinator/lookups_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
@@ -161,14 +160,7 @@
 func settledClaims(t *testing.T) *network {
 	t.Helper()
 	network := domainOf(t, 4, 2)
-	for _, host := range network.hosts {
-		network.crashHost(host)
-		host.keeper = true
-	}
-	for _, host := range network.hosts {
-		network.startHost(host)
-	}
-	network.advance(5 * time.Second)
+	network.makeKeepers()
 	return network
 }
 
@@ -242,13 +234,3 @@
 		t.Errorf("%d tasks began", begun)
 	}
 }
-
-// persist answers the journal's part of a keeper at once.
-func (network *network) persist(host *fakeHost, output *coordinator.Persist) {
-	generation := host.generation
-	network.at(time.Millisecond, func() {
-		if host.generation == generation {
-			network.tick(host, &coordinator.Persisted{Sequence: output.Persist.Sequence})
-		}
-	})
-}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -77,9 +77,9 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
-	// keeper gives the host a part in the replicated log, with a disk that forgets
-	// with the process.
+	// keeper gives the host a part in the replicated log.
 	keeper bool
+	disk   fakeDisk
 }
 
 // member describes the host's present process.
@@ -200,6 +200,9 @@
 		host.coordinator.Seeds = append(host.coordinator.Seeds, other.member())
 	}
 	host.startedAt = network.now
+	if host.keeper {
+		network.tick(host, host.disk.restored())
+	}
 	network.tick(host)
 	for _, other := range network.hosts {
 		if other != host && other.coordinator != nil {
--- a/pkg/coordinator/oracle_test.go
+++ b/pkg/coordinator/oracle_test.go
@@ -21,11 +21,16 @@
 	breaches []string
 	// strangers wait for submissions of other callers.
 	strangers map[forwarder.WaiterID]bool
+	jobs      map[identifier.SubmissionID]*messenger.Job
+	// claims are the submissions that began a not-repeatable job.
+	claims map[identifier.JobID]identifier.SubmissionID
 }
 
 func newOracle() *oracle {
 	return &oracle{
 		strangers: make(map[forwarder.WaiterID]bool),
+		jobs:      make(map[identifier.SubmissionID]*messenger.Job),
+		claims:    make(map[identifier.JobID]identifier.SubmissionID),
 		starts:    make(map[dispatcher.TaskKey]identifier.BackendServerID),
 		started:   make(map[identifier.SubmissionID]bool),
 		waiters:   make(map[forwarder.WaiterID]*messenger.Job),
@@ -40,6 +45,7 @@
 
 func (oracle *oracle) expect(job *messenger.Job) forwarder.WaiterID {
 	oracle.next++
+	oracle.jobs[job.Submission] = job
 	oracle.waiters[oracle.next] = job
 	return oracle.next
 }
@@ -48,6 +54,7 @@
 	if first, found := oracle.starts[key]; found {
 		oracle.breach("%v began at %s and again at %s", key, first, server)
 	}
+	oracle.checkClaim(key.Submission)
 	oracle.starts[key] = server
 	oracle.started[key.Submission] = true
 	if final := oracle.finals[key.Submission]; final != nil && final.NotRun {
@@ -55,6 +62,18 @@
 	}
 }
 
+// checkClaim sees that at most one submission of a not-repeatable job begins.
+func (oracle *oracle) checkClaim(submission identifier.SubmissionID) {
+	job := oracle.jobs[submission]
+	if job == nil || job.Repeatable {
+		return
+	}
+	if first, found := oracle.claims[job.Job]; found && first != submission {
+		oracle.breach("not-repeatable %s began as %s and again as %s", job.Job, first, submission)
+	}
+	oracle.claims[job.Job] = submission
+}
+
 func (oracle *oracle) answered(waiter forwarder.WaiterID, answer *messenger.JobAnswer) {
 	job := oracle.waiters[waiter]
 	if oracle.done[waiter] != nil {
--- a/pkg/coordinator/records_fuzz_test.go
+++ b/pkg/coordinator/records_fuzz_test.go
@@ -34,6 +34,39 @@
 	})
 }
 
+// TestNotRepeatableJobsRunOnce makes every host a keeper and draws resubmissions of
+// two not-repeatable jobs under new ids, at any host of either failure domain.
+func TestNotRepeatableJobsRunOnce(t *testing.T) {
+	bound(t, "100")
+	rapid.Check(t, func(t *rapid.T) {
+		domains := []identifier.FailureDomain{"leuven", "roeselare"}[:rapid.IntRange(1, 2).Draw(t, "failure domains")]
+		fuzzed := &claimsMachine{recordsMachine{machine{network: newNetwork(domains, 3, 2, 2), domains: domains}}}
+		fuzzed.network.trace = *trace
+		fuzzed.network.makeKeepers()
+		t.Repeat(rapid.StateMachineActions(fuzzed))
+		for _, host := range fuzzed.network.hosts {
+			fuzzed.startAgain(host)
+		}
+		fuzzed.heal(t)
+	})
+}
+
+type claimsMachine struct{ recordsMachine }
+
+// Submit sends a new submission of one of two not-repeatable jobs.
+func (machine *claimsMachine) Submit(t *rapid.T) {
+	job := machine.drawNewJob(t)
+	job.Repeatable = false
+	job.Job = rapid.SampledFrom([]identifier.JobID{"once-0", "once-1"}).Draw(t, "job")
+	// A resubmission asks for the same tasks.
+	for _, earlier := range machine.jobs {
+		if earlier.Job == job.Job {
+			job.Tasks = earlier.Tasks
+		}
+	}
+	machine.send(t, job)
+}
+
 func (machine *recordsMachine) later(delay time.Duration, run func()) {
 	machine.calmAt = machine.network.now.Add(delay + repairTime)
 	machine.network.at(delay, run)
