--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -74,10 +74,10 @@
 		coordinator.tellElector(elector.HostRestarted{FailureDomain: member.FailureDomain, Host: member.Host})
 	}
 	living := coordinator.livingIn(member.FailureDomain)
-	coordinator.tellForwarder(&forwarder.DomainChanged{FailureDomain: member.FailureDomain, Living: len(living) > 0})
 	coordinator.tellElector(elector.HostsChanged{
 		FailureDomain: member.FailureDomain, Living: living, Missing: coordinator.missingIn(member.FailureDomain),
 	})
+	coordinator.tellForwarder(&forwarder.DomainChanged{FailureDomain: member.FailureDomain, Living: len(living) > 0})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.hostsChanged()
 		if restarted {
@@ -181,9 +181,26 @@
 	return missing
 }
 
+// hostsChanged tells the forwarder who lives. A host that sees no other one live
+// may be cut off itself, so it goes on asking the others for copies, and holds back
+// what it could not keep true, until a backend server proves that it is not.
 func (coordinator *Coordinator) hostsChanged() {
-	living := coordinator.livingIn(coordinator.Self.FailureDomain)
-	coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
+	own := coordinator.Self.FailureDomain
+	living := coordinator.livingIn(own)
+	coordinator.aloneUnproven = len(living) == 1 && coordinator.missingIn(own) > 0
+	if !coordinator.aloneUnproven {
+		coordinator.tellForwarder(&forwarder.HostsChanged{Living: living})
+	}
+}
+
+// proveContact notes that a backend server was heard.
+func (coordinator *Coordinator) proveContact() {
+	coordinator.tellElector(elector.ServerHeard{})
+	if !coordinator.aloneUnproven {
+		return
+	}
+	coordinator.aloneUnproven = false
+	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
 }
 
 // changeRecord reads what another host spreads about itself.
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -14,6 +14,7 @@
 		if forwarder.refuseStaleLead(input.From, record.Cell, record.Epoch) {
 			continue
 		}
+		asked := record.Epoch
 		record.Epoch = 0
 		if forwarder.copies.Get(record.Submission) == nil && forwarder.full() {
 			continue
@@ -21,7 +22,7 @@
 		if forwarder.copies.Get(record.Submission) == nil {
 			heldAt := forwarder.now.Add(-record.Age)
 			forwarder.copies.Put(record.Submission, &heldCopy{
-				record: record, heldAt: heldAt, partner: input.From,
+				record: record, heldAt: heldAt, partner: input.From, askedUnder: asked,
 				deadline: identifier.DeadlineFrom(forwarder.now, record.Remaining),
 			})
 		}
@@ -267,13 +268,13 @@
 	reply := messenger.TakeoverReply{Cell: input.Query.Cell, Epoch: input.Query.Epoch}
 	wanted := cellKey{failureDomain: forwarder.FailureDomain, cell: input.Query.Cell}
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
-		if front.forwardedBefore && forwarder.cellOf(front.job) == wanted {
+		if front.forwardedBefore && front.firstEpoch != input.Query.Epoch && forwarder.cellOf(front.job) == wanted {
 			reply.Records = append(reply.Records, forwarder.recordOf(front))
 		}
 		return true
 	})
 	forwarder.copies.Each(func(_ identifier.SubmissionID, held *heldCopy) bool {
-		if messenger.CellOf(held.record.Submission, forwarder.Settings.Cells) == wanted.cell {
+		if messenger.CellOf(held.record.Submission, forwarder.Settings.Cells) == wanted.cell && !held.askedBy(input) {
 			reply.Records = append(reply.Records, forwarder.recordOfCopy(held))
 		}
 		return true
@@ -281,6 +282,13 @@
 	forwarder.add(&ReplyTakeover{To: input.From, Reply: reply})
 }
 
+// askedBy tells whether the lead that queries asked for the copy itself, under the
+// same epoch. A job that arrives in the moment of a takeover would else look as if
+// an earlier lead could have started it, and fail as unknown though nothing ran.
+func (held *heldCopy) askedBy(query *TakeoverQueried) bool {
+	return held.askedUnder == query.Query.Epoch && held.partner == query.From && held.answer == nil
+}
+
 func (forwarder *Forwarder) recordOf(front *front) messenger.CopyRecord {
 	return messenger.CopyRecord{
 		Submission: front.job.Submission,
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -16,6 +16,8 @@
 	forwardedTo identifier.HostID
 	// forwardedBefore tells that some lead has had the job.
 	forwardedBefore bool
+	// firstEpoch is the epoch of the first lead that the job was forwarded to.
+	firstEpoch identifier.Epoch
 	// copyAt is the second host that was asked to hold a copy; only used where
 	// this host leads the job's cell.
 	copyAt   identifier.HostID
@@ -30,6 +32,10 @@
 	// answerHeldBack tells that the callers hear the answer once another host holds
 	// it, or after a short wait.
 	answerHeldBack bool
+	// spreadTo is the neighbour that was last asked to hold the answer, heldBackAt
+	// when the answer began to wait for one.
+	spreadTo   identifier.HostID
+	heldBackAt identifier.Moment
 	// answerAlone tells that the answer waits for a second host to hold it.
 	answerAlone bool
 }
@@ -41,6 +47,8 @@
 	answer *messenger.JobAnswer
 	// partner is the other host that knows the submission.
 	partner identifier.HostID
+	// askedUnder is the epoch of the lead that asked for the copy first.
+	askedUnder identifier.Epoch
 	// deadline is the job's; a copy without an answer stays at least until then.
 	deadline identifier.Moment
 }
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -133,6 +133,9 @@
 		front.resends = 0
 	}
 	front.forwardedTo = to
+	if !front.forwardedBefore {
+		front.firstEpoch = forwarder.leads.Get(forwarder.cellOf(front.job)).epoch
+	}
 	front.forwardedBefore = true
 	if to != forwarder.Self {
 		front.partner = to
--- a/pkg/replayer/checker.go
+++ b/pkg/replayer/checker.go
@@ -57,7 +57,9 @@
 
 type checkedSubmission struct {
 	caller identifier.CallerID
-	tasks  []identifier.TaskID
+	// request is the job, where it is not repeatable.
+	request *requestKey
+	tasks   []identifier.TaskID
 	// requests counts what may be answered: each sending and each cancellation.
 	requests  int
 	starts    map[identifier.TaskID]int
@@ -87,6 +89,9 @@
 	submission := checker.submissions[job.Submission]
 	if submission == nil {
 		submission = &checkedSubmission{caller: job.Caller, tasks: TaskIDs(job), starts: make(map[identifier.TaskID]int)}
+		if !job.Repeatable {
+			submission.request = &requestKey{caller: job.Caller, job: job.Job}
+		}
 		checker.submissions[job.Submission] = submission
 		checker.order = append(checker.order, job.Submission)
 	}
--- a/pkg/replayer/checker_test.go
+++ b/pkg/replayer/checker_test.go
@@ -58,11 +58,13 @@
 	}
 }
 
-// job reads "AT sends SUBMISSION CALLER", a job of two tasks.
+// job reads "AT sends SUBMISSION CALLER [once]", job j of two tasks.
 func job(words []string) *tracer.Job {
 	return &tracer.Job{
 		Submission: identifier.SubmissionID(words[2]),
 		Caller:     identifier.CallerID(words[3]),
+		Job:        "j",
+		Repeatable: len(words) < 5,
 		Tasks:      make([]tracer.Task, 2),
 	}
 }
