--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -60,6 +60,7 @@
 	fillLimits(settings, &result.Dispatcher.Limits)
 	result.Forwarder.Cells = settings.Dispatch.Cells
 	result.Forwarder.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
+	result.Forwarder.Records = settings.Limits.JobsInMemory
 	result.Keeper.ClaimRetention = settings.Timeouts.ClaimRetention.Std()
 	return result
 }
