--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -32,6 +32,8 @@
 	trace       bool
 	// settings are those of the hosts that start from now on.
 	settings coordinator.Settings
+	// cost counts messages between hosts unless it is nil.
+	cost *cost
 }
 
 // connection counts its breaks, so that messages of an older one are dropped.
@@ -75,15 +77,22 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
+	// keeper gives the host a part in the replicated log.
+	keeper bool
+	disk   fakeDisk
 }
 
 // member describes the host's present process.
 func (host *fakeHost) member() gossiper.Member {
+	roles := []gossiper.Role{gossiper.RoleEntry}
+	if host.keeper {
+		roles = append(roles, gossiper.RoleKeeper)
+	}
 	return gossiper.Member{
 		Host:          host.id,
 		FailureDomain: host.domain,
 		Region:        "vlaanderen",
-		Roles:         []gossiper.Role{gossiper.RoleEntry},
+		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
 	}
@@ -191,6 +200,9 @@
 		host.coordinator.Seeds = append(host.coordinator.Seeds, other.member())
 	}
 	host.startedAt = network.now
+	if host.keeper {
+		network.tick(host, host.disk.restored())
+	}
 	network.tick(host)
 	for _, other := range network.hosts {
 		if other != host && other.coordinator != nil {
@@ -263,6 +275,9 @@
 func (network *network) carryOut(host *fakeHost, output coordinator.Output) {
 	switch output := output.(type) {
 	case *coordinator.ToPeer:
+		if network.cost != nil {
+			network.cost.count(output)
+		}
 		peer := network.host(output.Host)
 		network.send(string(host.id), string(peer.id), func() {
 			network.tick(peer, &coordinator.PeerBatchArrived{From: host.id, Batch: output.Batch})
@@ -274,6 +289,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.Persist:
+		network.persist(host, output)
 	case *coordinator.Drained:
 		network.endDrained(host)
 	case *coordinator.ToCaller:
