Fence off the old stream of a backend server, tell its loss always, never wait for it

Cause, three faults found by reading for the storm of real processes. (1) The loss of a backend server was posted under the context of its stream, which is done by then: the runner's select dropped about every second loss, and its tasks waited for missed heartbeats instead. (2) A report that was read from an old stream after the announce of a new one lacks what started in between; it would count as not started and start again. Change: the last event goes out under a context without cancel, a superseded stream posts nothing, and a full queue ends the stream. Peers take an optional Dial, so that tests can cut failure domains off. Conclusion: one backend server can hold up nothing else.

--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -33,12 +34,18 @@
 // ends.
 type Poster func(ctx context.Context, input coordinator.Input) bool
 
+// Dialer opens a connection to the address of another host.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // Peers keeps a sending stream to every other host that something is sent to, and
 // receives theirs. Set the exported fields before Run.
 type Peers struct {
 	*provider.Common
 	Post        Poster
 	Incarnation identifier.Incarnation
+	// Dial opens the connections to other hosts; nil dials TCP. Tests cut failure
+	// domains off with it.
+	Dial Dialer
 
 	peerv1.UnimplementedPeerServer
 	mutex sync.Mutex
@@ -137,12 +144,17 @@
 }
 
 func (peers *Peers) dial(address string) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient(address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: dialBaseDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: dialMaxDelay},
 			MinConnectTimeout: dialMaxDelay,
-		}))
+		}),
+	}
+	if peers.Dial != nil {
+		options = append(options, grpc.WithContextDialer(peers.Dial))
+	}
+	connection, err := grpc.NewClient(address, options...)
 	if err != nil {
 		return nil, newError("dial peer", ErrorStream, err)
 	}
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"context"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -29,12 +30,6 @@
 	streams map[identifier.BackendServerID]*serverStream
 }
 
-// serverStream is the sending side towards one backend server.
-type serverStream struct {
-	queue chan *backendv1.HostMessage
-	done  chan struct{}
-}
-
 // Prepare makes the table of streams.
 func (servers *Servers) Prepare() {
 	servers.streams = make(map[identifier.BackendServerID]*serverStream)
@@ -50,17 +45,22 @@
 	if !servers.acceptable(announce) {
 		return newError("receive announce", ErrorProtocol, errNotAnnounced)
 	}
+	// The last events of a stream are posted after its context is done.
+	ctx := context.WithoutCancel(stream.Context())
 	id := identifier.BackendServerID(announce.GetBackendServer())
 	current := servers.open(id)
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
 	current.queue <- servers.welcome()
-	servers.Post(stream.Context(), &coordinator.ServerEvent{Event: announced(announce)})
-	err = servers.receive(stream, id)
-	if servers.close(id, current) {
-		servers.Log.Info("backend server detached", "backend-server", id, "err", err)
-		servers.Post(stream.Context(), &coordinator.ServerEvent{Event: &dispatcher.ServerLost{Server: id}})
+	servers.Post(ctx, &coordinator.ServerEvent{Event: announced(announce)})
+	received := make(chan error, 1)
+	go func() { received <- servers.receive(ctx, stream, id, current) }()
+	select {
+	case err = <-received:
+	case <-current.overflowed:
+		err = newError("send to backend server", ErrorStream, errOverflow)
 	}
+	servers.end(ctx, id, current, err)
 	return err
 }
 
@@ -72,24 +72,32 @@
 
 // open registers the stream of a backend server in place of an older one.
 func (servers *Servers) open(id identifier.BackendServerID) *serverStream {
-	created := &serverStream{queue: make(chan *backendv1.HostMessage, sendQueue), done: make(chan struct{})}
+	created := newServerStream()
 	servers.mutex.Lock()
-	defer servers.mutex.Unlock()
+	older := servers.streams[id]
 	servers.streams[id] = created
+	servers.mutex.Unlock()
+	if older != nil {
+		older.supersede()
+	}
 	return created
 }
 
-// close ends the sending side. It returns false when a newer stream has taken
-// the place, so that an old stream's end is not taken for the server's loss.
-func (servers *Servers) close(id identifier.BackendServerID, ended *serverStream) bool {
+// end closes the sending side and tells of the server's loss, unless a newer
+// stream has taken the place.
+func (servers *Servers) end(ctx context.Context, id identifier.BackendServerID, ended *serverStream, cause error) {
+	close(ended.done)
+	ended.post(func() {
+		servers.Log.Info("backend server detached", "backend-server", id, "err", cause)
+		servers.Post(ctx, &coordinator.ServerEvent{Event: &dispatcher.ServerLost{Server: id}})
+	})
+	// What arrives from now on would look as if the server had come back.
+	ended.supersede()
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
-	close(ended.done)
-	if servers.streams[id] != ended {
-		return false
+	if servers.streams[id] == ended {
+		delete(servers.streams, id)
 	}
-	delete(servers.streams, id)
-	return true
 }
 
 // Send queues one tick's batch for a backend server. A batch that finds no
@@ -101,10 +109,7 @@
 	if current == nil {
 		return
 	}
-	select {
-	case current.queue <- hostMessage(servers.Clock.Now(), batch):
-	case <-current.done:
-	}
+	current.enqueue(hostMessage(servers.Clock.Now(), batch))
 }
 
 func (servers *Servers) send(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], current *serverStream) {
@@ -120,14 +125,20 @@
 	}
 }
 
-func (servers *Servers) receive(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], id identifier.BackendServerID) error {
+// receive posts what arrives until the stream ends or a newer one takes its place.
+func (servers *Servers) receive(ctx context.Context, stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], id identifier.BackendServerID, current *serverStream) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return newError("receive from backend server", ErrorStream, err)
 		}
-		for _, event := range serverEvents(id, message) {
-			servers.Post(stream.Context(), &coordinator.ServerEvent{Event: event})
+		posted := current.post(func() {
+			for _, event := range serverEvents(id, message) {
+				servers.Post(ctx, &coordinator.ServerEvent{Event: event})
+			}
+		})
+		if !posted {
+			return newError("receive from backend server", ErrorStream, errSuperseded)
 		}
 	}
 }
