Remember the configuration in force over a restart

Change: each daemon with a data folder writes the configuration in force to in-force.cbor (checksum, rename before anybody is told, sync behind the tick) and hands it to the coordinator before it serves. Beside it, Daemon.DialPeer hands a test's dialer to the connections between hosts. A host without a data folder still depends on its peers.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -31,6 +31,9 @@
 // Daemon is one process of the system. Set the exported fields before Run.
 type Daemon struct {
 	*provider.Common
+	// DialPeer opens the connections to other hosts; nil dials TCP. Tests cut
+	// failure domains off with it.
+	DialPeer connector.Dialer
 
 	clock    *runner.Clock
 	runner   *runner.Runner[coordinator.Input, coordinator.Output]
@@ -42,6 +45,7 @@
 	// keeping is nil on a host without a disk.
 	keeping    *keeping
 	operations *operations
+	memory     *memory
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it turns unready,
@@ -87,13 +91,14 @@
 		Clock:   daemon.clock,
 	}
 	daemon.runner.Prepare()
-	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation}
+	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation, Dial: daemon.DialPeer}
 	daemon.measurer = measurer.New()
 	daemon.measurer.Gauges = daemon.gauges
 	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock}
 	daemon.servers.Prepare()
 	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock, Measurer: daemon.measurer}
 	daemon.receiver.Prepare()
+	daemon.memory = newMemory(daemon.Common)
 	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
 
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -96,7 +96,14 @@
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.ConfigWanted{Waiter: waiter}
 	})
-	if answer, answered := output.(*coordinator.ConfigAnswer); answered {
+	answer, answered := output.(*coordinator.ConfigAnswer)
+	switch {
+	case !answered:
+	case !answer.Known:
+		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{
+			Error: "not-known-yet", Detail: "this host has just started and has not heard yet what is in force",
+		})
+	default:
 		writeJSON(writer, http.StatusOK, bodyOf(answer.Version))
 	}
 }
--- /dev/null
+++ b/pkg/assembler/recall.go
@@ -0,0 +1,137 @@
+package assembler
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/provider"
+)
+
+// rememberedFile is the file of the configuration in force, in the data folder.
+const rememberedFile = "in-force.cbor"
+
+// checksumLength is the length of the checksum before the version.
+const checksumLength = 8
+
+var errWrongChecksum = eris.New("its checksum is wrong")
+
+// memory keeps the configuration in force in the data folder. Without it, a host
+// that starts again would serve under the limits of its settings file until it
+// hears from others, in a cut-off failure domain perhaps for minutes: an operator
+// would see the version go back, and teams would run under withdrawn quotas.
+type memory struct {
+	*provider.Common
+	// unsynced holds a token when the file has not been synced yet.
+	unsynced chan struct{}
+}
+
+func newMemory(common *provider.Common) *memory {
+	return &memory{Common: common, unsynced: make(chan struct{}, 1)}
+}
+
+func (memory *memory) path() string {
+	return filepath.Join(memory.Settings.DataFolder, rememberedFile)
+}
+
+// remember replaces the file before anybody is told of the version, so that the
+// death of the process loses nothing that was seen. The sync follows behind the
+// tick, which must not wait for a disk; a power loss in between leaves an older
+// file, or one whose checksum is wrong.
+func (memory *memory) remember(version configurer.Version) {
+	if memory.Settings.DataFolder == "" {
+		return
+	}
+	if err := memory.write(version); err != nil {
+		memory.Log.Error("configuration not remembered", "version", version.Version, "err", err)
+		return
+	}
+	select {
+	case memory.unsynced <- struct{}{}:
+	default:
+	}
+}
+
+func (memory *memory) write(version configurer.Version) error {
+	encoded, err := cbor.Marshal(&version)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	content := binary.BigEndian.AppendUint64(nil, xxhash.Sum64(encoded))
+	content = append(content, encoded...)
+	if err := os.MkdirAll(memory.Settings.DataFolder, 0o755); err != nil {
+		return eris.Wrap(err, "make the data folder")
+	}
+	temporary := memory.path() + ".new"
+	if err := os.WriteFile(temporary, content, 0o644); err != nil {
+		return eris.Wrap(err, "write")
+	}
+	return eris.Wrap(os.Rename(temporary, memory.path()), "rename")
+}
+
+// run syncs what was written until ctx is done.
+func (memory *memory) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-memory.unsynced:
+			if err := memory.sync(); err != nil {
+				memory.Log.Error("remembered configuration not synced", "err", err)
+			}
+		}
+	}
+}
+
+func (memory *memory) sync() error {
+	for _, path := range []string{memory.path(), memory.Settings.DataFolder} {
+		file, err := os.Open(path)
+		if err != nil {
+			return eris.Wrap(err, "open")
+		}
+		err = file.Sync()
+		_ = file.Close()
+		if err != nil {
+			return eris.Wrap(err, "sync")
+		}
+	}
+	return nil
+}
+
+// recall hands the remembered configuration to the coordinator. A file that can't
+// be read is as good as none: the others know what is in force.
+func (memory *memory) recall(ctx context.Context, daemon *Daemon) {
+	if memory.Settings.DataFolder == "" {
+		return
+	}
+	version, err := memory.read()
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	if err != nil {
+		memory.Log.Error("remembered configuration not read", "file", memory.path(), "err", err)
+		return
+	}
+	daemon.runner.Post(ctx, &coordinator.ConfigRemembered{Version: version})
+}
+
+func (memory *memory) read() (configurer.Version, error) {
+	var version configurer.Version
+	content, err := os.ReadFile(memory.path())
+	if err != nil {
+		return version, err
+	}
+	if len(content) < checksumLength || binary.BigEndian.Uint64(content) != xxhash.Sum64(content[checksumLength:]) {
+		return version, errWrongChecksum
+	}
+	return version, cbor.Unmarshal(content[checksumLength:], &version)
+}
--- a/pkg/configurer/follower.go
+++ b/pkg/configurer/follower.go
@@ -14,7 +14,7 @@
 	// asked.
 	FetchTimeout time.Duration
 	// Settle is how long a starting host waits to hear of the version in force in
-	// its failure domain before it serves with what it has.
+	// its failure domain before it says that there is none.
 	Settle time.Duration
 }
 
@@ -66,6 +66,8 @@
 // Tick.
 type Follower struct {
 	Settings FollowerSettings
+	// StartedAt is when this host started.
+	StartedAt identifier.Moment
 
 	now     identifier.Moment
 	inForce Version
@@ -85,6 +87,13 @@
 // first.
 func (follower *Follower) InForce() Version { return follower.inForce }
 
+// Known tells whether this host knows what is in force. One that has just started
+// and heard of no version yet does not: to say "none" would look as if the
+// configuration had gone back to before the first.
+func (follower *Follower) Known(now identifier.Moment) bool {
+	return follower.inForce.Version > 0 || now.Sub(follower.StartedAt) >= follower.Settings.Settle
+}
+
 // Tick applies the inputs, lets deadlines fall due and returns what to send.
 func (follower *Follower) Tick(now identifier.Moment, inputs []Input) []Output {
 	follower.now = now
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -105,7 +105,7 @@
 	coordinator.elector = coordinator.newElector()
 	coordinator.keeper = coordinator.newKeeper()
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
-	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
+	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration, StartedAt: now}
 	coordinator.petitions = newPetitions(coordinator)
 	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -47,6 +47,10 @@
 // SnapshotSaved tells that a snapshot is durable.
 type SnapshotSaved struct{ Index identifier.LogIndex }
 
+// ConfigRemembered hands over the configuration that was in force on this host
+// before it started again.
+type ConfigRemembered struct{ Version configurer.Version }
+
 // OperatorRequest brings a command that an operator wants the keepers to carry
 // out.
 type OperatorRequest struct {
@@ -72,6 +76,7 @@
 func (*Restored) isCoordinatorInput()            {}
 func (*Persisted) isCoordinatorInput()           {}
 func (*SnapshotSaved) isCoordinatorInput()       {}
+func (*ConfigRemembered) isCoordinatorInput()    {}
 func (*OperatorRequest) isCoordinatorInput()     {}
 func (*ConfigHistoryWanted) isCoordinatorInput() {}
 func (*ConfigWanted) isCoordinatorInput()        {}
@@ -127,9 +132,11 @@
 	Versions []configurer.Version
 }
 
-// ConfigAnswer answers a ConfigWanted.
+// ConfigAnswer answers a ConfigWanted. Without Known, this host has just started
+// and has not heard yet what is in force.
 type ConfigAnswer struct {
 	Waiter  uint64
+	Known   bool
 	Version configurer.Version
 }
 
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -66,12 +66,16 @@
 		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.Persisted{Sequence: input.Sequence}})
 	case *SnapshotSaved:
 		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.SnapshotSaved{Index: input.Index}})
+	case *ConfigRemembered:
+		coordinator.tellFollower(&configurer.VersionFetched{Version: input.Version})
 	case *OperatorRequest:
 		coordinator.petitions.begin(input)
 	case *ConfigHistoryWanted:
 		coordinator.answerHistory(input)
 	case *ConfigWanted:
-		coordinator.outputs.add(&ConfigAnswer{Waiter: input.Waiter, Version: coordinator.follower.InForce()})
+		coordinator.outputs.add(&ConfigAnswer{
+			Waiter: input.Waiter, Known: coordinator.follower.Known(coordinator.now), Version: coordinator.follower.InForce(),
+		})
 	case *StatusWanted:
 		coordinator.outputs.add(&StatusAnswer{Waiter: input.Waiter, Status: coordinator.status()})
 	}
