--- a/pkg/integration/storm_test.go
+++ b/pkg/integration/storm_test.go
@@ -12,12 +12,15 @@
 
 // Timing of a storm.
 const (
-	stormPause     = 500 * time.Millisecond
+	stormPause     = 200 * time.Millisecond
 	stormSettle    = 4 * time.Second
 	shortStop      = 6 * time.Second
 	longStop       = time.Minute
 	stormCallers   = 12
 	stormAnswerFor = 2 * time.Minute
+	// stormAtOnce bounds the processes that are injured at a time; one that is
+	// stopped for a minute is not counted.
+	stormAtOnce = 2
 )
 
 // TestStorm. Symptom: any promise is broken when several faults meet (rows 1 to 5,
@@ -73,8 +76,9 @@
 	mutex      sync.Mutex
 	// busy holds the injured processes, resting the failure domains whose hosts
 	// have just lost a memory.
-	busy    map[*process]bool
-	resting map[string]time.Time
+	busy      map[*process]bool
+	resting   map[string]time.Time
+	longStops int
 }
 
 func (storm *storm) startWork(t *testing.T) *sync.WaitGroup {
@@ -131,7 +135,7 @@
 	for range count {
 		storm.injureOne(t)
 	}
-	pause := stormPause + time.Duration(storm.random.IntN(3000))*time.Millisecond
+	pause := stormPause + time.Duration(storm.random.IntN(1500))*time.Millisecond
 	time.Sleep(pause)
 }
 
@@ -147,22 +151,34 @@
 	storm.begin(t, &daemon.process, string(daemon.settings.FailureDomain), kind)
 }
 
-// begin injures a process, unless two are injured already or another of its place
-// rests.
+// kindLongStop is the kind of injury that takes a minute; one at a time is enough.
+const kindLongStop = 9
+
+// begin injures a process, unless enough are injured already or another of its
+// place rests.
 func (storm *storm) begin(t *testing.T, victim *process, place string, kind int) {
 	storm.mutex.Lock()
 	defer storm.mutex.Unlock()
-	if len(storm.busy) >= 2 || storm.busy[victim] || time.Now().Before(storm.resting[place]) {
+	if len(storm.busy)-storm.longStops >= stormAtOnce || storm.busy[victim] || time.Now().Before(storm.resting[place]) {
+		return
+	}
+	if kind == kindLongStop && storm.longStops > 0 {
 		return
 	}
 	storm.injuries++
 	storm.busy[victim] = true
+	if kind == kindLongStop {
+		storm.longStops++
+	}
 	storm.resting[place] = time.Now().Add(time.Hour)
 	storm.ended.Go(func() {
 		t.Logf("%s %s: %s", time.Now().Format("15:04:05.000"), victim.name, carryOut(t, victim, kind))
 		storm.mutex.Lock()
 		defer storm.mutex.Unlock()
 		delete(storm.busy, victim)
+		if kind == kindLongStop {
+			storm.longStops--
+		}
 		storm.resting[place] = time.Now().Add(stormSettle)
 	})
 }
