--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -67,6 +67,8 @@
 		listeners.close()
 		return err
 	}
+	daemon.memory.recall(running, daemon)
+	runners.Go(func() { daemon.memory.run(running) })
 	servers := daemon.serve(listeners)
 	runners.Go(func() { daemon.runner.Run(running) })
 	runners.Go(func() { daemon.peers.Run(running) })
--- a/pkg/assembler/recall.go
+++ b/pkg/assembler/recall.go
@@ -68,7 +68,7 @@
 	}
 	content := binary.BigEndian.AppendUint64(nil, xxhash.Sum64(encoded))
 	content = append(content, encoded...)
-	if err := os.MkdirAll(memory.Settings.DataFolder, 0o755); err != nil {
+	if err := os.MkdirAll(memory.Settings.DataFolder, 0o700); err != nil {
 		return eris.Wrap(err, "make the data folder")
 	}
 	temporary := memory.path() + ".new"
