--- a/pkg/integration/backend_server_killed_test.go
+++ b/pkg/integration/backend_server_killed_test.go
@@ -16,6 +16,7 @@
 // and sends answers that are late by then. Cause guarded against: a task that is
 // started elsewhere because its backend server does not answer.
 func TestBackendServersKilledAndStopped(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t)
 	oracle := &oracle{}
 	group := runCallers(t, cluster, oracle, "servers", 24, 8, 200*time.Millisecond)
--- a/pkg/integration/graceful_shutdown_test.go
+++ b/pkg/integration/graceful_shutdown_test.go
@@ -61,6 +61,7 @@
 // host; SIGTERM, then again. Cause guarded against: a shutdown that holds on to
 // its deadline, and one that ends with no word of what it left.
 func TestSecondSignal(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t)
 	host := cluster.daemonsOf("binh-chanh")[1]
 	ended := make(chan struct{})
--- a/pkg/integration/late_answer_test.go
+++ b/pkg/integration/late_answer_test.go
@@ -12,6 +12,7 @@
 // that it has accepted; their deadline passes; it goes on and answers. Cause
 // guarded against: an answer that is delivered for a job that has ended.
 func TestLateAnswer(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t)
 	host := cluster.daemonsOf("thu-duc")[2]
 	oracle := &oracle{}
--- a/pkg/integration/main_test.go
+++ b/pkg/integration/main_test.go
@@ -62,3 +62,11 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// longer returns the first duration in a plain run and the second with -long.
+func longer(plain, long time.Duration) time.Duration {
+	if *longFlag {
+		return long
+	}
+	return plain
+}
--- a/pkg/integration/resend_elsewhere_test.go
+++ b/pkg/integration/resend_elsewhere_test.go
@@ -13,7 +13,9 @@
 // record of the submission that only one host has, or that is looked for in the
 // wrong failure domain.
 func TestResendElsewhere(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t)
+	cluster.mature()
 	oracle := &oracle{}
 	var group sync.WaitGroup
 	sendEverywhere := func(job *job, all []*daemon) {
--- a/pkg/integration/resubmission_test.go
+++ b/pkg/integration/resubmission_test.go
@@ -13,7 +13,9 @@
 // again. Cause guarded against: a start before the claim stands at a quorum of
 // the keepers, and a claim that goes with its host.
 func TestResubmission(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t)
+	cluster.mature()
 	oracle := &oracle{}
 	var group sync.WaitGroup
 	first := cluster.awaitCellLead(t, "thu-duc")
