Explain what was decided about a submission

Cause: nobody could ask why a task went where it went. Conclusion: arrival, claim, spill, start, refusal, loss, answer and end are told; a dead host's steps are gone with it.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -142,7 +142,7 @@
 		daemon.keeping.persist(output.Persist)
 	case *coordinator.SaveSnapshot:
 		daemon.keeping.saveSnapshot(output.Snapshot)
-	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer:
+	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer, *coordinator.ExplainAnswer:
 		daemon.operations.Answer(output)
 	}
 }
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -35,6 +35,7 @@
 // Register adds the operators' paths to router.
 func (operations *operations) Register(router *mux.Router) {
 	router.HandleFunc("/v1/status", operations.status).Methods(http.MethodGet)
+	router.HandleFunc("/v1/explain/{submission}", operations.explain).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
 	router.HandleFunc("/v1/config/history", operations.configHistory).Methods(http.MethodGet)
@@ -52,6 +53,8 @@
 		waiter = output.Waiter
 	case *coordinator.StatusAnswer:
 		waiter = output.Waiter
+	case *coordinator.ExplainAnswer:
+		waiter = output.Waiter
 	}
 	operations.mutex.Lock()
 	waiting, found := operations.waiters[waiter]
--- a/pkg/commander/replay.go
+++ b/pkg/commander/replay.go
@@ -5,7 +5,9 @@
 	"io"
 	"os"
 	"text/tabwriter"
+	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/replayer"
 	"github.com/stoathitch/stoathitch/pkg/reporter"
 	"github.com/stoathitch/stoathitch/pkg/tracer"
@@ -17,6 +19,7 @@
 	Policies []string `long:"policy" value-name:"NAME" description:"the way to dispatch; may stand several times"`
 	Seed     *uint64  `long:"seed" description:"drives the fake balancer; the trace's own seed by default"`
 	Report   string   `long:"report" value-name:"FILE" description:"draw response over ideal and waste by policy and load as one HTML page"`
+	Explain  string   `long:"explain" value-name:"SUBMISSION" description:"tell what was decided about one submission"`
 	Bounds   bool     `long:"bounds" description:"add to the report what one central queue without delay would reach"`
 
 	Arguments struct {
@@ -101,13 +104,18 @@
 	if command.Seed != nil {
 		seed = *command.Seed
 	}
-	result, err := (&replayer.Replayer{Trace: loaded.trace, Policy: policy, Seed: seed}).Run()
+	result, err := (&replayer.Replayer{Trace: loaded.trace, Policy: policy, Seed: seed,
+		Explain: identifier.SubmissionID(command.Explain)}).Run()
 	if err != nil {
 		return nil, malformed("%v", err)
 	}
 	for _, sentence := range result.Unmet {
 		_, _ = fmt.Fprintf(command.terminal.errors, "%s: %s\n", loaded.name, sentence)
 	}
+	for _, step := range result.Steps {
+		_, _ = fmt.Fprintf(command.terminal.errors, "%s\t%s\t%s\t%s\t%s\t%s\n",
+			time.Duration(step.At), step.Host, step.Kind, step.Task, step.Server, step.Detail)
+	}
 	return result, command.print(loaded, result.Figures)
 }
 
--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -26,6 +26,9 @@
 	addCommand(parent, "backend-servers", "List the backend servers",
 		"Lists the backend servers of all failure domains, each as the lead of its cell sees it.",
 		&backendServersCommand{remoteOptions: remote})
+	addCommand(parent, "explain", "Tell what was decided about a submission",
+		"Lists each step of a submission: where its tasks went, what was refused, repeated or lost, and its end. The hosts keep the newest steps only.",
+		&explainCommand{remoteOptions: remote})
 	addCommand(parent, "keepers", "List the keepers and their log",
 		"Asks every keeper for its state. Exit code 1 when one of them does not answer or has halted.",
 		&keepersCommand{remoteOptions: remote})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -64,6 +65,12 @@
 // ConfigWanted asks for the configuration in force on this host.
 type ConfigWanted struct{ Waiter uint64 }
 
+// ExplainWanted asks what this host decided about a submission.
+type ExplainWanted struct {
+	Waiter     uint64
+	Submission identifier.SubmissionID
+}
+
 // StatusWanted asks for what operators see of this host.
 type StatusWanted struct{ Waiter uint64 }
 
@@ -80,6 +87,7 @@
 func (*OperatorRequest) isCoordinatorInput()     {}
 func (*ConfigHistoryWanted) isCoordinatorInput() {}
 func (*ConfigWanted) isCoordinatorInput()        {}
+func (*ExplainWanted) isCoordinatorInput()       {}
 func (*StatusWanted) isCoordinatorInput()        {}
 
 // Output is what the owner of the coordinator carries out.
@@ -148,6 +156,14 @@
 	Result  keeper.Result
 }
 
+// ExplainAnswer answers an ExplainWanted.
+type ExplainAnswer struct {
+	Waiter uint64
+	// At is the moment of the answer on the clock of the steps.
+	At    identifier.Moment
+	Steps []explainer.Step
+}
+
 // StatusAnswer answers a StatusWanted.
 type StatusAnswer struct {
 	Waiter uint64
@@ -168,6 +184,7 @@
 func (*ConfigHistory) isCoordinatorOutput()       {}
 func (*ConfigAnswer) isCoordinatorOutput()        {}
 func (*OperatorAnswer) isCoordinatorOutput()      {}
+func (*ExplainAnswer) isCoordinatorOutput()       {}
 func (*StatusAnswer) isCoordinatorOutput()        {}
 
 // PeerBatch is what one host sends another in one tick.
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -76,6 +76,9 @@
 		coordinator.outputs.add(&ConfigAnswer{
 			Waiter: input.Waiter, Known: coordinator.follower.Known(coordinator.now), Version: coordinator.follower.InForce(),
 		})
+	case *ExplainWanted:
+		steps := coordinator.Explain(input.Submission)
+		coordinator.outputs.add(&ExplainAnswer{Waiter: input.Waiter, At: coordinator.now, Steps: steps})
 	case *StatusWanted:
 		coordinator.outputs.add(&StatusAnswer{Waiter: input.Waiter, Status: coordinator.status()})
 	}
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
@@ -43,6 +44,14 @@
 	Epoch identifier.Epoch     `json:"epoch"`
 }
 
+// Explain returns what this host still knows of its decisions on a submission.
+func (coordinator *Coordinator) Explain(submission identifier.SubmissionID) []explainer.Step {
+	if coordinator.dispatcher == nil {
+		return nil
+	}
+	return coordinator.dispatcher.Explain(submission)
+}
+
 func (coordinator *Coordinator) status() Status {
 	status := Status{
 		Host:          coordinator.Self.Host,
--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -23,6 +24,7 @@
 	}
 	job := dispatcher.newJob(cell, input)
 	dispatcher.jobs.Put(job.spec.Submission, job)
+	dispatcher.noteJob(explainer.KindArrived, job.spec.Submission, string(input.From))
 	if cell.ready {
 		dispatcher.settleRecovered(cell, job)
 	}
@@ -60,6 +62,7 @@
 		dispatcher.outputs.add(&JobAnswered{To: input.From, Answer: refusal})
 		return
 	}
+	dispatcher.noteJob(explainer.KindResent, known.spec.Submission, string(input.From))
 	if known.answer != nil {
 		dispatcher.outputs.add(&JobAnswered{To: input.From, Answer: known.answer})
 		return
@@ -90,6 +93,7 @@
 	}
 	if !job.spec.Repeatable && !job.claimed {
 		job.state = jobAwaitingClaim
+		dispatcher.noteJob(explainer.KindClaimWanted, job.spec.Submission, "")
 		dispatcher.outputs.add(&ClaimWanted{Submission: job.spec.Submission, Caller: job.spec.Caller, Job: job.spec.Job})
 		return
 	}
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -22,6 +23,7 @@
 	if task == nil {
 		return
 	}
+	dispatcher.noteTask(explainer.KindRefused, task, refusal.Kind.String())
 	switch refusal.Kind {
 	case RefusalNoFreeSlot:
 		server.refusedFull = true
@@ -101,6 +103,7 @@
 	task.state = taskAnswered
 	task.server = server
 	task.result = answer.Result
+	dispatcher.noteTask(explainer.KindAnswered, task, answer.Reason)
 	job.unresolved--
 	if answer.Failed || answer.Cancelled {
 		dispatcher.failTask(task, answer)
@@ -200,6 +203,7 @@
 	}
 	job.answer = answer
 	submission := job.spec.Submission
+	dispatcher.noteJob(explainer.KindEnded, submission, describeAnswer(answer))
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
 	dispatcher.timers.Clear(timerKey{kind: timerUnknownWait, submission: submission})
 	dispatcher.timers.Clear(timerKey{kind: timerRetry, submission: submission})
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
@@ -69,6 +70,7 @@
 	task.state = taskStarted
 	task.server = server.id
 	dispatcher.noteStart(cell, task)
+	dispatcher.noteTask(explainer.KindStarted, task, "")
 	key := task.key()
 	server.running[key] = task
 	cell.free.update(server)
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/assessor"
 	"github.com/stoathitch/stoathitch/pkg/estimator"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -64,6 +65,8 @@
 	Spill SpillSettings
 	// Health adjusts how servers are judged.
 	Health assessor.Settings
+	// ExplainedSteps is how many decisions are kept for operators' questions.
+	ExplainedSteps int
 	// Limits says who may queue how much, and what is refused early.
 	Limits LimitSettings
 }
@@ -80,6 +83,7 @@
 		AnswerResend:     time.Second,
 		LoneAnswerWait:   30 * time.Second,
 		ServerDiscovery:  3 * time.Second,
+		ExplainedSteps:   20_000,
 		Selection:        selector.DefaultSettings(),
 		Health:           assessor.DefaultSettings(),
 		Spill:            DefaultSpillSettings(),
@@ -110,6 +114,8 @@
 	assessor *assessor.Assessor
 	outcomes []assessor.Input
 
+	// explainer keeps what was decided, for operators.
+	explainer  explainer.Explainer
 	estimator  *estimator.Estimator
 	teamLimits []limiter.TeamLimits
 	classes    map[identifier.ClassName]ClassLimits
@@ -143,6 +149,7 @@
 		return
 	}
 	dispatcher.startedAt = now
+	dispatcher.explainer.Bound = dispatcher.Settings.ExplainedSteps
 	dispatcher.lostHosts = make(map[identifier.HostID]bool)
 	dispatcher.assessor = &assessor.Assessor{Settings: dispatcher.Settings.Health}
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -159,6 +160,7 @@
 // started again; its job fails unless the server returns in time.
 func (dispatcher *Dispatcher) markUnknown(task *task) {
 	task.state = taskUnknown
+	dispatcher.noteTask(explainer.KindUnknown, task, "")
 	if task.job.state == jobFinished {
 		dispatcher.endFlight(task)
 		return
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -96,6 +97,7 @@
 		dispatcher.suspectSpill(job)
 		return
 	}
+	dispatcher.noteJob(explainer.KindSpilled, job.spec.Submission, string(target.host))
 	dispatcher.outputs.add(&SpillJob{To: target.host, Request: messenger.SpillRequest{
 		Job:       job.spec,
 		Remaining: job.deadline.Remaining(dispatcher.now),
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -31,6 +31,8 @@
 	// Seed drives the choices of the fake balancer. With the same trace, policy
 	// and seed, Run returns the same figures.
 	Seed uint64
+	// Explain names a submission whose decisions are wanted; empty wants none.
+	Explain identifier.SubmissionID
 }
 
 // Result is what came of a replay.
@@ -38,6 +40,8 @@
 	Figures *Figures
 	// Unmet has one sentence for each stated outcome that does not hold.
 	Unmet []string
+	// Steps are the decisions on the submission that was to be explained.
+	Steps []HostStep
 }
 
 // Sound tells whether no promise was broken and every stated outcome holds.
@@ -52,12 +56,15 @@
 		return nil, err
 	}
 	replay := newReplay(replayer, policy)
+	if replayer.Explain != "" {
+		replay.settings.Dispatcher.ExplainedSteps = explainedSteps
+	}
 	replay.start()
 	replay.schedule()
 	replay.clock.Run(replay.end)
 	figures := NewFigures(replay.measurements())
 	unmet := UnmetExpectations(replayer.Trace, figures, replay.checker.Outcome)
-	return &Result{Figures: figures, Unmet: unmet}, nil
+	return &Result{Figures: figures, Unmet: unmet, Steps: replay.explain(replayer.Explain)}, nil
 }
 
 // replay is the state of one run. Moment zero of its clock is the start of the
--- a/pkg/requester/operations.go
+++ b/pkg/requester/operations.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/assembler"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
 // Status asks the host what operators see of it.
@@ -57,3 +59,13 @@
 	}
 	return &result, nil
 }
+
+// Explain asks what the host decided about a submission, as far as it still knows.
+func (requester *Requester) Explain(ctx context.Context, submission identifier.SubmissionID) ([]assembler.ExplainStep, error) {
+	var steps []assembler.ExplainStep
+	path := "/v1/explain/" + url.PathEscape(string(submission))
+	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: path}, http.StatusOK, &steps); err != nil {
+		return nil, err
+	}
+	return steps, nil
+}
