--- a/pkg/integration/oracle_test.go
+++ b/pkg/integration/oracle_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -127,6 +130,25 @@
 
 // summary tells what was observed, for the log of a run.
 func (oracle *oracle) summary(record []start) string {
-	return fmt.Sprintf("%d answers (%d complete, %d failed, %d refused), %d starts", len(oracle.observations),
-		oracle.count(outcomeComplete), oracle.count(outcomeFailed), oracle.count(outcomeRefused), len(record))
+	return fmt.Sprintf("%d answers (%d complete, %d failed, %d refused), %d starts%s", len(oracle.observations),
+		oracle.count(outcomeComplete), oracle.count(outcomeFailed), oracle.count(outcomeRefused), len(record), oracle.reasons())
+}
+
+// reasons lists how often each reason was given, with one example.
+func (oracle *oracle) reasons() string {
+	oracle.mutex.Lock()
+	defer oracle.mutex.Unlock()
+	counts := make(map[string]int)
+	examples := make(map[string]string)
+	for _, seen := range oracle.observations {
+		if reason := seen.answer.Reason; reason != "" {
+			counts[reason]++
+			examples[reason] = seen.job.Submission + " from " + seen.host + ": " + seen.answer.Detail
+		}
+	}
+	var text strings.Builder
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(&text, "\n%d times %s, as %s", counts[reason], reason, examples[reason])
+	}
+	return text.String()
 }
