Give gRPC streams a fixed window

Cause: the lead's profile showed pings and their answers: gRPC sizes windows by itself and pings for nearly every message of a stream that trickles. Change: a fixed window of 1 MiB on all streams (connector.ServerOptions, the peers' and the stand-in's dialling).

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -213,8 +213,8 @@
 	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
 		http:           daemon.newHTTPServer(router),
-		backendServers: grpc.NewServer(),
-		peers:          grpc.NewServer(),
+		backendServers: grpc.NewServer(connector.ServerOptions()...),
+		peers:          grpc.NewServer(connector.ServerOptions()...),
 	}
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -146,6 +146,8 @@
 func (peers *Peers) dial(address string) (*grpc.ClientConn, error) {
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: dialBaseDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: dialMaxDelay},
 			MinConnectTimeout: dialMaxDelay,
--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -12,6 +12,11 @@
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 )
 
+// streamWindow is the flow-control window towards an entry host. A window that
+// gRPC sizes by itself costs a ping and its answer for nearly every message of a
+// stream that trickles.
+const streamWindow = 1 << 20
+
 // link is the connection to one entry host. Its outgoing messages are gathered
 // and sent as one batch.
 type link struct {
@@ -84,6 +89,8 @@
 func (executor *Executor) keep(ctx context.Context, link *link) {
 	connection, err := grpc.NewClient(link.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: time.Second,
