Carry jobs with large payloads over every stream; translate starts outside the tick

Cause: gRPC refuses a received message of over 4 MiB and ends the stream; the sender repeated the same. Change: hosts receive up to 64 MiB; batches between hosts are split between messages, starts and the stand-in's answers by size; what waits for a backend server is merged and translated in its stream's goroutine, one block for each kind of message in place of one allocation for each task.

--- /dev/null
+++ b/pkg/connector/hostmessages.go
@@ -0,0 +1,119 @@
+package connector
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+)
+
+// startBytes is how many bytes of starts one message carries before the next one
+// goes into another. gRPC refuses a received message of over 4 MiB unless
+// the backend server says otherwise, and ends the stream with it: a few starts
+// with large payloads in one message would cut the server off, again and again.
+const startBytes = 1 << 20
+
+// startOverhead is what a start takes beside its payload and names, at most.
+const startOverhead = 64
+
+// hostMessages translates the batches that wait for a backend server into as few
+// messages as their order and size allow.
+func hostMessages(now identifier.Moment, batches []*dispatcher.ToServer) []*backendv1.HostMessage {
+	merger := &hostMessageMerger{now: now}
+	for _, batch := range batches {
+		merger.add(batch)
+	}
+	return merger.messages
+}
+
+// hostMessageMerger puts batches together.
+type hostMessageMerger struct {
+	now      identifier.Moment
+	messages []*backendv1.HostMessage
+	// bytes is the size of the starts in the last message.
+	bytes int
+}
+
+func (merger *hostMessageMerger) add(batch *dispatcher.ToServer) {
+	if !merger.fits(batch) {
+		merger.begin()
+	}
+	if batch.Lead != nil {
+		merger.last().Lead = &backendv1.Lead{Cell: uint32(batch.Lead.Cell), Epoch: uint64(batch.Lead.Epoch)}
+	}
+	merger.addStarts(batch.Starts)
+	message := merger.last()
+	message.Cancels = appendBlock(message.Cancels, batch.Cancels, func(cancel *backendv1.Cancel, key *dispatcher.TaskKey) {
+		cancel.Submission, cancel.Task = string(key.Submission), string(key.Task)
+	})
+	message.Received = appendBlock(message.Received, batch.Received, func(received *backendv1.AnswerReceived, key *dispatcher.TaskKey) {
+		received.Submission, received.Task = string(key.Submission), string(key.Task)
+	})
+}
+
+// fits tells whether a batch means the same when it is merged into the last
+// message, whose parts are read in the order lead, starts, cancels, received. A
+// lead must come before and not after what it fences, and a cancel that was there
+// first must be read before a start.
+func (merger *hostMessageMerger) fits(batch *dispatcher.ToServer) bool {
+	if len(merger.messages) == 0 || batch.Lead != nil {
+		return false
+	}
+	return len(batch.Starts) == 0 || len(merger.last().GetCancels()) == 0
+}
+
+func (merger *hostMessageMerger) begin() {
+	merger.messages = append(merger.messages, &backendv1.HostMessage{})
+	merger.bytes = 0
+}
+
+func (merger *hostMessageMerger) last() *backendv1.HostMessage {
+	return merger.messages[len(merger.messages)-1]
+}
+
+// addStarts fills the last message and begins others as the payloads fill them.
+func (merger *hostMessageMerger) addStarts(starts []dispatcher.Start) {
+	begun := 0
+	for index := range starts {
+		size := sizeOf(&starts[index])
+		if merger.bytes > 0 && merger.bytes+size > startBytes {
+			merger.appendStarts(starts[begun:index])
+			begun = index
+			merger.begin()
+		}
+		merger.bytes += size
+	}
+	merger.appendStarts(starts[begun:])
+}
+
+func sizeOf(start *dispatcher.Start) int {
+	return startOverhead + len(start.Payload) + len(start.Submission) + len(start.Job) + len(start.Task)
+}
+
+func (merger *hostMessageMerger) appendStarts(starts []dispatcher.Start) {
+	message := merger.last()
+	message.Starts = appendBlock(message.Starts, starts, func(target *backendv1.Start, start *dispatcher.Start) {
+		target.Submission = string(start.Submission)
+		target.Job = string(start.Job)
+		target.Task = string(start.Task)
+		target.Cell = uint32(start.Cell)
+		target.Epoch = uint64(start.Epoch)
+		target.Payload = start.Payload
+		if remaining := start.Deadline.Remaining(merger.now); remaining != nil {
+			target.RemainingNanos = max(int64(*remaining), 1)
+		}
+	})
+}
+
+// appendBlock appends a translation of each item. The translations stand in one
+// block, so that a batch costs one allocation and not one for each task.
+func appendBlock[Item, Message any](target []*Message, items []Item, fill func(*Message, *Item)) []*Message {
+	if len(items) == 0 {
+		return target
+	}
+	block := make([]Message, len(items))
+	for index := range items {
+		fill(&block[index], &items[index])
+		target = append(target, &block[index])
+	}
+	return target
+}
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -25,6 +25,10 @@
 	// are dropped: every message between hosts is either repeated by its sender or
 	// covered by a timeout.
 	sendQueue = 1024
+	// frameBytes is the size over which a batch is split between its messages.
+	frameBytes = 1 << 20
+	// frameOverhead is what a frame takes beside its payload, at most.
+	frameOverhead = 1 << 10
 )
 
 // errNotIntroduced means that a stream did not begin with another host's id.
@@ -107,15 +111,36 @@
 	if !found {
 		return
 	}
+	for _, payload := range peers.framesOf(to, batch) {
+		select {
+		case link.queue <- payload:
+		default:
+			peers.Log.Warn("peer batch dropped, queue full", "peer", to)
+		}
+	}
+}
+
+// framesOf encodes a batch. A batch that is large goes in several frames, in its
+// order: the other host need not hold all of it at once, and no frame comes near
+// the bound of what is received. A single message beyond that bound is dropped,
+// because it would end the stream each time it is sent.
+func (peers *Peers) framesOf(to identifier.HostID, batch *coordinator.PeerBatch) [][]byte {
 	payload, err := encodeBatch(batch)
 	if err != nil {
 		peers.Log.Error("peer batch not encoded", "peer", to, "err", err)
-		return
+		return nil
 	}
-	select {
-	case link.queue <- payload:
+	count := len(batch.Messages)
+	switch {
+	case len(payload) > frameBytes && count > 1:
+		first := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[:count/2]})
+		second := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[count/2:]})
+		return append(first, second...)
+	case len(payload) > maxMessage-frameOverhead:
+		peers.Log.Error("peer message dropped, too large", "peer", to, "bytes", len(payload))
+		return nil
 	default:
-		peers.Log.Warn("peer batch dropped, queue full", "peer", to)
+		return [][]byte{payload}
 	}
 }
 
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -51,7 +51,6 @@
 	current := servers.open(id)
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
-	current.queue <- servers.welcome()
 	servers.Post(ctx, &coordinator.ServerEvent{Event: announced(announce)})
 	received := make(chan error, 1)
 	go func() { received <- servers.receive(ctx, stream, id, current) }()
@@ -109,15 +108,21 @@
 	if current == nil {
 		return
 	}
-	current.enqueue(hostMessage(servers.Clock.Now(), batch))
+	current.enqueue(batch)
 }
 
+// send writes the welcome and then what waits, until the stream ends.
 func (servers *Servers) send(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], current *serverStream) {
+	if stream.Send(servers.welcome()) != nil {
+		return
+	}
 	for {
 		select {
-		case message := <-current.queue:
-			if stream.Send(message) != nil {
-				return
+		case batch := <-current.queue:
+			for _, message := range hostMessages(servers.Clock.Now(), current.gather(batch)) {
+				if stream.Send(message) != nil {
+					return
+				}
 			}
 		case <-current.done:
 			return
--- a/pkg/connector/serverstream.go
+++ b/pkg/connector/serverstream.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 )
 
 var (
@@ -17,7 +17,7 @@
 
 // serverStream is one stream of a backend server.
 type serverStream struct {
-	queue chan *backendv1.HostMessage
+	queue chan *dispatcher.ToServer
 	done  chan struct{}
 	// overflowed is closed when the queue is full.
 	overflowed chan struct{}
@@ -29,7 +29,7 @@
 
 func newServerStream() *serverStream {
 	return &serverStream{
-		queue:      make(chan *backendv1.HostMessage, sendQueue),
+		queue:      make(chan *dispatcher.ToServer, sendQueue),
 		done:       make(chan struct{}),
 		overflowed: make(chan struct{}),
 	}
@@ -38,14 +38,27 @@
 // enqueue queues a batch. It never waits: a backend server that has stopped
 // reading would hold up the tick of the whole host, and with it every other job.
 // Its stream ends instead, and its next announce and report tell what started.
-func (stream *serverStream) enqueue(message *backendv1.HostMessage) {
+func (stream *serverStream) enqueue(batch *dispatcher.ToServer) {
 	select {
-	case stream.queue <- message:
+	case stream.queue <- batch:
 	default:
 		stream.overflow.Do(func() { close(stream.overflowed) })
 	}
 }
 
+// gather returns a batch together with those that wait behind it, oldest first.
+func (stream *serverStream) gather(first *dispatcher.ToServer) []*dispatcher.ToServer {
+	batches := []*dispatcher.ToServer{first}
+	for {
+		select {
+		case next := <-stream.queue:
+			batches = append(batches, next)
+		default:
+			return batches
+		}
+	}
+}
+
 // post runs what posts to the coordinator, unless a newer stream has taken the
 // place, and tells whether it did. An old report that came after the new stream's
 // announce would lack the tasks started in between; they would count as not
--- a/pkg/connector/windows.go
+++ b/pkg/connector/streamlimits.go
@@ -9,10 +9,16 @@
 // can make this host hold.
 const streamWindow = 1 << 20
 
+// maxMessage bounds a message that this host receives, in bytes. gRPC's own bound
+// of 4 MiB is under what one job within the limits takes; a stream that it cuts
+// would be cut again by the same message.
+const maxMessage = 64 << 20
+
 // ServerOptions are the options of the gRPC servers of a host.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.StaticStreamWindowSize(streamWindow),
 		grpc.StaticConnWindowSize(streamWindow),
+		grpc.MaxRecvMsgSize(maxMessage),
 	}
 }
--- a/pkg/connector/translation.go
+++ b/pkg/connector/translation.go
@@ -52,7 +52,7 @@
 // serverEvents translates one batch into inputs, in the order that the protocol
 // gives to its parts.
 func serverEvents(id identifier.BackendServerID, message *backendv1.ServerMessage) []dispatcher.Input {
-	var events []dispatcher.Input
+	events := make([]dispatcher.Input, 0, 1)
 	if report := message.GetReport(); report != nil {
 		events = append(events, &dispatcher.ServerReported{
 			Server:         id,
@@ -87,37 +87,3 @@
 	}
 	return translated
 }
-
-// hostMessage translates one tick's batch for a backend server.
-func hostMessage(now identifier.Moment, batch *dispatcher.ToServer) *backendv1.HostMessage {
-	message := &backendv1.HostMessage{}
-	if batch.Lead != nil {
-		message.Lead = &backendv1.Lead{Cell: uint32(batch.Lead.Cell), Epoch: uint64(batch.Lead.Epoch)}
-	}
-	for _, start := range batch.Starts {
-		message.Starts = append(message.Starts, startMessage(now, &start))
-	}
-	for _, key := range batch.Cancels {
-		message.Cancels = append(message.Cancels, &backendv1.Cancel{Submission: string(key.Submission), Task: string(key.Task)})
-	}
-	for _, key := range batch.Received {
-		received := &backendv1.AnswerReceived{Submission: string(key.Submission), Task: string(key.Task)}
-		message.Received = append(message.Received, received)
-	}
-	return message
-}
-
-func startMessage(now identifier.Moment, start *dispatcher.Start) *backendv1.Start {
-	message := &backendv1.Start{
-		Submission: string(start.Submission),
-		Job:        string(start.Job),
-		Task:       string(start.Task),
-		Cell:       uint32(start.Cell),
-		Epoch:      uint64(start.Epoch),
-		Payload:    start.Payload,
-	}
-	if remaining := start.Deadline.Remaining(now); remaining != nil {
-		message.RemainingNanos = max(int64(*remaining), 1)
-	}
-	return message
-}
--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -17,6 +17,9 @@
 // stream that trickles.
 const streamWindow = 1 << 20
 
+// messageBytes is how many bytes of results one message carries.
+const messageBytes = 1 << 20
+
 // link is the connection to one entry host. Its outgoing messages are gathered
 // and sent as one batch.
 type link struct {
@@ -150,10 +153,30 @@
 		if message == nil {
 			continue
 		}
-		if stream.Send(message) != nil {
-			return
+		for _, part := range split(message) {
+			if stream.Send(part) != nil {
+				return
+			}
+		}
+	}
+}
+
+// split keeps the answers of one message under messageBytes, where there is more
+// than one: an entry host refuses a message of over 64 MiB and ends the stream.
+func split(message *backendv1.ServerMessage) []*backendv1.ServerMessage {
+	parts := []*backendv1.ServerMessage{message}
+	answers := message.GetAnswers()
+	begun, size := 0, 0
+	for index, answer := range answers {
+		size += len(answer.GetResult())
+		if size > messageBytes && index > begun {
+			parts[len(parts)-1].Answers = answers[begun:index]
+			parts = append(parts, &backendv1.ServerMessage{})
+			begun, size = index, len(answer.GetResult())
 		}
 	}
+	parts[len(parts)-1].Answers = answers[begun:]
+	return parts
 }
 
 // announce opens the link and tells the complete state of the server.
