--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -12,6 +12,14 @@
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 )
 
+// streamWindow is the flow-control window towards an entry host. A window that
+// gRPC sizes by itself costs a ping and its answer for nearly every message of a
+// stream that trickles.
+const streamWindow = 1 << 20
+
+// messageBytes is how many bytes of results one message carries.
+const messageBytes = 1 << 20
+
 // link is the connection to one entry host. Its outgoing messages are gathered
 // and sent as one batch.
 type link struct {
@@ -84,6 +92,8 @@
 func (executor *Executor) keep(ctx context.Context, link *link) {
 	connection, err := grpc.NewClient(link.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: time.Second,
@@ -143,10 +153,30 @@
 		if message == nil {
 			continue
 		}
-		if stream.Send(message) != nil {
-			return
+		for _, part := range split(message) {
+			if stream.Send(part) != nil {
+				return
+			}
+		}
+	}
+}
+
+// split keeps the answers of one message under messageBytes, where there is more
+// than one: an entry host refuses a message of over 64 MiB and ends the stream.
+func split(message *backendv1.ServerMessage) []*backendv1.ServerMessage {
+	parts := []*backendv1.ServerMessage{message}
+	answers := message.GetAnswers()
+	begun, size := 0, 0
+	for index, answer := range answers {
+		size += len(answer.GetResult())
+		if size > messageBytes && index > begun {
+			parts[len(parts)-1].Answers = answers[begun:index]
+			parts = append(parts, &backendv1.ServerMessage{})
+			begun, size = index, len(answer.GetResult())
 		}
 	}
+	parts[len(parts)-1].Answers = answers[begun:]
+	return parts
 }
 
 // announce opens the link and tells the complete state of the server.
