--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -88,9 +88,18 @@
 	}
 }
 
+// idleHeartbeats is how many times rarer heartbeats come to a host that does not
+// lead the server's cell. It starts nothing there, so it need not notice silence
+// soon, and with 250 servers the heartbeats to every host would be most of the
+// control's processor time.
+const idleHeartbeats = 10
+
 func (dispatcher *Dispatcher) expectHeartbeat(server *server) {
-	due := dispatcher.now.Add(dispatcher.Settings.HeartbeatTimeout)
-	dispatcher.timers.Set(server.timer(timerServerSilence), due)
+	timeout := dispatcher.Settings.HeartbeatTimeout
+	if dispatcher.cells.Get(server.cell) == nil {
+		timeout *= idleHeartbeats
+	}
+	dispatcher.timers.Set(server.timer(timerServerSilence), dispatcher.now.Add(timeout))
 }
 
 func (dispatcher *Dispatcher) refreshSlots(server *server) {
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -40,6 +40,7 @@
 	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == cell.number && server.connected {
 			dispatcher.fence(cell, server)
+			dispatcher.expectHeartbeat(server)
 			cell.awaitedServers[server.id] = true
 		}
 		return true
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -20,6 +20,9 @@
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	reconnectPause    = 100 * time.Millisecond
+	// idleHeartbeats is how many times rarer heartbeats go to an entry host that
+	// leads no cell of this server.
+	idleHeartbeats = 10
 	// answerRetention is how long an answer is kept that nobody acknowledges.
 	answerRetention = 10 * time.Minute
 )
@@ -113,12 +116,25 @@
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
 	for _, link := range executor.links {
+		if !executor.led(link) && sequence%idleHeartbeats != 0 {
+			continue
+		}
 		link.queue(&backendv1.ServerMessage{
 			Heartbeat: &backendv1.Heartbeat{Sequence: sequence, Busy: int32(len(executor.tasks))},
 		})
 	}
 }
 
+// led tells whether the entry host leads a cell of this server.
+func (executor *Executor) led(link *link) bool {
+	for _, lead := range executor.leads {
+		if lead == link {
+			return true
+		}
+	}
+	return false
+}
+
 func (executor *Executor) forgetOld(now time.Time) {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
