--- a/pkg/assessor/assessor.go
+++ b/pkg/assessor/assessor.go
@@ -122,13 +122,9 @@
 
 // expire lets ejected servers prove themselves.
 func (assessor *Assessor) expire() {
-	for {
-		id, due := assessor.timers.PopDue(assessor.now)
-		if !due {
-			return
-		}
+	assessor.timers.EachDue(assessor.now, func(id identifier.BackendServerID) {
 		if server := assessor.servers.Get(id); server != nil && server.state == stateEjected {
 			assessor.probe(server)
 		}
-	}
+	})
 }
--- a/pkg/claimer/requester.go
+++ b/pkg/claimer/requester.go
@@ -191,13 +191,7 @@
 }
 
 func (requester *Requester) expire() {
-	for {
-		timer, due := requester.timers.PopDue(requester.now)
-		if !due {
-			return
-		}
-		requester.expireOne(timer.submission)
-	}
+	requester.timers.EachDue(requester.now, func(timer requestTimer) { requester.expireOne(timer.submission) })
 }
 
 func (requester *Requester) expireOne(submission identifier.SubmissionID) {
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -88,16 +88,13 @@
 
 // expire sends what was not answered again, and gives up what waits too long.
 func (petitions *petitions) expire() {
-	for {
-		nonce, due := petitions.timers.PopDue(petitions.coordinator.now)
-		if !due {
-			return
-		}
+	now := petitions.coordinator.now
+	petitions.timers.EachDue(now, func(nonce keeper.Nonce) {
 		petition := petitions.waiting.Get(nonce)
-		if petition.giveUpAt.Due(petitions.coordinator.now) {
+		if petition.giveUpAt.Due(now) {
 			petitions.end(nonce, &OperatorAnswer{Waiter: petition.waiter})
-			continue
+			return
 		}
 		petitions.send(nonce)
-	}
+	})
 }
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -7,13 +7,7 @@
 
 // expire handles every deadline that has been reached.
 func (dispatcher *Dispatcher) expire() {
-	for {
-		key, due := dispatcher.timers.PopDue(dispatcher.now)
-		if !due {
-			return
-		}
-		dispatcher.expireOne(key)
-	}
+	dispatcher.timers.EachDue(dispatcher.now, dispatcher.expireOne)
 }
 
 func (dispatcher *Dispatcher) expireOne(key timerKey) {
--- a/pkg/forwarder/expiry.go
+++ b/pkg/forwarder/expiry.go
@@ -2,13 +2,7 @@
 
 // expire handles every deadline that has been reached.
 func (forwarder *Forwarder) expire() {
-	for {
-		key, due := forwarder.timers.PopDue(forwarder.now)
-		if !due {
-			return
-		}
-		forwarder.expireOne(key)
-	}
+	forwarder.timers.EachDue(forwarder.now, forwarder.expireOne)
 }
 
 func (forwarder *Forwarder) expireOne(key timerKey) {
--- a/pkg/sizer/checks.go
+++ b/pkg/sizer/checks.go
@@ -14,10 +14,11 @@
 	}
 }
 
+// controlProcessorCheck adds up what a daemon does without any job. The planner
+// runs on one host of each failure domain; the check is for that one.
 func controlProcessorCheck(demand demand, slopes *Slopes) Check {
-	const heartbeatsPerSecond = 2
 	micros := slopes.value(slopeDaemonCPU) + float64(demand.Hosts)*slopes.value(slopeGossipCPU) +
-		demand.workersPerDom*heartbeatsPerSecond*slopes.value(slopeHeartbeatCPU) +
+		heartbeatsPerSecond(demand)*slopes.value(slopeHeartbeatCPU) +
 		demand.workersPerDom*slopes.value(slopePlannerServerCPU)
 	share := coreShare(micros)
 	return Check{
@@ -25,7 +26,7 @@
 		Value:  percent(share),
 		Bound:  percent(controlCoreShare),
 		Fits:   share <= controlCoreShare,
-		Advice: "divide a failure domain's intents over its hosts by cell, as jobs are; let heartbeats go to the lead and one deputy only",
+		Advice: "divide a failure domain's intents over its hosts by cell, as jobs are; the rest is mostly waking up for each message of the membership",
 	}
 }
 
--- a/pkg/sizer/page.go
+++ b/pkg/sizer/page.go
@@ -31,10 +31,8 @@
 
 - The configuration is fetched as a whole. At the planned rate its bytes are the largest part of a daemon's control
   traffic; sending changes only is the next step if documents grow beyond what the table assumes.
-- The processor time of the planner counts one host that drives a whole failure domain. Cells divide it, as they divide
-  the jobs; that division is not built.
-- Each backend server sends two heartbeats a second to each entry host of its failure domain. That is most of the
-  control's processor time at the planned size. Only the lead needs them that often.
+- The processor time of control is over its bound on the host that drives a failure domain's intents; on the others it is
+  the sum without the planner. Cells could divide the planner as they divide the jobs; that division is not built.
 - The register of claims is one, in memory on each keeper, and bounded at 4 million. Two percent of not-repeatable jobs
   fill it within a day at the planned size. It has to be divided and its fingerprints have to go to disk.
 - Claims of all regions go through one log. The rate fits; the round trip between regions that are far apart is not in
--- a/pkg/sizer/rows.go
+++ b/pkg/sizer/rows.go
@@ -45,18 +45,24 @@
 	}
 }
 
-// serversRow counts the heartbeats of the backend servers, which attach to every
-// entry host of their failure domain.
+// heartbeatsPerSecond is how many heartbeats reach one entry host: each backend
+// server sends two a second to the host that leads its cell, and one in five
+// seconds to the others.
+func heartbeatsPerSecond(demand demand) float64 {
+	const toLead, toOthers = 2.0, 0.2
+	led := demand.workersPerDom / demand.hostsPerDomain
+	return led*toLead + (demand.workersPerDom-led)*toOthers
+}
+
 func serversRow(demand demand, slopes *Slopes) Row {
-	const heartbeatsPerSecond = 2
-	beats := demand.workersPerDom * heartbeatsPerSecond
+	beats := heartbeatsPerSecond(demand)
 	return Row{
 		Role: "entry host", Part: "backend servers' streams",
 		State:     fmt.Sprintf("%.0f streams", demand.workersPerDom),
 		Messages:  rate(beats, "heartbeats") + ", " + bytes(beats*slopes.value(slopeHeartbeatBytes)) + "/s",
 		Processor: percent(coreShare(beats * slopes.value(slopeHeartbeatCPU))),
 		Memory:    bytes(demand.workersPerDom * slopes.value(slopeServerBytes)),
-		Mechanism: "a backend server attaches to its failure domain's hosts only",
+		Mechanism: "a backend server attaches to its failure domain's hosts only, and sends heartbeats often only to the lead of its cell",
 	}
 }
 
--- a/pkg/tabulator/timers.go
+++ b/pkg/tabulator/timers.go
@@ -67,6 +67,18 @@
 	return entry.key, true
 }
 
+// EachDue removes every key whose deadline has been reached at now and hands it to
+// expire, in order, those included that expire sets for now or earlier.
+func (timers *Timers[K]) EachDue(now identifier.Moment, expire func(key K)) {
+	for {
+		key, due := timers.PopDue(now)
+		if !due {
+			return
+		}
+		expire(key)
+	}
+}
+
 // Next returns the earliest deadline, or identifier.Never.
 func (timers *Timers[K]) Next() identifier.Moment {
 	if len(timers.entries) == 0 {
