Judge a server's slowness against the other servers

Cause: the mean run time of a caller starts at its first answer, and the short tasks of a wide job end first. Change: slowness counts as far as it exceeds the mean of the other servers with run times, if that is above zero.

--- a/pkg/assessor/assessor.go
+++ b/pkg/assessor/assessor.go
@@ -68,7 +68,9 @@
 	// slots counts all slots, ejected those of ejected servers.
 	slots   identifier.Slots
 	ejected identifier.Slots
-	outputs []Output
+	// slowness sums that of all servers.
+	slowness slownessTotal
+	outputs  []Output
 }
 
 // Tick applies the inputs in order, judges the servers that they are about and
--- a/pkg/assessor/entities.go
+++ b/pkg/assessor/entities.go
@@ -21,12 +21,20 @@
 	told identifier.Slots
 	// shares are the outcomes of its latest tasks by origin.
 	shares []share
-	// slowness is the decayed base 2 logarithm of observed over expected run time.
+	// slowness is the decayed base 2 logarithm of observed over expected run time;
+	// timed tells that there was one. See slownessOf.
 	slowness float64
+	timed    bool
 	// ejectWait is how long the next ejection lasts.
 	ejectWait time.Duration
 }
 
+// slownessTotal sums the slowness of the servers that have run times.
+type slownessTotal struct {
+	sum     float64
+	servers int
+}
+
 // share is what one server has shown with the tasks of one origin, decayed with
 // each of the server's tasks.
 type share struct {
--- a/pkg/assessor/judgement.go
+++ b/pkg/assessor/judgement.go
@@ -19,7 +19,7 @@
 	if server.state == stateProbing {
 		limit = probeFailureBlame
 	}
-	bad := server.blame() >= limit || server.slowness >= assessor.Settings.SlowEjectAt
+	bad := server.blame() >= limit || assessor.slownessOf(server) >= assessor.Settings.SlowEjectAt
 	if bad && assessor.mayEject(server) {
 		assessor.eject(server)
 		return
@@ -66,7 +66,7 @@
 	}
 	server.told = slots
 	assessor.outputs = append(assessor.outputs, &AllowanceChanged{
-		Server: server.id, Slots: slots, Cause: cause, Blame: server.blame(), Slowing: server.slowness,
+		Server: server.id, Slots: slots, Cause: cause, Blame: server.blame(), Slowing: assessor.slownessOf(server),
 	})
 }
 
@@ -86,8 +86,8 @@
 	if failing := server.part(1 - server.blame()/assessor.Settings.EjectAt); failing < allowed {
 		allowed, cause = failing, CauseFailing
 	}
-	if server.slowness > assessor.Settings.SlowAt {
-		if slow := server.part(math.Exp2(assessor.Settings.SlowAt - server.slowness)); slow < allowed {
+	if slowness := assessor.slownessOf(server); slowness > assessor.Settings.SlowAt {
+		if slow := server.part(math.Exp2(assessor.Settings.SlowAt - slowness)); slow < allowed {
 			allowed, cause = slow, CauseSlow
 		}
 	}
--- a/pkg/assessor/outcomes.go
+++ b/pkg/assessor/outcomes.go
@@ -100,7 +100,7 @@
 		origin.failed++
 		return
 	}
-	server.recordRunTime(origin, math.Log2(max(input.RunTime.Seconds(), 1e-6)))
+	assessor.recordRunTime(server, origin, math.Log2(max(input.RunTime.Seconds(), 1e-6)))
 	server.ramp = min(server.ramp+1, server.slots)
 }
 
@@ -146,7 +146,7 @@
 		assessor.dropShare(share)
 	}
 	server.shares = nil
-	server.slowness = 0
+	assessor.forgetSlowness(server)
 }
 
 func (server *server) shareOf(origin *origin) *share {
@@ -162,16 +162,53 @@
 
 // recordRunTime compares a run time with the mean of its origin. Tasks differ, so
 // only the mean of many ratios says something about the server.
-func (server *server) recordRunTime(origin *origin, runTime float64) {
+func (assessor *Assessor) recordRunTime(server *server, origin *origin, runTime float64) {
 	if !origin.known {
 		origin.known = true
 		origin.runTime = runTime
 	}
 	ratio := min(max(runTime-origin.runTime, -ratioLimit), ratioLimit)
-	server.slowness += slownessDecay * (ratio - server.slowness)
+	change := slownessDecay * (ratio - server.slowness)
+	server.slowness += change
+	assessor.slowness.sum += change
+	if !server.timed {
+		server.timed = true
+		assessor.slowness.servers++
+	}
 	origin.runTime += runTimeDecay * ratio
 }
 
+func (assessor *Assessor) forgetSlowness(server *server) {
+	if !server.timed {
+		return
+	}
+	assessor.slowness.sum -= server.slowness
+	assessor.slowness.servers--
+	server.slowness = 0
+	server.timed = false
+}
+
+// slownessOf returns how much slower a server is than the others, as a base 2
+// logarithm.
+//
+// The mean of an origin may be wrong for every server alike: the short tasks of a
+// wide job end first, so the first run times of a caller are too short, and those
+// that follow look slow wherever they ran. Without the comparison most servers lost
+// most of their slots while no server was slow; it showed as tasks that waited
+// beside free slots. It never counts against a server that others look fast.
+func (assessor *Assessor) slownessOf(server *server) float64 {
+	others := assessor.slowness.servers
+	sum := assessor.slowness.sum
+	if server.timed {
+		others--
+		sum -= server.slowness
+	}
+	if others <= 0 {
+		return server.slowness
+	}
+	return server.slowness - max(sum/float64(others), 0)
+}
+
 // blame returns how many of the server's latest tasks failed beyond what the same
 // origins' tasks show on other servers. It is worked out anew each time: when a
 // job turns out to fail everywhere, the blame for it goes.
