Serve narrow jobs first, by width and the root of the ideal

Cause: with least slack at stretch 2 a job of one long task is due as late as it is long, and a wide job of short tasks before it. At 80 percent 124 of the 146 jobs above p99 had one task, with an ideal of 0.25 s on average; at 95 percent 156 of 168. Change: the slack is 100 ms for each task times the square root of the ideal in seconds, at most 4 ideals; deadlines count as before. The tolerance between teams is 1 s of slot time instead of 300 ms.

--- a/pkg/dispatcher/limits.go
+++ b/pkg/dispatcher/limits.go
@@ -43,7 +43,7 @@
 		Limiter:         limiter.DefaultSettings(),
 		Estimator:       estimator.DefaultSettings(),
 		Queue:           queuer.DefaultSettings(),
-		Order:           queuer.LeastSlack{Stretch: 2},
+		Order:           queuer.NarrowFirst{Slack: 100 * time.Millisecond, Stretch: 4},
 		QueueWaitRatio:  1,
 		QueuePatience:   0.5,
 		QueueWaitFloor:  20 * time.Millisecond,
--- a/pkg/dispatcher/measuring.go
+++ b/pkg/dispatcher/measuring.go
@@ -50,6 +50,7 @@
 		Ideal:     job.measured.ideal,
 		Work:      job.measured.work,
 		Slots:     slots,
+		Tasks:     len(job.tasks),
 	}
 }
 
--- a/pkg/queuer/order.go
+++ b/pkg/queuer/order.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"math"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -18,6 +19,8 @@
 	Work time.Duration
 	// Slots is how many slots the work is spread over.
 	Slots identifier.Slots
+	// Tasks is how many tasks the job has.
+	Tasks int
 }
 
 // Order ranks the jobs of one team: the job that is due first goes first. The
@@ -50,7 +53,34 @@
 
 // Due returns the moment at which the job should start at the latest.
 func (order LeastSlack) Due(shape Shape) identifier.Moment {
-	slack := time.Duration(float64(shape.Ideal) * order.Stretch)
+	return shape.dueWithin(time.Duration(float64(shape.Ideal) * order.Stretch))
+}
+
+// NarrowFirst serves narrow and short jobs before wide and long ones, because a
+// wait of the same time is more of a short job's response and holds up as many
+// jobs as there are behind it. The slack of a job is Slack for each task, times the
+// square root of its ideal in seconds: half way between the fewest tasks first,
+// which needs no estimate, and the least work first, which trusts it in full.
+//
+// Without a bound a wide job that was admitted would be overtaken by what arrives
+// after it for many times its own length, which admission can't foresee. So the
+// slack is at most Stretch times the ideal.
+type NarrowFirst struct {
+	Slack   time.Duration
+	Stretch float64
+}
+
+// Due returns the arrival plus the slack, or earlier where the deadline needs it.
+func (order NarrowFirst) Due(shape Shape) identifier.Moment {
+	ideal := shape.Ideal.Seconds()
+	slack := order.Slack.Seconds() * float64(shape.Tasks) * math.Sqrt(ideal)
+	slack = min(slack, order.Stretch*ideal)
+	return shape.dueWithin(time.Duration(slack * float64(time.Second)))
+}
+
+// dueWithin returns the end of a slack that begins at the arrival, or the last
+// moment at which the job can start to meet its deadline.
+func (shape *Shape) dueWithin(slack time.Duration) identifier.Moment {
 	due := shape.ArrivedAt.Add(slack)
 	if shape.Deadline == identifier.Never {
 		return due
--- a/pkg/queuer/queue.go
+++ b/pkg/queuer/queue.go
@@ -37,7 +37,7 @@
 // DefaultSettings returns the settings that the daemon starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Tolerance:         300 * time.Millisecond,
+		Tolerance:         time.Second,
 		UrgentHeadStart:   time.Second,
 		OverloadFrom:      1.2,
 		CalmAllowance:     2,
