Refuse no job for its wait that starts at once

Cause: jobs of one tick are queued until its end, so admission counts them as waiting although slots are free for them. Change: a job is admitted when the free slots, and the team's tasks in flight, have room for all that is queued and for it. Deadlines are checked as before.

--- a/pkg/dispatcher/overload.go
+++ b/pkg/dispatcher/overload.go
@@ -122,6 +122,9 @@
 		Slots:    slots,
 		Ceiling:  limits.TasksInFlight,
 	})
+	if dispatcher.startsAtOnce(cell, job, limits.TasksInFlight) {
+		verdict = queuer.Verdict{Admitted: true}
+	}
 	if !verdict.Admitted {
 		return refuseWait(job, verdict)
 	}
@@ -131,6 +134,18 @@
 	return nil
 }
 
+// startsAtOnce tells whether the free slots take all that is queued and the job.
+// What came in the same tick is queued although it waits for nothing; counted as
+// waiting it would get jobs refused beside free slots.
+func (dispatcher *Dispatcher) startsAtOnce(cell *cell, job *job, ceiling int) bool {
+	if cell.queue.Tasks()+len(job.tasks) > int(cell.free.slots()) {
+		return false
+	}
+	team := job.spec.Team
+	inFlight := cell.limiter.InFlight(dispatcher.now, team) + cell.queue.TeamTasks(team) + len(job.tasks)
+	return ceiling <= 0 || inFlight <= ceiling
+}
+
 func refuseWait(job *job, verdict queuer.Verdict) *messenger.JobAnswer {
 	refusal := messenger.Refuse(job.spec.Submission, messenger.ReasonQueueFull, fmt.Sprintf(
 		"the job would wait about %v for a slot and takes about %v itself; the team's share of the slots is taken",
