Bound the expected wait at admission by 0.35 ideals instead of 1

Cause: in a burst an admitted job waits longer than was expected at its arrival, because narrower jobs that come later overtake it. A bound of one ideal left no room. Change: the wait ratio is 0.35; a job beyond its team's share in the calm may still wait 4 times that (before 2), so that the calm loses little.

--- a/pkg/dispatcher/limits.go
+++ b/pkg/dispatcher/limits.go
@@ -44,7 +44,7 @@
 		Estimator:       estimator.DefaultSettings(),
 		Queue:           queuer.DefaultSettings(),
 		Order:           queuer.NarrowFirst{Slack: 100 * time.Millisecond, Stretch: 4},
-		QueueWaitRatio:  1,
+		QueueWaitRatio:  0.35,
 		QueuePatience:   0.5,
 		QueueWaitFloor:  20 * time.Millisecond,
 		RefusalsPerTask: 8,
--- a/pkg/queuer/queue.go
+++ b/pkg/queuer/queue.go
@@ -40,7 +40,7 @@
 		Tolerance:         time.Second,
 		UrgentHeadStart:   time.Second,
 		OverloadFrom:      1.2,
-		CalmAllowance:     2,
+		CalmAllowance:     4,
 		OverloadAllowance: 0.6,
 		IdleTeams:         1024,
 	}
