Secure every connection, and authorize callers and operators

Until now everybody who reached a port could speak as any host, submit as any team and cancel any job. With tls in the settings, hosts and backend servers show certificates that name them and their failure domain; a stream whose first frame names another is refused. Connections are bounded in number, streams, message size, silence and handshake.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -46,12 +46,16 @@
 	keeping    *keeping
 	operations *operations
 	memory     *memory
+	security   *security
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it turns unready,
 // refuses new work, and answers what it has accepted. A done hurry ends it at
 // once.
 func (daemon *Daemon) Run(ctx, hurry context.Context) error {
+	if err := daemon.secure(); err != nil {
+		return err
+	}
 	daemon.assemble()
 	listeners, err := daemon.listen()
 	if err != nil {
@@ -93,10 +97,13 @@
 		Clock:   daemon.clock,
 	}
 	daemon.runner.Prepare()
-	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation, Dial: daemon.DialPeer}
+	daemon.peers = &connector.Peers{
+		Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation,
+		Dial: daemon.DialPeer, Keys: daemon.security.keys,
+	}
 	daemon.measurer = measurer.New()
 	daemon.measurer.Gauges = daemon.gauges
-	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock}
+	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock, Keys: daemon.security.keys}
 	daemon.servers.Prepare()
 	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock, Measurer: daemon.measurer}
 	daemon.receiver.Prepare()
@@ -208,13 +215,14 @@
 
 func (daemon *Daemon) serve(listeners *listeners) *servers {
 	router := mux.NewRouter()
+	daemon.security.guard(router)
 	daemon.receiver.Register(router)
 	daemon.operations.Register(router)
 	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
 		http:           daemon.newHTTPServer(router),
-		backendServers: grpc.NewServer(connector.ServerOptions()...),
-		peers:          grpc.NewServer(connector.ServerOptions()...),
+		backendServers: daemon.servers.NewServer(),
+		peers:          daemon.peers.NewServer(),
 	}
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
@@ -235,11 +243,17 @@
 		ReadHeaderTimeout: timeouts.HeaderTimeout.Std(),
 		IdleTimeout:       timeouts.IdleTimeout.Std(),
 		MaxHeaderBytes:    int(daemon.Settings.Limits.RequestHeader),
+		Protocols:         onlyHTTP1(),
+		TLSConfig:         daemon.security.callersConfig(),
 	}
 }
 
 func (daemon *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	serve := server.Serve
+	if server.TLSConfig != nil {
+		serve = func(listener net.Listener) error { return server.ServeTLS(listener, "", "") }
+	}
+	if err := serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		daemon.Log.Error("callers not served", "err", err)
 	}
 }
--- a/pkg/assembler/errorkind_enumer.go
+++ b/pkg/assembler/errorkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ErrorKindName = "listenjournal"
+const _ErrorKindName = "listenjournalsecurity"
 
-var _ErrorKindIndex = [...]uint8{0, 6, 13}
+var _ErrorKindIndex = [...]uint8{0, 6, 13, 21}
 
-const _ErrorKindLowerName = "listenjournal"
+const _ErrorKindLowerName = "listenjournalsecurity"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -26,23 +26,27 @@
 	var x [1]struct{}
 	_ = x[ErrorListen-(0)]
 	_ = x[ErrorJournal-(1)]
+	_ = x[ErrorSecurity-(2)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorListen, ErrorJournal}
+var _ErrorKindValues = []ErrorKind{ErrorListen, ErrorJournal, ErrorSecurity}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
-	_ErrorKindName[0:6]:  ErrorListen,
-	_ErrorKindName[6:13]: ErrorJournal,
+	_ErrorKindName[0:6]:   ErrorListen,
+	_ErrorKindName[6:13]:  ErrorJournal,
+	_ErrorKindName[13:21]: ErrorSecurity,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
-	_ErrorKindLowerName[0:6]:  ErrorListen,
-	_ErrorKindLowerName[6:13]: ErrorJournal,
+	_ErrorKindLowerName[0:6]:   ErrorListen,
+	_ErrorKindLowerName[6:13]:  ErrorJournal,
+	_ErrorKindLowerName[13:21]: ErrorSecurity,
 }
 
 var _ErrorKindNames = []string{
 	_ErrorKindName[0:6],
 	_ErrorKindName[6:13],
+	_ErrorKindName[13:21],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -18,6 +18,8 @@
 	ErrorListen ErrorKind = iota
 	// ErrorJournal means that the journal of a keeper could not be opened.
 	ErrorJournal
+	// ErrorSecurity means that key files or tokens can't be used.
+	ErrorSecurity
 )
 
 // Error is the error type of this package.
@@ -62,7 +64,7 @@
 			bound.close()
 			return nil, &Error{Operation: "listen on " + wish.address.String(), Kind: ErrorListen, Err: eris.Wrap(err, "listen")}
 		}
-		*wish.target = listener
+		*wish.target = &boundedListener{Listener: listener, limit: int64(daemon.Settings.Connections.PerListener), log: daemon.Log}
 	}
 	return bound, nil
 }
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -118,7 +118,7 @@
 		return
 	}
 	change := &configurer.Change{
-		Request: body.Request, Expected: body.Expected, Operator: body.Operator,
+		Request: body.Request, Expected: body.Expected, Operator: operatorOf(request.Context(), body.Operator),
 		Document: body.Document, At: time.Now().UTC().Format(time.RFC3339),
 	}
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
--- a/pkg/connector/errorkind_enumer.go
+++ b/pkg/connector/errorkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ErrorKindName = "protocolstreamcodeclisten"
+const _ErrorKindName = "protocolstreamcodeclistenrefused"
 
-var _ErrorKindIndex = [...]uint8{0, 8, 14, 19, 25}
+var _ErrorKindIndex = [...]uint8{0, 8, 14, 19, 25, 32}
 
-const _ErrorKindLowerName = "protocolstreamcodeclisten"
+const _ErrorKindLowerName = "protocolstreamcodeclistenrefused"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -28,15 +28,17 @@
 	_ = x[ErrorStream-(1)]
 	_ = x[ErrorCodec-(2)]
 	_ = x[ErrorListen-(3)]
+	_ = x[ErrorRefused-(4)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorProtocol, ErrorStream, ErrorCodec, ErrorListen}
+var _ErrorKindValues = []ErrorKind{ErrorProtocol, ErrorStream, ErrorCodec, ErrorListen, ErrorRefused}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
 	_ErrorKindName[0:8]:   ErrorProtocol,
 	_ErrorKindName[8:14]:  ErrorStream,
 	_ErrorKindName[14:19]: ErrorCodec,
 	_ErrorKindName[19:25]: ErrorListen,
+	_ErrorKindName[25:32]: ErrorRefused,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
@@ -44,6 +46,7 @@
 	_ErrorKindLowerName[8:14]:  ErrorStream,
 	_ErrorKindLowerName[14:19]: ErrorCodec,
 	_ErrorKindLowerName[19:25]: ErrorListen,
+	_ErrorKindLowerName[25:32]: ErrorRefused,
 }
 
 var _ErrorKindNames = []string{
@@ -51,6 +54,7 @@
 	_ErrorKindName[8:14],
 	_ErrorKindName[14:19],
 	_ErrorKindName[19:25],
+	_ErrorKindName[25:32],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/connector/errors.go
+++ b/pkg/connector/errors.go
@@ -22,6 +22,8 @@
 	ErrorCodec
 	// ErrorListen means that an address could not be bound.
 	ErrorListen
+	// ErrorRefused means that the other side's certificate does not name who speaks.
+	ErrorRefused
 )
 
 // Error is the error type of this package.
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -9,12 +9,12 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // Timing of the connections to other hosts.
@@ -50,6 +50,8 @@
 	// Dial opens the connections to other hosts; nil dials TCP. Tests cut failure
 	// domains off with it.
 	Dial Dialer
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
 
 	peerv1.UnimplementedPeerServer
 	mutex sync.Mutex
@@ -136,7 +138,7 @@
 		first := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[:count/2]})
 		second := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[count/2:]})
 		return append(first, second...)
-	case len(payload) > maxMessage-frameOverhead:
+	case len(payload) > int(peers.Settings.Connections.Message)-frameOverhead:
 		peers.Log.Error("peer message dropped, too large", "peer", to, "bytes", len(payload))
 		return nil
 	default:
@@ -147,7 +149,7 @@
 // keepLink opens a stream as soon as there is something to send, and again
 // whenever it has ended.
 func (peers *Peers) keepLink(ctx context.Context, link *peerLink) {
-	connection, err := peers.dial(link.address)
+	connection, err := peers.dial(link)
 	if err != nil {
 		peers.Log.Error("peer not dialled", "peer", link.host, "err", err)
 		return
@@ -168,9 +170,10 @@
 	}
 }
 
-func (peers *Peers) dial(address string) (*grpc.ClientConn, error) {
+func (peers *Peers) dial(link *peerLink) (*grpc.ClientConn, error) {
 	options := []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(clientCredentials(peers.Keys, hostCheck(peers.Settings, link.host))),
+		probing(peers.Settings),
 		grpc.WithStaticStreamWindowSize(streamWindow),
 		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -181,7 +184,7 @@
 	if peers.Dial != nil {
 		options = append(options, grpc.WithContextDialer(peers.Dial))
 	}
-	connection, err := grpc.NewClient(address, options...)
+	connection, err := grpc.NewClient(link.address, options...)
 	if err != nil {
 		return nil, newError("dial peer", ErrorStream, err)
 	}
@@ -248,14 +251,18 @@
 
 // Exchange receives the batches of another host.
 func (peers *Peers) Exchange(stream peerv1.Peer_ExchangeServer) error {
-	first, err := stream.Recv()
+	introduction, err := first(peers.Settings, stream.Recv)
 	if err != nil {
 		return newError("receive introduction", ErrorStream, err)
 	}
-	from := identifier.HostID(first.GetFrom())
+	from := identifier.HostID(introduction.GetFrom())
 	if from == "" || from == peers.Settings.Host {
 		return newError("receive introduction", ErrorProtocol, errNotIntroduced)
 	}
+	if err := checkStream(stream.Context(), peers.Keys, hostCheck(peers.Settings, from)); err != nil {
+		peers.Log.Warn("peer refused", "peer", from, "err", err)
+		return err
+	}
 	if err := stream.Send(peers.frame(nil)); err != nil {
 		return newError("answer introduction", ErrorStream, err)
 	}
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -13,6 +13,7 @@
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 	"github.com/stoathitch/stoathitch/pkg/runner"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // errNotAnnounced means that a stream did not begin with an Announce.
@@ -24,6 +25,8 @@
 	*provider.Common
 	Post  Poster
 	Clock *runner.Clock
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
 
 	backendv1.UnimplementedEntryHostServer
 	mutex   sync.Mutex
@@ -37,17 +40,21 @@
 
 // Attach serves one stream of a backend server until it ends.
 func (servers *Servers) Attach(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage]) error {
-	first, err := stream.Recv()
+	message, err := first(servers.Settings, stream.Recv)
 	if err != nil {
 		return newError("receive announce", ErrorStream, err)
 	}
-	announce := first.GetAnnounce()
+	announce := message.GetAnnounce()
 	if !servers.acceptable(announce) {
 		return newError("receive announce", ErrorProtocol, errNotAnnounced)
 	}
 	// The last events of a stream are posted after its context is done.
 	ctx := context.WithoutCancel(stream.Context())
 	id := identifier.BackendServerID(announce.GetBackendServer())
+	if err := checkStream(stream.Context(), servers.Keys, serverCheck(servers.Settings, id)); err != nil {
+		servers.Log.Warn("backend server refused", "backend-server", id, "err", err)
+		return err
+	}
 	current := servers.open(id)
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // Timing of a stand-in.
@@ -38,7 +39,9 @@
 	EntryHosts []string
 	// Recorder notes each start before the work begins; nil notes nothing.
 	Recorder *Recorder
-	Log      *log.Logger
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
+	Log  *log.Logger
 
 	mutex       sync.Mutex
 	incarnation uint64
--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 )
@@ -91,7 +91,9 @@
 
 func (executor *Executor) keep(ctx context.Context, link *link) {
 	connection, err := grpc.NewClient(link.address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(executor.credentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(receivedBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeInterval, Timeout: probeTimeout}),
 		grpc.WithStaticStreamWindowSize(streamWindow),
 		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/pkg/loader/checker.go
+++ b/pkg/loader/checker.go
@@ -34,7 +34,9 @@
 	checker.checkDeployment()
 	checker.checkDataFolder()
 	checker.checkTLS()
+	checker.checkAccess()
 	checker.checkNumbers()
+	checker.checkConnections()
 	checker.checkTeams()
 	checker.checkClasses()
 }
--- a/pkg/loader/defaults.go
+++ b/pkg/loader/defaults.go
@@ -27,6 +27,14 @@
 			BodyTimeout:       Duration(30 * time.Second),
 			IdleTimeout:       Duration(2 * time.Minute),
 		},
+		Connections: Connections{
+			PerListener:       16_384,
+			Streams:           16,
+			Message:           64 << 20,
+			KeepaliveInterval: Duration(10 * time.Second),
+			KeepaliveTimeout:  Duration(5 * time.Second),
+			HandshakeTimeout:  Duration(10 * time.Second),
+		},
 		Dispatch: Dispatch{
 			Policy:              PolicyCellLead,
 			Cells:               1,
--- a/pkg/loader/load.go
+++ b/pkg/loader/load.go
@@ -9,7 +9,7 @@
 )
 
 // Load reads and checks the settings file at path, and turns a relative data
-// folder and relative TLS files into paths from the file's own folder. The error
+// folder and relative TLS and access files into paths from the file's own folder. The error
 // is an *Error.
 func Load(path string) (*Settings, error) {
 	content, err := os.ReadFile(path)
@@ -55,6 +55,8 @@
 		&settings.TLS.CertificateFile,
 		&settings.TLS.KeyFile,
 		&settings.TLS.AuthorityFile,
+		&settings.Access.TokensFile,
+		&settings.Access.AuthorityFile,
 	}
 	for _, path := range paths {
 		if *path != "" && !filepath.IsAbs(*path) {
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -61,6 +61,9 @@
 	// Timeouts holds the intervals after which something is given up or forgotten.
 	Timeouts Timeouts `json:"timeouts,omitzero"`
 
+	// Connections bounds what one connection may hold.
+	Connections Connections `json:"connections,omitzero"`
+
 	// Dispatch says how tasks are spread over backend servers.
 	Dispatch Dispatch `json:"dispatch,omitzero"`
 
@@ -75,8 +78,13 @@
 	// TLS names the files for mutual TLS between the hosts and to backend servers.
 	TLS TLS `json:"tls,omitzero"`
 
-	// AllowInsecure lets this host speak without TLS. Without it, `tls` is needed
-	// unless all addresses are loopback ones.
+	// Access says how callers and operators prove who they are. With neither of its
+	// files nobody has to.
+	Access Access `json:"access,omitzero"`
+
+	// AllowInsecure lets this host speak without TLS, and to callers who don't prove
+	// who they are. Without it, `tls` and `access` are needed unless all addresses
+	// are loopback ones.
 	AllowInsecure bool `json:"allow-insecure,omitzero"`
 }
 
--- a/pkg/receiver/handlers.go
+++ b/pkg/receiver/handlers.go
@@ -20,6 +20,9 @@
 func (receiver *Receiver) submit(writer http.ResponseWriter, request *http.Request) {
 	begun := time.Now()
 	job, deadline, size, problem := receiver.readInTime(writer, request)
+	if problem == nil {
+		problem = checkSender(request.Context(), job)
+	}
 	if problem != nil {
 		receiver.Measurer.BadRequest(problem.Kind)
 		receiver.Log.Debug("request not accepted", "error", problem.Kind, "detail", problem.Detail)
@@ -75,24 +78,30 @@
 
 func (receiver *Receiver) show(writer http.ResponseWriter, request *http.Request) {
 	submission := identifier.SubmissionID(mux.Vars(request)["submission"])
+	caller, problem := callerOf(request)
+	if problem != nil {
+		writeProblem(writer, problem)
+		return
+	}
 	answer := receiver.await(request.Context(), func(waiter forwarder.WaiterID) forwarder.Input {
-		return &forwarder.CallerAsked{Waiter: waiter, Caller: callerOf(request), Submission: submission}
+		return &forwarder.CallerAsked{Waiter: waiter, Caller: caller, Submission: submission}
 	})
 	receiver.writeAnswer(writer, answer)
 }
 
 func (receiver *Receiver) cancel(writer http.ResponseWriter, request *http.Request) {
 	submission := identifier.SubmissionID(mux.Vars(request)["submission"])
+	caller, problem := callerOf(request)
+	if problem != nil {
+		writeProblem(writer, problem)
+		return
+	}
 	answer := receiver.await(request.Context(), func(waiter forwarder.WaiterID) forwarder.Input {
-		return &forwarder.CallerCancelled{Waiter: waiter, Caller: callerOf(request), Submission: submission}
+		return &forwarder.CallerCancelled{Waiter: waiter, Caller: caller, Submission: submission}
 	})
 	receiver.writeAnswer(writer, answer)
 }
 
-func callerOf(request *http.Request) identifier.CallerID {
-	return identifier.CallerID(request.Header.Get(CallerHeader))
-}
-
 func (receiver *Receiver) health(writer http.ResponseWriter, _ *http.Request) {
 	writeJSON(writer, http.StatusOK, statusBody{Status: "alive"})
 }
