--- a/pkg/commander/config.go
+++ b/pkg/commander/config.go
@@ -104,5 +104,5 @@
 func (options *remoteOptions) historyOf(keeper *hostAnswer) ([]assembler.ConfigBody, error) {
 	ctx, cancel := options.quickly()
 	defer cancel()
-	return requesterOf(keeper.Callers).ConfigHistory(ctx)
+	return options.requesterOf(keeper.Callers).ConfigHistory(ctx)
 }
--- a/pkg/commander/keepers.go
+++ b/pkg/commander/keepers.go
@@ -47,7 +47,7 @@
 			})
 		}
 	}
-	options.terminal.askOthers(answers)
+	options.askOthers(answers)
 	return answers, nil
 }
 
--- a/pkg/commander/remote.go
+++ b/pkg/commander/remote.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/requester"
@@ -15,19 +14,14 @@
 // remoteOptions are the options of a command that talks to a host.
 type remoteOptions struct {
 	commonOptions
-	Host string `long:"host" env:"STOATHITCH_HOST" default:"http://127.0.0.1:7000" value-name:"URL" description:"the callers' address of any host"`
+	keyOptions
+	Host      string `long:"host" env:"STOATHITCH_HOST" default:"127.0.0.1:7000" value-name:"URL" description:"the callers' address of any host"`
+	TokenFile string `long:"token-file" env:"STOATHITCH_TOKEN_FILE" value-name:"FILE" description:"the file that holds the own token"`
 }
 
+// requester reaches the given host.
 func (options *remoteOptions) requester() *requester.Requester {
-	return requesterOf(options.Host)
-}
-
-// requesterOf takes an address with or without its scheme.
-func requesterOf(address string) *requester.Requester {
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
-	return &requester.Requester{Host: address}
+	return options.requesterOf(options.Host)
 }
 
 // quickly bounds a request that a healthy host answers at once.
@@ -40,6 +34,10 @@
 	if err == nil {
 		return nil
 	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit
+	}
 	var failure *requester.Error
 	if errors.As(err, &failure) && failure.Kind == requester.ErrorKindWrongRequest {
 		return malformed("%v", err)
--- a/pkg/commander/standin.go
+++ b/pkg/commander/standin.go
@@ -18,6 +18,7 @@
 // standInCommand runs stand-in backend servers of one failure domain.
 type standInCommand struct {
 	commonOptions
+	keyOptions
 	SettingsDir   string `long:"settings-dir" value-name:"DIR" required:"yes" description:"the folder with the settings of all hosts"`
 	FailureDomain string `long:"failure-domain" required:"yes" description:"where the backend servers stand"`
 	Count         int    `long:"count" default:"4" description:"how many backend servers to run"`
@@ -36,6 +37,10 @@
 	if err != nil {
 		return err
 	}
+	keys, err := command.keys(command.terminal)
+	if err != nil {
+		return err
+	}
 	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 	var group sync.WaitGroup
 	for index := range command.Count {
@@ -47,6 +52,7 @@
 			Slots:         command.Slots,
 			EntryHosts:    addresses,
 			Recorder:      recorder,
+			Keys:          keys,
 			Log:           logger,
 		}
 		group.Go(func() { standIn.Run(command.terminal.context) })
--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,27 +64,27 @@
 			Host: host.Host, FailureDomain: host.FailureDomain, Believed: host.Status, Callers: host.Callers,
 		})
 	}
-	options.terminal.askOthers(answers[1:])
+	options.askOthers(answers[1:])
 	return answers, nil
 }
 
-func (terminal *terminal) askOthers(answers []*hostAnswer) {
+func (options *remoteOptions) askOthers(answers []*hostAnswer) {
 	permits := make(chan struct{}, askedAtOnce)
 	var group sync.WaitGroup
 	for _, answer := range answers {
 		group.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			answer.ask(terminal.context)
+			options.ask(answer)
 		})
 	}
 	group.Wait()
 }
 
-func (answer *hostAnswer) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+func (options *remoteOptions) ask(answer *hostAnswer) {
+	ctx, cancel := options.quickly()
 	defer cancel()
-	status, err := requesterOf(answer.Callers).Status(ctx)
+	status, err := options.requesterOf(answer.Callers).Status(ctx)
 	if err != nil {
 		answer.Error = err.Error()
 		return
--- a/pkg/requester/requester.go
+++ b/pkg/requester/requester.go
@@ -28,6 +28,8 @@
 	Host string
 	// Client sends the requests; nil means http.DefaultClient.
 	Client *http.Client
+	// Token proves who asks; none is sent when it is empty.
+	Token string
 }
 
 // call is one request.
@@ -57,6 +59,9 @@
 	if call.caller != "" {
 		request.Header.Set(receiver.CallerHeader, string(call.caller))
 	}
+	if requester.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+requester.Token)
+	}
 	response, err := requester.client().Do(request)
 	if err != nil {
 		return 0, nil, call.failed(ErrorKindUnreachable, eris.Wrap(err, "send the request"))
