Show the state of a host as a page, and of all hosts in the terminal

Operators had only lists of single things. GET /status is one HTML page without scripts or outside assets: hosts, backend servers, queues, teams, response times with histograms; /v1/status has the same as JSON. stoathitch top asks every host and refreshes a terminal; a pipe gets one list.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -218,6 +218,7 @@
 	daemon.security.guard(router)
 	daemon.receiver.Register(router)
 	daemon.operations.Register(router)
+	daemon.registerStatus(router)
 	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
 		http:           daemon.newHTTPServer(router),
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -34,7 +34,6 @@
 
 // Register adds the operators' paths to router.
 func (operations *operations) Register(router *mux.Router) {
-	router.HandleFunc("/v1/status", operations.status).Methods(http.MethodGet)
 	router.HandleFunc("/v1/explain/{submission}", operations.explain).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
@@ -86,15 +85,6 @@
 	}
 }
 
-func (operations *operations) status(writer http.ResponseWriter, request *http.Request) {
-	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
-		return &coordinator.StatusWanted{Waiter: waiter}
-	})
-	if answer, answered := output.(*coordinator.StatusAnswer); answered {
-		writeJSON(writer, http.StatusOK, answer.Status)
-	}
-}
-
 func (operations *operations) showConfig(writer http.ResponseWriter, request *http.Request) {
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.ConfigWanted{Waiter: waiter}
--- a/pkg/assembler/securing_test.go
+++ b/pkg/assembler/securing_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// TestStatusPage: the page and its JSON are served to a reader, with headers that
+// keep a browser from loading or framing anything.
+func TestStatusPage(t *testing.T) {
+	deployment := startSecureDeployment(t, 1)
+	host := deployment.hosts[0]
+	eventually(t, "the host answers", func(ctx context.Context) bool {
+		overview, err := host.Overview(ctx)
+		return err == nil && overview.Host == deployment.settings[0].Host && overview.Teams != nil && overview.Responses != nil
+	})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, host.Host+"/status", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer reader")
+	response, err := host.Client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	policy := response.Header.Get("Content-Security-Policy")
+	if response.StatusCode != http.StatusOK || !strings.HasPrefix(response.Header.Get("Content-Type"), "text/html") || !strings.Contains(policy, "default-src 'none'") {
+		t.Errorf("got %d, %v", response.StatusCode, response.Header)
+	}
+}
+
 // TestSpeakingForAnother: somebody holds the keys of one host or backend server and
 // opens a stream in the name of another one. Were the name taken from the stream
 // alone, it could claim leads, forge answers and read every job of a failure domain
--- a/pkg/commander/backendservers.go
+++ b/pkg/commander/backendservers.go
@@ -6,6 +6,7 @@
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/presenter"
 )
 
 // backendServersCommand lists the backend servers of all failure domains.
@@ -83,20 +84,7 @@
 			running = number(server.Running)
 		}
 		listed.add(string(server.Server), string(server.FailureDomain), orDash(string(server.Rack)), number(server.Cell),
-			number(server.Slots), running, serverState(server.ServerStatus), string(server.SeenBy))
+			number(server.Slots), running, presenter.ServerState(server.ServerStatus), string(server.SeenBy))
 	}
 	return command.terminal.printTable(listed)
 }
-
-func serverState(server dispatcher.ServerStatus) string {
-	switch {
-	case !server.Connected:
-		return "disconnected"
-	case server.Silent:
-		return "silent"
-	case server.Leaving:
-		return "leaving"
-	default:
-		return "connected"
-	}
-}
--- a/pkg/commander/explain.go
+++ b/pkg/commander/explain.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -27,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	steps := command.terminal.gatherSteps(answers, command.Positional.Submission)
+	steps := command.gatherSteps(answers, command.Positional.Submission)
 	if command.JSON {
 		return command.terminal.printJSON(steps)
 	}
@@ -44,7 +43,7 @@
 
 // gatherSteps asks the hosts side by side. A host that does not answer is left
 // out: the others' steps are worth seeing all the same.
-func (terminal *terminal) gatherSteps(answers []*hostAnswer, submission identifier.SubmissionID) []assembler.ExplainStep {
+func (options *remoteOptions) gatherSteps(answers []*hostAnswer, submission identifier.SubmissionID) []assembler.ExplainStep {
 	var mutex sync.Mutex
 	var group sync.WaitGroup
 	steps := []assembler.ExplainStep{}
@@ -53,9 +52,9 @@
 			continue
 		}
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(terminal.context, statusTimeout)
+			ctx, cancel := options.quickly()
 			defer cancel()
-			told, err := requesterOf(answer.Callers).Explain(ctx, submission)
+			told, err := options.requesterOf(answer.Callers).Explain(ctx, submission)
 			if err != nil {
 				return
 			}
--- a/pkg/commander/load.go
+++ b/pkg/commander/load.go
@@ -17,6 +17,7 @@
 // loadCommand sends jobs in an open loop.
 type loadCommand struct {
 	commonOptions
+	proofOptions
 	Hosts       []string `long:"host" value-name:"URL" description:"the callers' address of a host; give it again for more, jobs go to each in turn"`
 	SettingsDir string   `long:"settings-dir" value-name:"DIR" description:"take the hosts from a folder with the settings of all of them"`
 	Plan        string   `long:"plan" value-name:"FILE" description:"the JSON of a plan (docs/LOAD.md); options override what it says"`
@@ -40,6 +41,9 @@
 		return err
 	}
 	generator := &loadgenerator.Generator{Plan: plan, Hosts: hosts}
+	if err := command.prove(generator); err != nil {
+		return err
+	}
 	if !command.JSON && command.terminal.progressing {
 		generator.Progress = command.showProgress
 	}
@@ -80,14 +84,16 @@
 func (command *loadCommand) hosts() ([]string, error) {
 	var hosts []string
 	for _, host := range command.Hosts {
-		hosts = append(hosts, requesterOf(host).Host)
+		hosts = append(hosts, command.reach(command.terminal, host).Host)
 	}
 	if command.SettingsDir != "" {
 		found, err := callersAddresses(command.SettingsDir)
 		if err != nil {
 			return nil, err
 		}
-		hosts = append(hosts, found...)
+		for _, host := range found {
+			hosts = append(hosts, command.reach(command.terminal, host).Host)
+		}
 	}
 	if len(hosts) == 0 {
 		return nil, malformed("give --host or --settings-dir")
@@ -95,6 +101,19 @@
 	return hosts, nil
 }
 
+// prove gives the generator the keys and the token.
+func (command *loadCommand) prove(generator *loadgenerator.Generator) error {
+	keys, err := command.keys(command.terminal)
+	if err != nil {
+		return err
+	}
+	if keys != nil {
+		generator.TLS = keys.NamedClient()
+	}
+	generator.Token, err = command.token()
+	return err
+}
+
 // callersAddresses lists where callers reach the hosts, from the settings of any
 // of them.
 func callersAddresses(folder string) ([]string, error) {
@@ -109,7 +128,7 @@
 	var addresses []string
 	for _, host := range settings.Hosts {
 		if host.CallersAddress.IsValid() {
-			addresses = append(addresses, "http://"+host.CallersAddress.String())
+			addresses = append(addresses, host.CallersAddress.String())
 		}
 	}
 	return addresses, nil
--- a/pkg/commander/remote.go
+++ b/pkg/commander/remote.go
@@ -14,9 +14,8 @@
 // remoteOptions are the options of a command that talks to a host.
 type remoteOptions struct {
 	commonOptions
-	keyOptions
-	Host      string `long:"host" env:"STOATHITCH_HOST" default:"127.0.0.1:7000" value-name:"URL" description:"the callers' address of any host"`
-	TokenFile string `long:"token-file" env:"STOATHITCH_TOKEN_FILE" value-name:"FILE" description:"the file that holds the own token"`
+	proofOptions
+	Host string `long:"host" env:"STOATHITCH_HOST" default:"127.0.0.1:7000" value-name:"URL" description:"the callers' address of any host"`
 }
 
 // requester reaches the given host.
@@ -24,6 +23,11 @@
 	return options.requesterOf(options.Host)
 }
 
+// requesterOf reaches a host at an address with or without its scheme.
+func (options *remoteOptions) requesterOf(address string) *requester.Requester {
+	return options.reach(options.terminal, address)
+}
+
 // quickly bounds a request that a healthy host answers at once.
 func (options *remoteOptions) quickly() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(options.terminal.context, statusTimeout)
--- a/pkg/commander/securing.go
+++ b/pkg/commander/securing.go
@@ -43,12 +43,18 @@
 	return keys, nil
 }
 
-// requesterOf reaches a host at an address with or without its scheme. Key files
-// or a token that can't be read make every request fail with the reason.
-func (options *remoteOptions) requesterOf(address string) *requester.Requester {
+// proofOptions are what a command proves itself by to hosts.
+type proofOptions struct {
+	keyOptions
+	TokenFile string `long:"token-file" env:"STOATHITCH_TOKEN_FILE" value-name:"FILE" description:"the file that holds the own token"`
+}
+
+// reach returns a requester of a host at an address with or without its scheme.
+// Key files or a token that can't be read make every request fail with the reason.
+func (options *proofOptions) reach(terminal *terminal, address string) *requester.Requester {
 	created := &requester.Requester{Host: address}
 	scheme := "http://"
-	keys, err := options.keys(options.terminal)
+	keys, err := options.keys(terminal)
 	if err == nil {
 		created.Token, err = options.token()
 	}
@@ -70,7 +76,7 @@
 }
 
 // token reads the token; without a file there is none.
-func (options *remoteOptions) token() (string, error) {
+func (options *proofOptions) token() (string, error) {
 	if options.TokenFile == "" {
 		return "", nil
 	}
--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -28,6 +28,9 @@
 	addCommand(parent, "explain", "Tell what was decided about a submission",
 		"Lists each step of a submission: where its tasks went, what was refused, repeated or lost, and its end. The hosts keep the newest steps only.",
 		&explainCommand{remoteOptions: remote})
+	addCommand(parent, "top", "Show hosts, teams and response times, again and again",
+		"Asks every host that the given one knows and shows their work. A terminal is refreshed until it is interrupted; a pipe gets one list, each line with its kind first.",
+		&topCommand{remoteOptions: remote})
 	addCommand(parent, "keepers", "List the keepers and their log",
 		"Asks every keeper for its state. Exit code 1 when one of them does not answer or has halted.",
 		&keepersCommand{remoteOptions: remote})
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -23,8 +23,10 @@
 	// Servers are the backend servers that have announced themselves here.
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
 	// Work counts the work of the cells that this host leads.
-	Work   dispatcher.WorkStatus `json:"work"`
-	Keeper *keeper.Status        `json:"keeper,omitempty"`
+	Work dispatcher.WorkStatus `json:"work"`
+	// Teams counts the same by team.
+	Teams  []dispatcher.TeamStatus `json:"teams"`
+	Keeper *keeper.Status          `json:"keeper,omitempty"`
 }
 
 // HostStatus is another host as this one sees it.
@@ -63,6 +65,7 @@
 		Callers:       coordinator.Self.Addresses.Callers,
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
+		Teams:         coordinator.dispatcher.Teams(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
 		if state.Member.Host == coordinator.Self.Host {
--- a/pkg/loadgenerator/loadgenerator.go
+++ b/pkg/loadgenerator/loadgenerator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net/http"
 	"strconv"
@@ -20,6 +21,10 @@
 	Plan Plan
 	// Hosts are the callers' addresses with their scheme. Jobs go to each in turn.
 	Hosts []string
+	// TLS is for hosts that are reached by https; nil means that of net/http.
+	TLS *tls.Config
+	// Token proves who asks; none is sent when it is empty.
+	Token string
 	// Progress is called a few times a second while the run goes on; nil tells
 	// nobody.
 	Progress func(Progress)
@@ -62,6 +67,7 @@
 
 func (generator *Generator) prepare() {
 	transport := &http.Transport{
+		TLSClientConfig:     generator.TLS,
 		MaxConnsPerHost:     generator.Plan.Connections,
 		MaxIdleConnsPerHost: generator.Plan.Connections,
 		MaxIdleConns:        generator.Plan.Connections * len(generator.Hosts),
@@ -69,7 +75,7 @@
 	}
 	client := &http.Client{Transport: transport}
 	for _, host := range generator.Hosts {
-		generator.requesters = append(generator.requesters, &requester.Requester{Host: host, Client: client})
+		generator.requesters = append(generator.requesters, &requester.Requester{Host: host, Client: client, Token: generator.Token})
 	}
 	generator.inFlight = make(chan struct{}, generator.Plan.InFlight)
 	generator.tally = newTally()
--- a/pkg/measurer/measurer_test.go
+++ b/pkg/measurer/measurer_test.go
@@ -85,3 +85,20 @@
 		t.Errorf("the last histogram is %+v, want the %d others", last, teams-255)
 	}
 }
+
+// TestBuckets: the buckets of a histogram hold every response once.
+func TestBuckets(t *testing.T) {
+	measured := measurer.New()
+	job := &messenger.Job{Team: "estimates", Class: "counter"}
+	for _, response := range []time.Duration{time.Microsecond, time.Millisecond, 3 * time.Millisecond, 4 * time.Millisecond, time.Minute, time.Hour} {
+		measured.Answered(job, answer(messenger.OutcomeComplete, messenger.ReasonNone), response, false)
+	}
+	responses := measured.Responses()
+	if len(responses) != 1 {
+		t.Fatalf("got %+v, want one histogram", responses)
+	}
+	got := fmt.Sprint(responses[0].Buckets)
+	if want := "[{1 2} {5 2} {0 2}]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/pkg/requester/operations.go
+++ b/pkg/requester/operations.go
@@ -12,6 +12,7 @@
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/presenter"
 )
 
 // Status asks the host what operators see of it.
@@ -24,6 +25,16 @@
 	return &status, nil
 }
 
+// Overview asks the host for all that its status page shows.
+func (requester *Requester) Overview(ctx context.Context) (*presenter.Overview, error) {
+	var overview presenter.Overview
+	err := requester.fetch(ctx, &call{method: http.MethodGet, path: "/v1/status"}, http.StatusOK, &overview)
+	if err != nil {
+		return nil, err
+	}
+	return &overview, nil
+}
+
 // Config asks for the configuration in force on the host.
 func (requester *Requester) Config(ctx context.Context) (*assembler.ConfigBody, error) {
 	var version assembler.ConfigBody
