--- a/pkg/assembler/bounding.go
+++ b/pkg/assembler/bounding.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 )
@@ -16,7 +17,9 @@
 type boundedListener struct {
 	net.Listener
 	limit int64
-	log   *log.Logger
+	// writeTimeout is how long the other side may take to read what is written.
+	writeTimeout time.Duration
+	log          *log.Logger
 
 	open atomic.Int64
 	// refusing tells that the limit has been reached, so that it is logged once.
@@ -49,6 +52,15 @@
 	once     sync.Once
 }
 
+// Write writes within the timeout. One who asks and never reads would else hold its
+// answer in memory, and a connection of the limit, for ever.
+func (connection *boundedConnection) Write(content []byte) (int, error) {
+	if err := connection.SetWriteDeadline(time.Now().Add(connection.listener.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return connection.Conn.Write(content)
+}
+
 // Close closes the connection.
 func (connection *boundedConnection) Close() error {
 	connection.once.Do(func() { connection.listener.open.Add(-1) })
--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -64,7 +64,10 @@
 			bound.close()
 			return nil, &Error{Operation: "listen on " + wish.address.String(), Kind: ErrorListen, Err: eris.Wrap(err, "listen")}
 		}
-		*wish.target = &boundedListener{Listener: listener, limit: int64(daemon.Settings.Connections.PerListener), log: daemon.Log}
+		*wish.target = &boundedListener{
+			Listener: listener, limit: int64(daemon.Settings.Connections.PerListener),
+			writeTimeout: daemon.Settings.Timeouts.BodyTimeout.Std(), log: daemon.Log,
+		}
 	}
 	return bound, nil
 }
--- a/pkg/assembler/securing_test.go
+++ b/pkg/assembler/securing_test.go
@@ -317,6 +317,31 @@
 	}
 }
 
+// TestSlowReader: a client asks again and again and reads no answer. Once the
+// buffers on the way are full, the host's write blocks; without a bound it would
+// hold answer and connection for ever.
+func TestSlowReader(t *testing.T) {
+	deployment := startDeployment(t, 1, func(settings *loader.Settings) {
+		settings.Timeouts.BodyTimeout = loader.Duration(100 * time.Millisecond)
+	})
+	eventually(t, "the host answers", func(ctx context.Context) bool {
+		_, err := deployment.hosts[0].Status(ctx)
+		return err == nil
+	})
+	connection, err := net.Dial("tcp", deployment.settings[0].CallersAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetWriteDeadline(time.Now().Add(patience))
+	for err == nil {
+		_, err = connection.Write([]byte("GET /debug/vars HTTP/1.1\r\nHost: x\r\n\r\n"))
+	}
+	if os.IsTimeout(err) {
+		t.Errorf("still open after %s", patience)
+	}
+}
+
 // TestConnectionLimit: one client takes all connections of an address. The next one
 // must learn at once that this host has no room, so that it turns to another; and
 // must be served when one is free again.
--- a/pkg/loader/timeouts.go
+++ b/pkg/loader/timeouts.go
@@ -27,7 +27,8 @@
 	// HeaderTimeout is how long a caller may take to send the header of a request.
 	HeaderTimeout Duration `json:"header-timeout"`
 
-	// BodyTimeout is how long a caller may take to send the body of a request.
+	// BodyTimeout is how long a caller may take to send the body of a request, and
+	// anybody to read what is written to it.
 	BodyTimeout Duration `json:"body-timeout"`
 
 	// IdleTimeout is how long a caller's connection may stay open between two
