Log refusals once a second, and show when the certificate ends

Now at most one a second, with the number left out. TLS errors of knocking clients go to the debug log in key=value form.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"google.golang.org/grpc"
 
@@ -246,6 +247,8 @@
 		MaxHeaderBytes:    int(daemon.Settings.Limits.RequestHeader),
 		Protocols:         onlyHTTP1(),
 		TLSConfig:         daemon.security.callersConfig(),
+		// Anybody can cause such lines by knocking at the port.
+		ErrorLog: daemon.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
 
--- a/pkg/assembler/overview.go
+++ b/pkg/assembler/overview.go
@@ -26,12 +26,16 @@
 	if !answered {
 		return nil
 	}
-	return &presenter.Overview{
+	seen := &presenter.Overview{
 		Status:       answer.Status,
 		Waiting:      daemon.receiver.Waiting(),
 		WaitingBytes: daemon.receiver.WaitingBytes(),
 		Responses:    daemon.measurer.Responses(),
 	}
+	if keys := daemon.security.keys; keys != nil {
+		seen.CertificateExpires = keys.Expires()
+	}
+	return seen
 }
 
 func (daemon *Daemon) showStatus(writer http.ResponseWriter, request *http.Request) {
--- a/pkg/assembler/securing.go
+++ b/pkg/assembler/securing.go
@@ -40,6 +40,7 @@
 		if err := created.keys.Load(); err != nil {
 			return nil, err
 		}
+		common.Log.Info("key files in force", "certificate", settings.TLS.CertificateFile, "expires", created.keys.Expires())
 	} else {
 		common.Log.Warn("connections are in the clear: the settings have no tls")
 	}
--- a/pkg/authorizer/authorizer_test.go
+++ b/pkg/authorizer/authorizer_test.go
@@ -195,3 +195,22 @@
 		}
 	})
 }
+
+// BenchmarkToken is what the proof of a request costs.
+func BenchmarkToken(b *testing.B) {
+	tokens := &Tokens{File: filepath.Join(b.TempDir(), "tokens.json"), Log: log.New(&bytes.Buffer{})}
+	content := fmt.Sprintf(`{"tokens":[{"name":"n","sha-256":"%x","role":"reader"}]}`, sha256.Sum256([]byte("secret")))
+	if err := os.WriteFile(tokens.File, []byte(content), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	if err := tokens.Load(); err != nil {
+		b.Fatal(err)
+	}
+	authorizer := &Authorizer{Tokens: tokens}
+	request := &http.Request{Header: http.Header{"Authorization": {"Bearer secret"}}}
+	for b.Loop() {
+		if _, err := authorizer.identify(request, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -54,8 +54,9 @@
 	Keys *securer.Keys
 
 	peerv1.UnimplementedPeerServer
-	mutex sync.Mutex
-	links map[identifier.HostID]*peerLink
+	refusals refusals
+	mutex    sync.Mutex
+	links    map[identifier.HostID]*peerLink
 	// running is the context of Run; links that are learned later live as long.
 	running context.Context
 }
@@ -260,7 +261,7 @@
 		return newError("receive introduction", ErrorProtocol, errNotIntroduced)
 	}
 	if err := checkStream(stream.Context(), peers.Keys, hostCheck(peers.Settings, from)); err != nil {
-		peers.Log.Warn("peer refused", "peer", from, "err", err)
+		peers.refusals.note(peers.Log, "peer", string(from), err)
 		return err
 	}
 	if err := stream.Send(peers.frame(nil)); err != nil {
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -29,8 +29,9 @@
 	Keys *securer.Keys
 
 	backendv1.UnimplementedEntryHostServer
-	mutex   sync.Mutex
-	streams map[identifier.BackendServerID]*serverStream
+	refusals refusals
+	mutex    sync.Mutex
+	streams  map[identifier.BackendServerID]*serverStream
 }
 
 // Prepare makes the table of streams.
@@ -52,7 +53,7 @@
 	ctx := context.WithoutCancel(stream.Context())
 	id := identifier.BackendServerID(announce.GetBackendServer())
 	if err := checkStream(stream.Context(), servers.Keys, serverCheck(servers.Settings, id)); err != nil {
-		servers.Log.Warn("backend server refused", "backend-server", id, "err", err)
+		servers.refusals.note(servers.Log, "backend-server", string(id), err)
 		return err
 	}
 	current := servers.open(id)
--- a/pkg/presenter/presenter.go
+++ b/pkg/presenter/presenter.go
@@ -23,6 +23,9 @@
 	Waiting int `json:"waiting"`
 	// WaitingBytes is the sum of their bodies.
 	WaitingBytes identifier.Bytes `json:"waiting-bytes"`
+	// CertificateExpires is when the host's certificate ends, in RFC 3339; empty where
+	// connections are in the clear.
+	CertificateExpires string `json:"certificate-expires,omitempty"`
 	// Responses are the response times to callers, by team and class.
 	Responses []measurer.Response `json:"responses"`
 }
--- a/pkg/securer/keys.go
+++ b/pkg/securer/keys.go
@@ -132,6 +132,9 @@
 	return verify(chain, read.authorities, x509.ExtKeyUsageAny)
 }
 
+// Expires returns when the certificate in force ends, as RFC 3339 in UTC.
+func (keys *Keys) Expires() string { return keys.current().expiry() }
+
 func (read *bundle) expiry() string {
 	if read.certificate == nil {
 		return "none"
