--- a/pkg/assembler/securing_test.go
+++ b/pkg/assembler/securing_test.go
@@ -35,19 +35,19 @@
 	authority *fakeauthority.Authority
 }
 
-func startSecureDeployment(t *testing.T, hosts int) *secureDeployment {
-	authority := fakeauthority.New(t)
-	tokens := filepath.Join(t.TempDir(), "tokens.json")
-	writeTokens(t, tokens)
+func startSecureDeployment(tb testing.TB, hosts int) *secureDeployment {
+	authority := fakeauthority.New(tb)
+	tokens := filepath.Join(tb.TempDir(), "tokens.json")
+	writeTokens(tb, tokens)
 	created := &secureDeployment{authority: authority}
-	created.deployment = startDeployment(t, hosts, func(settings *loader.Settings) {
-		settings.TLS.CertificateFile, settings.TLS.KeyFile = authority.Issue(t, string(settings.Host), inAnHour(),
+	created.deployment = startDeployment(tb, hosts, func(settings *loader.Settings) {
+		settings.TLS.CertificateFile, settings.TLS.KeyFile = authority.Issue(tb, string(settings.Host), inAnHour(),
 			"stoathitch://thu-duc/host/"+string(settings.Host))
 		settings.TLS.AuthorityFile = authority.File
 		settings.Access = loader.Access{TokensFile: tokens, AuthorityFile: authority.File}
 	})
 	for index, host := range created.hosts {
-		created.hosts[index] = created.as(t, strings.Replace(host.Host, "http://", "https://", 1), "reader")
+		created.hosts[index] = created.as(tb, strings.Replace(host.Host, "http://", "https://", 1), "reader")
 	}
 	return created
 }
@@ -55,7 +55,7 @@
 func inAnHour() time.Time { return time.Now().Add(time.Hour) }
 
 // writeTokens knows the tokens "reader", "operator", "garage-7" and "garage-8".
-func writeTokens(t *testing.T, file string) {
+func writeTokens(tb testing.TB, file string) {
 	entry := func(token, rest string) string {
 		return fmt.Sprintf(`{"name": %q, "sha-256": "%x", %s}`, token, sha256.Sum256([]byte(token)), rest)
 	}
@@ -65,35 +65,35 @@
 		entry("garage-8", `"role": "caller", "caller": "garage-8", "team": "estimates"`),
 	}
 	if err := os.WriteFile(file, []byte(`{"tokens": [`+strings.Join(entries, ",")+`]}`), 0o600); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
 
 // as is a requester with a token, or with none.
-func (deployment *secureDeployment) as(t *testing.T, host, token string) *requester.Requester {
-	return &requester.Requester{Host: host, Token: token, Client: deployment.client(t, "")}
+func (deployment *secureDeployment) as(tb testing.TB, host, token string) *requester.Requester {
+	return &requester.Requester{Host: host, Token: token, Client: deployment.client(tb, "")}
 }
 
 // client speaks TLS and shows a certificate with the identity, if there is one.
-func (deployment *secureDeployment) client(t *testing.T, identity string) *http.Client {
-	transport := &http.Transport{TLSClientConfig: deployment.keys(t, identity).NamedClient()}
-	t.Cleanup(transport.CloseIdleConnections)
+func (deployment *secureDeployment) client(tb testing.TB, identity string) *http.Client {
+	transport := &http.Transport{TLSClientConfig: deployment.keys(tb, identity).NamedClient()}
+	tb.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
 
-func (deployment *secureDeployment) keys(t *testing.T, identity string) *securer.Keys {
+func (deployment *secureDeployment) keys(tb testing.TB, identity string) *securer.Keys {
 	keys := &securer.Keys{AuthorityFile: deployment.authority.File, Log: log.New(&deployment.logs)}
 	if identity != "" {
 		name := strings.NewReplacer("/", "-", ":", "-").Replace(identity)
-		keys.CertificateFile, keys.KeyFile = deployment.authority.Issue(t, name, inAnHour(), identity)
+		keys.CertificateFile, keys.KeyFile = deployment.authority.Issue(tb, name, inAnHour(), identity)
 	}
 	if err := keys.Load(); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return keys
 }
 
-func (deployment *secureDeployment) attach(t *testing.T, name string, keys *securer.Keys) {
+func (deployment *secureDeployment) attach(tb testing.TB, name string, keys *securer.Keys) {
 	standIn := &executor.Executor{
 		Name: name, FailureDomain: "thu-duc", Rack: "rack-0", Slots: 4, Keys: keys, Log: log.New(&deployment.logs),
 	}
@@ -106,7 +106,7 @@
 		defer close(ended)
 		standIn.Run(running)
 	}()
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		stop()
 		<-ended
 	})
