--- a/pkg/commander/status.go
+++ b/pkg/commander/status.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +28,9 @@
 	addCommand(parent, "explain", "Tell what was decided about a submission",
 		"Lists each step of a submission: where its tasks went, what was refused, repeated or lost, and its end. The hosts keep the newest steps only.",
 		&explainCommand{remoteOptions: remote})
+	addCommand(parent, "top", "Show hosts, teams and response times, again and again",
+		"Asks every host that the given one knows and shows their work. A terminal is refreshed until it is interrupted; a pipe gets one list, each line with its kind first.",
+		&topCommand{remoteOptions: remote})
 	addCommand(parent, "keepers", "List the keepers and their log",
 		"Asks every keeper for its state. Exit code 1 when one of them does not answer or has halted.",
 		&keepersCommand{remoteOptions: remote})
@@ -65,27 +67,27 @@
 			Host: host.Host, FailureDomain: host.FailureDomain, Believed: host.Status, Callers: host.Callers,
 		})
 	}
-	options.terminal.askOthers(answers[1:])
+	options.askOthers(answers[1:])
 	return answers, nil
 }
 
-func (terminal *terminal) askOthers(answers []*hostAnswer) {
+func (options *remoteOptions) askOthers(answers []*hostAnswer) {
 	permits := make(chan struct{}, askedAtOnce)
 	var group sync.WaitGroup
 	for _, answer := range answers {
 		group.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			answer.ask(terminal.context)
+			options.ask(answer)
 		})
 	}
 	group.Wait()
 }
 
-func (answer *hostAnswer) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+func (options *remoteOptions) ask(answer *hostAnswer) {
+	ctx, cancel := options.quickly()
 	defer cancel()
-	status, err := requesterOf(answer.Callers).Status(ctx)
+	status, err := options.requesterOf(answer.Callers).Status(ctx)
 	if err != nil {
 		answer.Error = err.Error()
 		return
