Let a starting host take no cell before it has heard anybody

Cause: a host that started on a busy machine took its cell 300 ms later, before any connection had told it who lives. It asked nobody which submissions ran, was ready at once, and deposed the living lead. Change: with other hosts of its failure domain in the settings, a host counts as alone from its start: it takes nothing until it has heard another host or a backend server and listened for the settling time after that. Conclusion: a late connection no longer looks like an empty failure domain.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -37,6 +37,7 @@
 		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
+		Others:        coordinator.seedsOfOwnDomain(),
 		SettleTime:    coordinator.Settings.LeadSettle,
 		NextEpoch: func(after identifier.Epoch) identifier.Epoch {
 			return nextEpoch(after, coordinator.Self.Host)
@@ -44,6 +45,16 @@
 	}
 }
 
+func (coordinator *Coordinator) seedsOfOwnDomain() int {
+	count := 0
+	for _, seed := range coordinator.Seeds {
+		if seed.FailureDomain == coordinator.Self.FailureDomain && seed.Host != coordinator.Self.Host {
+			count++
+		}
+	}
+	return count
+}
+
 func (coordinator *Coordinator) tellGossiper(input gossiper.Input) {
 	coordinator.toGossiper = append(coordinator.toGossiper, input)
 }
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -25,6 +25,10 @@
 	FailureDomain identifier.FailureDomain
 	// Cells is the number of cells of the own failure domain.
 	Cells int
+	// Others is how many other hosts of the own failure domain the settings name.
+	// While none of them and no backend server is heard, a host that has just
+	// started takes no cell.
+	Others int
 	// SettleTime is how long a host that starts listens before it takes a cell,
 	// so that it doesn't duel with a living lead it has not heard of yet; and how
 	// long a lead that is overtaken waits for the one who overtook it.
@@ -129,6 +133,7 @@
 func (elector *Elector) start() {
 	elector.started = true
 	elector.settles = elector.now.Add(elector.SettleTime)
+	elector.isolation = isolation{alone: elector.Others > 0, stepsDownAt: elector.now.Add(stepDownWait)}
 	elector.domains = tabulator.New[identifier.FailureDomain, domainEntity]()
 	elector.cells = tabulator.New[cellKey, cellEntity]()
 	elector.setLiving(elector.FailureDomain, nil)
--- a/pkg/elector/isolation.go
+++ b/pkg/elector/isolation.go
@@ -18,6 +18,10 @@
 // another host, it listens for the settling time, because the lead that served on
 // shows itself then.
 //
+// A host that has just started is alone until it hears another, however long the
+// connections take on a busy machine: it would take the cell of a living lead, ask
+// nobody which submissions ran, and start their resends anew.
+//
 // A lead that is cut off gives its cells up for the same reason: others have taken
 // them, and what it told its callers of its jobs, that they failed or did not run,
 // could be untrue. It waits for two heartbeats first: the last host that lives would
--- a/pkg/integration/storm_test.go
+++ b/pkg/integration/storm_test.go
@@ -30,9 +30,9 @@
 // resubmissions and changes of the configuration go on. Cause guarded against:
 // what no scenario thought of.
 //
-// Two hosts of one failure domain never lose their memory within the time that
-// new copies take: then nobody is left who knows a submission, and a resend
-// can't be told from a new one.
+// Of the three hosts of a failure domain, at most two are injured within the time
+// that new copies take: after the loss of all three nobody is left who knows a
+// submission, and a resend can't be told from a new one.
 func TestStorm(t *testing.T) {
 	if !*longFlag {
 		t.Skip("only with -long")
@@ -74,16 +74,16 @@
 	stop       atomic.Bool
 	ended      sync.WaitGroup
 	mutex      sync.Mutex
-	// busy holds the injured processes, resting the failure domains whose hosts
-	// have just lost a memory.
+	// busy holds the injured processes; recent counts, by place, those that are
+	// injured or have just been.
 	busy      map[*process]bool
-	resting   map[string]time.Time
+	recent    map[string]int
 	longStops int
 }
 
 func (storm *storm) startWork(t *testing.T) *sync.WaitGroup {
 	storm.busy = make(map[*process]bool)
-	storm.resting = make(map[string]time.Time)
+	storm.recent = make(map[string]int)
 	storm.operator = &operator{name: "storm", cluster: storm.cluster}
 	group := &sync.WaitGroup{}
 	for number := range stormCallers {
@@ -154,12 +154,12 @@
 // kindLongStop is the kind of injury that takes a minute; one at a time is enough.
 const kindLongStop = 9
 
-// begin injures a process, unless enough are injured already or another of its
-// place rests.
+// begin injures a process, unless enough are injured already, at all or in its
+// place.
 func (storm *storm) begin(t *testing.T, victim *process, place string, kind int) {
 	storm.mutex.Lock()
 	defer storm.mutex.Unlock()
-	if len(storm.busy)-storm.longStops >= stormAtOnce || storm.busy[victim] || time.Now().Before(storm.resting[place]) {
+	if len(storm.busy)-storm.longStops >= stormAtOnce || storm.busy[victim] || storm.recent[place] >= stormAtOnce {
 		return
 	}
 	if kind == kindLongStop && storm.longStops > 0 {
@@ -170,19 +170,26 @@
 	if kind == kindLongStop {
 		storm.longStops++
 	}
-	storm.resting[place] = time.Now().Add(time.Hour)
+	storm.recent[place]++
 	storm.ended.Go(func() {
 		t.Logf("%s %s: %s", time.Now().Format("15:04:05.000"), victim.name, carryOut(t, victim, kind))
+		storm.recover(victim, kind)
+		time.Sleep(stormSettle)
 		storm.mutex.Lock()
 		defer storm.mutex.Unlock()
-		delete(storm.busy, victim)
-		if kind == kindLongStop {
-			storm.longStops--
-		}
-		storm.resting[place] = time.Now().Add(stormSettle)
+		storm.recent[place]--
 	})
 }
 
+func (storm *storm) recover(victim *process, kind int) {
+	storm.mutex.Lock()
+	defer storm.mutex.Unlock()
+	delete(storm.busy, victim)
+	if kind == kindLongStop {
+		storm.longStops--
+	}
+}
+
 // carryOut injures a process, heals it, and tells what was done.
 func carryOut(t *testing.T, victim *process, kind int) string {
 	switch {
