Give the settings the spill margin that was measured

Cause: the dispatcher's default margin became 5 ms with the tuning, the settings' stayed at 20 ms, and TestDefaultSettingsAreTheMeasuredOnes failed.

--- a/pkg/loader/defaults.go
+++ b/pkg/loader/defaults.go
@@ -39,7 +39,7 @@
 			Policy:              PolicyCellLead,
 			Cells:               1,
 			RetryBudgetRatio:    0.1,
-			SpillMargin:         Duration(20 * time.Millisecond),
+			SpillMargin:         Duration(5 * time.Millisecond),
 			EjectionFractionMax: 0.34,
 			EjectionFailures:    5,
 			EjectionTime:        Duration(2 * time.Second),
