Run intents end to end in real processes

Cause: intents were decided by pure packages that nothing drove. Change: the host that leads cell 0 gets an epoch from the log and drives its failure domain's workers; the keeper that leads plans from the pictures that the driving hosts send, and pushes what is new. Backend servers that announce processor time are workers: leases, renewals and orders stand in the protocol. HTTP paths create, plan, show, list, confirm, reject, cancel and end.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -106,6 +106,8 @@
 		case *coordinator.ToServer:
 			daemon.measurer.Started(len(output.Batch.Starts))
 			daemon.servers.Send(output.Batch)
+		case *coordinator.ToWorker:
+			daemon.servers.SendToWorker(output)
 		case *coordinator.ToCaller:
 			daemon.receiver.Answer(output.Answer)
 		case *coordinator.Drained:
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -38,6 +38,7 @@
 	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
 	router.HandleFunc("/v1/config/history", operations.configHistory).Methods(http.MethodGet)
+	operations.registerIntents(router)
 }
 
 // Answer hands an output of the coordinator to the request that waits for it.
--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -7,6 +7,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
 // newCoordinator makes the deciding part of a host from its settings.
@@ -18,6 +19,8 @@
 		Seed:     uint64(incarnation),
 		Settings: coordinatorSettings(settings),
 		LimitsOf: limitsReader(settings),
+		// The daemon's clock stands at moment 0 now.
+		WallStart: planner.WallTime(time.Now().UnixMilli()),
 	}
 	for _, host := range settings.Hosts {
 		if host.Host != settings.Host {
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -15,7 +15,7 @@
 )
 
 // errNotAnnounced means that a stream did not begin with an Announce.
-var errNotAnnounced = eris.New("the first message must be an announce with an id, this failure domain and at least one slot")
+var errNotAnnounced = eris.New("the first message must be an announce with an id, this failure domain and at least one slot or processor time")
 
 // Servers serves the streams of backend servers. Set the exported fields before
 // its first use.
@@ -55,11 +55,11 @@
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
 	current.queue <- servers.welcome()
-	servers.Post(stream.Context(), &coordinator.ServerEvent{Event: announced(announce)})
-	err = servers.receive(stream, id)
+	servers.Post(stream.Context(), announcedEvent(announce))
+	err = servers.receive(stream, announce)
 	if servers.close(id, current) {
 		servers.Log.Info("backend server detached", "backend-server", id, "err", err)
-		servers.Post(stream.Context(), &coordinator.ServerEvent{Event: &dispatcher.ServerLost{Server: id}})
+		servers.postLost(stream.Context(), announce)
 	}
 	return err
 }
@@ -67,7 +67,7 @@
 func (servers *Servers) acceptable(announce *backendv1.Announce) bool {
 	return announce.GetBackendServer() != "" &&
 		announce.GetFailureDomain() == string(servers.Settings.FailureDomain) &&
-		announce.GetSlots() > 0
+		(announce.GetSlots() > 0 || isWorker(announce))
 }
 
 // open registers the stream of a backend server in place of an older one.
@@ -95,14 +95,19 @@
 // Send queues one tick's batch for a backend server. A batch that finds no
 // stream is dropped: the server's next announce tells that nothing of it started.
 func (servers *Servers) Send(batch *dispatcher.ToServer) {
+	servers.enqueue(batch.Server, hostMessage(servers.Clock.Now(), batch))
+}
+
+// enqueue hands a message to the stream of a backend server, if there is one.
+func (servers *Servers) enqueue(id identifier.BackendServerID, message *backendv1.HostMessage) {
 	servers.mutex.Lock()
-	current := servers.streams[batch.Server]
+	current := servers.streams[id]
 	servers.mutex.Unlock()
 	if current == nil {
 		return
 	}
 	select {
-	case current.queue <- hostMessage(servers.Clock.Now(), batch):
+	case current.queue <- message:
 	case <-current.done:
 	}
 }
@@ -120,12 +125,17 @@
 	}
 }
 
-func (servers *Servers) receive(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], id identifier.BackendServerID) error {
+func (servers *Servers) receive(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], announce *backendv1.Announce) error {
+	id := identifier.BackendServerID(announce.GetBackendServer())
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return newError("receive from backend server", ErrorStream, err)
 		}
+		if isWorker(announce) {
+			servers.Post(stream.Context(), workerEvent(identifier.WorkerID(id), message))
+			continue
+		}
 		for _, event := range serverEvents(id, message) {
 			servers.Post(stream.Context(), &coordinator.ServerEvent{Event: event})
 		}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
 // Coordinator is one host of the system. Set the exported fields before the
@@ -27,6 +28,9 @@
 	// LimitsOf returns the limits of a configuration document, and false for a
 	// document that can't be read. It must be pure; nil changes no limits.
 	LimitsOf func(document []byte) (dispatcher.LimitsConfigured, bool)
+	// WallStart is the wall clock's reading at moment 0. It is shown to operators and
+	// nothing is decided by it.
+	WallStart planner.WallTime
 
 	now        identifier.Moment
 	dispatcher *dispatcher.Dispatcher
@@ -38,6 +42,10 @@
 	requester *claimer.Requester
 	follower  *configurer.Follower
 	petitions *petitions
+	// driving runs intents on the workers of the failure domain, intentKeeping plans
+	// them where this host leads the keepers.
+	driving       *driving
+	intentKeeping *intentKeeping
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
@@ -83,6 +91,8 @@
 	next = identifier.Earlier(next, coordinator.requester.NextDeadline())
 	next = identifier.Earlier(next, coordinator.follower.NextDeadline())
 	next = identifier.Earlier(next, coordinator.petitions.timers.Next())
+	next = identifier.Earlier(next, coordinator.driving.nextDeadline())
+	next = identifier.Earlier(next, coordinator.intentKeeping.nextDeadline())
 	if coordinator.keeper != nil {
 		next = identifier.Earlier(next, coordinator.keeper.NextDeadline())
 	}
@@ -111,6 +121,8 @@
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
 	coordinator.petitions = newPetitions(coordinator)
 	coordinator.connected = make(map[identifier.HostID]bool)
+	coordinator.driving = newDriving(coordinator)
+	coordinator.intentKeeping = newIntentKeeping(coordinator)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
 	coordinator.tellRequester(&claimer.KeepersChanged{Keepers: coordinator.keepersInOrder()})
 }
@@ -122,6 +134,8 @@
 		coordinator.settleMembership()
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
+		coordinator.driving.settle()
+		coordinator.intentKeeping.settle()
 	}
 }
 
@@ -129,7 +143,7 @@
 	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
-		len(coordinator.toFollower) > 0
+		len(coordinator.toFollower) > 0 || len(coordinator.driving.inputs) > 0
 }
 
 func (coordinator *Coordinator) settleMembership() {
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -102,6 +102,9 @@
 		coordinator.tellRequester(&claimer.Decided{Decisions: reply.Result.Decisions})
 		return
 	}
+	if coordinator.driving.takeReply(reply) || coordinator.intentKeeping.takeReply(reply) {
+		return
+	}
 	coordinator.petitions.takeReply(reply)
 }
 
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -273,6 +273,7 @@
 	coordinator.tellDispatcher(&dispatcher.LeadTaken{
 		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missing(),
 	})
+	coordinator.driving.leadTaken(taken.Cell)
 	notice := messenger.LeadNotice{
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cell:          taken.Cell,
@@ -286,6 +287,7 @@
 
 func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
 	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
+	coordinator.driving.leadLost(lost.Cell)
 	coordinator.publish(leadRecordKey(lost.Cell), "")
 	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -8,6 +8,7 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
@@ -52,6 +53,8 @@
 type OperatorRequest struct {
 	Waiter  uint64
 	Command keeper.Command
+	// Read asks to read intents in place of a command.
+	Read *keeper.IntentRead
 }
 
 // ConfigHistoryWanted asks for the configurations that the own keeper has.
@@ -197,6 +200,9 @@
 	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
 	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
 	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
+	// Intents.
+	IntentSync *IntentSync   `cbor:"40,keyasint,omitempty"`
+	IntentNews *planner.News `cbor:"41,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -26,6 +26,7 @@
 type petition struct {
 	waiter   uint64
 	command  keeper.Command
+	read     *keeper.IntentRead
 	giveUpAt identifier.Moment
 	attempts int
 }
@@ -43,7 +44,7 @@
 	petitions.coordinator.nextNonce++
 	nonce := petitions.coordinator.nextNonce
 	giveUpAt := petitions.coordinator.now.Add(petitionGiveUp)
-	petitions.waiting.Put(nonce, &petition{waiter: request.Waiter, command: request.Command, giveUpAt: giveUpAt})
+	petitions.waiting.Put(nonce, &petition{waiter: request.Waiter, command: request.Command, read: request.Read, giveUpAt: giveUpAt})
 	petitions.send(nonce)
 }
 
@@ -53,7 +54,7 @@
 	if len(keepers) > 0 {
 		to := keepers[petition.attempts%len(keepers)]
 		petitions.coordinator.sendRequest(to, keeper.Request{
-			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command,
+			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command, Read: petition.read,
 		})
 	}
 	petition.attempts++
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -74,6 +74,8 @@
 		coordinator.outputs.add(&ConfigAnswer{Waiter: input.Waiter, Version: coordinator.follower.InForce()})
 	case *StatusWanted:
 		coordinator.outputs.add(&StatusAnswer{Waiter: input.Waiter, Status: coordinator.status()})
+	case *WorkerEvent:
+		coordinator.driving.takeWorkerEvent(input)
 	}
 }
 
@@ -140,6 +142,10 @@
 		coordinator.tellKeeper(&keeper.Requested{Request: *message.KeeperRequest})
 	case message.KeeperReply != nil:
 		coordinator.takeReply(message.KeeperReply)
+	case message.IntentSync != nil:
+		coordinator.intentKeeping.takeSync(from, message.IntentSync)
+	case message.IntentNews != nil:
+		coordinator.driving.takeNews(message.IntentNews)
 	case message.ConfigWanted:
 		coordinator.tellFollower(&configurer.VersionRequested{From: from})
 	case message.Config != nil:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -20,6 +20,7 @@
 	Keeper        keeper.Settings
 	Claims        claimer.RequesterSettings
 	Configuration configurer.FollowerSettings
+	Intents       IntentSettings
 	// LeadSettle is how long a starting host waits to hear of a living lead
 	// before it takes a cell, so that it does not duel with that lead.
 	LeadSettle time.Duration
@@ -34,6 +35,7 @@
 		Keeper:        keeper.DefaultSettings(),
 		Claims:        claimer.DefaultRequesterSettings(),
 		Configuration: configurer.DefaultFollowerSettings(),
+		Intents:       DefaultIntentSettings(),
 		LeadSettle:    elector.DefaultSettleTime,
 	}
 }
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -31,6 +31,9 @@
 	Rack          string
 	Slots         int
 	Connections   int
+	// Resources make it a worker, which runs tasks of intents under leases and none of
+	// jobs; nil makes it a backend server for jobs.
+	Resources *Resources
 	// EntryHosts are the addresses of the entry hosts that it knows at first.
 	EntryHosts []string
 	// Recorder notes each start before the work begins; nil notes nothing.
@@ -48,6 +51,8 @@
 	links       map[string]*link
 	leaving     bool
 	running     sync.WaitGroup
+	// worker is nil without Resources.
+	worker *worker
 }
 
 // taskKey names a task among all submissions.
@@ -75,6 +80,9 @@
 	for _, address := range executor.EntryHosts {
 		executor.attach(ctx, address)
 	}
+	if executor.worker != nil {
+		go executor.worker.run(ctx)
+	}
 	executor.beat(ctx)
 	executor.running.Wait()
 }
@@ -90,6 +98,7 @@
 	executor.finished = make(map[taskKey]*finishedTask)
 	executor.cancelled = make(map[taskKey]time.Time)
 	executor.links = make(map[string]*link)
+	executor.worker = newWorker(executor)
 }
 
 // beat sends heartbeats and forgets what is too old.
@@ -112,6 +121,9 @@
 func (executor *Executor) heartbeat(sequence uint64) {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
+	if executor.worker != nil {
+		return
+	}
 	for _, link := range executor.links {
 		link.queue(&backendv1.ServerMessage{
 			Heartbeat: &backendv1.Heartbeat{Sequence: sequence, Busy: int32(len(executor.tasks))},
--- a/pkg/executor/link.go
+++ b/pkg/executor/link.go
@@ -44,6 +44,7 @@
 	waiting.Answers = append(waiting.Answers, message.GetAnswers()...)
 	if message.GetHeartbeat() != nil {
 		waiting.Heartbeat = message.GetHeartbeat()
+		waiting.Usages = message.GetUsages()
 	}
 	if message.GetLeaving() != nil {
 		waiting.Leaving = message.GetLeaving()
@@ -171,5 +172,8 @@
 	for _, finished := range executor.finished {
 		announce.Unacknowledged = append(announce.Unacknowledged, finished.answer)
 	}
+	if executor.worker != nil {
+		executor.worker.fillAnnounce(announce)
+	}
 	return announce
 }
--- a/pkg/executor/tasks.go
+++ b/pkg/executor/tasks.go
@@ -22,6 +22,10 @@
 	if lead := message.GetLead(); lead != nil {
 		executor.acceptLead(link, lead)
 	}
+	if executor.worker != nil {
+		executor.worker.handle(message)
+		return
+	}
 	reply := &backendv1.ServerMessage{}
 	for _, cancel := range message.GetCancels() {
 		executor.cancel(cancel)
--- /dev/null
+++ b/pkg/executor/worker.go
@@ -0,0 +1,264 @@
+package executor
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/leaser"
+	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+)
+
+// Timing of a worker.
+const (
+	workerHeartbeat = 3 * time.Second
+	// leaseCheck is the time between two looks at the leases. It is a small part of
+	// leaseDrift, by which a task stops before anybody else may run it.
+	leaseCheck = 100 * time.Millisecond
+	leaseDrift = time.Second
+	leaseBase  = 10
+)
+
+// Resources are what a worker offers.
+type Resources struct {
+	MilliCPU     int64
+	MemoryBytes  int64
+	Accelerators int32
+}
+
+// worker is the part of a stand-in that runs tasks of intents. It is guarded by the
+// mutex of its executor.
+type worker struct {
+	executor *Executor
+	holder   *leaser.Holder
+	epoch    uint64
+	tasks    map[string]*leasedTask
+	// ended holds answers and refusals by lease until the driver acknowledges them.
+	ended map[string]*backendv1.ServerMessage
+	// saved is how much of a task its checkpoint holds. A real worker would keep
+	// checkpoints where the others find them.
+	saved map[string]time.Duration
+}
+
+// leasedTask is a task that runs under a lease.
+type leasedTask struct {
+	intent    string
+	task      string
+	lease     string
+	declared  *backendv1.Resources
+	startedAt time.Time
+	done      time.Duration
+	throttled bool
+	timer     *time.Timer
+}
+
+func newWorker(executor *Executor) *worker {
+	if executor.Resources == nil {
+		return nil
+	}
+	return &worker{
+		executor: executor,
+		holder:   &leaser.Holder{Drift: leaseDrift},
+		tasks:    make(map[string]*leasedTask),
+		ended:    make(map[string]*backendv1.ServerMessage),
+		saved:    make(map[string]time.Duration),
+	}
+}
+
+// now reads the worker's own clock.
+func (worker *worker) now() identifier.Moment {
+	return identifier.Moment(time.Since(worker.executor.startedAt)) + 1
+}
+
+// run stops tasks whose lease is over and sends heartbeats.
+func (worker *worker) run(ctx context.Context) {
+	check := time.NewTicker(leaseCheck)
+	defer check.Stop()
+	beat := time.NewTicker(workerHeartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			worker.die()
+			return
+		case <-check.C:
+			worker.stopOverdue()
+		case <-beat.C:
+			worker.beat()
+		}
+	}
+}
+
+// die ends all tasks with the process.
+func (worker *worker) die() {
+	worker.executor.mutex.Lock()
+	defer worker.executor.mutex.Unlock()
+	for _, task := range worker.tasks {
+		task.timer.Stop()
+	}
+	clear(worker.tasks)
+}
+
+func (worker *worker) stopOverdue() {
+	worker.executor.mutex.Lock()
+	defer worker.executor.mutex.Unlock()
+	for _, over := range worker.holder.RanOut(worker.now()) {
+		if task := worker.tasks[string(over)]; task != nil {
+			worker.end(task, &backendv1.Answer{Cancelled: true, Reason: "the lease ran out"})
+		}
+	}
+}
+
+// beat tells every entry host what runs and what it uses, and repeats the ends that
+// nobody has acknowledged.
+func (worker *worker) beat() {
+	worker.executor.mutex.Lock()
+	defer worker.executor.mutex.Unlock()
+	message := &backendv1.ServerMessage{Heartbeat: &backendv1.Heartbeat{
+		Busy: int32(len(worker.tasks)), ReadingNanos: int64(worker.now()), Leases: worker.leases(),
+	}}
+	for _, task := range worker.tasks {
+		message.Usages = append(message.Usages, task.usage(worker.executor.Resources))
+	}
+	for _, ended := range worker.ended {
+		message.Answers = append(message.Answers, ended.GetAnswers()...)
+		message.Refusals = append(message.Refusals, ended.GetRefusals()...)
+	}
+	worker.tell(message)
+}
+
+func (worker *worker) tell(message *backendv1.ServerMessage) {
+	for _, link := range worker.executor.links {
+		link.queue(message)
+	}
+}
+
+func (worker *worker) leases() []*backendv1.LeaseState {
+	var leases []*backendv1.LeaseState
+	for _, task := range worker.tasks {
+		leases = append(leases, &backendv1.LeaseState{Submission: task.intent, Task: task.task, Lease: task.lease})
+	}
+	return leases
+}
+
+// usage is what a stand-in claims to use: what was declared.
+func (task *leasedTask) usage(_ *Resources) *backendv1.Usage {
+	return &backendv1.Usage{
+		Submission: task.intent, Task: task.task,
+		MilliCpu: task.declared.GetMilliCpu(), MemoryBytes: task.declared.GetMemoryBytes(), Accelerators: task.declared.GetAccelerators(),
+	}
+}
+
+func (worker *worker) fillAnnounce(announce *backendv1.Announce) {
+	resources := worker.executor.Resources
+	announce.Resources = &backendv1.Resources{
+		MilliCpu: resources.MilliCPU, MemoryBytes: resources.MemoryBytes, Accelerators: resources.Accelerators,
+	}
+	announce.ReadingNanos = int64(worker.now())
+	announce.Leases = worker.leases()
+	for _, ended := range worker.ended {
+		announce.Unacknowledged = append(announce.Unacknowledged, ended.GetAnswers()...)
+	}
+}
+
+// handle applies one batch of the driver. What a former driver sends is passed over.
+func (worker *worker) handle(message *backendv1.HostMessage) {
+	renewal := message.GetRenewal()
+	if renewal == nil || renewal.GetEpoch() < worker.epoch {
+		return
+	}
+	worker.epoch = renewal.GetEpoch()
+	worker.holder.Follow(identifier.Epoch(worker.epoch))
+	for _, renewed := range renewal.GetRenewals() {
+		// A lease that can't be prolonged ends by itself, as the driver assumes.
+		_ = worker.holder.Renew(worker.now(), grantOf(renewed.GetTask(), renewed.GetLease(), renewed.GetEchoNanos(), renewed.GetLeaseNanos()))
+	}
+	for _, cancel := range message.GetCancels() {
+		worker.obey(cancel)
+	}
+	for _, start := range message.GetStarts() {
+		worker.start(start)
+	}
+	for _, received := range message.GetReceived() {
+		delete(worker.ended, received.GetLease())
+	}
+}
+
+func grantOf(task, lease string, echo, length int64) leaser.Grant {
+	// A lease that can't be read is 0, which is below all others and so is refused.
+	number, _ := strconv.ParseUint(lease, leaseBase, 64)
+	return leaser.Grant{
+		Task: identifier.TaskID(task), Number: leaser.Number(number), Echo: leaser.HolderMoment(echo), Length: time.Duration(length),
+	}
+}
+
+func (worker *worker) start(start *backendv1.Start) {
+	grant := grantOf(start.GetTask(), start.GetLease(), start.GetEchoNanos(), start.GetLeaseNanos())
+	if worker.executor.leaving || worker.tasks[start.GetTask()] != nil || worker.holder.Accept(worker.now(), grant) != nil {
+		worker.refuse(start)
+		return
+	}
+	task := &leasedTask{
+		intent: start.GetSubmission(), task: start.GetTask(), lease: start.GetLease(),
+		declared: start.GetDeclared(), startedAt: time.Now(),
+	}
+	if start.GetResume() {
+		task.done = worker.saved[task.task]
+	}
+	worker.tasks[task.task] = task
+	if worker.executor.Recorder != nil {
+		worker.executor.Recorder.Record(worker.executor.Name, task.intent, task.intent, task.task)
+	}
+	left := max(time.Duration(start.GetRunNanos())-task.done, 0)
+	task.timer = time.AfterFunc(left, func() { worker.finish(task) })
+}
+
+func (worker *worker) refuse(start *backendv1.Start) {
+	refused := &backendv1.ServerMessage{Refusals: []*backendv1.Refusal{{
+		Submission: start.GetSubmission(), Task: start.GetTask(), Lease: start.GetLease(),
+		Kind: backendv1.RefusalKind_REFUSAL_KIND_STALE_EPOCH,
+	}}}
+	worker.ended[start.GetLease()] = refused
+	worker.tell(refused)
+}
+
+// finish ends a task whose run time is over, unless it was stopped before.
+func (worker *worker) finish(task *leasedTask) {
+	worker.executor.mutex.Lock()
+	defer worker.executor.mutex.Unlock()
+	if worker.tasks[task.task] == task && worker.holder.Valid(worker.now(), identifier.TaskID(task.task)) {
+		worker.end(task, &backendv1.Answer{})
+	}
+}
+
+// obey carries out an order on the run that it names.
+func (worker *worker) obey(order *backendv1.Cancel) {
+	task := worker.tasks[order.GetTask()]
+	if task == nil || task.lease != order.GetLease() {
+		return
+	}
+	switch order.GetKind() {
+	case backendv1.CancelKind_CANCEL_KIND_THROTTLE:
+		task.throttled = true
+	case backendv1.CancelKind_CANCEL_KIND_CHECKPOINT:
+		worker.saved[task.task] = task.done + time.Since(task.startedAt)
+		worker.end(task, &backendv1.Answer{Checkpointed: true, Reason: order.GetReason()})
+	default:
+		worker.end(task, &backendv1.Answer{Cancelled: true, Reason: order.GetReason()})
+	}
+}
+
+// end frees the room of a task and tells how it ended until that is acknowledged.
+func (worker *worker) end(task *leasedTask, answer *backendv1.Answer) {
+	task.timer.Stop()
+	worker.holder.Release(identifier.TaskID(task.task))
+	delete(worker.tasks, task.task)
+	answer.Submission = task.intent
+	answer.Task = task.task
+	answer.Lease = task.lease
+	answer.RunNanos = int64(time.Since(task.startedAt))
+	ended := &backendv1.ServerMessage{Answers: []*backendv1.Answer{answer}}
+	worker.ended[task.lease] = ended
+	worker.tell(ended)
+}
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -22,6 +22,8 @@
 	Decisions []claimer.Decision `cbor:"1,keyasint,omitempty"`
 	Change    *configurer.Result `cbor:"2,keyasint,omitempty"`
 	Intent    *planner.Result    `cbor:"3,keyasint,omitempty"`
+	// Intents answers a request that reads.
+	Intents *IntentRecords `cbor:"4,keyasint,omitempty"`
 }
 
 // Nonce names a request between the host that asks and its reply.
@@ -37,6 +39,8 @@
 	// Forwarded tells that a keeper which does not lead has passed it on. It is
 	// passed on once, so that two keepers with old views don't send it in circles.
 	Forwarded bool `cbor:"4,keyasint,omitempty"`
+	// Read asks to read in place of carrying out a command.
+	Read *IntentRead `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers a Request.
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -138,6 +138,9 @@
 		keeper.outputs = append(keeper.outputs, &Forward{To: keeper.leader, Request: request})
 		return log
 	}
+	if request.Read != nil {
+		return keeper.read(log, request)
+	}
 	data, err := encodeCommand(&request.Command)
 	if err != nil {
 		keeper.reply(&request, Reply{Kind: ReplyRefused})
@@ -165,6 +168,10 @@
 		keeper.outputs = append(keeper.outputs, &SaveSnapshot{Snapshot: output.Snapshot})
 	case replicator.ProposalOutcome:
 		keeper.answerOutcome(output)
+	case replicator.ReadReady:
+		keeper.answerRead(output.Handle)
+	case replicator.ReadRefused:
+		keeper.refuseRead(output.Handle)
 	case replicator.Applied:
 		keeper.noteApplied(output.Entry.Index)
 	case replicator.SnapshotInstalled:
--- /dev/null
+++ b/pkg/keeper/reading.go
@@ -0,0 +1,57 @@
+package keeper
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/planner"
+	"github.com/stoathitch/stoathitch/pkg/replicator"
+)
+
+// IntentRead asks for the record of one intent, or for the summaries of all when
+// Name is empty.
+type IntentRead struct {
+	Name identifier.IntentName `cbor:"1,keyasint,omitempty"`
+}
+
+// IntentRecords answers an IntentRead. An intent that nobody knows is missing.
+type IntentRecords struct {
+	Records []planner.Record `cbor:"1,keyasint,omitempty"`
+}
+
+// read serves a read once this keeper is known to lead still: one that was replaced
+// without noticing would show intents as they were before the last confirmation.
+func (keeper *Keeper) read(log []replicator.Input, request Request) []replicator.Input {
+	keeper.nextHandle++
+	keeper.pending.Put(keeper.nextHandle, &request)
+	return append(log, replicator.ReadRequested{Handle: keeper.nextHandle})
+}
+
+func (keeper *Keeper) answerRead(handle replicator.Handle) {
+	request := keeper.pending.Get(handle)
+	if request == nil {
+		return
+	}
+	keeper.pending.Remove(handle)
+	records := keeper.machine.readIntents(request.Read)
+	keeper.reply(request, Reply{Kind: ReplyApplied, Result: Result{Intents: &records}})
+}
+
+func (keeper *Keeper) refuseRead(handle replicator.Handle) {
+	if request := keeper.pending.Get(handle); request != nil {
+		keeper.pending.Remove(handle)
+		keeper.reply(request, Reply{Kind: ReplyNotLed})
+	}
+}
+
+func (machine *machine) readIntents(read *IntentRead) IntentRecords {
+	var records IntentRecords
+	if read.Name != "" {
+		if record := machine.intents.Get(read.Name); record != nil {
+			records.Records = append(records.Records, *record)
+		}
+		return records
+	}
+	for _, name := range machine.intents.Names() {
+		records.Records = append(records.Records, machine.intents.Get(name).Summary())
+	}
+	return records
+}
--- a/pkg/planner/command.go
+++ b/pkg/planner/command.go
@@ -35,7 +35,8 @@
 	// CommandEnd ends an intent whose failure domain is given up: what has no
 	// outcome is then not known to have run.
 	CommandEnd
-	// CommandLead says which epoch leads a failure domain's workers, given in Claim.
+	// CommandLead says which epoch leads a failure domain's workers, given in Claim;
+	// without an epoch there, the log gives the next one.
 	// A new lead applies it before it reads its assignments: what a former lead
 	// proposed and is applied later is refused, so it can't change them any more.
 	CommandLead
@@ -176,4 +177,6 @@
 	Winner *Change `cbor:"6,keyasint,omitempty"`
 	// Plan is the plan that stands, for CommandPlan and a confirmation of another.
 	Plan *Plan `cbor:"7,keyasint,omitempty"`
+	// Epoch is the one that CommandLead gave.
+	Epoch identifier.Epoch `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/planner/machine.go
+++ b/pkg/planner/machine.go
@@ -36,6 +36,8 @@
 	ended   *tabulator.Table[identifier.IntentName, identifier.LogIndex]
 	epochs  *tabulator.Table[identifier.FailureDomain, identifier.Epoch]
 	applied identifier.LogIndex
+	// changed is the index of the last change of any intent's revision.
+	changed identifier.LogIndex
 	// learned outlives the drivers and is shared by all failure domains.
 	learned *guarder.Learner
 }
@@ -274,6 +276,7 @@
 func (machine *Machine) accept(index identifier.LogIndex, command Command, record *Record, state State, reason string) Result {
 	record.State = state
 	record.Revision++
+	machine.changed = index
 	change := Change{
 		Revision: record.Revision, Kind: command.Kind, Operator: command.Operator, Wall: command.Wall,
 		Request: command.Request, Index: index, Spec: command.Spec, PlanNumber: command.PlanNumber,
--- a/pkg/planner/progress.go
+++ b/pkg/planner/progress.go
@@ -75,16 +75,32 @@
 	return Result{Kind: ResultAccepted, Index: index, State: record.State, Revision: record.Revision}
 }
 
-// lead raises the epoch of a failure domain.
+// lead raises the epoch of a failure domain. Without an epoch in the command the
+// log gives the next one: two hosts that both believe to lead never get the same,
+// and a failure domain that was started anew does not begin below its former leads.
 func (machine *Machine) lead(index identifier.LogIndex, command Command) Result {
 	claim := command.Claim
 	if claim == nil {
-		return Result{Kind: ResultInvalid, Index: index, Reason: "there is no epoch"}
+		return Result{Kind: ResultInvalid, Index: index, Reason: "there is no failure domain"}
+	}
+	if claim.Epoch == 0 {
+		epoch := machine.Epoch(claim.FailureDomain) + 1
+		machine.epochs.Put(claim.FailureDomain, &epoch)
+		return Result{Kind: ResultAccepted, Index: index, Epoch: epoch}
 	}
 	if machine.fenced(claim.FailureDomain, claim.Epoch) {
 		return Result{Kind: ResultFenced, Index: index, Reason: "another lead has taken over"}
 	}
-	return Result{Kind: ResultAccepted, Index: index}
+	return Result{Kind: ResultAccepted, Index: index, Epoch: claim.Epoch}
+}
+
+// Epoch returns the highest epoch of a failure domain, 0 when nobody led it yet.
+func (machine *Machine) Epoch(domain identifier.FailureDomain) identifier.Epoch {
+	machine.prepare()
+	if highest := machine.epochs.Get(domain); highest != nil {
+		return *highest
+	}
+	return 0
 }
 
 // fenced tells whether epoch is below the highest one of a failure domain, and
--- a/pkg/planner/snapshot.go
+++ b/pkg/planner/snapshot.go
@@ -72,6 +72,7 @@
 	machine.applied = state.Applied
 	for _, record := range state.Records {
 		machine.records.Put(record.Name, &record)
+		machine.changed = max(machine.changed, record.changedAt())
 	}
 	for _, known := range state.Answers {
 		machine.answers.Put(known.Request, &known.Answer)
