--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -67,6 +67,7 @@
 		&standInCommand{commonOptions: common})
 	addSettingsCommands(parser.Command, common)
 	addJobCommands(parser.Command, common)
+	addIntentCommands(parser.Command, common)
 	addStatusCommands(parser.Command, common)
 	addConfigCommands(parser.Command, common)
 	addCommand(parser.Command, "completion", "Print the completion script for bash",
--- a/pkg/commander/standin.go
+++ b/pkg/commander/standin.go
@@ -23,6 +23,10 @@
 	Count         int    `long:"count" default:"4" description:"how many backend servers to run"`
 	First         int    `long:"first" default:"0" description:"the number of the first, so that several processes can run stand-ins of one failure domain"`
 	Slots         int    `long:"slots" default:"8" description:"how many tasks each runs at once"`
+	MilliCPU      int64  `long:"milli-cpu" description:"make them workers with this much processor time, which run tasks of intents and none of jobs"`
+	MemoryBytes   int64  `long:"memory-bytes" description:"the memory of each worker"`
+	Accelerators  int32  `long:"accelerators" description:"the accelerators of each worker"`
+	UsePermille   int64  `long:"use-permille" default:"1000" description:"what tasks of intents use of what they declare, in thousandths"`
 	Record        string `long:"record" value-name:"FILE" description:"write one JSON line for each start to this file"`
 }
 
@@ -41,12 +45,14 @@
 	for index := range command.Count {
 		number := command.First + index
 		standIn := &executor.Executor{
-			Name:          fmt.Sprintf("%s-%d", command.FailureDomain, number),
+			Name:          command.nameOf(number),
 			FailureDomain: command.FailureDomain,
 			Rack:          fmt.Sprintf("%s-rack-%d", command.FailureDomain, number/serversPerRack),
 			Slots:         command.Slots,
 			EntryHosts:    addresses,
 			Recorder:      recorder,
+			Resources:     command.resources(),
+			UsePermille:   command.UsePermille,
 			Log:           logger,
 		}
 		group.Go(func() { standIn.Run(command.terminal.context) })
@@ -56,6 +62,23 @@
 	return nil
 }
 
+// nameOf tells workers from other backend servers: both attach to the same hosts,
+// which know them by their names.
+func (command *standInCommand) nameOf(number int) string {
+	if command.MilliCPU > 0 {
+		return fmt.Sprintf("%s-worker-%d", command.FailureDomain, number)
+	}
+	return fmt.Sprintf("%s-%d", command.FailureDomain, number)
+}
+
+// resources returns what makes the stand-ins workers, or nil.
+func (command *standInCommand) resources() *executor.Resources {
+	if command.MilliCPU <= 0 {
+		return nil
+	}
+	return &executor.Resources{MilliCPU: command.MilliCPU, MemoryBytes: command.MemoryBytes, Accelerators: command.Accelerators}
+}
+
 func (command *standInCommand) openRecorder() (*executor.Recorder, error) {
 	if command.Record == "" {
 		return nil, nil
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -34,6 +34,9 @@
 	// Resources make it a worker, which runs tasks of intents under leases and none of
 	// jobs; nil makes it a backend server for jobs.
 	Resources *Resources
+	// UsePermille is what tasks of intents use of their declared processors and memory,
+	// in thousandths; 0 means all of it.
+	UsePermille int64
 	// EntryHosts are the addresses of the entry hosts that it knows at first.
 	EntryHosts []string
 	// Recorder notes each start before the work begins; nil notes nothing.
--- a/pkg/executor/worker.go
+++ b/pkg/executor/worker.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	leaseCheck = 100 * time.Millisecond
 	leaseDrift = time.Second
 	leaseBase  = 10
+	permille   = 1000
 )
 
 // Resources are what a worker offers.
@@ -119,7 +121,7 @@
 		Busy: int32(len(worker.tasks)), ReadingNanos: int64(worker.now()), Leases: worker.leases(),
 	}}
 	for _, task := range worker.tasks {
-		message.Usages = append(message.Usages, task.usage(worker.executor.Resources))
+		message.Usages = append(message.Usages, worker.usage(task))
 	}
 	for _, ended := range worker.ended {
 		message.Answers = append(message.Answers, ended.GetAnswers()...)
@@ -142,12 +144,19 @@
 	return leases
 }
 
-// usage is what a stand-in claims to use: what was declared.
-func (task *leasedTask) usage(_ *Resources) *backendv1.Usage {
-	return &backendv1.Usage{
-		Submission: task.intent, Task: task.task,
-		MilliCpu: task.declared.GetMilliCpu(), MemoryBytes: task.declared.GetMemoryBytes(), Accelerators: task.declared.GetAccelerators(),
+// usage is what a stand-in claims to use. A throttled task keeps to the processors
+// that it declared; its memory can't be throttled.
+func (worker *worker) usage(task *leasedTask) *backendv1.Usage {
+	used := cmp.Or(worker.executor.UsePermille, permille)
+	declared := task.declared
+	usage := &backendv1.Usage{
+		Submission: task.intent, Task: task.task, Accelerators: declared.GetAccelerators(),
+		MilliCpu: declared.GetMilliCpu() * used / permille, MemoryBytes: declared.GetMemoryBytes() * used / permille,
 	}
+	if task.throttled {
+		usage.MilliCpu = min(usage.GetMilliCpu(), declared.GetMilliCpu())
+	}
+	return usage
 }
 
 func (worker *worker) fillAnnounce(announce *backendv1.Announce) {
--- /dev/null
+++ b/pkg/explainer/parser.go
@@ -0,0 +1,19 @@
+package explainer
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// ParseSpec reads the JSON of a spec. A key that is not known is an error.
+func ParseSpec(content []byte) (*Spec, error) {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	var spec Spec
+	if err := decoder.Decode(&spec); err != nil {
+		return nil, eris.Wrap(err, "the intent is malformed")
+	}
+	return &spec, nil
+}
--- /dev/null
+++ b/pkg/requester/intents.go
@@ -0,0 +1,88 @@
+package requester
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// intentsPath is where intents stand.
+const intentsPath = "/v1/intents"
+
+// CreateIntent states a new intent. A conflict is a result and no error.
+func (requester *Requester) CreateIntent(ctx context.Context, create *explainer.Create) (*explainer.Result, error) {
+	return requester.changeIntent(ctx, intentsPath, create)
+}
+
+// OrderIntent confirms, rejects, cancels or ends an intent. A conflict is a result
+// and no error.
+func (requester *Requester) OrderIntent(ctx context.Context, name identifier.IntentName, verb string, order *explainer.Order) (*explainer.Result, error) {
+	return requester.changeIntent(ctx, intentPath(name)+"/"+verb, order)
+}
+
+// PlanIntent waits until the intent has a plan, or has none for a reason.
+func (requester *Requester) PlanIntent(ctx context.Context, name identifier.IntentName) (*explainer.Intent, error) {
+	var intent explainer.Intent
+	err := requester.fetch(ctx, &call{method: http.MethodPost, path: intentPath(name) + "/plan"}, http.StatusOK, &intent)
+	if err != nil {
+		return nil, err
+	}
+	return &intent, nil
+}
+
+// Intent asks for an intent, with its steps if explain is set.
+func (requester *Requester) Intent(ctx context.Context, name identifier.IntentName, explain bool) (*explainer.Intent, error) {
+	path := intentPath(name)
+	if explain {
+		path += "?explain=true"
+	}
+	var intent explainer.Intent
+	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: path}, http.StatusOK, &intent); err != nil {
+		return nil, err
+	}
+	return &intent, nil
+}
+
+// Intents lists all intents.
+func (requester *Requester) Intents(ctx context.Context) ([]explainer.Intent, error) {
+	var intents []explainer.Intent
+	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: intentsPath}, http.StatusOK, &intents); err != nil {
+		return nil, err
+	}
+	return intents, nil
+}
+
+// changeIntent reads the result of a command, whatever its status.
+func (requester *Requester) changeIntent(ctx context.Context, path string, body any) (*explainer.Result, error) {
+	call := &call{method: http.MethodPost, path: path}
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, call.failed(ErrorKindWrongRequest, eris.Wrap(err, "encode the request"))
+	}
+	call.body = content
+	status, response, err := requester.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	var kind struct {
+		Result string `json:"result"`
+	}
+	if json.Unmarshal(response, &kind) != nil || kind.Result == "" {
+		return nil, call.problem(status, response)
+	}
+	var result explainer.Result
+	if err := json.Unmarshal(response, &result); err != nil {
+		return nil, call.failed(ErrorKindWrongResponse, eris.Wrap(err, "read the result"))
+	}
+	return &result, nil
+}
+
+func intentPath(name identifier.IntentName) string {
+	return intentsPath + "/" + url.PathEscape(string(name))
+}
