Put the quotas of intents in force from the configuration

Cause: quotas stood in settings and configuration but nothing gave them to the drivers or the plans. Change: every driver gets its part of each quota, divided by the capacities that the keeper that leads last heard of; plans know the whole quota. Measured: TestQuotasOfConfiguration: 2 tasks run under a quota of 2 cores, 5 after it is raised to 5, and a task of 3 cores is refused for good under 2. Conclusion: quotas hold end to end.

--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -19,6 +19,7 @@
 		Seed:     uint64(incarnation),
 		Settings: coordinatorSettings(settings),
 		LimitsOf: limitsReader(settings),
+		QuotasOf: quotasReader(settings),
 		// The daemon's clock stands at moment 0 now.
 		WallStart: planner.WallTime(time.Now().UnixMilli()),
 	}
@@ -63,6 +64,7 @@
 	fillLimits(settings, &result.Dispatcher.Limits)
 	result.Forwarder.Cells = settings.Dispatch.Cells
 	result.Forwarder.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
+	result.Intents.Quotas = quotasOf(settings)
 	result.Keeper.ClaimRetention = settings.Timeouts.ClaimRetention.Std()
 	return result
 }
--- /dev/null
+++ b/pkg/assembler/quotas.go
@@ -0,0 +1,34 @@
+package assembler
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/placer"
+	"github.com/stoathitch/stoathitch/pkg/planner"
+)
+
+// quotasOf returns what the intents of each team may hold.
+func quotasOf(settings *loader.Settings) []planner.TeamQuota {
+	quotas := make([]planner.TeamQuota, 0, len(settings.Teams))
+	for _, team := range settings.Teams {
+		quotas = append(quotas, planner.TeamQuota{Team: team.Team, Quota: placer.Quota{
+			Limit: identifier.Resources{
+				MilliCPU: team.MilliCPU, Memory: team.Memory, Accelerators: identifier.Accelerators(team.Accelerators),
+			},
+			TasksInFlight: team.TasksInFlight,
+			Weight:        int64(team.Weight),
+		}})
+	}
+	return quotas
+}
+
+// quotasReader reads the quotas of teams for the coordinator.
+func quotasReader(settings *loader.Settings) func(document []byte) ([]planner.TeamQuota, bool) {
+	return func(document []byte) ([]planner.TeamQuota, bool) {
+		effective, err := withConfiguration(settings, "document", document)
+		if err != nil {
+			return nil, false
+		}
+		return quotasOf(effective), true
+	}
+}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -28,6 +28,9 @@
 	// LimitsOf returns the limits of a configuration document, and false for a
 	// document that can't be read. It must be pure; nil changes no limits.
 	LimitsOf func(document []byte) (dispatcher.LimitsConfigured, bool)
+	// QuotasOf returns the quotas of a configuration document, and false for a document
+	// that can't be read. It must be pure; nil changes no quotas.
+	QuotasOf func(document []byte) ([]planner.TeamQuota, bool)
 	// WallStart is the wall clock's reading at moment 0. It is shown to operators and
 	// nothing is decided by it.
 	WallStart planner.WallTime
@@ -46,6 +49,7 @@
 	// them where this host leads the keepers.
 	driving       *driving
 	intentKeeping *intentKeeping
+	quotas        quotas
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
@@ -121,6 +125,7 @@
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
 	coordinator.petitions = newPetitions(coordinator)
 	coordinator.connected = make(map[identifier.HostID]bool)
+	coordinator.quotas.set(coordinator.Settings.Intents.Quotas)
 	coordinator.driving = newDriving(coordinator)
 	coordinator.intentKeeping = newIntentKeeping(coordinator)
 	coordinator.tellForwarder(&forwarder.HostsChanged{Living: []identifier.HostID{coordinator.Self.Host}})
--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -98,6 +98,7 @@
 		driving.askForEpoch()
 	}
 	driving.proposals.expire()
+	driving.followQuotas()
 	if driving.driver == nil {
 		driving.inputs = nil
 	} else if len(driving.inputs) > 0 || driving.driver.NextDeadline().Due(now) {
@@ -108,6 +109,17 @@
 	}
 }
 
+// followQuotas gives the driver its part of the quotas when that has changed.
+func (driving *driving) followQuotas() {
+	if driving.driver == nil {
+		return
+	}
+	coordinator := driving.coordinator
+	if changed, any := coordinator.quotas.part(coordinator.Self.FailureDomain, coordinator.intentKeeping.failureDomains()); any {
+		driving.inputs = append(driving.inputs, changed)
+	}
+}
+
 // askForEpoch asks the log for the next epoch of the failure domain. The request id
 // makes a resend get the same one.
 func (driving *driving) askForEpoch() {
@@ -180,6 +192,7 @@
 		driving.begin()
 	}
 	driving.seen = news.Version
+	driving.coordinator.quotas.learn(news.Capacities)
 	for _, assigned := range news.Changed {
 		driving.assigned.Put(assigned.Name, &struct{}{})
 		driving.inputs = append(driving.inputs, assigned)
@@ -209,6 +222,7 @@
 	driving.driver.Settings = settings.Driver
 	driving.assigned = tabulator.New[identifier.IntentName, struct{}]()
 	driving.batches = tabulator.New[identifier.WorkerID, ToWorker]()
+	coordinator.quotas.changed = true
 	driving.workers.Each(func(id identifier.WorkerID, known *knownWorker) bool {
 		driving.inputs = append(driving.inputs, planner.WorkerAnnounced{Worker: known.worker, Reading: known.reading})
 		driving.batch(id)
--- a/pkg/coordinator/intentkeeping.go
+++ b/pkg/coordinator/intentkeeping.go
@@ -114,6 +114,10 @@
 	}
 	driver := &drivingHost{host: from, epoch: sync.Epoch, since: sync.Since, at: keeping.coordinator.now, picture: sync.Picture}
 	first := keeping.drivers.Get(sync.FailureDomain) == nil || keeping.drivers.Get(sync.FailureDomain).picture == nil
+	if !first && driver.picture == nil {
+		// A new driver knows no workers yet; their capacity has not changed with it.
+		driver.picture = &planner.Picture{FailureDomain: sync.FailureDomain, Rooms: keeping.drivers.Get(sync.FailureDomain).picture.Rooms, Settling: true}
+	}
 	keeping.drivers.Put(sync.FailureDomain, driver)
 	keeping.tell(machine, from, sync.FailureDomain, sync.Since)
 	if first && sync.Picture != nil {
@@ -133,6 +137,7 @@
 
 func (keeping *intentKeeping) tell(machine *planner.Machine, host identifier.HostID, domain identifier.FailureDomain, since identifier.LogIndex) {
 	news := machine.News(domain, since)
+	news.Capacities = keeping.capacities()
 	if host == keeping.coordinator.Self.Host {
 		keeping.coordinator.driving.takeNews(&news)
 		return
@@ -235,8 +240,12 @@
 // proposer makes plans from the pictures that are fresh. A failure domain that can't
 // be reached promises nothing, but as long as its workers aren't known nobody says
 // "never" either.
-func (keeping *intentKeeping) proposer(machine *planner.Machine, _ *planner.Record) *planner.Proposer {
-	proposer := &planner.Proposer{ConfirmWithin: keeping.coordinator.Settings.Intents.ConfirmWithin, Correct: machine.Correction}
+func (keeping *intentKeeping) proposer(machine *planner.Machine, record *planner.Record) *planner.Proposer {
+	proposer := &planner.Proposer{
+		ConfirmWithin: keeping.coordinator.Settings.Intents.ConfirmWithin,
+		Quota:         keeping.coordinator.quotas.of(record.Spec.Team),
+		Correct:       machine.Correction,
+	}
 	for _, domain := range keeping.failureDomains() {
 		driver := keeping.drivers.Get(domain)
 		fresh := driver != nil && driver.picture != nil &&
@@ -250,6 +259,18 @@
 	return proposer
 }
 
+// capacities lists what all failure domains offered when they were last heard, so
+// that one which is cut off keeps its part of the quotas.
+func (keeping *intentKeeping) capacities() []planner.DomainCapacity {
+	var capacities []planner.DomainCapacity
+	for _, domain := range keeping.failureDomains() {
+		if driver := keeping.drivers.Get(domain); driver != nil && driver.picture != nil {
+			capacities = append(capacities, driver.picture.Capacity())
+		}
+	}
+	return capacities
+}
+
 // failureDomains lists those of all hosts that are known, in order.
 func (keeping *intentKeeping) failureDomains() []identifier.FailureDomain {
 	domains := []identifier.FailureDomain{keeping.coordinator.Self.FailureDomain}
--- a/pkg/coordinator/intents.go
+++ b/pkg/coordinator/intents.go
@@ -30,6 +30,8 @@
 	// RetryLead is the time that a host waits which lost its epoch but still leads.
 	RetryLead time.Duration
 	Driver    planner.DriverSettings
+	// Quotas are in force until there is a configuration.
+	Quotas []planner.TeamQuota
 }
 
 // DefaultIntentSettings returns the settings that the daemon starts from.
@@ -94,3 +96,14 @@
 func (coordinator *Coordinator) wall() planner.WallTime {
 	return coordinator.WallStart.Add(time.Duration(coordinator.now))
 }
+
+// enforceQuotas takes the quotas of a configuration in the tick in which it comes
+// into force. What runs beyond a lowered quota runs on.
+func (coordinator *Coordinator) enforceQuotas(document []byte) {
+	if coordinator.QuotasOf == nil {
+		return
+	}
+	if teams, readable := coordinator.QuotasOf(document); readable {
+		coordinator.quotas.set(teams)
+	}
+}
--- a/pkg/coordinator/intents_test.go
+++ b/pkg/coordinator/intents_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/placer"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 )
@@ -389,3 +393,51 @@
 		machine.heal(t)
 	})
 }
+
+// Symptom: a team's intents hold more than its quota, or a quota that is raised does
+// not come into force.
+// Sequence: a configuration with a quota is accepted, an intent runs under it, a task
+// beyond it is stated, the quota is raised.
+// Cause: each driver must get its part in the tick in which the configuration comes
+// into force.
+func TestQuotasOfConfiguration(t *testing.T) {
+	network := intentsOf(t, 2)
+	world := network.intents
+	for _, host := range network.hosts {
+		host.coordinator.QuotasOf = func(document []byte) ([]planner.TeamQuota, bool) {
+			limit, err := strconv.Atoi(string(document))
+			quota := placer.Quota{Limit: identifier.Resources{MilliCPU: identifier.MilliCPU(limit)}}
+			return []planner.TeamQuota{{Team: "forecast", Quota: quota}}, err == nil
+		}
+	}
+	configure := func(version identifier.ConfigVersion, document string) {
+		world.waiters++
+		change := &configurer.Change{Request: identifier.RequestID(document), Expected: version, Operator: "an", Document: []byte(document)}
+		network.tick(network.hosts[0], &coordinator.OperatorRequest{Waiter: world.waiters, Command: keeper.Command{Change: change}})
+		network.advance(resultPatience)
+	}
+	running := func() int {
+		sum := 0
+		for _, worker := range world.workers {
+			sum += len(worker.running)
+		}
+		return sum
+	}
+	configure(0, "2000")
+	world.begin(t, "again", specOf(6, 30*time.Second, true))
+	network.advance(5 * time.Second)
+	if count := running(); count != 2 {
+		t.Errorf("%d tasks run under a quota of 2", count)
+	}
+	beyond := specOf(1, time.Minute, true)
+	beyond.Batches[0].Need.MilliCPU = 3000
+	world.create(network.hosts[2], "an", "beyond", beyond)
+	network.advance(resultPatience)
+	world.expectState(t, "beyond", planner.StateImpossible)
+	configure(1, "5000")
+	if count := running(); count != 5 {
+		t.Errorf("%d tasks run under a quota of 5", count)
+	}
+	network.advance(2 * time.Minute)
+	world.expectState(t, "again", planner.StateComplete)
+}
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -203,6 +203,7 @@
 		version := output.Version
 		coordinator.publish(configRecordKey, strconv.FormatUint(uint64(version.Version), recordNumberBase))
 		coordinator.enforceLimits(version.Document)
+		coordinator.enforceQuotas(version.Document)
 		coordinator.outputs.add(&ConfigInForce{Version: version})
 	}
 }
--- a/pkg/planner/news.go
+++ b/pkg/planner/news.go
@@ -18,6 +18,8 @@
 	Active []identifier.IntentName `cbor:"4,keyasint,omitempty"`
 	// Changed holds those that changed after the version which the driver has.
 	Changed []IntentAssigned `cbor:"5,keyasint,omitempty"`
+	// Capacities are those by which quotas are divided, in order.
+	Capacities []DomainCapacity `cbor:"6,keyasint,omitempty"`
 }
 
 // Changed returns the index of the last change of any intent's revision.
@@ -82,3 +84,14 @@
 	joined.Learned = append(joined.Learned, other.Learned...)
 	return joined
 }
+
+// DomainCapacity is what the workers of a failure domain offer.
+type DomainCapacity struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
+	Capacity      identifier.Resources     `cbor:"2,keyasint,omitempty"`
+}
+
+// Capacity returns what all workers of the picture offer.
+func (picture *Picture) Capacity() DomainCapacity {
+	return DomainCapacity{FailureDomain: picture.FailureDomain, Capacity: picture.capacity()}
+}
