--- a/pkg/assembler/intents_test.go
+++ b/pkg/assembler/intents_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +121,86 @@
 		t.Errorf("ended as %+v", ended)
 	}
 }
+
+// Symptom: an operator gets no clear word on what is wrong with a request.
+func TestWrongIntentRequests(t *testing.T) {
+	deployment := startDeployment(t, 1, nil)
+	deployment.startWorkers(t, 1, nil)
+	create := newIntent("known", "create-1", 1, time.Minute, true)
+	eventually(t, "the intent is created", func(ctx context.Context) bool {
+		var result explainer.Result
+		status, err := deployment.call(ctx, 0, http.MethodPost, "/v1/intents", create, &result)
+		return err == nil && status == http.StatusCreated
+	})
+	planned := deployment.waitFor(t, 0, "known", planner.StatePlanned)
+	noBatch := newIntent("empty", "create-2", 1, time.Minute, true)
+	noBatch.Spec.Batches = nil
+	slash := newIntent("a/b", "create-3", 1, time.Minute, true)
+	order := explainer.Order{Request: "order-1", Operator: "an", Revision: planned.Revision}
+	for _, wrong := range []struct {
+		name, path string
+		body       any
+		status     int
+		kind       string
+	}{
+		{"a key that is not known", "/v1/intents", map[string]string{"nmae": "x"}, http.StatusBadRequest, "malformed-body"},
+		{"a name with a slash", "/v1/intents", slash, http.StatusBadRequest, "wrong-name"},
+		{"no operator", "/v1/intents/known/cancel", explainer.Order{Request: "r"}, http.StatusBadRequest, "missing-field"},
+		{"no batch", "/v1/intents", noBatch, http.StatusUnprocessableEntity, "invalid"},
+		{"no such intent", "/v1/intents/nobody/cancel", order, http.StatusNotFound, "not-found"},
+		{"an old revision", "/v1/intents/known/cancel", explainer.Order{Request: "order-2", Operator: "an", Revision: 1}, http.StatusConflict, "conflict"},
+		{"another plan", "/v1/intents/known/confirm", explainer.Order{Request: "order-3", Operator: "an", Revision: planned.Revision, Plan: 99}, http.StatusConflict, "conflict"},
+		{"a used request id", "/v1/intents/known/cancel", explainer.Order{Request: "create-1", Operator: "an", Revision: planned.Revision}, http.StatusUnprocessableEntity, "invalid"},
+		{"a path that shows nothing", "/v1/intents/nobody/plan", nil, http.StatusNotFound, "not-found"},
+	} {
+		var answer struct{ Result, Error, Reason, Detail string }
+		status, err := deployment.call(t.Context(), 0, http.MethodPost, wrong.path, wrong.body, &answer)
+		if err != nil || status != wrong.status || answer.Error+answer.Result != wrong.kind || answer.Reason+answer.Detail == "" {
+			t.Errorf("%s: status %d, %+v, %v; want %d %s", wrong.name, status, answer, err, wrong.status, wrong.kind)
+		}
+	}
+}
+
+// Symptom: an intent hangs, or tasks are lost, after a worker's process has died.
+// Sequence: two operators create the intent under one name; the loser learns who won,
+// and the winner's resend at the other host gets the first answer. A worker dies while
+// it runs tasks (rows 21 and 23 with a worker's death).
+// Cause: its leases have to run out before its tasks run again elsewhere.
+func TestIntentSurvivesAWorker(t *testing.T) {
+	deployment := startDeployment(t, 2, nil)
+	end := deployment.startWorkers(t, 2, nil)
+	create := newIntent("nightly", "create-an", 10, 6*time.Second, true)
+	var first explainer.Result
+	eventually(t, "the intent is created", func(ctx context.Context) bool {
+		status, err := deployment.call(ctx, 0, http.MethodPost, "/v1/intents", create, &first)
+		return err == nil && status == http.StatusCreated
+	})
+	other := newIntent("nightly", "create-bo", 3, time.Second, true)
+	other.Operator = "bo"
+	status, lost := deployment.post(t, 1, "/v1/intents", other)
+	if status != http.StatusConflict || lost.Winner == nil || lost.Winner.Operator != "an" || lost.Winner.Request != "create-an" || lost.Winner.At == 0 {
+		t.Errorf("the loser was answered %d %+v", status, lost)
+	}
+	if status, again := deployment.post(t, 1, "/v1/intents", create); status != http.StatusCreated || again != first {
+		t.Errorf("the resend was answered %d %+v, first %+v", status, again, first)
+	}
+	planned := deployment.waitFor(t, 1, "nightly", planner.StatePlanned)
+	status, _ = deployment.post(t, 0, "/v1/intents/nightly/confirm", explainer.Order{
+		Request: "confirm-1", Operator: "an", Revision: planned.Revision, Plan: planned.Plan.Number,
+	})
+	if status != http.StatusOK {
+		t.Fatalf("confirmation: status %d", status)
+	}
+	deployment.waitFor(t, 0, "nightly", planner.StateRunning)
+	end(0)
+	ended := deployment.waitFor(t, 1, "nightly", planner.StateComplete)
+	if ended.Outcomes.Succeeded != 10 {
+		t.Errorf("ended as %+v", ended)
+	}
+	ranOut := slices.ContainsFunc(ended.Steps, func(step explainer.Step) bool {
+		return strings.Contains(step.Reason, "a lease ran out on worker-0")
+	})
+	if !ranOut {
+		t.Errorf("nothing tells of the dead worker: %+v", ended.Steps)
+	}
+}
