Let workers tell a host that it is not cut off

Cause: a host that is alone in its failure domain takes the lead only once it has heard a backend server; workers were not counted. After the death of one of two hosts nobody drove the failure domain, and its intents hung.

--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -234,6 +235,10 @@
 // takeWorkerEvent remembers who is connected, and hands the event to the driver.
 func (driving *driving) takeWorkerEvent(event *WorkerEvent) {
 	for _, input := range event.Events {
+		if _, lost := input.(planner.WorkerLost); !lost {
+			// A worker tells as well as any backend server that this host isn't cut off.
+			driving.coordinator.tellElector(elector.ServerHeard{})
+		}
 		switch input := input.(type) {
 		case planner.WorkerAnnounced:
 			driving.workers.Put(event.Worker, &knownWorker{worker: input.Worker, reading: input.Reading})
