--- a/pkg/commander/intent.go
+++ b/pkg/commander/intent.go
@@ -72,7 +72,7 @@
 	}
 	switch {
 	case result.Winner != nil:
-		return failed("conflict: %s was first, with %s at revision %d on %s", result.Winner.Operator, result.Winner.Command, result.Winner.Revision, result.Winner.At)
+		return failed("conflict: %s was first, with %s (revision %d) at %s", result.Winner.Operator, result.Winner.Command, result.Winner.Revision, result.Winner.At)
 	case result.Result == planner.ResultInvalid:
 		return malformed("%s", result.Reason)
 	case result.Result != planner.ResultAccepted:
--- a/pkg/planner/spec.go
+++ b/pkg/planner/spec.go
@@ -66,7 +66,7 @@
 	FailureDomain identifier.FailureDomain `cbor:"2,keyasint,omitempty" json:"failure-domain"`
 	From          int                      `cbor:"3,keyasint,omitempty" json:"from"`
 	To            int                      `cbor:"4,keyasint,omitempty" json:"to"`
-	Racks         []RackCount              `cbor:"5,keyasint,omitempty" json:"racks"`
+	Racks         []RackCount              `cbor:"5,keyasint,omitempty" json:"racks,omitempty"`
 }
 
 // RackCount is the number of tasks expected in a rack.
