Acknowledge the end of a task only when the log knows it

Cause: a driver that died between hearing an end and reporting it took the end with it; a task that had succeeded became unknown, or ran again. Change: the driver acknowledges a repeated end once no report of its intent waits.

--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -37,6 +37,7 @@
 	seen     identifier.LogIndex
 	assigned *tabulator.Table[identifier.IntentName, struct{}]
 	batches  *tabulator.Table[identifier.WorkerID, ToWorker]
+	ends     *heldEnds
 }
 
 func newDriving(coordinator *Coordinator) *driving {
@@ -223,6 +224,7 @@
 	driving.driver.Settings = settings.Driver
 	driving.assigned = tabulator.New[identifier.IntentName, struct{}]()
 	driving.batches = tabulator.New[identifier.WorkerID, ToWorker]()
+	driving.ends = newHeldEnds()
 	coordinator.quotas.changed = true
 	driving.workers.Each(func(id identifier.WorkerID, known *knownWorker) bool {
 		driving.inputs = append(driving.inputs, planner.WorkerAnnounced{Worker: known.worker, Reading: known.reading})
@@ -260,12 +262,15 @@
 	}
 }
 
-// acknowledge lets a worker forget how a task ended. Only the driver does, which
-// takes it in the same tick.
+// acknowledge lets a worker forget how a task ended, once the log knows it.
 func (driving *driving) acknowledge(worker identifier.WorkerID, ended planner.TaskEnded) {
 	if driving.driver == nil {
 		return
 	}
+	flush := driving.coordinator.Settings.Intents.Driver.FlushInterval
+	if !driving.ends.settled(driving.coordinator.now, ended, flush, driving.proposals.reports(planner.IntentOf(ended.Task))) {
+		return
+	}
 	batch := driving.batch(worker)
 	batch.Received = append(batch.Received, EndReceived{Task: ended.Task, Number: ended.Number})
 }
--- a/pkg/coordinator/intents_test.go
+++ b/pkg/coordinator/intents_test.go
@@ -179,6 +179,30 @@
 	world.expectState(t, "once", planner.StateComplete)
 }
 
+// Symptom: a task that has succeeded is said to be unknown.
+// Sequence: a worker tells how its tasks ended; the driving host dies before it has
+// reported that to the log.
+// Cause: the worker must keep the end until the log knows it, and tell the next driver.
+func TestEndsOutliveTheDrivingHost(t *testing.T) {
+	network := intentsOf(t, 2)
+	world := network.intents
+	world.begin(t, "once", specOf(4, 20*time.Second, false))
+	for _, other := range network.hosts {
+		network.connection(string(network.leadOf("leuven").id), string(other.id)).delay = 5 * time.Millisecond
+	}
+	for ended := false; !ended; {
+		network.advance(50 * time.Microsecond)
+		for _, worker := range world.workers {
+			ended = ended || len(worker.ended) > 0
+		}
+	}
+	// The driver has heard it and could have answered, but no other keeper has.
+	network.advance(2*hop + 50*time.Microsecond)
+	network.crashHost(network.leadOf("leuven"))
+	network.advance(time.Minute)
+	world.expectState(t, "once", planner.StateComplete)
+}
+
 // Symptom: work that was confirmed stops because the keepers can't be reached.
 // Sequence: the driving host loses both other keepers while an intent runs, and finds
 // them again.
--- a/pkg/coordinator/proposals.go
+++ b/pkg/coordinator/proposals.go
@@ -57,6 +57,24 @@
 	return false
 }
 
+// reports tells whether a report of an intent waits for the log.
+func (proposals *proposals) reports(name identifier.IntentName) bool {
+	about := func(command *planner.Command) bool {
+		return command.Kind == planner.CommandProgress && command.Name == name
+	}
+	for position := range proposals.queue {
+		if about(&proposals.queue[position]) {
+			return true
+		}
+	}
+	found := false
+	proposals.inFlight.Each(func(_ keeper.Nonce, sent *proposal) bool {
+		found = about(&sent.command)
+		return !found
+	})
+	return found
+}
+
 func (proposals *proposals) fill() {
 	for len(proposals.queue) > 0 && proposals.inFlight.Len() < proposalsInFlight {
 		command := proposals.queue[0]
--- a/pkg/planner/assign.go
+++ b/pkg/planner/assign.go
@@ -79,6 +79,12 @@
 	return identifier.TaskID(string(name) + taskSeparator + strconv.Itoa(batch) + taskSeparator + strconv.Itoa(index))
 }
 
+// IntentOf returns the intent of a task, or nothing for an id of another form.
+func IntentOf(task identifier.TaskID) identifier.IntentName {
+	name, _, _, _ := splitTask(task)
+	return name
+}
+
 // splitTask returns the parts of a TaskID.
 func splitTask(task identifier.TaskID) (name identifier.IntentName, batch, index int, valid bool) {
 	parts := strings.Split(string(task), taskSeparator)
