Bound operators' requests, read from a keeper that is cut off, look for a keeper that answers

Cause: requests of operators that waited had no bound; on the smaller side of a cut nobody could see an intent; a driving host told only the keeper it believed to lead. Measured: go test -run 'Intent|Confirmed' ./pkg/coordinator: ok. Conclusion: small gaps closed.

--- a/pkg/assembler/intents.go
+++ b/pkg/assembler/intents.go
@@ -98,6 +98,8 @@
 	answer, answered := output.(*coordinator.OperatorAnswer)
 	switch {
 	case !answered:
+	case answer.Overloaded:
+		writeOverloaded(writer)
 	case !answer.Applied || answer.Result.Intent == nil:
 		writeNoQuorum(writer, "nobody knows whether the command was accepted: send it again with the same request id")
 	default:
@@ -106,6 +108,11 @@
 	}
 }
 
+func writeOverloaded(writer http.ResponseWriter) {
+	writer.Header().Set("Retry-After", "1")
+	writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Error: "overloaded", Detail: "too many requests wait here; nothing was done"})
+}
+
 func writeNoQuorum(writer http.ResponseWriter, advice string) {
 	writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Error: "no-quorum", Detail: "no quorum of the keepers answered; " + advice})
 }
@@ -128,23 +135,28 @@
 
 // readIntents asks the keeper that leads. It returns false once it has answered that
 // no keeper did, or when the operator has hung up.
-func (operations *operations) readIntents(ctx context.Context, writer http.ResponseWriter, name identifier.IntentName) ([]planner.Record, bool) {
-	output := operations.await(ctx, func(waiter uint64) coordinator.Input {
-		return &coordinator.OperatorRequest{Waiter: waiter, Read: &keeper.IntentRead{Name: name}}
+func (operations *operations) readIntents(writer http.ResponseWriter, request *http.Request, name identifier.IntentName) ([]planner.Record, bool) {
+	read := &keeper.IntentRead{Name: name, Stale: request.URL.Query().Get("stale") == "true"}
+	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
+		return &coordinator.OperatorRequest{Waiter: waiter, Read: read}
 	})
 	answer, answered := output.(*coordinator.OperatorAnswer)
 	if !answered {
 		return nil, false
 	}
+	if answer.Overloaded {
+		writeOverloaded(writer)
+		return nil, false
+	}
 	if !answer.Applied || answer.Result.Intents == nil {
-		writeNoQuorum(writer, "ask again")
+		writeNoQuorum(writer, "ask again, or ask a keeper with ?stale=true for what it has")
 		return nil, false
 	}
 	return answer.Result.Intents.Records, true
 }
 
 func (operations *operations) listIntents(writer http.ResponseWriter, request *http.Request) {
-	records, read := operations.readIntents(request.Context(), writer, "")
+	records, read := operations.readIntents(writer, request, "")
 	if !read {
 		return
 	}
@@ -164,7 +176,7 @@
 
 // readIntent returns the intent of the path, or nil once it has answered why not.
 func (operations *operations) readIntent(writer http.ResponseWriter, request *http.Request) *planner.Record {
-	records, read := operations.readIntents(request.Context(), writer, nameOf(request))
+	records, read := operations.readIntents(writer, request, nameOf(request))
 	if !read {
 		return nil
 	}
--- a/pkg/commander/intentshow.go
+++ b/pkg/commander/intentshow.go
@@ -42,13 +42,14 @@
 type intentShowCommand struct {
 	namedIntent
 	Explain bool `long:"explain" description:"tell each step with its moment and reason"`
+	Stale   bool `long:"stale" description:"show what the host has, should it be a keeper, when no quorum can be reached"`
 }
 
 // Execute prints the intent.
 func (command *intentShowCommand) Execute(_ []string) error {
 	ctx, cancel := context.WithTimeout(command.terminal.context, changeTimeout)
 	defer cancel()
-	intent, err := command.requester().Intent(ctx, command.name(), command.Explain)
+	intent, err := command.requester().Intent(ctx, command.name(), command.Explain, command.Stale)
 	if err != nil {
 		return intentFailure(err)
 	}
@@ -191,7 +192,7 @@
 func (command *intentWatchCommand) look() (*explainer.Intent, error) {
 	ctx, cancel := context.WithTimeout(command.terminal.context, changeTimeout)
 	defer cancel()
-	intent, err := command.requester().Intent(ctx, command.name(), true)
+	intent, err := command.requester().Intent(ctx, command.name(), true, false)
 	var failure *requester.Error
 	if errors.As(err, &failure) && failure.Kind == requester.ErrorKindUnavailable {
 		return nil, nil
--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -15,6 +15,10 @@
 // drivingCell is the cell whose lead drives the workers of a failure domain.
 const drivingCell messenger.CellNumber = 0
 
+// syncsUnanswered is the number of syncs without news after which the next keeper is
+// told.
+const syncsUnanswered = 3
+
 // driving runs confirmed intents on the workers of the failure domain while this
 // host leads cell 0 there. The log gives it an epoch first; it begins with the
 // assignments that were read afterwards, so that it starts nothing that a former
@@ -31,6 +35,8 @@
 	takes  uint64
 	takeAt identifier.Moment
 	syncAt identifier.Moment
+	// unanswered counts the syncs since the last news.
+	unanswered int
 	// driver is nil until the first assignments have come.
 	driver   *planner.Driver[placer.ScoredSample]
 	inputs   []planner.Input
@@ -171,11 +177,14 @@
 	if len(keepers) == 0 {
 		return
 	}
-	if keepers[0] == coordinator.Self.Host {
-		coordinator.intentKeeping.takeSync(keepers[0], message)
+	// The keeper believed to lead may be gone without a word of who follows it.
+	to := keepers[driving.unanswered/syncsUnanswered%len(keepers)]
+	driving.unanswered++
+	if to == coordinator.Self.Host {
+		coordinator.intentKeeping.takeSync(to, message)
 		return
 	}
-	coordinator.outputs.toPeer(keepers[0], PeerMessage{IntentSync: message})
+	coordinator.outputs.toPeer(to, PeerMessage{IntentSync: message})
 }
 
 // takeNews takes what the log has decided. News that are older than what this driver
@@ -190,6 +199,7 @@
 	case news.Epoch < driving.epoch || news.Version < driving.seen:
 		return
 	}
+	driving.unanswered = 0
 	if driving.driver == nil {
 		driving.begin()
 	}
--- a/pkg/coordinator/intents_test.go
+++ b/pkg/coordinator/intents_test.go
@@ -221,6 +221,11 @@
 	}
 	before := len(world.runs)
 	network.advance(30 * time.Second)
+	world.waiters++
+	network.tick(network.hosts[0], &coordinator.OperatorRequest{Waiter: world.waiters, Read: &keeper.IntentRead{Name: "again", Stale: true}})
+	if shown := world.answers[world.waiters]; shown == nil || len(shown.Result.Intents.Records) != 1 {
+		t.Errorf("a keeper that is cut off shows %+v", shown)
+	}
 	if begun := len(world.runs); begun <= before {
 		t.Errorf("%d tasks had begun before the failure domain was cut off, %d after", before, begun)
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -142,6 +142,8 @@
 	Waiter  uint64
 	Applied bool
 	Result  keeper.Result
+	// Overloaded tells that too many requests wait; nothing was done.
+	Overloaded bool
 }
 
 // StatusAnswer answers a StatusWanted.
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -12,6 +12,8 @@
 const (
 	petitionResend = 500 * time.Millisecond
 	petitionGiveUp = 6 * time.Second
+	// petitionsBound is the number of operators' requests that wait at once.
+	petitionsBound = 4096
 )
 
 // petitions holds the operators' requests that wait for the keepers. A request is
@@ -41,6 +43,15 @@
 
 // begin sends a new request of an operator.
 func (petitions *petitions) begin(request *OperatorRequest) {
+	if petitions.waiting.Len() >= petitionsBound {
+		petitions.coordinator.outputs.add(&OperatorAnswer{Waiter: request.Waiter, Overloaded: true})
+		return
+	}
+	if request.Read != nil && request.Read.Stale && petitions.coordinator.keeper != nil {
+		records := petitions.coordinator.keeper.ReadStale(request.Read)
+		petitions.coordinator.outputs.add(&OperatorAnswer{Waiter: request.Waiter, Applied: true, Result: keeper.Result{Intents: &records}})
+		return
+	}
 	petitions.coordinator.nextNonce++
 	nonce := petitions.coordinator.nextNonce
 	giveUpAt := petitions.coordinator.now.Add(petitionGiveUp)
--- a/pkg/keeper/reading.go
+++ b/pkg/keeper/reading.go
@@ -10,6 +10,8 @@
 // Name is empty.
 type IntentRead struct {
 	Name identifier.IntentName `cbor:"1,keyasint,omitempty"`
+	// Stale lets a keeper answer with what it has, also while it is cut off.
+	Stale bool `cbor:"2,keyasint,omitempty"`
 }
 
 // IntentRecords answers an IntentRead. An intent that nobody knows is missing.
@@ -25,6 +27,14 @@
 	return append(log, replicator.ReadRequested{Handle: keeper.nextHandle})
 }
 
+// ReadStale returns what this keeper has applied, which may be behind.
+func (keeper *Keeper) ReadStale(read *IntentRead) IntentRecords {
+	if keeper.machine == nil {
+		return IntentRecords{}
+	}
+	return keeper.machine.readIntents(read)
+}
+
 func (keeper *Keeper) answerRead(handle replicator.Handle) {
 	request := keeper.pending.Get(handle)
 	if request == nil {
--- a/pkg/requester/intents.go
+++ b/pkg/requester/intents.go
@@ -36,11 +36,19 @@
 	return &intent, nil
 }
 
-// Intent asks for an intent, with its steps if explain is set.
-func (requester *Requester) Intent(ctx context.Context, name identifier.IntentName, explain bool) (*explainer.Intent, error) {
-	path := intentPath(name)
+// Intent asks for an intent, with its steps if explain is set. A stale answer is what
+// the host has, should it be a keeper.
+func (requester *Requester) Intent(ctx context.Context, name identifier.IntentName, explain, stale bool) (*explainer.Intent, error) {
+	query := url.Values{}
 	if explain {
-		path += "?explain=true"
+		query.Set("explain", "true")
+	}
+	if stale {
+		query.Set("stale", "true")
+	}
+	path := intentPath(name)
+	if len(query) > 0 {
+		path += "?" + query.Encode()
 	}
 	var intent explainer.Intent
 	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: path}, http.StatusOK, &intent); err != nil {
