--- a/pkg/coordinator/intentworld_test.go
+++ b/pkg/coordinator/intentworld_test.go
@@ -27,7 +27,10 @@
 
 // newIntentNetwork returns a network in which every host is a keeper.
 func newIntentNetwork(domains []identifier.FailureDomain, hostsEach, workersEach int) *network {
-	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
+	created := &network{
+		leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle(),
+		settings: coordinator.DefaultSettings(),
+	}
 	world := &intentWorld{
 		network: created, runs: map[identifier.TaskID][]*fakeRun{}, answers: map[uint64]*coordinator.OperatorAnswer{},
 		repeatable: map[identifier.IntentName]bool{}, confirmed: map[identifier.IntentName]bool{},
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -30,13 +30,10 @@
 	connections map[string]*connection
 	oracle      *oracle
 	trace       bool
-<<<<<<< HEAD
 	// settings are those of the hosts that start from now on.
 	settings coordinator.Settings
-=======
 	// intents is nil where no intents are run.
 	intents *intentWorld
->>>>>>> c3f1afa (Test intents over whole coordinators in virtual time)
 }
 
 // connection counts its breaks, so that messages of an older one are dropped.
