Show in a host's status what it drives

Cause: nothing told which host drives intents or that commands wait for keepers. Conclusion: operators see it at /v1/status.

--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -22,8 +22,10 @@
 	// Servers are the backend servers that have announced themselves here.
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
 	// Work counts the work of the cells that this host leads.
-	Work   dispatcher.WorkStatus `json:"work"`
-	Keeper *keeper.Status        `json:"keeper,omitempty"`
+	Work dispatcher.WorkStatus `json:"work"`
+	// Intents tells of the workers and of what is driven here.
+	Intents IntentStatus   `json:"intents"`
+	Keeper  *keeper.Status `json:"keeper,omitempty"`
 }
 
 // HostStatus is another host as this one sees it.
@@ -54,6 +56,7 @@
 		Callers:       coordinator.Self.Addresses.Callers,
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
+		Intents:       coordinator.driving.status(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
 		if state.Member.Host == coordinator.Self.Host {
