--- a/pkg/commander/intent.go
+++ b/pkg/commander/intent.go
@@ -27,6 +27,9 @@
 		&intentConfirmCommand{intentOrder: order})
 	addCommand(group, "reject", "Reject a plan", "Ends an intent that was not confirmed.", &intentRejectCommand{intentOrder: order})
 	addCommand(group, "cancel", "Cancel an intent", "Ends an intent; what runs is stopped.", &intentCancelCommand{intentOrder: order})
+	addCommand(group, "end", "Give an intent up whose failure domain does not come back",
+		"Ends an intent without waiting for its failure domains: what was never claimed did not run, the rest is unknown.",
+		&intentEndCommand{intentOrder: order})
 	addCommand(group, "show", "Show an intent", "Shows an intent, with --explain from its statement to its outcome.",
 		&intentShowCommand{namedIntent: namedIntent{remoteOptions: remote}})
 	addCommand(group, "list", "List all intents", "Lists the intents that the keepers know.", &intentListCommand{remoteOptions: remote})
@@ -167,3 +170,9 @@
 
 // Execute sends the cancellation.
 func (command *intentCancelCommand) Execute(_ []string) error { return command.send("cancel", 0) }
+
+// intentEndCommand gives an intent up.
+type intentEndCommand struct{ intentOrder }
+
+// Execute sends the word.
+func (command *intentEndCommand) Execute(_ []string) error { return command.send("end", 0) }
