Never take news that begin after what a driver has seen; keep replies of a former process apart

Cause: news that were lost with a connection and followed by later ones left a confirmed intent unknown to its driving host for ever. On the way: requests to keepers were numbered from 1 in each process of a host, so a late reply could be taken for that to another request; and the request for an epoch did not name the process. Change: news carry the version after which they begin; nonces begin at a hash of the incarnation; the epoch's request names the incarnation.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -124,6 +124,7 @@
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration}
 	coordinator.petitions = newPetitions(coordinator)
+	coordinator.nextNonce = firstNonce(coordinator.Self.Incarnation)
 	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.quotas.set(coordinator.Settings.Intents.Quotas)
 	coordinator.driving = newDriving(coordinator)
--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -129,12 +129,13 @@
 }
 
 // askForEpoch asks the log for the next epoch of the failure domain. The request id
-// makes a resend get the same one.
+// makes a resend get the same one; it names the process, since the next one must not
+// get the epoch of this one, whose driver may have started what it knows nothing of.
 func (driving *driving) askForEpoch() {
 	coordinator := driving.coordinator
 	driving.takeAt = identifier.Never
 	driving.takes++
-	request := fmt.Sprintf("lead/%s/%d/%d", coordinator.Self.Host, coordinator.Seed, driving.takes)
+	request := fmt.Sprintf("lead/%s/%d/%d", coordinator.Self.Host, coordinator.Self.Incarnation, driving.takes)
 	driving.proposals.add(planner.Command{
 		Kind:     planner.CommandLead,
 		Request:  identifier.RequestID(request),
@@ -198,6 +199,9 @@
 		return
 	case news.Epoch < driving.epoch || news.Version < driving.seen:
 		return
+	case news.Since > driving.seen:
+		driving.syncAt = driving.coordinator.now
+		return
 	}
 	driving.unanswered = 0
 	if driving.driver == nil {
--- a/pkg/coordinator/intents_test.go
+++ b/pkg/coordinator/intents_test.go
@@ -286,3 +286,41 @@
 	network.advance(2 * time.Minute)
 	world.expectState(t, "again", planner.StateComplete)
 }
+
+// Symptom: a confirmed intent never starts in one failure domain, whatever follows.
+// Sequence: the news of a confirmation to a driving host are lost with a connection;
+// news of a second confirmation arrive before the driving host has synced again.
+// Cause: news say after which version they begin; a driver must not take news that
+// begin after what it has seen.
+func TestLostNewsAreMadeUpFor(t *testing.T) {
+	network := newIntentNetwork([]identifier.FailureDomain{"leuven", "roeselare"}, 2, 2)
+	world := network.intents
+	network.advance(10 * time.Second)
+	var orders []planner.Command
+	for _, name := range []identifier.IntentName{"first", "second"} {
+		world.create(network.hosts[0], "an", name, specOf(4, 2*time.Second, false))
+		network.advance(resultPatience)
+		record := world.expectState(t, name, planner.StatePlanned)
+		orders = append(orders, planner.Command{
+			Kind: planner.CommandConfirm, Request: "confirm-" + identifier.RequestID(name), Operator: "an", Name: name,
+			Revision: record.Revision, PlanNumber: record.Plan.Number,
+		})
+	}
+	driving := network.leadOf("roeselare")
+	cut := func(change func(first, second *fakeHost)) {
+		for _, other := range network.hosts {
+			if other != driving {
+				change(driving, other)
+			}
+		}
+	}
+	// Syncs go out each second; both confirmations fall between two of them.
+	cut(network.breakHosts)
+	world.ask(network.hosts[0], orders[0])
+	network.advance(20 * time.Millisecond)
+	cut(network.connectHosts)
+	world.ask(network.hosts[0], orders[1])
+	network.advance(time.Minute)
+	world.expectState(t, "first", planner.StateComplete)
+	world.expectState(t, "second", planner.StateComplete)
+}
--- a/pkg/planner/news.go
+++ b/pkg/planner/news.go
@@ -13,6 +13,10 @@
 	Epoch identifier.Epoch `cbor:"2,keyasint,omitempty"`
 	// Version is the index of the last change; news of a lower one are older.
 	Version identifier.LogIndex `cbor:"3,keyasint,omitempty"`
+	// Since is the version after which the changes are given. A driver that has not seen
+	// it has lost earlier news and must not take these: it would never learn of what
+	// changed in between.
+	Since identifier.LogIndex `cbor:"7,keyasint,omitempty"`
 	// Active names all intents that the failure domain has a part in; what a driver
 	// has besides them has ended.
 	Active []identifier.IntentName `cbor:"4,keyasint,omitempty"`
@@ -28,7 +32,7 @@
 // News returns what a failure domain's driver that has seen a version needs.
 func (machine *Machine) News(domain identifier.FailureDomain, since identifier.LogIndex) News {
 	machine.prepare()
-	news := News{FailureDomain: domain, Epoch: machine.Epoch(domain), Version: machine.changed}
+	news := News{FailureDomain: domain, Epoch: machine.Epoch(domain), Since: since, Version: machine.changed}
 	machine.records.Each(func(name identifier.IntentName, record *Record) bool {
 		if !record.activeIn(domain) {
 			return true
