Take up intents only where there are workers

Change: the first worker that announces itself starts it. Conclusion: deployments without workers pay nothing for intents.

--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -34,6 +34,8 @@
 	// takes counts the epochs that were asked for, to name the requests.
 	takes  uint64
 	takeAt identifier.Moment
+	// taking tells that an epoch is asked for, or will be at takeAt.
+	taking bool
 	syncAt identifier.Moment
 	// unanswered counts the syncs since the last news.
 	unanswered int
@@ -68,6 +70,15 @@
 func (driving *driving) leadTaken(cell messenger.CellNumber) {
 	if cell == drivingCell {
 		driving.elected = true
+		driving.takeUp()
+	}
+}
+
+// takeUp asks for an epoch soon, once this host leads the cell and there is a worker
+// to drive. Deployments without workers thus pay nothing for intents.
+func (driving *driving) takeUp() {
+	if driving.elected && !driving.taking && driving.epoch == 0 && driving.workers.Len() > 0 {
+		driving.taking = true
 		driving.takeAt = driving.coordinator.now
 	}
 }
@@ -83,6 +94,7 @@
 // next driver, or ends with them.
 func (driving *driving) stop() {
 	driving.epoch = 0
+	driving.taking = false
 	driving.driver = nil
 	driving.inputs = nil
 	driving.takeAt = identifier.Never
@@ -95,6 +107,7 @@
 func (driving *driving) fenced() {
 	driving.stop()
 	if driving.elected {
+		driving.taking = true
 		driving.takeAt = driving.coordinator.now.Add(driving.coordinator.Settings.Intents.RetryLead)
 	}
 }
@@ -154,6 +167,7 @@
 	switch {
 	case command.Kind == planner.CommandLead && result.Kind == planner.ResultAccepted:
 		driving.epoch = result.Epoch
+		driving.taking = false
 		driving.seen = 0
 		driving.syncAt = driving.coordinator.now
 	case result.Kind == planner.ResultFenced:
@@ -258,6 +272,7 @@
 		switch input := input.(type) {
 		case planner.WorkerAnnounced:
 			driving.workers.Put(event.Worker, &knownWorker{worker: input.Worker, reading: input.Reading})
+			driving.takeUp()
 			if driving.driver != nil {
 				driving.batch(event.Worker)
 			}
