--- a/pkg/assembler/intents.go
+++ b/pkg/assembler/intents.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/planner"
@@ -43,7 +43,7 @@
 }
 
 func (operations *operations) createIntent(writer http.ResponseWriter, request *http.Request) {
-	var body explainer.Create
+	var body describer.Create
 	if !operations.readIntentBody(writer, request, &body) {
 		return
 	}
@@ -59,7 +59,7 @@
 }
 
 func (operations *operations) orderIntent(writer http.ResponseWriter, request *http.Request, kind planner.CommandKind) {
-	var body explainer.Order
+	var body describer.Order
 	if !operations.readIntentBody(writer, request, &body) {
 		return
 	}
@@ -104,7 +104,7 @@
 		writeNoQuorum(writer, "nobody knows whether the command was accepted: send it again with the same request id")
 	default:
 		result := answer.Result.Intent
-		writeJSON(writer, statusOf(command.Kind, result.Kind), explainer.ResultOf(command.Name, result))
+		writeJSON(writer, statusOf(command.Kind, result.Kind), describer.ResultOf(command.Name, result))
 	}
 }
 
@@ -160,9 +160,9 @@
 	if !read {
 		return
 	}
-	bodies := make([]*explainer.Intent, 0, len(records))
+	bodies := make([]*describer.Intent, 0, len(records))
 	for position := range records {
-		bodies = append(bodies, explainer.IntentOf(&records[position], false))
+		bodies = append(bodies, describer.IntentOf(&records[position], false))
 	}
 	writeJSON(writer, http.StatusOK, bodies)
 }
@@ -170,7 +170,7 @@
 func (operations *operations) showIntent(writer http.ResponseWriter, request *http.Request) {
 	record := operations.readIntent(writer, request)
 	if record != nil {
-		writeJSON(writer, http.StatusOK, explainer.IntentOf(record, request.URL.Query().Get("explain") == "true"))
+		writeJSON(writer, http.StatusOK, describer.IntentOf(record, request.URL.Query().Get("explain") == "true"))
 	}
 }
 
@@ -198,7 +198,7 @@
 			return
 		}
 		if record.State != planner.StateCreated || ctx.Err() != nil {
-			writeJSON(writer, http.StatusOK, explainer.IntentOf(record, false))
+			writeJSON(writer, http.StatusOK, describer.IntentOf(record, false))
 			return
 		}
 		select {
--- a/pkg/assembler/intents_test.go
+++ b/pkg/assembler/intents_test.go
@@ -14,7 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/stoathitch/stoathitch/pkg/executor"
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
@@ -62,9 +62,9 @@
 	return response.StatusCode, json.NewDecoder(response.Body).Decode(target)
 }
 
-func (deployment *deployment) post(tb testing.TB, host int, path string, body any) (int, explainer.Result) {
+func (deployment *deployment) post(tb testing.TB, host int, path string, body any) (int, describer.Result) {
 	tb.Helper()
-	var result explainer.Result
+	var result describer.Result
 	status, err := deployment.call(tb.Context(), host, http.MethodPost, path, body, &result)
 	if err != nil {
 		tb.Fatalf("%s: %v", path, err)
@@ -72,16 +72,16 @@
 	return status, result
 }
 
-func (deployment *deployment) intent(ctx context.Context, host int, name string) (explainer.Intent, error) {
-	var intent explainer.Intent
+func (deployment *deployment) intent(ctx context.Context, host int, name string) (describer.Intent, error) {
+	var intent describer.Intent
 	_, err := deployment.call(ctx, host, http.MethodGet, "/v1/intents/"+name+"?explain=true", nil, &intent)
 	return intent, err
 }
 
 // waitFor waits until an intent is in a state.
-func (deployment *deployment) waitFor(tb testing.TB, host int, name string, state planner.State) explainer.Intent {
+func (deployment *deployment) waitFor(tb testing.TB, host int, name string, state planner.State) describer.Intent {
 	tb.Helper()
-	var intent explainer.Intent
+	var intent describer.Intent
 	eventually(tb, name+" is "+state.String(), func(ctx context.Context) bool {
 		var err error
 		intent, err = deployment.intent(ctx, host, name)
@@ -90,8 +90,8 @@
 	return intent
 }
 
-func newIntent(name, request string, count int, runTime time.Duration, repeatable bool) explainer.Create {
-	var create explainer.Create
+func newIntent(name, request string, count int, runTime time.Duration, repeatable bool) describer.Create {
+	var create describer.Create
 	if err := json.Unmarshal(fmt.Appendf(nil, `{"request":%q,"operator":"an","name":%q,"spec":{"team":"forecast",
 		"batches":[{"kind":"train","count":%d,"need":{"milli-cpu":1000,"memory-bytes":1073741824},"run-time":%q,"repeatable":%t}]}}`,
 		request, name, count, runTime.String(), repeatable), &create); err != nil {
@@ -105,12 +105,12 @@
 	deployment.startWorkers(t, 4, nil)
 	create := newIntent("nightly", "create-1", 12, 50*time.Millisecond, true)
 	eventually(t, "the intent is created", func(ctx context.Context) bool {
-		var result explainer.Result
+		var result describer.Result
 		status, err := deployment.call(ctx, 1, http.MethodPost, "/v1/intents", create, &result)
 		return err == nil && status == http.StatusCreated
 	})
 	planned := deployment.waitFor(t, 0, "nightly", planner.StatePlanned)
-	status, result := deployment.post(t, 1, "/v1/intents/nightly/confirm", explainer.Order{
+	status, result := deployment.post(t, 1, "/v1/intents/nightly/confirm", describer.Order{
 		Request: "confirm-1", Operator: "an", Revision: planned.Revision, Plan: planned.Plan.Number,
 	})
 	if status != http.StatusOK {
@@ -128,7 +128,7 @@
 	deployment.startWorkers(t, 1, nil)
 	create := newIntent("known", "create-1", 1, time.Minute, true)
 	eventually(t, "the intent is created", func(ctx context.Context) bool {
-		var result explainer.Result
+		var result describer.Result
 		status, err := deployment.call(ctx, 0, http.MethodPost, "/v1/intents", create, &result)
 		return err == nil && status == http.StatusCreated
 	})
@@ -136,7 +136,7 @@
 	noBatch := newIntent("empty", "create-2", 1, time.Minute, true)
 	noBatch.Spec.Batches = nil
 	slash := newIntent("a/b", "create-3", 1, time.Minute, true)
-	order := explainer.Order{Request: "order-1", Operator: "an", Revision: planned.Revision}
+	order := describer.Order{Request: "order-1", Operator: "an", Revision: planned.Revision}
 	for _, wrong := range []struct {
 		name, path string
 		body       any
@@ -145,12 +145,12 @@
 	}{
 		{"a key that is not known", "/v1/intents", map[string]string{"nmae": "x"}, http.StatusBadRequest, "malformed-body"},
 		{"a name with a slash", "/v1/intents", slash, http.StatusBadRequest, "wrong-name"},
-		{"no operator", "/v1/intents/known/cancel", explainer.Order{Request: "r"}, http.StatusBadRequest, "missing-field"},
+		{"no operator", "/v1/intents/known/cancel", describer.Order{Request: "r"}, http.StatusBadRequest, "missing-field"},
 		{"no batch", "/v1/intents", noBatch, http.StatusUnprocessableEntity, "invalid"},
 		{"no such intent", "/v1/intents/nobody/cancel", order, http.StatusNotFound, "not-found"},
-		{"an old revision", "/v1/intents/known/cancel", explainer.Order{Request: "order-2", Operator: "an", Revision: 1}, http.StatusConflict, "conflict"},
-		{"another plan", "/v1/intents/known/confirm", explainer.Order{Request: "order-3", Operator: "an", Revision: planned.Revision, Plan: 99}, http.StatusConflict, "conflict"},
-		{"a used request id", "/v1/intents/known/cancel", explainer.Order{Request: "create-1", Operator: "an", Revision: planned.Revision}, http.StatusUnprocessableEntity, "invalid"},
+		{"an old revision", "/v1/intents/known/cancel", describer.Order{Request: "order-2", Operator: "an", Revision: 1}, http.StatusConflict, "conflict"},
+		{"another plan", "/v1/intents/known/confirm", describer.Order{Request: "order-3", Operator: "an", Revision: planned.Revision, Plan: 99}, http.StatusConflict, "conflict"},
+		{"a used request id", "/v1/intents/known/cancel", describer.Order{Request: "create-1", Operator: "an", Revision: planned.Revision}, http.StatusUnprocessableEntity, "invalid"},
 		{"a path that shows nothing", "/v1/intents/nobody/plan", nil, http.StatusNotFound, "not-found"},
 	} {
 		var answer struct{ Result, Error, Reason, Detail string }
@@ -170,7 +170,7 @@
 	deployment := startDeployment(t, 2, nil)
 	end := deployment.startWorkers(t, 2, nil)
 	create := newIntent("nightly", "create-an", 10, 6*time.Second, true)
-	var first explainer.Result
+	var first describer.Result
 	eventually(t, "the intent is created", func(ctx context.Context) bool {
 		status, err := deployment.call(ctx, 0, http.MethodPost, "/v1/intents", create, &first)
 		return err == nil && status == http.StatusCreated
@@ -185,7 +185,7 @@
 		t.Errorf("the resend was answered %d %+v, first %+v", status, again, first)
 	}
 	planned := deployment.waitFor(t, 1, "nightly", planner.StatePlanned)
-	status, _ = deployment.post(t, 0, "/v1/intents/nightly/confirm", explainer.Order{
+	status, _ = deployment.post(t, 0, "/v1/intents/nightly/confirm", describer.Order{
 		Request: "confirm-1", Operator: "an", Revision: planned.Revision, Plan: planned.Plan.Number,
 	})
 	if status != http.StatusOK {
@@ -197,7 +197,7 @@
 	if ended.Outcomes.Succeeded != 10 {
 		t.Errorf("ended as %+v", ended)
 	}
-	ranOut := slices.ContainsFunc(ended.Steps, func(step explainer.Step) bool {
+	ranOut := slices.ContainsFunc(ended.Steps, func(step describer.Step) bool {
 		return strings.Contains(step.Reason, "a lease ran out on worker-0")
 	})
 	if !ranOut {
--- a/pkg/commander/intent.go
+++ b/pkg/commander/intent.go
@@ -8,7 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 )
@@ -59,7 +59,7 @@
 }
 
 // report prints a result, or tells how to find out what became of the request.
-func (change *intentChange) report(result *explainer.Result, err error) error {
+func (change *intentChange) report(result *describer.Result, err error) error {
 	if err != nil {
 		failure := remoteFailure(err)
 		var exit *exitError
@@ -101,14 +101,14 @@
 	if err != nil {
 		return err
 	}
-	spec, err := explainer.ParseSpec(content)
+	spec, err := describer.ParseSpec(content)
 	if err != nil {
 		return malformed("%v", err)
 	}
 	command.fillDefaults()
 	ctx, cancel := context.WithTimeout(command.terminal.context, changeTimeout)
 	defer cancel()
-	result, err := command.requester().CreateIntent(ctx, &explainer.Create{
+	result, err := command.requester().CreateIntent(ctx, &describer.Create{
 		Request: identifier.RequestID(command.Request), Operator: planner.OperatorID(command.Operator),
 		Name: identifier.IntentName(command.Name), Spec: *spec,
 	})
@@ -141,7 +141,7 @@
 	order.fillDefaults()
 	ctx, cancel := context.WithTimeout(order.terminal.context, changeTimeout)
 	defer cancel()
-	result, err := order.requester().OrderIntent(ctx, identifier.IntentName(order.Arguments.Name), verb, &explainer.Order{
+	result, err := order.requester().OrderIntent(ctx, identifier.IntentName(order.Arguments.Name), verb, &describer.Order{
 		Request: identifier.RequestID(order.Request), Operator: planner.OperatorID(order.Operator),
 		Revision: order.Revision, Plan: plan, Reason: order.Reason,
 	})
--- a/pkg/commander/intentshow.go
+++ b/pkg/commander/intentshow.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/requester"
 )
@@ -66,7 +66,7 @@
 	return remoteFailure(err)
 }
 
-func (named *namedIntent) print(intent *explainer.Intent) error {
+func (named *namedIntent) print(intent *describer.Intent) error {
 	if named.JSON {
 		return named.terminal.printJSON(intent)
 	}
@@ -79,7 +79,7 @@
 }
 
 // linesOf tells an intent in lines of text.
-func linesOf(intent *explainer.Intent) []string {
+func linesOf(intent *describer.Intent) []string {
 	lines := []string{
 		fmt.Sprintf("intent\t%s", intent.Name),
 		fmt.Sprintf("state\t%s", intent.State),
@@ -99,7 +99,7 @@
 	return lines
 }
 
-func planLines(plan *explainer.Plan) []string {
+func planLines(plan *describer.Plan) []string {
 	lines := []string{fmt.Sprintf("plan\t%d", plan.Number)}
 	for _, refusal := range plan.Refusals {
 		lines = append(lines, "can never run\t"+refusal)
@@ -129,12 +129,12 @@
 	return lines
 }
 
-func outcomesText(outcomes *explainer.Outcomes) string {
+func outcomesText(outcomes *describer.Outcomes) string {
 	return fmt.Sprintf("succeeded %d, failed %d, stopped %d, not run %d, unknown %d",
 		outcomes.Succeeded, outcomes.Failed, outcomes.Stopped, outcomes.NotRun, outcomes.Unknown)
 }
 
-func stepLine(step *explainer.Step) string {
+func stepLine(step *describer.Step) string {
 	return fmt.Sprintf("step\t%s\t%s\t%s", step.At, step.Command, step.Reason)
 }
 
@@ -189,7 +189,7 @@
 }
 
 // look returns nil without an error when the host could not answer now.
-func (command *intentWatchCommand) look() (*explainer.Intent, error) {
+func (command *intentWatchCommand) look() (*describer.Intent, error) {
 	ctx, cancel := context.WithTimeout(command.terminal.context, changeTimeout)
 	defer cancel()
 	intent, err := command.requester().Intent(ctx, command.name(), true, false)
@@ -205,7 +205,7 @@
 
 // printNew prints the steps after the first seen ones; steps that the log dropped
 // count as seen.
-func (command *intentWatchCommand) printNew(intent *explainer.Intent, seen *int) error {
+func (command *intentWatchCommand) printNew(intent *describer.Intent, seen *int) error {
 	all := len(intent.Steps) + intent.DroppedSteps
 	fresh := min(all-*seen, len(intent.Steps))
 	*seen = all
@@ -223,7 +223,7 @@
 	return nil
 }
 
-func endOf(intent *explainer.Intent) error {
+func endOf(intent *describer.Intent) error {
 	if intent.State == planner.StateComplete {
 		return nil
 	}
--- a/pkg/explainer/bodies.go
+++ b/pkg/describer/bodies.go
@@ -1,7 +1,7 @@
-// Package explainer gives intents their JSON form: what operators state, what they
+// Package describer gives intents their JSON form: what operators state, what they
 // are answered, and how an intent came from its statement to its outcome. Durations
 // are Go duration strings, moments are RFC 3339 in UTC with milliseconds.
-package explainer
+package describer
 
 import (
 	"time"
--- a/pkg/explainer/translation.go
+++ b/pkg/describer/translation.go
@@ -1,4 +1,4 @@
-package explainer
+package describer
 
 import (
 	"time"
--- a/pkg/integration/intent_test.go
+++ b/pkg/integration/intent_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/requester"
@@ -51,17 +51,17 @@
 	cluster := startCluster(t)
 	cluster.startWorkers(t)
 	operator := cluster.daemonsOf("binh-chanh")[0].requester()
-	spec, err := explainer.ParseSpec([]byte(`{"team":"forecast","batches":[{"kind":"train","count":36,
+	spec, err := describer.ParseSpec([]byte(`{"team":"forecast","batches":[{"kind":"train","count":36,
 		"need":{"milli-cpu":2000,"memory-bytes":1073741824},"run-time":"12s","repeatable":false,"checkpointable":false}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	const name = identifier.IntentName("nightly")
 	eventually(t, "the intent is created", func() error {
-		_, err := operator.CreateIntent(t.Context(), &explainer.Create{Request: "create-1", Operator: "an", Name: name, Spec: *spec})
+		_, err := operator.CreateIntent(t.Context(), &describer.Create{Request: "create-1", Operator: "an", Name: name, Spec: *spec})
 		return err
 	})
-	var planned *explainer.Intent
+	var planned *describer.Intent
 	eventually(t, "a plan", func() error {
 		planned, err = operator.PlanIntent(t.Context(), name)
 		if err == nil && planned.State != planner.StatePlanned {
@@ -69,7 +69,7 @@
 		}
 		return err
 	})
-	order := &explainer.Order{Request: "confirm-1", Operator: "an", Revision: planned.Revision, Plan: planned.Plan.Number}
+	order := &describer.Order{Request: "confirm-1", Operator: "an", Revision: planned.Revision, Plan: planned.Plan.Number}
 	eventually(t, "the confirmation", func() error {
 		_, err := operator.OrderIntent(t.Context(), name, "confirm", order)
 		return err
@@ -82,7 +82,7 @@
 	})
 	cluster.awaitCellLead(t, "thu-duc").kill()
 	cluster.awaitCellLead(t, "tan-binh").signal(syscall.SIGTERM)
-	var ended *explainer.Intent
+	var ended *describer.Intent
 	eventually(t, "the end", func() error {
 		ended, err = operator.Intent(t.Context(), name, true, false)
 		if err == nil && !ended.State.Ended() {
--- a/pkg/requester/intents.go
+++ b/pkg/requester/intents.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/stoathitch/stoathitch/pkg/explainer"
+	"github.com/stoathitch/stoathitch/pkg/describer"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -16,19 +16,19 @@
 const intentsPath = "/v1/intents"
 
 // CreateIntent states a new intent. A conflict is a result and no error.
-func (requester *Requester) CreateIntent(ctx context.Context, create *explainer.Create) (*explainer.Result, error) {
+func (requester *Requester) CreateIntent(ctx context.Context, create *describer.Create) (*describer.Result, error) {
 	return requester.changeIntent(ctx, intentsPath, create)
 }
 
 // OrderIntent confirms, rejects, cancels or ends an intent. A conflict is a result
 // and no error.
-func (requester *Requester) OrderIntent(ctx context.Context, name identifier.IntentName, verb string, order *explainer.Order) (*explainer.Result, error) {
+func (requester *Requester) OrderIntent(ctx context.Context, name identifier.IntentName, verb string, order *describer.Order) (*describer.Result, error) {
 	return requester.changeIntent(ctx, intentPath(name)+"/"+verb, order)
 }
 
 // PlanIntent waits until the intent has a plan, or has none for a reason.
-func (requester *Requester) PlanIntent(ctx context.Context, name identifier.IntentName) (*explainer.Intent, error) {
-	var intent explainer.Intent
+func (requester *Requester) PlanIntent(ctx context.Context, name identifier.IntentName) (*describer.Intent, error) {
+	var intent describer.Intent
 	err := requester.fetch(ctx, &call{method: http.MethodPost, path: intentPath(name) + "/plan"}, http.StatusOK, &intent)
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 
 // Intent asks for an intent, with its steps if explain is set. A stale answer is what
 // the host has, should it be a keeper.
-func (requester *Requester) Intent(ctx context.Context, name identifier.IntentName, explain, stale bool) (*explainer.Intent, error) {
+func (requester *Requester) Intent(ctx context.Context, name identifier.IntentName, explain, stale bool) (*describer.Intent, error) {
 	query := url.Values{}
 	if explain {
 		query.Set("explain", "true")
@@ -50,7 +50,7 @@
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	var intent explainer.Intent
+	var intent describer.Intent
 	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: path}, http.StatusOK, &intent); err != nil {
 		return nil, err
 	}
@@ -58,8 +58,8 @@
 }
 
 // Intents lists all intents.
-func (requester *Requester) Intents(ctx context.Context) ([]explainer.Intent, error) {
-	var intents []explainer.Intent
+func (requester *Requester) Intents(ctx context.Context) ([]describer.Intent, error) {
+	var intents []describer.Intent
 	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: intentsPath}, http.StatusOK, &intents); err != nil {
 		return nil, err
 	}
@@ -67,7 +67,7 @@
 }
 
 // changeIntent reads the result of a command, whatever its status.
-func (requester *Requester) changeIntent(ctx context.Context, path string, body any) (*explainer.Result, error) {
+func (requester *Requester) changeIntent(ctx context.Context, path string, body any) (*describer.Result, error) {
 	call := &call{method: http.MethodPost, path: path}
 	content, err := json.Marshal(body)
 	if err != nil {
@@ -84,7 +84,7 @@
 	if json.Unmarshal(response, &kind) != nil || kind.Result == "" {
 		return nil, call.problem(status, response)
 	}
-	var result explainer.Result
+	var result describer.Result
 	if err := json.Unmarshal(response, &result); err != nil {
 		return nil, call.failed(ErrorKindWrongResponse, eris.Wrap(err, "read the result"))
 	}
