--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"google.golang.org/grpc"
 
@@ -31,6 +32,9 @@
 // Daemon is one process of the system. Set the exported fields before Run.
 type Daemon struct {
 	*provider.Common
+	// DialPeer opens the connections to other hosts; nil dials TCP. Tests cut
+	// failure domains off with it.
+	DialPeer connector.Dialer
 
 	clock    *runner.Clock
 	runner   *runner.Runner[coordinator.Input, coordinator.Output]
@@ -42,12 +46,17 @@
 	// keeping is nil on a host without a disk.
 	keeping    *keeping
 	operations *operations
+	memory     *memory
+	security   *security
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it turns unready,
 // refuses new work, and answers what it has accepted. A done hurry ends it at
 // once.
 func (daemon *Daemon) Run(ctx, hurry context.Context) error {
+	if err := daemon.secure(); err != nil {
+		return err
+	}
 	daemon.assemble()
 	listeners, err := daemon.listen()
 	if err != nil {
@@ -63,6 +72,8 @@
 		listeners.close()
 		return err
 	}
+	daemon.memory.recall(running, daemon)
+	runners.Go(func() { daemon.memory.run(running) })
 	servers := daemon.serve(listeners)
 	runners.Go(func() { daemon.runner.Run(running) })
 	runners.Go(func() { daemon.peers.Run(running) })
@@ -87,13 +98,17 @@
 		Clock:   daemon.clock,
 	}
 	daemon.runner.Prepare()
-	daemon.peers = &connector.Peers{Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation}
+	daemon.peers = &connector.Peers{
+		Common: daemon.Common, Post: daemon.runner.Post, Incarnation: incarnation,
+		Dial: daemon.DialPeer, Keys: daemon.security.keys,
+	}
 	daemon.measurer = measurer.New()
 	daemon.measurer.Gauges = daemon.gauges
-	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock}
+	daemon.servers = &connector.Servers{Common: daemon.Common, Post: daemon.postServerEvent, Clock: daemon.clock, Keys: daemon.security.keys}
 	daemon.servers.Prepare()
 	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock, Measurer: daemon.measurer}
 	daemon.receiver.Prepare()
+	daemon.memory = newMemory(daemon.Common)
 	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
 
@@ -137,7 +152,7 @@
 		daemon.keeping.persist(output.Persist)
 	case *coordinator.SaveSnapshot:
 		daemon.keeping.saveSnapshot(output.Snapshot)
-	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer:
+	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer, *coordinator.ExplainAnswer:
 		daemon.operations.Answer(output)
 	}
 }
@@ -203,13 +218,15 @@
 
 func (daemon *Daemon) serve(listeners *listeners) *servers {
 	router := mux.NewRouter()
+	daemon.security.guard(router)
 	daemon.receiver.Register(router)
 	daemon.operations.Register(router)
+	daemon.registerStatus(router)
 	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
 		http:           daemon.newHTTPServer(router),
-		backendServers: grpc.NewServer(),
-		peers:          grpc.NewServer(),
+		backendServers: daemon.servers.NewServer(),
+		peers:          daemon.peers.NewServer(),
 	}
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
@@ -230,11 +247,19 @@
 		ReadHeaderTimeout: timeouts.HeaderTimeout.Std(),
 		IdleTimeout:       timeouts.IdleTimeout.Std(),
 		MaxHeaderBytes:    int(daemon.Settings.Limits.RequestHeader),
+		Protocols:         onlyHTTP1(),
+		TLSConfig:         daemon.security.callersConfig(),
+		// Anybody can cause such lines by knocking at the port.
+		ErrorLog: daemon.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
 
 func (daemon *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	serve := server.Serve
+	if server.TLSConfig != nil {
+		serve = func(listener net.Listener) error { return server.ServeTLS(listener, "", "") }
+	}
+	if err := serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		daemon.Log.Error("callers not served", "err", err)
 	}
 }
--- a/pkg/assembler/intents_test.go
+++ b/pkg/assembler/intents_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/stoathitch/stoathitch/pkg/executor"
 	"github.com/stoathitch/stoathitch/pkg/describer"
+	"github.com/stoathitch/stoathitch/pkg/executor"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -34,7 +34,7 @@
 
 // Register adds the operators' paths to router.
 func (operations *operations) Register(router *mux.Router) {
-	router.HandleFunc("/v1/status", operations.status).Methods(http.MethodGet)
+	router.HandleFunc("/v1/explain/{submission}", operations.explain).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
 	router.HandleFunc("/v1/config/history", operations.configHistory).Methods(http.MethodGet)
@@ -53,6 +53,8 @@
 		waiter = output.Waiter
 	case *coordinator.StatusAnswer:
 		waiter = output.Waiter
+	case *coordinator.ExplainAnswer:
+		waiter = output.Waiter
 	}
 	operations.mutex.Lock()
 	waiting, found := operations.waiters[waiter]
@@ -84,20 +86,18 @@
 	}
 }
 
-func (operations *operations) status(writer http.ResponseWriter, request *http.Request) {
-	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
-		return &coordinator.StatusWanted{Waiter: waiter}
-	})
-	if answer, answered := output.(*coordinator.StatusAnswer); answered {
-		writeJSON(writer, http.StatusOK, answer.Status)
-	}
-}
-
 func (operations *operations) showConfig(writer http.ResponseWriter, request *http.Request) {
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.ConfigWanted{Waiter: waiter}
 	})
-	if answer, answered := output.(*coordinator.ConfigAnswer); answered {
+	answer, answered := output.(*coordinator.ConfigAnswer)
+	switch {
+	case !answered:
+	case !answer.Known:
+		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{
+			Error: "not-known-yet", Detail: "this host has just started and has not heard yet what is in force",
+		})
+	default:
 		writeJSON(writer, http.StatusOK, bodyOf(answer.Version))
 	}
 }
@@ -109,7 +109,7 @@
 		return
 	}
 	change := &configurer.Change{
-		Request: body.Request, Expected: body.Expected, Operator: body.Operator,
+		Request: body.Request, Expected: body.Expected, Operator: operatorOf(request.Context(), body.Operator),
 		Document: body.Document, At: time.Now().UTC().Format(time.RFC3339),
 	}
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
--- a/pkg/assessor/assessor.go
+++ b/pkg/assessor/assessor.go
@@ -68,7 +68,9 @@
 	// slots counts all slots, ejected those of ejected servers.
 	slots   identifier.Slots
 	ejected identifier.Slots
-	outputs []Output
+	// slowness sums that of all servers.
+	slowness slownessTotal
+	outputs  []Output
 }
 
 // Tick applies the inputs in order, judges the servers that they are about and
@@ -122,13 +124,9 @@
 
 // expire lets ejected servers prove themselves.
 func (assessor *Assessor) expire() {
-	for {
-		id, due := assessor.timers.PopDue(assessor.now)
-		if !due {
-			return
-		}
+	assessor.timers.EachDue(assessor.now, func(id identifier.BackendServerID) {
 		if server := assessor.servers.Get(id); server != nil && server.state == stateEjected {
 			assessor.probe(server)
 		}
-	}
+	})
 }
--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // Timing of the connections to other hosts.
@@ -24,6 +25,10 @@
 	// are dropped: every message between hosts is either repeated by its sender or
 	// covered by a timeout.
 	sendQueue = 1024
+	// frameBytes is the size over which a batch is split between its messages.
+	frameBytes = 1 << 20
+	// frameOverhead is what a frame takes beside its payload, at most.
+	frameOverhead = 1 << 10
 )
 
 // errNotIntroduced means that a stream did not begin with another host's id.
@@ -33,16 +38,25 @@
 // ends.
 type Poster func(ctx context.Context, input coordinator.Input) bool
 
+// Dialer opens a connection to the address of another host.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // Peers keeps a sending stream to every other host that something is sent to, and
 // receives theirs. Set the exported fields before Run.
 type Peers struct {
 	*provider.Common
 	Post        Poster
 	Incarnation identifier.Incarnation
+	// Dial opens the connections to other hosts; nil dials TCP. Tests cut failure
+	// domains off with it.
+	Dial Dialer
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
 
 	peerv1.UnimplementedPeerServer
-	mutex sync.Mutex
-	links map[identifier.HostID]*peerLink
+	refusals refusals
+	mutex    sync.Mutex
+	links    map[identifier.HostID]*peerLink
 	// running is the context of Run; links that are learned later live as long.
 	running context.Context
 }
@@ -100,22 +114,43 @@
 	if !found {
 		return
 	}
+	for _, payload := range peers.framesOf(to, batch) {
+		select {
+		case link.queue <- payload:
+		default:
+			peers.Log.Warn("peer batch dropped, queue full", "peer", to)
+		}
+	}
+}
+
+// framesOf encodes a batch. A batch that is large goes in several frames, in its
+// order: the other host need not hold all of it at once, and no frame comes near
+// the bound of what is received. A single message beyond that bound is dropped,
+// because it would end the stream each time it is sent.
+func (peers *Peers) framesOf(to identifier.HostID, batch *coordinator.PeerBatch) [][]byte {
 	payload, err := encodeBatch(batch)
 	if err != nil {
 		peers.Log.Error("peer batch not encoded", "peer", to, "err", err)
-		return
+		return nil
 	}
-	select {
-	case link.queue <- payload:
+	count := len(batch.Messages)
+	switch {
+	case len(payload) > frameBytes && count > 1:
+		first := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[:count/2]})
+		second := peers.framesOf(to, &coordinator.PeerBatch{Messages: batch.Messages[count/2:]})
+		return append(first, second...)
+	case len(payload) > int(peers.Settings.Connections.Message)-frameOverhead:
+		peers.Log.Error("peer message dropped, too large", "peer", to, "bytes", len(payload))
+		return nil
 	default:
-		peers.Log.Warn("peer batch dropped, queue full", "peer", to)
+		return [][]byte{payload}
 	}
 }
 
 // keepLink opens a stream as soon as there is something to send, and again
 // whenever it has ended.
 func (peers *Peers) keepLink(ctx context.Context, link *peerLink) {
-	connection, err := peers.dial(link.address)
+	connection, err := peers.dial(link)
 	if err != nil {
 		peers.Log.Error("peer not dialled", "peer", link.host, "err", err)
 		return
@@ -136,13 +171,21 @@
 	}
 }
 
-func (peers *Peers) dial(address string) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient(address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+func (peers *Peers) dial(link *peerLink) (*grpc.ClientConn, error) {
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(clientCredentials(peers.Keys, hostCheck(peers.Settings, link.host))),
+		probing(peers.Settings),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(streamWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: dialBaseDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: dialMaxDelay},
 			MinConnectTimeout: dialMaxDelay,
-		}))
+		}),
+	}
+	if peers.Dial != nil {
+		options = append(options, grpc.WithContextDialer(peers.Dial))
+	}
+	connection, err := grpc.NewClient(link.address, options...)
 	if err != nil {
 		return nil, newError("dial peer", ErrorStream, err)
 	}
@@ -209,14 +252,18 @@
 
 // Exchange receives the batches of another host.
 func (peers *Peers) Exchange(stream peerv1.Peer_ExchangeServer) error {
-	first, err := stream.Recv()
+	introduction, err := first(peers.Settings, stream.Recv)
 	if err != nil {
 		return newError("receive introduction", ErrorStream, err)
 	}
-	from := identifier.HostID(first.GetFrom())
+	from := identifier.HostID(introduction.GetFrom())
 	if from == "" || from == peers.Settings.Host {
 		return newError("receive introduction", ErrorProtocol, errNotIntroduced)
 	}
+	if err := checkStream(stream.Context(), peers.Keys, hostCheck(peers.Settings, from)); err != nil {
+		peers.refusals.note(peers.Log, "peer", string(from), err)
+		return err
+	}
 	if err := stream.Send(peers.frame(nil)); err != nil {
 		return newError("answer introduction", ErrorStream, err)
 	}
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -1,17 +1,18 @@
 package connector
 
 import (
+	"context"
 	"sync"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
-	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 	"github.com/stoathitch/stoathitch/pkg/runner"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // errNotAnnounced means that a stream did not begin with an Announce.
@@ -23,16 +24,13 @@
 	*provider.Common
 	Post  Poster
 	Clock *runner.Clock
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
 
 	backendv1.UnimplementedEntryHostServer
-	mutex   sync.Mutex
-	streams map[identifier.BackendServerID]*serverStream
-}
-
-// serverStream is the sending side towards one backend server.
-type serverStream struct {
-	queue chan *backendv1.HostMessage
-	done  chan struct{}
+	refusals refusals
+	mutex    sync.Mutex
+	streams  map[identifier.BackendServerID]*serverStream
 }
 
 // Prepare makes the table of streams.
@@ -42,25 +40,33 @@
 
 // Attach serves one stream of a backend server until it ends.
 func (servers *Servers) Attach(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage]) error {
-	first, err := stream.Recv()
+	message, err := first(servers.Settings, stream.Recv)
 	if err != nil {
 		return newError("receive announce", ErrorStream, err)
 	}
-	announce := first.GetAnnounce()
+	announce := message.GetAnnounce()
 	if !servers.acceptable(announce) {
 		return newError("receive announce", ErrorProtocol, errNotAnnounced)
 	}
+	// The last events of a stream are posted after its context is done.
+	ctx := context.WithoutCancel(stream.Context())
 	id := identifier.BackendServerID(announce.GetBackendServer())
+	if err := checkStream(stream.Context(), servers.Keys, serverCheck(servers.Settings, id)); err != nil {
+		servers.refusals.note(servers.Log, "backend-server", string(id), err)
+		return err
+	}
 	current := servers.open(id)
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
-	current.queue <- servers.welcome()
-	servers.Post(stream.Context(), announcedEvent(announce))
-	err = servers.receive(stream, announce)
-	if servers.close(id, current) {
-		servers.Log.Info("backend server detached", "backend-server", id, "err", err)
-		servers.postLost(stream.Context(), announce)
+	servers.Post(ctx, announcedEvent(announce))
+	received := make(chan error, 1)
+	go func() { received <- servers.receive(ctx, stream, announce, current) }()
+	select {
+	case err = <-received:
+	case <-current.overflowed:
+		err = newError("send to backend server", ErrorStream, errOverflow)
 	}
+	servers.end(ctx, announce, current, err)
 	return err
 }
 
@@ -72,51 +78,65 @@
 
 // open registers the stream of a backend server in place of an older one.
 func (servers *Servers) open(id identifier.BackendServerID) *serverStream {
-	created := &serverStream{queue: make(chan *backendv1.HostMessage, sendQueue), done: make(chan struct{})}
+	created := newServerStream()
 	servers.mutex.Lock()
-	defer servers.mutex.Unlock()
+	older := servers.streams[id]
 	servers.streams[id] = created
+	servers.mutex.Unlock()
+	if older != nil {
+		older.supersede()
+	}
 	return created
 }
 
-// close ends the sending side. It returns false when a newer stream has taken
-// the place, so that an old stream's end is not taken for the server's loss.
-func (servers *Servers) close(id identifier.BackendServerID, ended *serverStream) bool {
+// end closes the sending side and tells of the server's loss, unless a newer
+// stream has taken the place.
+func (servers *Servers) end(ctx context.Context, announce *backendv1.Announce, ended *serverStream, cause error) {
+	id := identifier.BackendServerID(announce.GetBackendServer())
+	close(ended.done)
+	ended.post(func() {
+		servers.Log.Info("backend server detached", "backend-server", id, "err", cause)
+		servers.Post(ctx, lostEvent(announce))
+	})
+	// What arrives from now on would look as if the server had come back.
+	ended.supersede()
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
-	close(ended.done)
-	if servers.streams[id] != ended {
-		return false
+	if servers.streams[id] == ended {
+		delete(servers.streams, id)
 	}
-	delete(servers.streams, id)
-	return true
 }
 
 // Send queues one tick's batch for a backend server. A batch that finds no
 // stream is dropped: the server's next announce tells that nothing of it started.
 func (servers *Servers) Send(batch *dispatcher.ToServer) {
-	servers.enqueue(batch.Server, hostMessage(servers.Clock.Now(), batch))
+	if current := servers.stream(batch.Server); current != nil {
+		enqueue(current, current.queue, batch)
+	}
 }
 
-// enqueue hands a message to the stream of a backend server, if there is one.
-func (servers *Servers) enqueue(id identifier.BackendServerID, message *backendv1.HostMessage) {
+// stream returns the stream of a backend server, or nil.
+func (servers *Servers) stream(id identifier.BackendServerID) *serverStream {
 	servers.mutex.Lock()
-	current := servers.streams[id]
-	servers.mutex.Unlock()
-	if current == nil {
-		return
-	}
-	select {
-	case current.queue <- message:
-	case <-current.done:
-	}
+	defer servers.mutex.Unlock()
+	return servers.streams[id]
 }
 
+// send writes the welcome and then what waits, until the stream ends.
 func (servers *Servers) send(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], current *serverStream) {
+	if stream.Send(servers.welcome()) != nil {
+		return
+	}
 	for {
 		select {
-		case message := <-current.queue:
-			if stream.Send(message) != nil {
+		case batch := <-current.queue:
+			for _, message := range hostMessages(servers.Clock.Now(), current.gather(batch)) {
+				if stream.Send(message) != nil {
+					return
+				}
+			}
+		case batch := <-current.orders:
+			if stream.Send(workerMessage(batch)) != nil {
 				return
 			}
 		case <-current.done:
@@ -125,19 +145,20 @@
 	}
 }
 
-func (servers *Servers) receive(stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], announce *backendv1.Announce) error {
-	id := identifier.BackendServerID(announce.GetBackendServer())
+// receive posts what arrives until the stream ends or a newer one takes its place.
+func (servers *Servers) receive(ctx context.Context, stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], announce *backendv1.Announce, current *serverStream) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return newError("receive from backend server", ErrorStream, err)
 		}
-		if isWorker(announce) {
-			servers.Post(stream.Context(), workerEvent(identifier.WorkerID(id), message))
-			continue
-		}
-		for _, event := range serverEvents(id, message) {
-			servers.Post(stream.Context(), &coordinator.ServerEvent{Event: event})
+		posted := current.post(func() {
+			for _, event := range eventsOf(announce, message) {
+				servers.Post(ctx, event)
+			}
+		})
+		if !posted {
+			return newError("receive from backend server", ErrorStream, errSuperseded)
 		}
 	}
 }
--- a/pkg/connector/workers.go
+++ b/pkg/connector/workers.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -18,9 +17,6 @@
 // leaseBase is the base in which lease numbers are written on the wire.
 const leaseBase = 10
 
-// lostPatience bounds the wait for room to tell that a stream has ended.
-const lostPatience = time.Second
-
 // isWorker tells whether a backend server runs tasks of intents, and none of jobs.
 func isWorker(announce *backendv1.Announce) bool {
 	return announce.GetResources().GetMilliCpu() > 0
@@ -59,13 +55,17 @@
 	return &coordinator.WorkerEvent{Worker: id, Events: []planner.Input{planner.WorkerLost{Worker: id}}}
 }
 
-// postLost tells that a stream has ended. The stream's own context is done by then:
-// with it the word would get lost now and then, and show as work that goes to a
-// backend server which is gone.
-func (servers *Servers) postLost(ctx context.Context, announce *backendv1.Announce) {
-	patient, cancel := context.WithTimeout(context.WithoutCancel(ctx), lostPatience)
-	defer cancel()
-	servers.Post(patient, lostEvent(announce))
+// eventsOf translates one batch of a backend server.
+func eventsOf(announce *backendv1.Announce, message *backendv1.ServerMessage) []coordinator.Input {
+	id := announce.GetBackendServer()
+	if isWorker(announce) {
+		return []coordinator.Input{workerEvent(identifier.WorkerID(id), message)}
+	}
+	var events []coordinator.Input
+	for _, event := range serverEvents(identifier.BackendServerID(id), message) {
+		events = append(events, &coordinator.ServerEvent{Event: event})
+	}
+	return events
 }
 
 // workerEvent translates one batch of a worker.
@@ -156,7 +156,9 @@
 // SendToWorker queues one tick's batch for a worker. A batch that finds no stream is
 // dropped: what it started ends with its lease.
 func (servers *Servers) SendToWorker(batch *coordinator.ToWorker) {
-	servers.enqueue(identifier.BackendServerID(batch.Worker), workerMessage(batch))
+	if current := servers.stream(identifier.BackendServerID(batch.Worker)); current != nil {
+		enqueue(current, current.orders, batch)
+	}
 }
 
 // workerMessage translates one tick's batch for a worker.
--- a/pkg/coordinator/intentworld_test.go
+++ b/pkg/coordinator/intentworld_test.go
@@ -38,7 +38,7 @@
 	created.intents = world
 	for _, domain := range domains {
 		for index := range hostsEach {
-			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain, disk: &fakeDisk{}}
+			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain, keeper: true}
 			created.hosts = append(created.hosts, host)
 		}
 		for index := range workersEach {
@@ -83,14 +83,6 @@
 	}
 	network := world.network
 	switch output := output.(type) {
-	case *coordinator.Persist:
-		host.disk.persist(output.Persist)
-		generation := host.generation
-		network.at(hop, func() {
-			if host.generation == generation {
-				network.tick(host, &coordinator.Persisted{Sequence: output.Persist.Sequence})
-			}
-		})
 	case *coordinator.ToWorker:
 		worker := world.worker(output.Worker)
 		network.send(string(host.id), string(output.Worker), func() { worker.handle(output) })
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -48,6 +49,10 @@
 // SnapshotSaved tells that a snapshot is durable.
 type SnapshotSaved struct{ Index identifier.LogIndex }
 
+// ConfigRemembered hands over the configuration that was in force on this host
+// before it started again.
+type ConfigRemembered struct{ Version configurer.Version }
+
 // OperatorRequest brings a command that an operator wants the keepers to carry
 // out.
 type OperatorRequest struct {
@@ -63,6 +68,12 @@
 // ConfigWanted asks for the configuration in force on this host.
 type ConfigWanted struct{ Waiter uint64 }
 
+// ExplainWanted asks what this host decided about a submission.
+type ExplainWanted struct {
+	Waiter     uint64
+	Submission identifier.SubmissionID
+}
+
 // StatusWanted asks for what operators see of this host.
 type StatusWanted struct{ Waiter uint64 }
 
@@ -75,9 +86,11 @@
 func (*Restored) isCoordinatorInput()            {}
 func (*Persisted) isCoordinatorInput()           {}
 func (*SnapshotSaved) isCoordinatorInput()       {}
+func (*ConfigRemembered) isCoordinatorInput()    {}
 func (*OperatorRequest) isCoordinatorInput()     {}
 func (*ConfigHistoryWanted) isCoordinatorInput() {}
 func (*ConfigWanted) isCoordinatorInput()        {}
+func (*ExplainWanted) isCoordinatorInput()       {}
 func (*StatusWanted) isCoordinatorInput()        {}
 
 // Output is what the owner of the coordinator carries out.
@@ -130,9 +143,11 @@
 	Versions []configurer.Version
 }
 
-// ConfigAnswer answers a ConfigWanted.
+// ConfigAnswer answers a ConfigWanted. Without Known, this host has just started
+// and has not heard yet what is in force.
 type ConfigAnswer struct {
 	Waiter  uint64
+	Known   bool
 	Version configurer.Version
 }
 
@@ -146,6 +161,14 @@
 	Overloaded bool
 }
 
+// ExplainAnswer answers an ExplainWanted.
+type ExplainAnswer struct {
+	Waiter uint64
+	// At is the moment of the answer on the clock of the steps.
+	At    identifier.Moment
+	Steps []explainer.Step
+}
+
 // StatusAnswer answers a StatusWanted.
 type StatusAnswer struct {
 	Waiter uint64
@@ -166,6 +189,7 @@
 func (*ConfigHistory) isCoordinatorOutput()       {}
 func (*ConfigAnswer) isCoordinatorOutput()        {}
 func (*OperatorAnswer) isCoordinatorOutput()      {}
+func (*ExplainAnswer) isCoordinatorOutput()       {}
 func (*StatusAnswer) isCoordinatorOutput()        {}
 
 // PeerBatch is what one host sends another in one tick.
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -34,6 +34,8 @@
 	settings coordinator.Settings
 	// intents is nil where no intents are run.
 	intents *intentWorld
+	// cost counts messages between hosts unless it is nil.
+	cost *cost
 }
 
 // connection counts its breaks, so that messages of an older one are dropped.
@@ -77,14 +79,15 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
-	// disk is nil where the host is no keeper.
-	disk *fakeDisk
+	// keeper gives the host a part in the replicated log.
+	keeper bool
+	disk   fakeDisk
 }
 
 // member describes the host's present process.
 func (host *fakeHost) member() gossiper.Member {
 	roles := []gossiper.Role{gossiper.RoleEntry}
-	if host.disk != nil {
+	if host.keeper {
 		roles = append(roles, gossiper.RoleKeeper)
 	}
 	return gossiper.Member{
@@ -199,7 +202,10 @@
 		host.coordinator.Seeds = append(host.coordinator.Seeds, other.member())
 	}
 	host.startedAt = network.now
-	network.tick(host, host.disk.restored()...)
+	if host.keeper {
+		network.tick(host, host.disk.restored())
+	}
+	network.tick(host)
 	for _, other := range network.hosts {
 		if other != host && other.coordinator != nil {
 			network.connectHosts(host, other)
@@ -273,6 +279,9 @@
 func (network *network) carryOut(host *fakeHost, output coordinator.Output) {
 	switch output := output.(type) {
 	case *coordinator.ToPeer:
+		if network.cost != nil {
+			network.cost.count(output)
+		}
 		peer := network.host(output.Host)
 		batch := output.Batch
 		if network.intents != nil {
@@ -288,6 +297,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.Persist:
+		network.persist(host, output)
 	case *coordinator.Drained:
 		network.endDrained(host)
 	case *coordinator.ToCaller:
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -72,6 +72,16 @@
 	petitions.timers.Set(nonce, petitions.coordinator.now.Add(petitionResend))
 }
 
+// askLeader sends every waiting request to a new leader at once. The old one may
+// have died with it.
+func (petitions *petitions) askLeader() {
+	petitions.waiting.Each(func(nonce keeper.Nonce, petition *petition) bool {
+		petition.attempts = 0
+		petitions.send(nonce)
+		return true
+	})
+}
+
 // takeReply answers the operator. A reply that says nothing final is waited out:
 // the request goes to the next keeper when its timer falls due.
 func (petitions *petitions) takeReply(reply *keeper.Reply) {
@@ -90,16 +100,13 @@
 
 // expire sends what was not answered again, and gives up what waits too long.
 func (petitions *petitions) expire() {
-	for {
-		nonce, due := petitions.timers.PopDue(petitions.coordinator.now)
-		if !due {
-			return
-		}
+	now := petitions.coordinator.now
+	petitions.timers.EachDue(now, func(nonce keeper.Nonce) {
 		petition := petitions.waiting.Get(nonce)
-		if petition.giveUpAt.Due(petitions.coordinator.now) {
+		if petition.giveUpAt.Due(now) {
 			petitions.end(nonce, &OperatorAnswer{Waiter: petition.waiter})
-			continue
+			return
 		}
 		petitions.send(nonce)
-	}
+	})
 }
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
@@ -24,8 +25,10 @@
 	// Work counts the work of the cells that this host leads.
 	Work dispatcher.WorkStatus `json:"work"`
 	// Intents tells of the workers and of what is driven here.
-	Intents IntentStatus   `json:"intents"`
-	Keeper  *keeper.Status `json:"keeper,omitempty"`
+	Intents IntentStatus `json:"intents"`
+	// Teams counts the same by team.
+	Teams  []dispatcher.TeamStatus `json:"teams"`
+	Keeper *keeper.Status          `json:"keeper,omitempty"`
 }
 
 // HostStatus is another host as this one sees it.
@@ -45,6 +48,14 @@
 	Epoch identifier.Epoch     `json:"epoch"`
 }
 
+// Explain returns what this host still knows of its decisions on a submission.
+func (coordinator *Coordinator) Explain(submission identifier.SubmissionID) []explainer.Step {
+	if coordinator.dispatcher == nil {
+		return nil
+	}
+	return coordinator.dispatcher.Explain(submission)
+}
+
 func (coordinator *Coordinator) status() Status {
 	status := Status{
 		Host:          coordinator.Self.Host,
@@ -57,6 +68,7 @@
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
 		Intents:       coordinator.driving.status(),
+		Teams:         coordinator.dispatcher.Teams(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
 		if state.Member.Host == coordinator.Self.Host {
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -14,12 +14,16 @@
 	"github.com/charmbracelet/log"
 
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
+	"github.com/stoathitch/stoathitch/pkg/securer"
 )
 
 // Timing of a stand-in.
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	reconnectPause    = 100 * time.Millisecond
+	// idleHeartbeats is how many times rarer heartbeats go to an entry host that
+	// leads no cell of this server.
+	idleHeartbeats = 10
 	// answerRetention is how long an answer is kept that nobody acknowledges.
 	answerRetention = 10 * time.Minute
 )
@@ -41,7 +45,9 @@
 	EntryHosts []string
 	// Recorder notes each start before the work begins; nil notes nothing.
 	Recorder *Recorder
-	Log      *log.Logger
+	// Keys secure the connections; nil leaves them in the clear.
+	Keys *securer.Keys
+	Log  *log.Logger
 
 	mutex       sync.Mutex
 	incarnation uint64
@@ -128,12 +134,25 @@
 		return
 	}
 	for _, link := range executor.links {
+		if !executor.led(link) && sequence%idleHeartbeats != 0 {
+			continue
+		}
 		link.queue(&backendv1.ServerMessage{
 			Heartbeat: &backendv1.Heartbeat{Sequence: sequence, Busy: int32(len(executor.tasks))},
 		})
 	}
 }
 
+// led tells whether the entry host leads a cell of this server.
+func (executor *Executor) led(link *link) bool {
+	for _, lead := range executor.leads {
+		if lead == link {
+			return true
+		}
+	}
+	return false
+}
+
 func (executor *Executor) forgetOld(now time.Time) {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
--- a/pkg/requester/operations.go
+++ b/pkg/requester/operations.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/assembler"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/presenter"
 )
 
 // Status asks the host what operators see of it.
@@ -22,6 +25,16 @@
 	return &status, nil
 }
 
+// Overview asks the host for all that its status page shows.
+func (requester *Requester) Overview(ctx context.Context) (*presenter.Overview, error) {
+	var overview presenter.Overview
+	err := requester.fetch(ctx, &call{method: http.MethodGet, path: "/v1/status"}, http.StatusOK, &overview)
+	if err != nil {
+		return nil, err
+	}
+	return &overview, nil
+}
+
 // Config asks for the configuration in force on the host.
 func (requester *Requester) Config(ctx context.Context) (*assembler.ConfigBody, error) {
 	var version assembler.ConfigBody
@@ -57,3 +70,13 @@
 	}
 	return &result, nil
 }
+
+// Explain asks what the host decided about a submission, as far as it still knows.
+func (requester *Requester) Explain(ctx context.Context, submission identifier.SubmissionID) ([]assembler.ExplainStep, error) {
+	var steps []assembler.ExplainStep
+	path := "/v1/explain/" + url.PathEscape(string(submission))
+	if err := requester.fetch(ctx, &call{method: http.MethodGet, path: path}, http.StatusOK, &steps); err != nil {
+		return nil, err
+	}
+	return steps, nil
+}
