--- a/pkg/assembler/parts.go
+++ b/pkg/assembler/parts.go
@@ -7,6 +7,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 )
 
 // newCoordinator makes the deciding part of a host from its settings.
@@ -18,6 +19,9 @@
 		Seed:     uint64(incarnation),
 		Settings: coordinatorSettings(settings),
 		LimitsOf: limitsReader(settings),
+		QuotasOf: quotasReader(settings),
+		// The daemon's clock stands at moment 0 now.
+		WallStart: planner.WallTime(time.Now().UnixMilli()),
 	}
 	for _, host := range settings.Hosts {
 		if host.Host != settings.Host {
@@ -60,6 +64,7 @@
 	fillLimits(settings, &result.Dispatcher.Limits)
 	result.Forwarder.Cells = settings.Dispatch.Cells
 	result.Forwarder.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
+	result.Intents.Quotas = quotasOf(settings)
 	result.Forwarder.Records = settings.Limits.JobsInMemory
 	result.Keeper.ClaimRetention = settings.Timeouts.ClaimRetention.Std()
 	return result
--- a/pkg/connector/servers.go
+++ b/pkg/connector/servers.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
-	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
@@ -17,7 +16,7 @@
 )
 
 // errNotAnnounced means that a stream did not begin with an Announce.
-var errNotAnnounced = eris.New("the first message must be an announce with an id, this failure domain and at least one slot")
+var errNotAnnounced = eris.New("the first message must be an announce with an id, this failure domain and at least one slot or processor time")
 
 // Servers serves the streams of backend servers. Set the exported fields before
 // its first use.
@@ -59,22 +58,22 @@
 	current := servers.open(id)
 	servers.Log.Info("backend server attached", "backend-server", id, "slots", announce.GetSlots())
 	go servers.send(stream, current)
-	servers.Post(ctx, &coordinator.ServerEvent{Event: announced(announce)})
+	servers.Post(ctx, announcedEvent(announce))
 	received := make(chan error, 1)
-	go func() { received <- servers.receive(ctx, stream, id, current) }()
+	go func() { received <- servers.receive(ctx, stream, announce, current) }()
 	select {
 	case err = <-received:
 	case <-current.overflowed:
 		err = newError("send to backend server", ErrorStream, errOverflow)
 	}
-	servers.end(ctx, id, current, err)
+	servers.end(ctx, announce, current, err)
 	return err
 }
 
 func (servers *Servers) acceptable(announce *backendv1.Announce) bool {
 	return announce.GetBackendServer() != "" &&
 		announce.GetFailureDomain() == string(servers.Settings.FailureDomain) &&
-		announce.GetSlots() > 0
+		(announce.GetSlots() > 0 || isWorker(announce))
 }
 
 // open registers the stream of a backend server in place of an older one.
@@ -92,11 +91,12 @@
 
 // end closes the sending side and tells of the server's loss, unless a newer
 // stream has taken the place.
-func (servers *Servers) end(ctx context.Context, id identifier.BackendServerID, ended *serverStream, cause error) {
+func (servers *Servers) end(ctx context.Context, announce *backendv1.Announce, ended *serverStream, cause error) {
+	id := identifier.BackendServerID(announce.GetBackendServer())
 	close(ended.done)
 	ended.post(func() {
 		servers.Log.Info("backend server detached", "backend-server", id, "err", cause)
-		servers.Post(ctx, &coordinator.ServerEvent{Event: &dispatcher.ServerLost{Server: id}})
+		servers.Post(ctx, lostEvent(announce))
 	})
 	// What arrives from now on would look as if the server had come back.
 	ended.supersede()
@@ -110,13 +110,16 @@
 // Send queues one tick's batch for a backend server. A batch that finds no
 // stream is dropped: the server's next announce tells that nothing of it started.
 func (servers *Servers) Send(batch *dispatcher.ToServer) {
-	servers.mutex.Lock()
-	current := servers.streams[batch.Server]
-	servers.mutex.Unlock()
-	if current == nil {
-		return
+	if current := servers.stream(batch.Server); current != nil {
+		enqueue(current, current.queue, batch)
 	}
-	current.enqueue(batch)
+}
+
+// stream returns the stream of a backend server, or nil.
+func (servers *Servers) stream(id identifier.BackendServerID) *serverStream {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	return servers.streams[id]
 }
 
 // send writes the welcome and then what waits, until the stream ends.
@@ -132,6 +135,10 @@
 					return
 				}
 			}
+		case batch := <-current.orders:
+			if stream.Send(workerMessage(batch)) != nil {
+				return
+			}
 		case <-current.done:
 			return
 		}
@@ -139,15 +146,15 @@
 }
 
 // receive posts what arrives until the stream ends or a newer one takes its place.
-func (servers *Servers) receive(ctx context.Context, stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], id identifier.BackendServerID, current *serverStream) error {
+func (servers *Servers) receive(ctx context.Context, stream grpc.BidiStreamingServer[backendv1.ServerMessage, backendv1.HostMessage], announce *backendv1.Announce, current *serverStream) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return newError("receive from backend server", ErrorStream, err)
 		}
 		posted := current.post(func() {
-			for _, event := range serverEvents(id, message) {
-				servers.Post(ctx, &coordinator.ServerEvent{Event: event})
+			for _, event := range eventsOf(announce, message) {
+				servers.Post(ctx, event)
 			}
 		})
 		if !posted {
--- a/pkg/connector/serverstream.go
+++ b/pkg/connector/serverstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 )
 
@@ -18,7 +19,9 @@
 // serverStream is one stream of a backend server.
 type serverStream struct {
 	queue chan *dispatcher.ToServer
-	done  chan struct{}
+	// orders are for a worker, which gets nothing by the queue.
+	orders chan *coordinator.ToWorker
+	done   chan struct{}
 	// overflowed is closed when the queue is full.
 	overflowed chan struct{}
 	overflow   sync.Once
@@ -30,6 +33,7 @@
 func newServerStream() *serverStream {
 	return &serverStream{
 		queue:      make(chan *dispatcher.ToServer, sendQueue),
+		orders:     make(chan *coordinator.ToWorker, sendQueue),
 		done:       make(chan struct{}),
 		overflowed: make(chan struct{}),
 	}
@@ -38,9 +42,9 @@
 // enqueue queues a batch. It never waits: a backend server that has stopped
 // reading would hold up the tick of the whole host, and with it every other job.
 // Its stream ends instead, and its next announce and report tell what started.
-func (stream *serverStream) enqueue(batch *dispatcher.ToServer) {
+func enqueue[Batch any](stream *serverStream, queue chan<- Batch, batch Batch) {
 	select {
-	case stream.queue <- batch:
+	case queue <- batch:
 	default:
 		stream.overflow.Do(func() { close(stream.overflowed) })
 	}
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -102,6 +102,9 @@
 		coordinator.tellRequester(&claimer.Decided{Decisions: reply.Result.Decisions})
 		return
 	}
+	if coordinator.driving.takeReply(reply) || coordinator.intentKeeping.takeReply(reply) {
+		return
+	}
 	coordinator.petitions.takeReply(reply)
 }
 
@@ -201,6 +204,7 @@
 		version := output.Version
 		coordinator.publish(configRecordKey, strconv.FormatUint(uint64(version.Version), recordNumberBase))
 		coordinator.enforceLimits(version.Document)
+		coordinator.enforceQuotas(version.Document)
 		coordinator.outputs.add(&ConfigInForce{Version: version})
 	}
 }
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -9,6 +9,7 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
@@ -57,6 +58,8 @@
 type OperatorRequest struct {
 	Waiter  uint64
 	Command keeper.Command
+	// Read asks to read intents in place of a command.
+	Read *keeper.IntentRead
 }
 
 // ConfigHistoryWanted asks for the configurations that the own keeper has.
@@ -154,6 +157,8 @@
 	Waiter  uint64
 	Applied bool
 	Result  keeper.Result
+	// Overloaded tells that too many requests wait; nothing was done.
+	Overloaded bool
 }
 
 // ExplainAnswer answers an ExplainWanted.
@@ -221,6 +226,9 @@
 	KeeperReply   *keeper.Reply       `cbor:"17,keyasint,omitempty"`
 	ConfigWanted  bool                `cbor:"18,keyasint,omitempty"`
 	Config        *configurer.Version `cbor:"19,keyasint,omitempty"`
+	// Intents.
+	IntentSync *IntentSync   `cbor:"40,keyasint,omitempty"`
+	IntentNews *planner.News `cbor:"41,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -32,6 +32,8 @@
 	trace       bool
 	// settings are those of the hosts that start from now on.
 	settings coordinator.Settings
+	// intents is nil where no intents are run.
+	intents *intentWorld
 	// cost counts messages between hosts unless it is nil.
 	cost *cost
 }
@@ -212,6 +214,7 @@
 	for _, server := range network.servers {
 		server.attach(host)
 	}
+	network.intents.attach(host)
 }
 
 func (network *network) connectHosts(first, second *fakeHost) {
@@ -246,6 +249,7 @@
 	for _, server := range network.servers {
 		server.detach(host)
 	}
+	network.intents.detach(host)
 }
 
 // tick runs the coordinator, carries out its outputs and plans its next deadline.
@@ -279,8 +283,12 @@
 			network.cost.count(output)
 		}
 		peer := network.host(output.Host)
+		batch := output.Batch
+		if network.intents != nil {
+			batch = recoded(batch)
+		}
 		network.send(string(host.id), string(peer.id), func() {
-			network.tick(peer, &coordinator.PeerBatchArrived{From: host.id, Batch: output.Batch})
+			network.tick(peer, &coordinator.PeerBatchArrived{From: host.id, Batch: batch})
 		})
 	case *coordinator.ToServer:
 		server := network.server(output.Batch.Server)
@@ -295,6 +303,8 @@
 		network.endDrained(host)
 	case *coordinator.ToCaller:
 		network.oracle.answered(output.Answer.Waiter, output.Answer.Answer)
+	default:
+		network.intents.carryOut(host, output)
 	}
 }
 
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -12,6 +12,8 @@
 const (
 	petitionResend = 500 * time.Millisecond
 	petitionGiveUp = 6 * time.Second
+	// petitionsBound is the number of operators' requests that wait at once.
+	petitionsBound = 4096
 )
 
 // petitions holds the operators' requests that wait for the keepers. A request is
@@ -26,6 +28,7 @@
 type petition struct {
 	waiter   uint64
 	command  keeper.Command
+	read     *keeper.IntentRead
 	giveUpAt identifier.Moment
 	attempts int
 }
@@ -40,10 +43,19 @@
 
 // begin sends a new request of an operator.
 func (petitions *petitions) begin(request *OperatorRequest) {
+	if petitions.waiting.Len() >= petitionsBound {
+		petitions.coordinator.outputs.add(&OperatorAnswer{Waiter: request.Waiter, Overloaded: true})
+		return
+	}
+	if request.Read != nil && request.Read.Stale && petitions.coordinator.keeper != nil {
+		records := petitions.coordinator.keeper.ReadStale(request.Read)
+		petitions.coordinator.outputs.add(&OperatorAnswer{Waiter: request.Waiter, Applied: true, Result: keeper.Result{Intents: &records}})
+		return
+	}
 	petitions.coordinator.nextNonce++
 	nonce := petitions.coordinator.nextNonce
 	giveUpAt := petitions.coordinator.now.Add(petitionGiveUp)
-	petitions.waiting.Put(nonce, &petition{waiter: request.Waiter, command: request.Command, giveUpAt: giveUpAt})
+	petitions.waiting.Put(nonce, &petition{waiter: request.Waiter, command: request.Command, read: request.Read, giveUpAt: giveUpAt})
 	petitions.send(nonce)
 }
 
@@ -53,7 +65,7 @@
 	if len(keepers) > 0 {
 		to := keepers[petition.attempts%len(keepers)]
 		petitions.coordinator.sendRequest(to, keeper.Request{
-			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command,
+			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command, Read: petition.read,
 		})
 	}
 	petition.attempts++
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -24,6 +24,8 @@
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
 	// Work counts the work of the cells that this host leads.
 	Work dispatcher.WorkStatus `json:"work"`
+	// Intents tells of the workers and of what is driven here.
+	Intents IntentStatus `json:"intents"`
 	// Teams counts the same by team.
 	Teams  []dispatcher.TeamStatus `json:"teams"`
 	Keeper *keeper.Status          `json:"keeper,omitempty"`
@@ -65,6 +67,7 @@
 		Callers:       coordinator.Self.Addresses.Callers,
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
+		Intents:       coordinator.driving.status(),
 		Teams:         coordinator.dispatcher.Teams(),
 	}
 	for _, state := range coordinator.gossiper.Members() {
