Refuse batches in which a host speaks for another failure domain

The stream's certificate named the sender, but a batch could still say that the sender stands in another failure domain, or who leads a cell there, and so draw that failure domain's jobs. Such a batch now ends the stream; news that places a host of the settings elsewhere is taken out.

--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -260,7 +260,8 @@
 	if from == "" || from == peers.Settings.Host {
 		return newError("receive introduction", ErrorProtocol, errNotIntroduced)
 	}
-	if err := checkStream(stream.Context(), peers.Keys, hostCheck(peers.Settings, from)); err != nil {
+	speaker, err := peers.speakerOf(stream.Context(), from)
+	if err != nil {
 		peers.refusals.note(peers.Log, "peer", string(from), err)
 		return err
 	}
@@ -272,18 +273,22 @@
 		if err != nil {
 			return newError("receive from peer", ErrorStream, err)
 		}
-		if err := peers.deliver(stream.Context(), from, frame); err != nil {
+		if err := peers.deliver(stream.Context(), &speaker, frame); err != nil {
 			return err
 		}
 	}
 }
 
-func (peers *Peers) deliver(ctx context.Context, from identifier.HostID, frame *peerv1.Frame) error {
+func (peers *Peers) deliver(ctx context.Context, from *speaker, frame *peerv1.Frame) error {
 	batch, err := decodeBatch(frame.GetPayload())
 	if err != nil {
-		peers.Log.Warn("peer batch not decoded", "peer", from, "err", err)
+		peers.Log.Warn("peer batch not decoded", "peer", from.host, "err", err)
+		return err
+	}
+	if err := from.check(peers.Settings, &batch); err != nil {
+		peers.refusals.note(peers.Log, "peer", string(from.host), err)
 		return err
 	}
-	peers.Post(ctx, &coordinator.PeerBatchArrived{From: from, Batch: batch})
+	peers.Post(ctx, &coordinator.PeerBatchArrived{From: from.host, Batch: batch})
 	return nil
 }
--- a/pkg/connector/securing.go
+++ b/pkg/connector/securing.go
@@ -22,12 +22,11 @@
 func hostCheck(settings *loader.Settings, host identifier.HostID) securer.Check {
 	domains := slices.Clone(settings.FailureDomains)
 	for _, listed := range settings.Hosts {
-		if listed.Host == host {
-			domains = []identifier.FailureDomain{listed.FailureDomain}
-			break
-		}
 		domains = append(domains, listed.FailureDomain)
 	}
+	if own := listedDomain(settings, host); own != "" {
+		domains = []identifier.FailureDomain{own}
+	}
 	return func(certificate *x509.Certificate) error {
 		return namesOne(certificate, func(identity securer.Identity) bool {
 			return identity.Kind == securer.KindHost && identity.Name == string(host) &&
@@ -69,15 +68,24 @@
 	if keys == nil {
 		return nil
 	}
+	certificate, err := certificateOf(ctx)
+	if err != nil {
+		return err
+	}
+	return check(certificate)
+}
+
+// certificateOf returns the certificate of the connection that a stream came over.
+func certificateOf(ctx context.Context) (*x509.Certificate, error) {
 	other, found := peer.FromContext(ctx)
 	if !found {
-		return newError("check stream", ErrorRefused, eris.New("the stream has no connection"))
+		return nil, newError("check stream", ErrorRefused, eris.New("the stream has no connection"))
 	}
 	secured, isTLS := other.AuthInfo.(credentials.TLSInfo)
 	if !isTLS || len(secured.State.PeerCertificates) == 0 {
-		return newError("check stream", ErrorRefused, eris.New("the connection has no certificate"))
+		return nil, newError("check stream", ErrorRefused, eris.New("the connection has no certificate"))
 	}
-	return check(secured.State.PeerCertificates[0])
+	return secured.State.PeerCertificates[0], nil
 }
 
 // clientCredentials secure a connection to a host, or leave it in the clear where
--- /dev/null
+++ b/pkg/connector/speaking_test.go
@@ -0,0 +1,54 @@
+package connector
+
+import (
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestSpeaker. Symptom: jobs of one failure domain go to a host of another one.
+// Sequence: somebody takes the keys of one host of tan-binh; with them it tells
+// thu-duc's hosts that it stands in thu-duc, or that it leads thu-duc's cell. Cause
+// guarded against: believing what stands in a batch about the sender's own place.
+func TestSpeaker(t *testing.T) {
+	settings := &loader.Settings{Hosts: []loader.Host{
+		{Host: "thu-duc-entry-0", FailureDomain: "thu-duc"}, {Host: "tan-binh-entry-0", FailureDomain: "tan-binh"},
+	}}
+	gossip := func(from, host identifier.HostID, domain identifier.FailureDomain) coordinator.PeerMessage {
+		state := gossiper.State{Member: gossiper.Member{Host: host, FailureDomain: domain}}
+		return coordinator.PeerMessage{Gossip: &gossiper.Message{From: from, States: []gossiper.State{state}}}
+	}
+	for _, scenario := range []struct {
+		name    string
+		message coordinator.PeerMessage
+		refused bool
+		// states is how many states of the gossip are left.
+		states int
+	}{
+		{name: "itself", message: gossip("tan-binh-entry-0", "tan-binh-entry-0", "tan-binh"), states: 1},
+		{name: "another host", message: gossip("tan-binh-entry-0", "thu-duc-entry-0", "thu-duc"), states: 1},
+		{name: "a host that is not listed", message: gossip("tan-binh-entry-0", "thu-duc-entry-9", "thu-duc"), states: 1},
+		{name: "itself elsewhere", message: gossip("tan-binh-entry-0", "tan-binh-entry-0", "thu-duc"), refused: true},
+		{name: "another host elsewhere", message: gossip("tan-binh-entry-0", "thu-duc-entry-0", "tan-binh"), states: 0},
+		{name: "gossip in another's name", message: gossip("thu-duc-entry-0", "thu-duc-entry-0", "thu-duc"), refused: true},
+		{name: "own cell", message: coordinator.PeerMessage{LeadNotice: &messenger.LeadNotice{FailureDomain: "tan-binh"}}},
+		{name: "another's cell", message: coordinator.PeerMessage{LeadNotice: &messenger.LeadNotice{FailureDomain: "thu-duc"}}, refused: true},
+		{name: "another's load", message: coordinator.PeerMessage{Load: &messenger.LoadNotice{FailureDomain: "thu-duc"}}, refused: true},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			from := &speaker{host: "tan-binh-entry-0", failureDomain: "tan-binh"}
+			batch := &coordinator.PeerBatch{Messages: []coordinator.PeerMessage{scenario.message}}
+			if err := from.check(settings, batch); (err != nil) != scenario.refused {
+				t.Errorf("check() = %v, want a refusal: %t", err, scenario.refused)
+			}
+			left := batch.Messages[0].Gossip
+			if left != nil && !scenario.refused && len(left.States) != scenario.states {
+				t.Errorf("%d states are left, want %d", len(left.States), scenario.states)
+			}
+		})
+	}
+}
