Take an operator's proven name for intents

Cause: the intents' paths took whatever operator the body named, although a token or certificate proves who asks. Change: the proven name goes before the body's, as for the configuration. Figures: tests of assembler, connector, coordinator, replayer and commander pass. Conclusion: all changing paths name their operator alike.

--- a/pkg/assembler/intents.go
+++ b/pkg/assembler/intents.go
@@ -87,6 +87,8 @@
 
 // carryOutIntent puts a command into the log and answers with its result.
 func (operations *operations) carryOutIntent(writer http.ResponseWriter, request *http.Request, command *planner.Command) {
+	// With access in the settings the name is the proven one, whatever the body says.
+	command.Operator = planner.OperatorID(operatorOf(request.Context(), string(command.Operator)))
 	if command.Request == "" || command.Operator == "" {
 		writeJSON(writer, http.StatusBadRequest, ErrorBody{Error: "missing-field", Detail: "request and operator must not be empty"})
 		return
