--- a/pkg/connector/speaking.go
+++ b/pkg/connector/speaking.go
@@ -75,6 +75,9 @@
 	if notice := message.Load; notice != nil && notice.FailureDomain != speaker.failureDomain {
 		return speaker.refused("tells the load of failure domain %q", notice.FailureDomain)
 	}
+	if sync := message.IntentSync; sync != nil && sync.FailureDomain != speaker.failureDomain {
+		return speaker.refused("tells of the workers of failure domain %q", sync.FailureDomain)
+	}
 	return nil
 }
 
