Tell free slots every 20 ms, and hand jobs over where some are to spare

Change: a notice on change at most every 20 ms; the other lead must have a 32nd of the home's slots free beyond the job's tasks; the margin is 5 ms for 20 ms.

--- a/pkg/dispatcher/remotes.go
+++ b/pkg/dispatcher/remotes.go
@@ -12,6 +12,9 @@
 	// RoundTrip and Margin are by how much the wait at home must be longer.
 	RoundTrip time.Duration
 	Margin    time.Duration
+	// SpareShare is how many slots the other lead must have free beyond the job's
+	// tasks, as a share of the home's slots.
+	SpareShare float64
 	// NoticeInterval is the least time between two load notices of a cell.
 	NoticeInterval time.Duration
 	// RecordWait is how long a second host may take to remember that a job is handed
@@ -25,8 +28,9 @@
 func DefaultSpillSettings() SpillSettings {
 	return SpillSettings{
 		RoundTrip:      2 * time.Millisecond,
-		Margin:         20 * time.Millisecond,
-		NoticeInterval: 100 * time.Millisecond,
+		Margin:         5 * time.Millisecond,
+		SpareShare:     1.0 / 32,
+		NoticeInterval: 20 * time.Millisecond,
 		RecordWait:     200 * time.Millisecond,
 		AskAgain:       5 * time.Second,
 	}
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -20,17 +20,22 @@
 // spillTarget returns the lead that should get a fresh job, or nil: one whose free
 // slots take all its tasks at once, while at home it would wait for longer than the
 // way there and back.
+//
+// What is known of free slots is old by a notice and the way. Other homes hand jobs
+// over and the lead starts its own meanwhile; jobs that find too few slots come
+// back, which costs their messages. So some slots must be to spare.
 func (dispatcher *Dispatcher) spillTarget(cell *cell, job *job) *remote {
 	if job.guestOf != "" || dispatcher.remotes.Len() == 0 || !dispatcher.waitsLong(cell) {
 		return nil
 	}
+	needed := len(job.tasks) + int(dispatcher.Settings.Spill.SpareShare*float64(dispatcher.capacity(cell)))
 	var best *remote
 	for _, domain := range job.spec.MayRun {
 		candidate := dispatcher.remotes.Get(remoteKey{failureDomain: domain, cell: cell.number})
 		if domain == dispatcher.FailureDomain || candidate == nil || candidate.unreachable {
 			continue
 		}
-		if int(candidate.free) >= len(job.tasks) && (best == nil || candidate.free > best.free) {
+		if int(candidate.free) >= needed && (best == nil || candidate.free > best.free) {
 			best = candidate
 		}
 	}
