Write the log events that trace record reads

Cause: trace record reads job-received, job-ended and job-cancelled, and no daemon wrote them. Change: the two debug lines of a job carry these events, with the run times that backend servers told; a cancellation has a line.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -103,6 +103,7 @@
 	task.state = taskAnswered
 	task.server = server
 	task.result = answer.Result
+	task.runTime = answer.RunTime
 	dispatcher.noteTask(explainer.KindAnswered, task, answer.Reason)
 	job.unresolved--
 	if answer.Failed || answer.Cancelled {
@@ -127,7 +128,9 @@
 	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
-		answer.Answers = append(answer.Answers, messenger.TaskAnswer{Task: task.spec.Task, Result: task.result})
+		answer.Answers = append(answer.Answers, messenger.TaskAnswer{
+			Task: task.spec.Task, Result: task.result, RunTime: task.runTime,
+		})
 	}
 	dispatcher.finish(job, answer)
 }
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"time"
+
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/limiter"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -185,6 +187,8 @@
 	// unknownUntil is when an unknown task fails its job.
 	unknownUntil identifier.Moment
 	result       []byte
+	// runTime is how long the backend server ran the task.
+	runTime time.Duration
 	// refusals counts the starts that are known not to have happened.
 	refusals int
 	// inFlight tells that the task counts for its team's tasks in flight.
--- a/pkg/messenger/answer.go
+++ b/pkg/messenger/answer.go
@@ -76,6 +76,8 @@
 	Result []byte            `cbor:"2,keyasint,omitempty"`
 	// Failure tells why the task has no result; it is empty when it has one.
 	Failure string `cbor:"3,keyasint,omitempty"`
+	// RunTime is how long the backend server ran the task, by its own account.
+	RunTime time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // JobAnswer is the one answer of a submission.
--- a/pkg/receiver/handlers.go
+++ b/pkg/receiver/handlers.go
@@ -29,7 +29,7 @@
 		writeProblem(writer, problem)
 		return
 	}
-	receiver.logAccepted(job)
+	receiver.logReceived(job, deadline)
 	answer := receiver.answerTo(request, job, deadline, size)
 	if answer == nil {
 		receiver.Measurer.HungUp()
@@ -37,7 +37,7 @@
 		return
 	}
 	receiver.Measurer.Answered(job, answer, time.Since(begun), deadline.Before(receiver.Clock.Now()))
-	receiver.logAnswered(job, answer, time.Since(begun))
+	receiver.logEnded(job, answer, time.Since(begun))
 	receiver.writeAnswer(writer, answer)
 }
 
@@ -96,6 +96,7 @@
 		writeProblem(writer, problem)
 		return
 	}
+	receiver.logCancelled(submission)
 	answer := receiver.await(request.Context(), func(waiter forwarder.WaiterID) forwarder.Input {
 		return &forwarder.CallerCancelled{Waiter: waiter, Caller: caller, Submission: submission}
 	})
