--- a/pkg/connector/speaking_test.go
+++ b/pkg/connector/speaking_test.go
@@ -37,6 +37,8 @@
 		{name: "gossip in another's name", message: gossip("thu-duc-entry-0", "thu-duc-entry-0", "thu-duc"), refused: true},
 		{name: "own cell", message: coordinator.PeerMessage{LeadNotice: &messenger.LeadNotice{FailureDomain: "tan-binh"}}},
 		{name: "another's cell", message: coordinator.PeerMessage{LeadNotice: &messenger.LeadNotice{FailureDomain: "thu-duc"}}, refused: true},
+		{name: "own workers", message: coordinator.PeerMessage{IntentSync: &coordinator.IntentSync{FailureDomain: "tan-binh"}}},
+		{name: "another's workers", message: coordinator.PeerMessage{IntentSync: &coordinator.IntentSync{FailureDomain: "thu-duc"}}, refused: true},
 		{name: "another's load", message: coordinator.PeerMessage{Load: &messenger.LoadNotice{FailureDomain: "thu-duc"}}, refused: true},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
