--- a/pkg/assembler/intents.go
+++ b/pkg/assembler/intents.go
@@ -93,7 +93,6 @@
 		writeJSON(writer, http.StatusBadRequest, ErrorBody{Error: "missing-field", Detail: "request and operator must not be empty"})
 		return
 	}
-	command.Operator = planner.OperatorID(operatorOf(request.Context(), string(command.Operator)))
 	command.Wall = planner.WallTime(time.Now().UnixMilli())
 	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.OperatorRequest{Waiter: waiter, Command: keeper.Command{Intent: command}}
