--- a/pkg/queuer/queue.go
+++ b/pkg/queuer/queue.go
@@ -37,10 +37,10 @@
 // DefaultSettings returns the settings that the daemon starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Tolerance:         time.Second,
+		Tolerance:         2500 * time.Millisecond,
 		UrgentHeadStart:   time.Second,
 		OverloadFrom:      1.2,
-		CalmAllowance:     4,
+		CalmAllowance:     6,
 		OverloadAllowance: 0.6,
 		IdleTeams:         1024,
 	}
