--- a/pkg/dispatcher/measuring.go
+++ b/pkg/dispatcher/measuring.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/estimator"
-	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/queuer"
 )
 
@@ -40,16 +39,14 @@
 	job.entry.ClassWeight = measured.class.Weight
 	job.entry.Cost = measured.work / time.Duration(max(len(job.tasks), 1))
 	job.entry.Urgent = measured.class.Urgent
-	job.entry.Due = cell.queue.Order.Due(job.shape(slots))
+	job.entry.Due = cell.queue.Order.Due(job.shape())
 }
 
-func (job *job) shape(slots identifier.Slots) queuer.Shape {
+func (job *job) shape() queuer.Shape {
 	return queuer.Shape{
 		ArrivedAt: job.firstForwarded,
 		Deadline:  job.deadline,
 		Ideal:     job.measured.ideal,
-		Work:      job.measured.work,
-		Slots:     slots,
 		Tasks:     len(job.tasks),
 	}
 }
--- a/pkg/queuer/bench_test.go
+++ b/pkg/queuer/bench_test.go
@@ -17,7 +17,7 @@
 		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
 			slots := identifier.Slots(executors * 8)
 			settings := queuer.DefaultSettings()
-			queue := &queue{Settings: settings, Order: queuer.LeastSlack{Stretch: 1}}
+			queue := &queue{Settings: settings, Order: queuer.NarrowFirst{Slack: 100 * time.Millisecond, Stretch: 4}}
 			entries := make([]entry, slots)
 			now := identifier.Moment(0)
 			arrive := func(entry *entry, number int) {
@@ -25,7 +25,7 @@
 				entry.Payload = number
 				entry.Team = names[number%teams]
 				entry.Cost = cost
-				shape := queuer.Shape{ArrivedAt: now, Deadline: identifier.Never, Ideal: cost, Work: cost, Slots: slots}
+				shape := queuer.Shape{ArrivedAt: now, Deadline: identifier.Never, Ideal: cost, Tasks: 1}
 				entry.Due = queue.Order.Due(shape)
 				candidate := queuer.Candidate{Team: entry.Team, Due: entry.Due, Work: cost, Ideal: cost, Allowed: cost, Patience: 0.5, Slots: slots}
 				queue.Assess(now, candidate)
--- a/pkg/queuer/order.go
+++ b/pkg/queuer/order.go
@@ -15,10 +15,6 @@
 	// Ideal is the job's time from its first start to its last answer when all
 	// its tasks start at once on as many slots as there are.
 	Ideal time.Duration
-	// Work is the slot time of all tasks of the job.
-	Work time.Duration
-	// Slots is how many slots the work is spread over.
-	Slots identifier.Slots
 	// Tasks is how many tasks the job has.
 	Tasks int
 }
@@ -31,31 +27,6 @@
 	Due(shape Shape) identifier.Moment
 }
 
-// Arrival serves the jobs in the order in which they came.
-type Arrival struct{}
-
-// Due returns the arrival.
-func (Arrival) Due(shape Shape) identifier.Moment { return shape.ArrivedAt }
-
-// ShortestWork serves the job with the least work first. Every second of waiting
-// makes up for a second of work spread over the slots, times Aging.
-type ShortestWork struct{ Aging float64 }
-
-// Due returns the arrival plus the work spread over the slots.
-func (order ShortestWork) Due(shape Shape) identifier.Moment {
-	spread := time.Duration(float64(shape.Work) / float64(max(shape.Slots, 1)) * order.Aging)
-	return shape.ArrivedAt.Add(spread)
-}
-
-// LeastSlack serves the job first that must start first to keep its response
-// within 1+Stretch times its ideal, or to meet its deadline.
-type LeastSlack struct{ Stretch float64 }
-
-// Due returns the moment at which the job should start at the latest.
-func (order LeastSlack) Due(shape Shape) identifier.Moment {
-	return shape.dueWithin(time.Duration(float64(shape.Ideal) * order.Stretch))
-}
-
 // NarrowFirst serves narrow and short jobs before wide and long ones, because a
 // wait of the same time is more of a short job's response and holds up as many
 // jobs as there are behind it. The slack of a job is Slack for each task, times the
--- a/pkg/queuer/queue_test.go
+++ b/pkg/queuer/queue_test.go
@@ -19,7 +19,7 @@
 func newQueue(tolerance time.Duration) *queue {
 	settings := queuer.DefaultSettings()
 	settings.Tolerance = tolerance
-	return &queue{Settings: settings, Order: queuer.LeastSlack{Stretch: 1}}
+	return &queue{Settings: settings, Order: queuer.NarrowFirst{Slack: 100 * time.Millisecond, Stretch: 4}}
 }
 
 func teamName(number int) identifier.TeamID { return identifier.TeamID(fmt.Sprintf("team-%d", number)) }
