Take out what nothing uses

Cause: TaskAnswer.Failure, configurer.VerdictInvalid, generator.EqualJobs and placer's Usable stood in no other line of the project, tests included. Change: they are gone; the names of the verdicts are generated again. Conclusion: no bytes on the wire change; the field was never set.

--- a/pkg/configurer/enums_enumer.go
+++ b/pkg/configurer/enums_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "acceptedconflictinvalid"
+const _VerdictName = "acceptedconflict"
 
-var _VerdictIndex = [...]uint8{0, 8, 16, 23}
+var _VerdictIndex = [...]uint8{0, 8, 16}
 
-const _VerdictLowerName = "acceptedconflictinvalid"
+const _VerdictLowerName = "acceptedconflict"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -26,27 +26,23 @@
 	var x [1]struct{}
 	_ = x[VerdictAccepted-(0)]
 	_ = x[VerdictConflict-(1)]
-	_ = x[VerdictInvalid-(2)]
 }
 
-var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict, VerdictInvalid}
+var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict}
 
 var _VerdictNameToValueMap = map[string]Verdict{
-	_VerdictName[0:8]:   VerdictAccepted,
-	_VerdictName[8:16]:  VerdictConflict,
-	_VerdictName[16:23]: VerdictInvalid,
+	_VerdictName[0:8]:  VerdictAccepted,
+	_VerdictName[8:16]: VerdictConflict,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
-	_VerdictLowerName[0:8]:   VerdictAccepted,
-	_VerdictLowerName[8:16]:  VerdictConflict,
-	_VerdictLowerName[16:23]: VerdictInvalid,
+	_VerdictLowerName[0:8]:  VerdictAccepted,
+	_VerdictLowerName[8:16]: VerdictConflict,
 }
 
 var _VerdictNames = []string{
 	_VerdictName[0:8],
 	_VerdictName[8:16],
-	_VerdictName[16:23],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -25,8 +25,6 @@
 	VerdictAccepted Verdict = iota
 	// VerdictConflict means that another change was accepted first.
 	VerdictConflict
-	// VerdictInvalid means that the document was found wrong.
-	VerdictInvalid
 )
 
 // Change asks for a new version.
--- a/pkg/generator/parameters.go
+++ b/pkg/generator/parameters.go
@@ -108,13 +108,3 @@
 	}
 	return mix
 }
-
-// EqualJobs returns a mix of widths in which each width has the same number of
-// jobs, so that nearly all tasks belong to wide jobs.
-func EqualJobs(widths ...int) []Width {
-	mix := make([]Width, 0, len(widths))
-	for _, tasks := range widths {
-		mix = append(mix, Width{Tasks: tasks, Weight: 1})
-	}
-	return mix
-}
--- a/pkg/messenger/answer.go
+++ b/pkg/messenger/answer.go
@@ -74,8 +74,6 @@
 type TaskAnswer struct {
 	Task   identifier.TaskID `cbor:"1,keyasint"`
 	Result []byte            `cbor:"2,keyasint,omitempty"`
-	// Failure tells why the task has no result; it is empty when it has one.
-	Failure string `cbor:"3,keyasint,omitempty"`
 }
 
 // JobAnswer is the one answer of a submission.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -134,12 +134,6 @@
 	}
 }
 
-// Usable tells whether a worker is known and takes new tasks.
-func (placer *Placer[P]) Usable(worker identifier.WorkerID) bool {
-	position, known := placer.fleet.positions[worker]
-	return known && placer.fleet.seats[position].usable
-}
-
 // SetQuota changes a team's quota. What runs goes on; only new starts heed it.
 func (placer *Placer[P]) SetQuota(name identifier.TeamID, quota Quota) {
 	placer.team(name).quota = quota
@@ -271,7 +265,7 @@
 	return len(group.waiting), group.blocked
 }
 
-// Used returns what all tasks are charged, and Total what all workers offer.
+// Used returns what all tasks are charged.
 func (placer *Placer[P]) Used() identifier.Resources { return placer.fleet.used }
 
 // Total returns what all workers offer.
