Split the routing of the forwarder's outputs and the simulated network of keepers

Change: the switch is two functions in the same order of cases; the simulated network is a file of its own and has the codec of single messages. Conclusion: no behaviour changes.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -234,20 +234,12 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{Forward: &output.Forward})
-	case *forwarder.HoldCopies:
-		coordinator.outputs.toPeer(output.To, PeerMessage{CopyRequest: output.Records})
-	case *forwarder.ConfirmCopies:
-		coordinator.outputs.toPeer(output.To, PeerMessage{CopyReceipt: output.Submissions})
 	case *forwarder.ConfirmAnswer:
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.AnswerHeld{Submission: output.Submission})
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
-	case *forwarder.HoldAnswer:
-		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopy: &output.Copy})
-	case *forwarder.ConfirmAnswerCopy:
-		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopyReceipt: output.Submission})
 	case *forwarder.SendAnswer:
 		coordinator.sendAnswer(output.To, output.Answer)
 	case *forwarder.ForwardCancel:
@@ -272,18 +264,34 @@
 		coordinator.sendLookupReply(output.To, output.Reply)
 	case *forwarder.HolderAnswered:
 		coordinator.tellDispatcher(&dispatcher.HolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
-	case *forwarder.SendReplicas:
-		coordinator.outputs.toPeer(output.To, PeerMessage{Replicas: output.Replicas})
-	case *forwarder.ConfirmReplicas:
-		coordinator.outputs.toPeer(output.To, PeerMessage{ReplicaReceipt: &output.Receipt})
-	case *forwarder.TellLead:
-		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	case *forwarder.ReplyTakeover:
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverReply: &output.Reply})
+	default:
+		coordinator.sendForwarderOutput(output)
+	}
+}
+
+// sendForwarderOutput sends on what is never for this host itself.
+func (coordinator *Coordinator) sendForwarderOutput(output forwarder.Output) {
+	switch output := output.(type) {
+	case *forwarder.HoldCopies:
+		coordinator.outputs.toPeer(output.To, PeerMessage{CopyRequest: output.Records})
+	case *forwarder.ConfirmCopies:
+		coordinator.outputs.toPeer(output.To, PeerMessage{CopyReceipt: output.Submissions})
+	case *forwarder.HoldAnswer:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopy: &output.Copy})
+	case *forwarder.ConfirmAnswerCopy:
+		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerCopyReceipt: output.Submission})
+	case *forwarder.SendReplicas:
+		coordinator.outputs.toPeer(output.To, PeerMessage{Replicas: output.Replicas})
+	case *forwarder.ConfirmReplicas:
+		coordinator.outputs.toPeer(output.To, PeerMessage{ReplicaReceipt: &output.Receipt})
+	case *forwarder.TellLead:
+		coordinator.outputs.toPeer(output.To, PeerMessage{LeadNotice: &output.Notice})
 	}
 }
 
--- a/pkg/replicator/measure_test.go
+++ b/pkg/replicator/measure_test.go
@@ -44,7 +44,7 @@
 		sent := make(map[identifier.HostID]int)
 		received := make(map[identifier.HostID]int)
 		workload.onSend = func(from identifier.HostID, send Send) {
-			data, err := EncodeMessage(send.Message)
+			data, err := encodeMessage(send.Message)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/replicator/messages.go
+++ b/pkg/replicator/messages.go
@@ -83,16 +83,6 @@
 // CampaignNow asks a keeper that has the whole log to take over the leadership.
 type CampaignNow struct{}
 
-// EncodeMessage returns the bytes of a message as they travel between keepers.
-func EncodeMessage(message Message) ([]byte, error) { return encode("encode message", message) }
-
-// DecodeMessage reads what EncodeMessage wrote.
-func DecodeMessage(data []byte) (Message, error) {
-	var message Message
-	err := decode("decode message", data, &message)
-	return message, err
-}
-
 func encode(operation string, value any) ([]byte, error) {
 	data, err := cbor.Marshal(value)
 	if err != nil {
--- a/pkg/replicator/simulation_test.go
+++ b/pkg/replicator/simulation_test.go
@@ -1,7 +1,6 @@
 package replicator
 
 import (
-	"bytes"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -349,44 +348,6 @@
 	})
 }
 
-// transmit puts a message through the codec and the network.
-func (simulation *simulation) transmit(from *keeper, send Send) {
-	if simulation.onSend != nil {
-		simulation.onSend(from.host, send)
-	}
-	data, err := EncodeMessage(send.Message)
-	if err != nil {
-		simulation.oracle.violate("encode: %v", err)
-		return
-	}
-	copies := 1
-	if simulation.random.IntN(1000) < simulation.lossShare {
-		copies = 0
-	} else if simulation.random.IntN(1000) < simulation.dupShare {
-		copies = 2
-	}
-	for range copies {
-		delay := simulation.oneWay
-		if simulation.jitter > 0 {
-			delay += time.Duration(simulation.random.Int64N(int64(simulation.jitter)))
-		}
-		simulation.schedule(simulation.now+delay, func() { simulation.deliver(from.host, send.To, data) })
-	}
-}
-
-func (simulation *simulation) deliver(from, to identifier.HostID, data []byte) {
-	keeper := simulation.find(to)
-	if keeper == nil || simulation.cut[[2]identifier.HostID{from, to}] {
-		return
-	}
-	message, err := DecodeMessage(bytes.Clone(data))
-	if err != nil {
-		simulation.oracle.violate("decode: %v", err)
-		return
-	}
-	simulation.input(keeper, MessageArrived{From: from, Message: message})
-}
-
 func (simulation *simulation) find(host identifier.HostID) *keeper {
 	for _, keeper := range simulation.keepers {
 		if keeper.host == host {
@@ -410,13 +371,3 @@
 	}
 	return leading
 }
-
-// isolate cuts a keeper off in both directions.
-func (simulation *simulation) isolate(host identifier.HostID) {
-	for _, other := range simulation.keepers {
-		simulation.cut[[2]identifier.HostID{host, other.host}] = true
-		simulation.cut[[2]identifier.HostID{other.host, host}] = true
-	}
-}
-
-func (simulation *simulation) heal() { clear(simulation.cut) }
