--- a/pkg/loader/timeouts.go
+++ b/pkg/loader/timeouts.go
@@ -10,8 +10,9 @@
 	// submission id.
 	AnswerRetention Duration `json:"answer-retention"`
 
-	// ClaimRetention is how long the claim of a not-repeatable job is kept, and with
-	// it the answer that a resubmission finds.
+	// ClaimRetention is how long the claim of a not-repeatable job is kept whole, so
+	// that a resubmission is told which submission has it. A fingerprint that
+	// refuses the job stays for good.
 	ClaimRetention Duration `json:"claim-retention"`
 
 	// HeartbeatInterval is the time between two heartbeats on a stream.
