Key the requester's timers by submission

Cause: read once more, requestTimer wrapped a single submission id and said nothing more. Change: timers keyed by the id itself; no behaviour changes. Conclusion: one type less.

--- a/pkg/claimer/requester.go
+++ b/pkg/claimer/requester.go
@@ -71,7 +71,7 @@
 	// granted after all is given back: its submission was refused and never runs,
 	// and the job could otherwise never run under another.
 	givenUp  *tabulator.Table[identifier.SubmissionID, Claim]
-	timers   *tabulator.Timers[requestTimer]
+	timers   *tabulator.Timers[identifier.SubmissionID]
 	keepers  []identifier.HostID
 	ask      Command
 	verdicts []Decision
@@ -83,8 +83,6 @@
 	attempts int
 }
 
-type requestTimer struct{ submission identifier.SubmissionID }
-
 // Tick applies the inputs, lets deadlines fall due and returns what to send.
 func (requester *Requester) Tick(now identifier.Moment, inputs []Input) []Output {
 	requester.prepare(now)
@@ -110,7 +108,7 @@
 	}
 	requester.pending = tabulator.New[identifier.SubmissionID, pendingClaim]()
 	requester.givenUp = tabulator.New[identifier.SubmissionID, Claim]()
-	requester.timers = tabulator.NewTimers[requestTimer]()
+	requester.timers = tabulator.NewTimers[identifier.SubmissionID]()
 }
 
 func (requester *Requester) apply(input Input) {
@@ -164,7 +162,7 @@
 	requester.ask.Claims = append(requester.ask.Claims, pending.claim)
 	pending.attempts++
 	due := identifier.Earlier(requester.now.Add(requester.Settings.Resend), pending.giveUpAt)
-	requester.timers.Set(requestTimer{submission: pending.claim.Submission}, due)
+	requester.timers.Set(pending.claim.Submission, due)
 }
 
 // decide passes a decision on once. A later one for the same submission finds
@@ -175,7 +173,7 @@
 		return
 	}
 	requester.pending.Remove(decision.Submission)
-	requester.timers.Clear(requestTimer{submission: decision.Submission})
+	requester.timers.Clear(decision.Submission)
 	requester.verdicts = append(requester.verdicts, decision)
 }
 
@@ -191,7 +189,7 @@
 }
 
 func (requester *Requester) expire() {
-	requester.timers.EachDue(requester.now, func(timer requestTimer) { requester.expireOne(timer.submission) })
+	requester.timers.EachDue(requester.now, requester.expireOne)
 }
 
 func (requester *Requester) expireOne(submission identifier.SubmissionID) {
@@ -217,7 +215,7 @@
 	submission := pending.claim.Submission
 	requester.givenUp.Put(submission, &pending.claim)
 	forgetAt := requester.now.Add(lateGrantRetention)
-	requester.timers.Set(requestTimer{submission: submission}, forgetAt)
+	requester.timers.Set(submission, forgetAt)
 }
 
 // flush sends the claims of this tick to one keeper. Which one moves on with
