--- /dev/null
+++ b/pkg/allocator/admission.go
@@ -0,0 +1,225 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// admit decides what becomes of a job that has just come: it gets room, waits, goes
+// to another lead, or is turned away. It answers bursts beyond the room and the loss
+// of a third of it: what can't be in time is told so before anything has started.
+func (allocator *Allocator) admit(job *job) {
+	if allocator.adoptHeld(job) {
+		return
+	}
+	if reason, never := allocator.neverFits(job); never {
+		allocator.turnAway(job, messenger.ReasonNeverRunnable, reason, 0)
+		return
+	}
+	if lead, found := allocator.otherLead(job); found {
+		allocator.handOver(job, lead)
+		return
+	}
+	wait, inTime := allocator.predict(job)
+	if !inTime {
+		allocator.turnAway(job, messenger.ReasonDeadlineUnreachable, "the room is taken for longer than the job can wait", wait)
+		return
+	}
+	for index := range job.tasks {
+		allocator.queueTask(job, &job.tasks[index])
+	}
+	if !allocator.placeJob(job) {
+		allocator.wait(job, wait)
+	}
+}
+
+// wait tells the host that the job waits, and turns the job away when it can't be in
+// time any more and nothing of it has started.
+func (allocator *Allocator) wait(job *job, predicted time.Duration) {
+	allocator.answer(job.from, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerWaiting})
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionWaits, Job: job.request.Job, Tasks: job.queued, Predicted: predicted, Spots: allocator.spots(),
+	})
+	if !job.granted {
+		allocator.timers.Set(timerKey{kind: timerJobStart, job: job.request.Job}, job.startBy)
+	}
+}
+
+func (allocator *Allocator) startOverdue(id identifier.JobID) {
+	if job := allocator.jobs.Get(id); job != nil && !job.granted && !job.closed {
+		allocator.turnAway(job, messenger.ReasonDeadlineUnreachable, "no room came free in time", allocator.usualWait())
+	}
+}
+
+// turnAway tells a host that its job gets no room; none of its runs was granted here.
+func (allocator *Allocator) turnAway(job *job, reason messenger.Reason, detail string, wait time.Duration) {
+	allocator.answer(job.from, messenger.RoomAnswer{
+		Job: job.request.Job, Kind: messenger.RoomAnswerTurnedAway, Reason: reason, Detail: detail, RetryAfter: wait,
+	})
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionTurnedAway, Job: job.request.Job, Reason: detail, Tasks: len(job.tasks),
+		Elapsed: allocator.now.Sub(job.arrivedAt), Predicted: wait, Spots: allocator.spots(),
+	})
+	allocator.unqueue(job)
+	job.closed = true
+	allocator.dropIfOver(job)
+}
+
+// neverFits tells whether some task of a job is larger than every server here. While
+// no server is known nothing is concluded.
+func (allocator *Allocator) neverFits(job *job) (string, bool) {
+	known := false
+	for index := range job.tasks {
+		fits := false
+		allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+			if server.gone || server.card.Service != job.request.Service {
+				return true
+			}
+			known = true
+			fits = job.tasks[index].room.Needs.Fits(server.card.Capacity) && server.hasLabel(job.request.Label)
+			return !fits
+		})
+		if !fits && known {
+			return "a task is larger than every backend server", true
+		}
+	}
+	return "", false
+}
+
+// adoptHeld takes over the runs that an earlier lead granted, and tells whether the
+// request named any. What is not there any more is placed again.
+func (allocator *Allocator) adoptHeld(job *job) bool {
+	if len(job.request.Held) == 0 {
+		return false
+	}
+	job.granted = true
+	for _, held := range job.request.Held {
+		allocator.adopt(job, held)
+	}
+	for index := range job.tasks {
+		if task := &job.tasks[index]; task.run == nil && !task.done {
+			allocator.queueTask(job, task)
+		}
+	}
+	allocator.closeIfDone(job)
+	return true
+}
+
+func (allocator *Allocator) adopt(job *job, held messenger.HeldRun) {
+	key := messenger.RunKey{Job: job.request.Job, Task: held.RoomTask.Task, Run: held.Run}
+	task := job.task(held.RoomTask.Task)
+	if end := allocator.strayEnds.Get(key); end != nil {
+		if end.kind == EndDone {
+			task.done = true
+			allocator.emit(&TellDone{To: job.from, Done: messenger.TaskDone{RunKey: key}})
+		}
+		return
+	}
+	server := allocator.servers.Get(held.Server)
+	if server == nil || server.gone {
+		return
+	}
+	known := server.runs[key]
+	switch {
+	case known != nil:
+		allocator.timers.Clear(stopTimer(known))
+		server.used = server.used.Sub(known.needs)
+	case server.fenced:
+		return
+	default:
+		known = &run{key: key, server: held.Server, grantedAt: allocator.now, absentAfter: allocator.now}
+		server.runs[key] = known
+	}
+	known.needs = held.RoomTask.Needs
+	known.job = job
+	known.expectedEnd = allocator.now.Add(allocator.estimates.runTime(job.request.Queue, held.RoomTask.Declared))
+	server.used = server.used.Add(known.needs)
+	task.run = known
+	allocator.hold(server)
+}
+
+// spots is how many tasks of the usual size could start now.
+func (allocator *Allocator) spots() int {
+	usual := allocator.estimates.usualNeeds()
+	spots := 0
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if server.usable(allocator.now) {
+			spots += usual.CountIn(server.free())
+		}
+		return true
+	})
+	return spots
+}
+
+// predict tells how long the last task of a job would wait for room, and whether the
+// job would be in time. Jobs that must start earlier come before it; each end of a
+// run makes room for one task.
+func (allocator *Allocator) predict(job *job) (time.Duration, bool) {
+	ahead := 0
+	for _, other := range allocator.waiting {
+		if compareWaiting(other, job) < 0 {
+			ahead += other.queued
+		}
+	}
+	free := allocator.spots() - ahead
+	if free >= len(job.tasks) || allocator.estimates.milliCPU == 0 {
+		return 0, true
+	}
+	ends := allocator.expectedEnds()
+	if len(ends) == 0 {
+		return allocator.usualWait(), false
+	}
+	first := max(ahead-allocator.spots(), 0)
+	last := len(job.tasks) - free - 1
+	if last >= len(ends) {
+		return ends[len(ends)-1].Sub(allocator.now), false
+	}
+	wait := max(ends[last].Sub(allocator.now), 0)
+	// The tasks stand from the longest to the shortest, and start in this order.
+	shortest := allocator.estimates.runTime(job.request.Queue, job.tasks[len(job.tasks)-1].room.Declared)
+	lastInTime := allocator.now.Add(wait + shortest).Before(job.dueAt)
+	firstInTime := free > 0 || !job.startBy.Before(ends[first])
+	return wait, lastInTime && firstInTime
+}
+
+// expectedEnds lists when room is expected to come free, the earliest first. A run
+// that should have ended is expected to end after another tenth of its time: how much
+// longer it takes nobody knows.
+func (allocator *Allocator) expectedEnds() []identifier.Moment {
+	var ends []identifier.Moment
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if server.gone || server.silent || server.card.Draining {
+			return true
+		}
+		for _, run := range server.runs {
+			end := run.expectedEnd
+			if end.Due(allocator.now) {
+				end = allocator.now.Add(run.expectedTime / overdueShare)
+			}
+			ends = append(ends, end)
+		}
+		return true
+	})
+	slices.Sort(ends)
+	return ends
+}
+
+// overdueShare is the part of its time that an overdue run is thought to go on.
+const overdueShare = 10
+
+// usualWait is when a job that was turned away is worth another try: half of what
+// runs should have ended by then.
+func (allocator *Allocator) usualWait() time.Duration {
+	ends := allocator.expectedEnds()
+	if len(ends) == 0 {
+		return minRetryAfter
+	}
+	return max(ends[len(ends)/2].Sub(allocator.now), minRetryAfter)
+}
+
+// minRetryAfter keeps callers from coming back within the burst that turned them
+// away.
+const minRetryAfter = 250 * time.Millisecond
--- /dev/null
+++ b/pkg/allocator/allocator.go
@@ -0,0 +1,214 @@
+// Package allocator decides, on the host that leads a failure domain, which backend
+// server has room for which task of jobs that need not be remembered. It keeps the
+// ledger of granted room, lets jobs wait, turns them away, renews the leases of what
+// runs, and finds out which runs are surely over. The hosts that ask start the runs
+// themselves; the fence of each lead keeps two leads apart.
+//
+// It is pure: time and events come in through Tick, calls and messages go out.
+package allocator
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/tabulator"
+)
+
+// Allocator is the lead's side of one failure domain. Set the exported fields before
+// the first Tick.
+type Allocator struct {
+	Self          identifier.HostID
+	FailureDomain identifier.FailureDomain
+	Settings      Settings
+
+	now identifier.Moment
+	// epoch is the fence of this lead; zero while another host leads.
+	epoch   identifier.Epoch
+	servers *tabulator.Table[identifier.BackendServerID, server]
+	jobs    *tabulator.Table[identifier.JobID, job]
+	// waiting holds the jobs with tasks that have no room, in the order of placing.
+	waiting []*job
+	// waitingTasks counts their tasks without room.
+	waitingTasks int
+	// lastRuns remembers the highest run number of jobs that have ended.
+	lastRuns *tabulator.Table[identifier.JobID, identifier.RunNumber]
+	// strayEnds are ends of runs that no job here asked for, kept for a job that is
+	// asked for again after a change of the lead.
+	strayEnds *tabulator.Table[messenger.RunKey, strayEnd]
+	estimates estimates
+	assessor  *assessor.Assessor
+	judged    []assessor.Input
+	remotes   *tabulator.Table[identifier.FailureDomain, remote]
+	told      messenger.RoomNotice
+	toldAt    identifier.Moment
+	timers    *tabulator.Timers[timerKey]
+	outputs   []Output
+	// changed tells that room may have come free since the waiting jobs were last
+	// tried, so that a full ledger is not searched for them at each tick.
+	changed bool
+}
+
+// timerKind tells what a timer is for.
+type timerKind int
+
+const (
+	timerHold timerKind = iota
+	timerServerLapse
+	timerServerForget
+	timerRunStop
+	timerJobDeadline
+	timerJobStart
+	timerJobForget
+	timerStrayForget
+	timerNotice
+	timerReopen
+)
+
+// timerKey names one deadline.
+type timerKey struct {
+	kind   timerKind
+	server identifier.BackendServerID
+	job    identifier.JobID
+	run    messenger.RunKey
+}
+
+// Tick applies the inputs, lets deadlines fall due and returns what to do.
+func (allocator *Allocator) Tick(now identifier.Moment, inputs []Input) []Output {
+	allocator.prepare(now)
+	for _, input := range inputs {
+		allocator.apply(input)
+	}
+	allocator.timers.EachDue(now, allocator.expire)
+	allocator.judge()
+	if allocator.epoch != 0 {
+		allocator.place()
+		allocator.tellNotice()
+	}
+	outputs := allocator.outputs
+	allocator.outputs = nil
+	return outputs
+}
+
+// NextDeadline returns when Tick must run even without inputs.
+func (allocator *Allocator) NextDeadline() identifier.Moment {
+	if allocator.timers == nil {
+		return identifier.Never
+	}
+	return identifier.Earlier(allocator.timers.Next(), allocator.assessor.NextDeadline())
+}
+
+// Leads tells whether this host leads its failure domain.
+func (allocator *Allocator) Leads() bool { return allocator.epoch != 0 }
+
+func (allocator *Allocator) prepare(now identifier.Moment) {
+	allocator.now = now
+	if allocator.timers != nil {
+		return
+	}
+	allocator.timers = tabulator.NewTimers[timerKey]()
+	allocator.servers = tabulator.New[identifier.BackendServerID, server]()
+	allocator.jobs = tabulator.New[identifier.JobID, job]()
+	allocator.lastRuns = tabulator.New[identifier.JobID, identifier.RunNumber]()
+	allocator.strayEnds = tabulator.New[messenger.RunKey, strayEnd]()
+	allocator.remotes = tabulator.New[identifier.FailureDomain, remote]()
+	allocator.estimates = newEstimates()
+	allocator.assessor = &assessor.Assessor{Settings: allocator.Settings.Health}
+}
+
+func (allocator *Allocator) apply(input Input) {
+	switch input := input.(type) {
+	case *LeadTaken:
+		allocator.takeLead(input.Epoch)
+	case *LeadLost:
+		allocator.loseLead()
+	case *CardArrived:
+		allocator.takeCard(&input.Card)
+	case *RoomRequested:
+		allocator.request(input)
+	case *RoomReleased:
+		allocator.release(input.From, input.Job)
+	case *StartReported:
+		allocator.takeStartReport(input)
+	case *HoldReturned:
+		allocator.takeHold(input)
+	case *StopReturned:
+		allocator.takeStop(input)
+	case *HostGone:
+		allocator.loseHost(input.Host)
+	case *RemoteLeadKnown:
+		allocator.learnRemoteLead(input)
+	case *NoticeArrived:
+		allocator.takeNotice(&input.Notice)
+	}
+}
+
+func (allocator *Allocator) expire(key timerKey) {
+	switch key.kind {
+	case timerHold:
+		allocator.holdDue(key.server)
+	case timerServerLapse:
+		allocator.lapse(key.server)
+	case timerServerForget:
+		allocator.forgetServer(key.server)
+	case timerRunStop:
+		allocator.stopDue(key.run)
+	case timerJobDeadline:
+		allocator.expireJob(key.job)
+	case timerJobStart:
+		allocator.startOverdue(key.job)
+	case timerJobForget:
+		allocator.lastRuns.Remove(key.job)
+	case timerStrayForget:
+		allocator.strayEnds.Remove(key.run)
+	case timerNotice, timerReopen:
+		allocator.changed = true
+	}
+}
+
+// takeLead begins under a new epoch: every known backend server is asked what runs
+// there before it gets anything.
+func (allocator *Allocator) takeLead(epoch identifier.Epoch) {
+	allocator.dropLedger()
+	allocator.epoch = epoch
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		allocator.hold(server)
+		return true
+	})
+}
+
+// loseLead forgets what only a lead may decide on. The hosts that asked turn to the
+// next lead.
+func (allocator *Allocator) loseLead() {
+	allocator.dropLedger()
+	allocator.epoch = 0
+}
+
+func (allocator *Allocator) dropLedger() {
+	allocator.waiting = nil
+	allocator.waitingTasks = 0
+	for _, id := range allocator.jobs.Keys() {
+		allocator.clearJobTimers(id)
+		allocator.jobs.Remove(id)
+	}
+	for _, key := range allocator.strayEnds.Keys() {
+		allocator.strayEnds.Remove(key)
+	}
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		for key := range server.runs {
+			allocator.timers.Clear(timerKey{kind: timerRunStop, server: server.card.Server, run: key})
+		}
+		server.reset()
+		allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
+		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+		return true
+	})
+}
+
+func (allocator *Allocator) emit(output Output) {
+	allocator.outputs = append(allocator.outputs, output)
+}
+
+// decided reports a decision for the log.
+func (allocator *Allocator) decided(decision messenger.Decision) {
+	allocator.emit(&Decided{Decision: decision})
+}
--- /dev/null
+++ b/pkg/allocator/holds.go
@@ -0,0 +1,151 @@
+package allocator
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// hold calls a backend server, unless a call is under way. One call at a time keeps
+// the answers in order: what a later answer doesn't list has ended.
+func (allocator *Allocator) hold(server *server) {
+	if server.holding || server.gone || !allocator.Leads() {
+		return
+	}
+	server.holding = true
+	server.heldAt = allocator.now
+	call := &HoldServer{
+		Server: server.card.Server, Address: server.card.Address, Epoch: allocator.epoch, Cursor: server.cursor,
+	}
+	// A server that does not answer may carry the call out much later. A renewal
+	// would then keep its runs, which are counted as lapsed, at work.
+	if !server.silent && server.fenced && len(server.runs) > 0 {
+		call.LeaseEnd = allocator.extendLease(server)
+		call.Wait = allocator.Settings.HoldWait
+	}
+	allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
+	allocator.emit(call)
+}
+
+// extendLease returns a lease that ends as late as one may, and notes it.
+func (allocator *Allocator) extendLease(server *server) identifier.ServerTime {
+	end := server.estimatedClock(allocator.now) + identifier.ServerTime(allocator.Settings.Lease.Milliseconds())
+	server.leaseEnd = max(server.leaseEnd, end)
+	return end
+}
+
+func (allocator *Allocator) holdDue(id identifier.BackendServerID) {
+	if server := allocator.servers.Get(id); server != nil {
+		allocator.hold(server)
+	}
+}
+
+// takeHold takes the answer to a call.
+func (allocator *Allocator) takeHold(input *HoldReturned) {
+	server := allocator.servers.Get(input.Server)
+	if server == nil || !server.holding || server.gone {
+		return
+	}
+	server.holding = false
+	switch input.Outcome {
+	case CallAnswered:
+		allocator.takeRuns(server, input)
+	case CallFenced:
+		allocator.emit(&Fenced{Epoch: allocator.epoch})
+		allocator.retryHold(server)
+		return
+	case CallGone:
+		allocator.endLife(server, "another incarnation answers")
+		return
+	case CallUnanswered:
+		allocator.silence(server)
+		allocator.retryHold(server)
+		return
+	}
+	if len(server.runs) > 0 {
+		allocator.hold(server)
+	}
+}
+
+func (allocator *Allocator) retryHold(server *server) {
+	due := allocator.now.Add(allocator.Settings.HoldRetry)
+	allocator.timers.Set(timerKey{kind: timerHold, server: server.card.Server}, due)
+}
+
+// silence notes that a backend server doesn't answer. It gets nothing new, and what
+// runs there counts as over once its lease has surely lapsed.
+func (allocator *Allocator) silence(server *server) {
+	if server.silent {
+		return
+	}
+	server.silent = true
+	allocator.decided(messenger.Decision{Kind: messenger.DecisionServerLost, Server: server.card.Server, Tasks: len(server.runs)})
+	key := timerKey{kind: timerServerLapse, server: server.card.Server}
+	allocator.timers.Set(key, server.lapsesAt(allocator.now))
+}
+
+// lapse ends the runs of a silent server.
+func (allocator *Allocator) lapse(id identifier.BackendServerID) {
+	server := allocator.servers.Get(id)
+	if server == nil || !server.silent {
+		return
+	}
+	allocator.endAllRuns(server, "lease lapsed")
+}
+
+// takeRuns compares what runs and what has ended on a server with the ledger.
+func (allocator *Allocator) takeRuns(server *server, input *HoldReturned) {
+	server.heardAt = allocator.now
+	server.readClock(allocator.now, input.Clock)
+	allocator.awaitForget(server)
+	if server.silent {
+		server.silent = false
+		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerBack, Server: server.card.Server})
+	}
+	if !server.fenced {
+		server.fenced = true
+		allocator.changed = true
+	}
+	for index := range input.Ended {
+		allocator.takeEnd(server, &input.Ended[index])
+	}
+	listed := make(map[messenger.RunKey]bool, len(input.Running))
+	for _, key := range input.Running {
+		listed[key] = true
+		allocator.confirmRun(server, key)
+	}
+	for key, run := range server.runs {
+		if !listed[key] && run.absenceProves(input.SentAt) {
+			allocator.endRun(server, run, "not listed")
+		}
+	}
+}
+
+// takeEnd takes one listed end, once.
+func (allocator *Allocator) takeEnd(server *server, end *RunEnd) {
+	if end.Number <= server.cursor {
+		return
+	}
+	server.cursor = end.Number
+	run := server.runs[end.Run]
+	if run == nil {
+		allocator.keepStrayEnd(end)
+		return
+	}
+	if end.Kind == EndDone {
+		allocator.finishRun(server, run)
+		return
+	}
+	allocator.endRunBy(server, run, end.Kind)
+}
+
+// strayEnd is the end of a run that no job here asked for.
+type strayEnd struct{ kind EndKind }
+
+// keepStrayEnd keeps an end for a job that is asked for again after a change of the
+// lead. Without it a task that has done its work would run once more.
+func (allocator *Allocator) keepStrayEnd(end *RunEnd) {
+	allocator.strayEnds.Put(end.Run, &strayEnd{kind: end.Kind})
+	due := allocator.now.Add(allocator.Settings.ForgetJob)
+	allocator.timers.Set(timerKey{kind: timerStrayForget, run: end.Run}, due)
+}
--- /dev/null
+++ b/pkg/allocator/jobs.go
@@ -0,0 +1,296 @@
+package allocator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// job is a job that a host has asked room for.
+type job struct {
+	request messenger.RoomRequest
+	from    identifier.HostID
+	tasks   []task
+	// arrivedAt is when the caller sent the job, on this host's clock.
+	arrivedAt identifier.Moment
+	// dueAt is until when the answer is in time, startBy until when the longest task
+	// must have started for that.
+	dueAt   identifier.Moment
+	startBy identifier.Moment
+	// deadline is when the caller no longer waits.
+	deadline identifier.Moment
+	lastRun  identifier.RunNumber
+	// queued counts the tasks that have neither room nor an end.
+	queued int
+	// granted tells that some run of the job may have started.
+	granted bool
+	// closed tells that the job wants no more room; its record stays until all its
+	// runs are over, so that a resend starts none of them twice at once.
+	closed bool
+	// successor is a resend that waits for that.
+	successor *RoomRequested
+}
+
+// task is one task of a job.
+type task struct {
+	room messenger.RoomTask
+	run  *run
+	done bool
+	// queued tells that the task waits for room.
+	queued   bool
+	failures int
+	// avoid is the server on which the last run failed.
+	avoid identifier.BackendServerID
+}
+
+func (job *job) task(index messenger.TaskIndex) *task {
+	for position := range job.tasks {
+		if job.tasks[position].room.Task == index {
+			return &job.tasks[position]
+		}
+	}
+	return &task{}
+}
+
+func (server *server) runsInOrder() []*run {
+	runs := make([]*run, 0, len(server.runs))
+	for _, run := range server.runs {
+		runs = append(runs, run)
+	}
+	slices.SortFunc(runs, func(first, second *run) int { return compareKeys(first.key, second.key) })
+	return runs
+}
+
+func compareKeys(first, second messenger.RunKey) int {
+	return cmp.Or(cmp.Compare(first.Job, second.Job), cmp.Compare(first.Task, second.Task), cmp.Compare(first.Run, second.Run))
+}
+
+// request takes a request for room.
+func (allocator *Allocator) request(input *RoomRequested) {
+	if !allocator.Leads() {
+		allocator.answer(input.From, messenger.RoomAnswer{Job: input.Request.Job, Kind: messenger.RoomAnswerNotLed})
+		return
+	}
+	if known := allocator.jobs.Get(input.Request.Job); known != nil {
+		// The caller sent the job again, to this host or another, and the earlier
+		// sending is no longer waited for. Its runs must be over first.
+		known.successor = input
+		allocator.close(known, "sent again")
+		return
+	}
+	allocator.admit(allocator.newJob(input))
+}
+
+func (allocator *Allocator) newJob(input *RoomRequested) *job {
+	request := &input.Request
+	created := &job{request: *request, from: input.From, arrivedAt: allocator.now.Add(-request.Elapsed), lastRun: request.RunsBelow}
+	created.deadline = allocator.now.Add(request.Remaining)
+	for _, room := range request.Tasks {
+		created.tasks = append(created.tasks, task{room: room})
+	}
+	for _, held := range request.Held {
+		created.tasks = append(created.tasks, task{room: held.RoomTask})
+		created.lastRun = max(created.lastRun, held.Run)
+	}
+	if last := allocator.lastRuns.Get(request.Job); last != nil {
+		created.lastRun = max(created.lastRun, *last)
+	}
+	allocator.schedule(created)
+	allocator.jobs.Put(request.Job, created)
+	allocator.timers.Clear(timerKey{kind: timerJobForget, job: request.Job})
+	allocator.timers.Set(timerKey{kind: timerJobDeadline, job: request.Job}, created.deadline)
+	return created
+}
+
+// schedule works out when the job is due, and sorts its tasks: the longest starts
+// first, as the answer waits for it.
+func (allocator *Allocator) schedule(job *job) {
+	slices.SortStableFunc(job.tasks, func(first, second task) int {
+		return cmp.Compare(second.room.Declared, first.room.Declared)
+	})
+	longest := time.Duration(0)
+	for index := range job.tasks {
+		longest = max(longest, allocator.estimates.runTime(job.request.Queue, job.tasks[index].room.Declared))
+	}
+	objective := time.Duration(float64(longest)*job.request.Stretch) + job.request.Allowance
+	job.dueAt = job.arrivedAt.Add(objective)
+	job.startBy = job.dueAt.Add(-longest)
+}
+
+// queueTask lets a task wait for room.
+func (allocator *Allocator) queueTask(job *job, task *task) {
+	if task.queued || task.done || job.closed {
+		return
+	}
+	task.queued = true
+	if job.queued == 0 {
+		allocator.insert(job)
+	}
+	job.queued++
+	allocator.waitingTasks++
+	allocator.changed = true
+}
+
+// insert puts a job into the waiting ones: jobs with started tasks first, as their
+// answer waits for the rest, then by when they must start.
+func (allocator *Allocator) insert(job *job) {
+	position, _ := slices.BinarySearchFunc(allocator.waiting, job, compareWaiting)
+	allocator.waiting = slices.Insert(allocator.waiting, position, job)
+}
+
+func compareWaiting(first, second *job) int {
+	if first.granted != second.granted {
+		if first.granted {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(first.startBy, second.startBy), cmp.Compare(first.request.Job, second.request.Job))
+}
+
+// unqueue takes all waiting tasks of a job out.
+func (allocator *Allocator) unqueue(job *job) {
+	if job.queued == 0 {
+		return
+	}
+	allocator.waitingTasks -= job.queued
+	job.queued = 0
+	for index := range job.tasks {
+		job.tasks[index].queued = false
+	}
+	allocator.removeWaiting(job)
+}
+
+// release ends a job that its host no longer wants.
+func (allocator *Allocator) release(from identifier.HostID, id identifier.JobID) {
+	if job := allocator.jobs.Get(id); job != nil && job.from == from {
+		allocator.close(job, "released")
+	}
+}
+
+// loseHost ends the jobs of a host that is gone: nobody waits for them.
+func (allocator *Allocator) loseHost(host identifier.HostID) {
+	for _, id := range allocator.jobs.Keys() {
+		if job := allocator.jobs.Get(id); job != nil && job.from == host {
+			allocator.close(job, "its host is gone")
+		}
+	}
+}
+
+// failJob ends a job that can't be completed.
+func (allocator *Allocator) failJob(job *job, reason messenger.Reason, detail string) {
+	allocator.answer(job.from, messenger.RoomAnswer{
+		Job: job.request.Job, Kind: messenger.RoomAnswerFailed, Reason: reason, Detail: detail,
+	})
+	allocator.close(job, detail)
+}
+
+func (allocator *Allocator) expireJob(id identifier.JobID) {
+	if job := allocator.jobs.Get(id); job != nil {
+		allocator.close(job, "its time is over")
+	}
+}
+
+// close wants no more room for a job and has stopped what runs.
+func (allocator *Allocator) close(job *job, reason string) {
+	allocator.unqueue(job)
+	if !job.closed {
+		job.closed = true
+		for index := range job.tasks {
+			if run := job.tasks[index].run; run != nil {
+				allocator.stop(run, reason)
+			}
+		}
+	}
+	allocator.dropIfOver(job)
+}
+
+// closeIfDone drops a job whose tasks are all done.
+func (allocator *Allocator) closeIfDone(job *job) {
+	if job.allDone() {
+		job.closed = true
+	}
+	allocator.dropIfOver(job)
+}
+
+func (job *job) allDone() bool {
+	return !slices.ContainsFunc(job.tasks, func(task task) bool { return !task.done })
+}
+
+// dropIfOver forgets a closed job without runs, and goes on with its resend.
+func (allocator *Allocator) dropIfOver(job *job) {
+	if !job.closed || job.liveRuns() > 0 || allocator.jobs.Get(job.request.Job) != job {
+		return
+	}
+	id := job.request.Job
+	allocator.jobs.Remove(id)
+	allocator.clearJobTimers(id)
+	last := job.lastRun
+	allocator.lastRuns.Put(id, &last)
+	allocator.timers.Set(timerKey{kind: timerJobForget, job: id}, allocator.now.Add(allocator.Settings.ForgetJob))
+	if next := job.successor; next != nil {
+		job.successor = nil
+		allocator.request(next)
+	}
+}
+
+func (job *job) liveRuns() int {
+	live := 0
+	for index := range job.tasks {
+		if job.tasks[index].run != nil {
+			live++
+		}
+	}
+	return live
+}
+
+func (allocator *Allocator) clearJobTimers(id identifier.JobID) {
+	allocator.timers.Clear(timerKey{kind: timerJobDeadline, job: id})
+	allocator.timers.Clear(timerKey{kind: timerJobStart, job: id})
+}
+
+func (allocator *Allocator) answer(to identifier.HostID, answer messenger.RoomAnswer) {
+	allocator.emit(&AnswerRoom{To: to, Answer: answer})
+}
+
+// takeStartReport takes a start that was not accepted.
+func (allocator *Allocator) takeStartReport(input *StartReported) {
+	key := input.Report.RunKey
+	job := allocator.jobs.Get(key.Job)
+	if job == nil {
+		return
+	}
+	task := job.task(key.Task)
+	run := task.run
+	if run == nil || run.key != key {
+		return
+	}
+	server := allocator.servers.Get(run.server)
+	if server == nil {
+		return
+	}
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionStartFailed, Job: key.Job, Task: key.Task, Run: key.Run, Server: run.server,
+		Reason: input.Report.Outcome.String(), Elapsed: allocator.now.Sub(run.grantedAt),
+	})
+	task.avoid = run.server
+	switch input.Report.Outcome {
+	case messenger.StartUnanswered:
+		allocator.stop(run, "its start got no answer")
+		return
+	case messenger.StartServerGone:
+		allocator.endLife(server, "another incarnation answers")
+		return
+	case messenger.StartFenced:
+		allocator.emit(&Fenced{Epoch: allocator.epoch})
+	case messenger.StartNoRoom, messenger.StartUnhealthy:
+		server.closedUntil = allocator.now.Add(allocator.Settings.CloseTime)
+		allocator.timers.Set(timerKey{kind: timerReopen, server: run.server}, server.closedUntil)
+	case messenger.StartInvalid:
+		task.failures = job.request.Attempts
+	}
+	allocator.endRun(server, run, input.Report.Outcome.String())
+}
--- /dev/null
+++ b/pkg/allocator/placing.go
@@ -0,0 +1,128 @@
+package allocator
+
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// place gives room to waiting tasks, in the order of the waiting jobs. A job behind
+// one that finds no room may still get some: its tasks may be smaller.
+func (allocator *Allocator) place() {
+	if !allocator.changed || len(allocator.waiting) == 0 {
+		allocator.changed = false
+		return
+	}
+	allocator.changed = false
+	// Placing changes the list.
+	waiting := append([]*job(nil), allocator.waiting...)
+	misses := 0
+	for _, job := range waiting {
+		if !allocator.placeJob(job) {
+			misses++
+		}
+		if misses == placeMisses {
+			return
+		}
+	}
+}
+
+// placeMisses is how many waiting jobs may find no room before a search ends. Tasks
+// are of similar size, so those behind would find none either.
+const placeMisses = 8
+
+// placeJob gives room to the waiting tasks of one job and tells whether all got it.
+func (allocator *Allocator) placeJob(job *job) bool {
+	grant := messenger.Grant{Job: job.request.Job, Epoch: allocator.epoch}
+	for index := range job.tasks {
+		task := &job.tasks[index]
+		if !task.queued {
+			continue
+		}
+		server := allocator.roomFor(job, task)
+		if server == nil {
+			continue
+		}
+		grant.Runs = append(grant.Runs, allocator.grant(job, task, server))
+		task.queued = false
+	}
+	if len(grant.Runs) == 0 {
+		return false
+	}
+	allocator.takeGranted(job, &grant)
+	return job.queued == 0
+}
+
+// takeGranted counts granted tasks off the waiting ones and tells the job's host.
+func (allocator *Allocator) takeGranted(job *job, grant *messenger.Grant) {
+	left := job.queued - len(grant.Runs)
+	allocator.waitingTasks -= len(grant.Runs)
+	wasGranted := job.granted
+	job.granted = true
+	if left == 0 || !wasGranted {
+		allocator.removeWaiting(job)
+		if left > 0 {
+			allocator.insert(job)
+		}
+	}
+	job.queued = left
+	allocator.timers.Clear(timerKey{kind: timerJobStart, job: job.request.Job})
+	allocator.emit(&GrantRoom{To: job.from, Grant: *grant})
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionGranted, Job: job.request.Job, Run: grant.Runs[0].Run, Server: grant.Runs[0].Server,
+		Tasks: len(grant.Runs), Elapsed: allocator.now.Sub(job.arrivedAt), Epoch: allocator.epoch,
+	})
+}
+
+func (allocator *Allocator) removeWaiting(job *job) {
+	for position, other := range allocator.waiting {
+		if other == job {
+			allocator.waiting = append(allocator.waiting[:position], allocator.waiting[position+1:]...)
+			return
+		}
+	}
+}
+
+// roomFor returns the server that a task fits best, or nil: the one on which it
+// leaves the least room that no usual task fits. Packing by size decides how much of
+// a failure domain can be used, as two tasks fill most of a server.
+func (allocator *Allocator) roomFor(job *job, task *task) *server {
+	var best *server
+	var bestWaste, bestLoad identifier.MilliCPU
+	usual := allocator.estimates.usualNeeds().MilliCPU
+	allocator.servers.Each(func(id identifier.BackendServerID, server *server) bool {
+		if !allocator.mayRun(job, task, server) {
+			return true
+		}
+		left := server.free().MilliCPU - task.room.Needs.MilliCPU
+		waste := left
+		if usual > 0 {
+			waste = left % usual
+		}
+		load := server.used.MilliCPU
+		if best == nil || waste < bestWaste || waste == bestWaste && load < bestLoad {
+			best, bestWaste, bestLoad = server, waste, load
+		}
+		return true
+	})
+	return best
+}
+
+func (allocator *Allocator) mayRun(job *job, task *task, server *server) bool {
+	if !server.usable(allocator.now) || server.card.Service != job.request.Service || !task.room.Needs.Fits(server.free()) {
+		return false
+	}
+	if server.card.Server == task.avoid || !server.hasLabel(job.request.Label) {
+		return false
+	}
+	return job.request.PerServer == 0 || job.runsOn(server.card.Server) < job.request.PerServer
+}
+
+func (job *job) runsOn(server identifier.BackendServerID) int {
+	count := 0
+	for index := range job.tasks {
+		if run := job.tasks[index].run; run != nil && run.server == server {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/allocator/servers.go
@@ -0,0 +1,214 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// server is one life of a backend server.
+type server struct {
+	card messenger.ServerCard
+	// fenced tells that it has answered under this lead's epoch: what runs there is
+	// known, and no earlier lead can start anything.
+	fenced bool
+	// silent tells that the last call got no answer; it gets nothing new.
+	silent bool
+	// gone tells that the life has ended.
+	gone bool
+	// closedUntil is when it may get a start again after it refused one.
+	closedUntil identifier.Moment
+	// allowed is how many runs it may have at once, by its outcomes.
+	allowed int
+	// used is the room of all runs that are not surely over.
+	used identifier.Resources
+	runs map[messenger.RunKey]*run
+	// clock was the server's clock at clockAt or a little later.
+	clock   identifier.ServerTime
+	clockAt identifier.Moment
+	// leaseEnd is the latest lease that any order may have given.
+	leaseEnd identifier.ServerTime
+	// holding tells that a call is under way, sent at heldAt.
+	holding bool
+	heldAt  identifier.Moment
+	// cursor is the highest end that was taken note of.
+	cursor int64
+	// heardAt is when it was last heard, by a call or a card.
+	heardAt identifier.Moment
+}
+
+// clockDriftPerMille is how slow a backend server's clock may be.
+const clockDriftPerMille = 20
+
+// reset forgets what holds only under one lead.
+func (server *server) reset() {
+	server.fenced = false
+	server.used = identifier.Resources{}
+	server.runs = make(map[messenger.RunKey]*run)
+	server.holding = false
+	server.closedUntil = 0
+}
+
+// estimatedClock is about what the server's clock says now, rather too early.
+func (server *server) estimatedClock(now identifier.Moment) identifier.ServerTime {
+	return server.clock + identifier.ServerTime(now.Sub(server.clockAt)/time.Millisecond)
+}
+
+// earliestClock is what the server's clock says now at least, slow as it may be.
+func (server *server) earliestClock(now identifier.Moment) identifier.ServerTime {
+	passed := now.Sub(server.clockAt) * (1000 - clockDriftPerMille) / 1000
+	return server.clock + identifier.ServerTime(passed/time.Millisecond)
+}
+
+// readClock takes a reading, unless what is known is ahead of it: the reading may
+// have been under way for long.
+func (server *server) readClock(now identifier.Moment, reading identifier.ServerTime) {
+	if reading > server.earliestClock(now) || server.clockAt == 0 {
+		server.clock = reading
+		server.clockAt = now
+	}
+}
+
+// lapsesAt is when all that runs there is surely over without a renewal.
+func (server *server) lapsesAt(now identifier.Moment) identifier.Moment {
+	left := time.Duration(server.leaseEnd-server.earliestClock(now)) * time.Millisecond
+	return now.Add(max(left, 0)*1000/(1000-clockDriftPerMille) + lapseMargin)
+}
+
+// lapseMargin covers the rounding of clocks to milliseconds and the time that a
+// server takes to end what has lapsed.
+const lapseMargin = 60 * time.Millisecond
+
+// usable tells whether the server may get a start now.
+func (server *server) usable(now identifier.Moment) bool {
+	return server.fenced && !server.silent && !server.gone && !server.card.Draining &&
+		server.closedUntil.Due(now) && len(server.runs) < server.allowed
+}
+
+func (server *server) free() identifier.Resources { return server.card.Capacity.Sub(server.used) }
+
+func (server *server) hasLabel(label string) bool {
+	return label == "" || slices.Contains(server.card.Labels, label)
+}
+
+// takeCard takes what a backend server says about itself, unless a later card was
+// taken. A card of a life that has ended brings nothing back.
+func (allocator *Allocator) takeCard(card *messenger.ServerCard) {
+	known := allocator.servers.Get(card.Server)
+	if known == nil {
+		if card.FailureDomain == allocator.FailureDomain {
+			allocator.join(card)
+		}
+		return
+	}
+	if known.gone || card.Sequence < known.card.Sequence && !card.Gone {
+		return
+	}
+	if card.Gone {
+		allocator.endLife(known, "left")
+		return
+	}
+	known.heardAt = allocator.now
+	leaves := card.Draining && !known.card.Draining
+	changed := leaves || card.Address != known.card.Address
+	// A server that drains never stops draining within one life.
+	draining := known.card.Draining || card.Draining
+	known.card = *card
+	known.card.Draining = draining
+	if card.Clock > 0 {
+		known.readClock(allocator.now, card.Clock)
+	}
+	if leaves {
+		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerLeaves, Server: card.Server, Tasks: len(known.runs)})
+	}
+	if changed && allocator.Leads() {
+		allocator.emit(&ShareCard{Card: known.card})
+	}
+	allocator.awaitForget(known)
+}
+
+// join takes up a backend server. At the same address an earlier life has ended.
+func (allocator *Allocator) join(card *messenger.ServerCard) {
+	if card.Gone {
+		return
+	}
+	created := &server{card: *card, heardAt: allocator.now, allowed: healthSlots}
+	created.reset()
+	if card.Clock > 0 {
+		created.readClock(allocator.now, card.Clock)
+	}
+	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
+		if other.card.Address == card.Address && !other.gone {
+			allocator.endLife(other, "replaced")
+		}
+		return true
+	})
+	allocator.servers.Put(card.Server, created)
+	allocator.judged = append(allocator.judged, &assessor.ServerJoined{Server: card.Server, Incarnation: 1, Slots: healthSlots})
+	allocator.decided(messenger.Decision{Kind: messenger.DecisionServerJoined, Server: card.Server})
+	allocator.awaitForget(created)
+	if allocator.Leads() {
+		allocator.emit(&ShareCard{Card: *card})
+		allocator.hold(created)
+	}
+}
+
+func (allocator *Allocator) awaitForget(server *server) {
+	due := allocator.now.Add(allocator.Settings.ForgetServer)
+	allocator.timers.Set(timerKey{kind: timerServerForget, server: server.card.Server}, due)
+}
+
+// endLife notes that a life of a backend server has ended: nothing of it runs.
+func (allocator *Allocator) endLife(server *server, reason string) {
+	if server.gone {
+		return
+	}
+	server.gone = true
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionServerGone, Server: server.card.Server, Reason: reason, Tasks: len(server.runs),
+	})
+	allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
+	allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+	allocator.endAllRuns(server, "server gone")
+	if allocator.Leads() {
+		gone := server.card
+		gone.Gone = true
+		allocator.emit(&ShareCard{Card: gone})
+	}
+}
+
+// forgetServer drops a server that has not been heard for long. The id of an ended
+// life is kept as long, so that a late card doesn't bring it back.
+func (allocator *Allocator) forgetServer(id identifier.BackendServerID) {
+	known := allocator.servers.Get(id)
+	if known == nil {
+		return
+	}
+	if !known.gone && !allocator.Leads() {
+		// Heartbeats go to the lead, which tells when a life has ended.
+		allocator.awaitForget(known)
+		return
+	}
+	allocator.endLife(known, "not heard")
+	allocator.servers.Remove(id)
+	allocator.judged = append(allocator.judged, &assessor.ServerGone{Server: id})
+}
+
+// Cards returns what is known of the living backend servers, for a host that has
+// just come.
+func (allocator *Allocator) Cards() []messenger.ServerCard {
+	var cards []messenger.ServerCard
+	if allocator.servers == nil {
+		return nil
+	}
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if !server.gone {
+			cards = append(cards, server.card)
+		}
+		return true
+	})
+	return cards
+}
--- /dev/null
+++ b/pkg/allocator/settings.go
@@ -0,0 +1,91 @@
+package allocator
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/assessor"
+)
+
+// Settings says how long things last.
+type Settings struct {
+	// Lease is how long a run may go on without a renewal, at most.
+	Lease time.Duration
+	// StopTime is how long a backend server takes to stop a run, at most.
+	StopTime time.Duration
+	// HoldWait is how long a call waits at a backend server for an end. It leaves
+	// more than half of the lease for a renewal that is delayed or repeated.
+	HoldWait time.Duration
+	// HoldRetry is how long after an unanswered call the next one goes out.
+	HoldRetry time.Duration
+	// StopRetry is how long after an unanswered stop the next one goes out.
+	StopRetry time.Duration
+	// OrphanWait is how long a run that no job here asked for may go on, so that its
+	// host can name it after a change of the lead.
+	OrphanWait time.Duration
+	// ForgetServer is how long a backend server that neither answers nor announces
+	// itself stays known.
+	ForgetServer time.Duration
+	// ForgetJob is how long run numbers of ended jobs are kept for a resend.
+	ForgetJob time.Duration
+	// CloseTime is how long a backend server that refused a start gets no other one.
+	CloseTime time.Duration
+	// NoticeInterval is how often other leads are told of the room here, at most.
+	NoticeInterval time.Duration
+	// NoticeAge is how old a notice may be to be relied on.
+	NoticeAge time.Duration
+	// HandOverWait is the predicted wait from which a job is sent to a lead with room.
+	HandOverWait time.Duration
+	// Health judges backend servers by the outcomes of their runs.
+	Health assessor.Settings
+}
+
+// Defaults that have no other source than the reasons given here.
+const (
+	defaultLease    = time.Second
+	defaultStopTime = 50 * time.Millisecond
+	// A heartbeat comes every 1.5 s; eight missed ones are no pause any more.
+	defaultForgetServer = 12 * time.Second
+	// A caller that lost its connection sends again after 1.3 s, and late ones seconds
+	// after that.
+	defaultForgetJob = 15 * time.Second
+	// A call inside a failure domain takes about 1 ms; a retry after fifty times that
+	// leaves eight retries within the lease.
+	defaultRetry = 50 * time.Millisecond
+	// Hosts hear of a new lead within tens of milliseconds.
+	defaultOrphanWait = 400 * time.Millisecond
+	// An end frees room every few milliseconds in a busy failure domain, so a full
+	// server is worth another look after about ten of them.
+	defaultCloseTime      = 50 * time.Millisecond
+	defaultNoticeInterval = 20 * time.Millisecond
+	defaultNoticeAge      = time.Second
+	// The way to another failure domain and back costs about 2 ms.
+	defaultHandOverWait = 4 * time.Millisecond
+	// outcomesWeighed is over how many of a server's latest runs failures are weighed:
+	// a server runs two or three tasks at once, so this spans about three rounds.
+	outcomesWeighed = 8
+	// ejectAfter is how many failures beyond what others show eject a server.
+	ejectAfter = 2.5
+)
+
+// DefaultSettings returns the settings that the daemon starts from.
+func DefaultSettings() Settings {
+	health := assessor.DefaultSettings()
+	health.Window = outcomesWeighed
+	health.EjectAt = ejectAfter
+	health.RampUp = 0
+	return Settings{
+		Lease:          defaultLease,
+		StopTime:       defaultStopTime,
+		HoldWait:       defaultLease * 2 / 5,
+		HoldRetry:      defaultRetry,
+		StopRetry:      defaultRetry,
+		OrphanWait:     defaultOrphanWait,
+		ForgetServer:   defaultForgetServer,
+		ForgetJob:      defaultForgetJob,
+		CloseTime:      defaultCloseTime,
+		NoticeInterval: defaultNoticeInterval,
+		NoticeAge:      defaultNoticeAge,
+		HandOverWait:   defaultHandOverWait,
+		Health:         health,
+	}
+}
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -35,6 +35,13 @@
 	// DialPeer opens the connections to other hosts; nil dials TCP. Tests cut
 	// failure domains off with it.
 	DialPeer connector.Dialer
+	// Extension serves further interfaces; nil where there are none.
+	Extension Extension
+	// Tune changes the coordinator's settings beyond what the settings file can say;
+	// nil changes nothing.
+	Tune func(settings *coordinator.Settings)
+	// Founding tells who founds the keepers' log.
+	Founding Founding
 
 	clock    *runner.Clock
 	runner   *runner.Runner[coordinator.Input, coordinator.Output]
@@ -57,7 +64,11 @@
 	if err := daemon.secure(); err != nil {
 		return err
 	}
-	daemon.assemble()
+	founders, err := daemon.founders()
+	if err != nil {
+		return err
+	}
+	daemon.assemble(founders)
 	listeners, err := daemon.listen()
 	if err != nil {
 		return err
@@ -75,6 +86,13 @@
 	daemon.memory.recall(running, daemon)
 	runners.Go(func() { daemon.memory.run(running) })
 	servers := daemon.serve(listeners)
+	if daemon.Extension != nil {
+		if err := daemon.Extension.Open(daemon); err != nil {
+			servers.stop()
+			return err
+		}
+		defer daemon.Extension.Close()
+	}
 	runners.Go(func() { daemon.runner.Run(running) })
 	runners.Go(func() { daemon.peers.Run(running) })
 	daemon.receiver.SetReady(true)
@@ -86,14 +104,20 @@
 	return nil
 }
 
-func (daemon *Daemon) assemble() {
+func (daemon *Daemon) assemble(founders founders) {
 	daemon.clock = runner.NewClock()
 	daemon.drained = make(chan struct{})
 	// The wall clock makes a later process of the same host the newer one; the
 	// membership mends it where the clock has been set back.
 	incarnation := identifier.Incarnation(time.Now().UnixNano())
+	deciding := newCoordinator(daemon.Settings, incarnation)
+	deciding.Settings.JoinKeepers = founders.join
+	deciding.Founders = founders.hosts
+	if daemon.Tune != nil {
+		daemon.Tune(&deciding.Settings)
+	}
 	daemon.runner = &runner.Runner[coordinator.Input, coordinator.Output]{
-		Decider: newCoordinator(daemon.Settings, incarnation),
+		Decider: deciding,
 		Deliver: daemon.deliver,
 		Clock:   daemon.clock,
 	}
@@ -115,6 +139,9 @@
 // deliver carries the outputs of one tick out.
 func (daemon *Daemon) deliver(outputs []coordinator.Output) {
 	for _, output := range outputs {
+		if daemon.Extension != nil && daemon.Extension.Deliver(output) {
+			continue
+		}
 		switch output := output.(type) {
 		case *coordinator.ToPeer:
 			daemon.peers.Send(output.Host, &output.Batch)
@@ -179,7 +206,11 @@
 	daemon.Log.Info("shutting down", "waiting", daemon.receiver.Waiting())
 	deadline, cancel := context.WithTimeout(hurry, daemon.Settings.Timeouts.ShutdownDeadline.Std())
 	defer cancel()
-	sleep(deadline, balancerGrace)
+	if daemon.Extension != nil {
+		daemon.Extension.Drain(deadline)
+	} else {
+		sleep(deadline, balancerGrace)
+	}
 	daemon.receiver.RefuseNew()
 	daemon.runner.Post(ctx, &coordinator.ShutdownRequested{})
 	select {
--- /dev/null
+++ b/pkg/assembler/founding.go
@@ -0,0 +1,111 @@
+package assembler
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/loader"
+)
+
+//go:generate enumer -type=Founding -trimprefix=Founding -transform=kebab -text
+
+// Founding tells who founds the keepers' log.
+type Founding int
+
+const (
+	// FoundingBySettings means that the keepers of the settings are the first members,
+	// at each start: the settings name the same ones for as long as the log lives.
+	FoundingBySettings Founding = iota
+	// FoundingOnce means that this is the first start of the whole system: the keepers
+	// of the settings are remembered in the data folder as the first members.
+	FoundingOnce
+	// FoundingOver means that the log was founded before. A keeper that remembers no
+	// founders has lost its disk, or is new, and waits until the others take it in.
+	FoundingOver
+)
+
+// foundersFile names, within the data folder, the file of the first members.
+const foundersFile = "founders.json"
+
+// foundersMode lets only the daemon's user change the file.
+const foundersMode = 0o600
+
+// founders are the first members of the keepers' log.
+type founders struct {
+	hosts []identifier.HostID
+	// join tells that this keeper has to be taken in by the others.
+	join bool
+}
+
+// founders returns the first members of the log.
+//
+// The settings of a later start may name other keepers than those of the first. If a
+// keeper took these for the first members, it would count quorums among hosts that
+// never agreed, and one would notice two leaders at once.
+func (daemon *Daemon) founders() (founders, error) {
+	if daemon.Founding == FoundingBySettings || !daemon.Settings.HasRole(loader.RoleKeeper) {
+		return founders{}, nil
+	}
+	path := filepath.Join(daemon.Settings.DataFolder, foundersFile)
+	known, err := readFounders(path)
+	if err != nil {
+		return founders{}, &Error{Operation: "read " + path, Kind: ErrorJournal, Err: err}
+	}
+	if len(known) > 0 {
+		return founders{hosts: known}, nil
+	}
+	if daemon.Founding == FoundingOver {
+		return founders{join: true}, nil
+	}
+	for _, host := range daemon.Settings.Hosts {
+		if host.HasRole(loader.RoleKeeper) {
+			known = append(known, host.Host)
+		}
+	}
+	if err := writeFounders(path, known); err != nil {
+		return founders{}, &Error{Operation: "write " + path, Kind: ErrorJournal, Err: err}
+	}
+	return founders{hosts: known}, nil
+}
+
+func readFounders(path string) ([]identifier.HostID, error) {
+	content, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read")
+	}
+	var hosts []identifier.HostID
+	if err := json.Unmarshal(content, &hosts); err != nil {
+		return nil, eris.Wrap(err, "decode")
+	}
+	return hosts, nil
+}
+
+// writeFounders writes the file whole and durable before the log takes anything.
+func writeFounders(path string, hosts []identifier.HostID) error {
+	content, err := json.Marshal(hosts)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	folder := filepath.Dir(path)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return eris.Wrap(err, "make the data folder")
+	}
+	if err := renameio.WriteFile(path, content, foundersMode, renameio.WithTempDir(folder)); err != nil {
+		return eris.Wrap(err, "write")
+	}
+	opened, err := os.Open(folder)
+	if err != nil {
+		return eris.Wrap(err, "open the data folder")
+	}
+	return errors.Join(opened.Sync(), opened.Close())
+}
--- a/pkg/configurer/enums_enumer.go
+++ b/pkg/configurer/enums_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "acceptedconflict"
+const _VerdictName = "acceptedconflictsuperseded"
 
-var _VerdictIndex = [...]uint8{0, 8, 16}
+var _VerdictIndex = [...]uint8{0, 8, 16, 26}
 
-const _VerdictLowerName = "acceptedconflict"
+const _VerdictLowerName = "acceptedconflictsuperseded"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -26,23 +26,27 @@
 	var x [1]struct{}
 	_ = x[VerdictAccepted-(0)]
 	_ = x[VerdictConflict-(1)]
+	_ = x[VerdictSuperseded-(2)]
 }
 
-var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict}
+var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict, VerdictSuperseded}
 
 var _VerdictNameToValueMap = map[string]Verdict{
-	_VerdictName[0:8]:  VerdictAccepted,
-	_VerdictName[8:16]: VerdictConflict,
+	_VerdictName[0:8]:   VerdictAccepted,
+	_VerdictName[8:16]:  VerdictConflict,
+	_VerdictName[16:26]: VerdictSuperseded,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
-	_VerdictLowerName[0:8]:  VerdictAccepted,
-	_VerdictLowerName[8:16]: VerdictConflict,
+	_VerdictLowerName[0:8]:   VerdictAccepted,
+	_VerdictLowerName[8:16]:  VerdictConflict,
+	_VerdictLowerName[16:26]: VerdictSuperseded,
 }
 
 var _VerdictNames = []string{
 	_VerdictName[0:8],
 	_VerdictName[8:16],
+	_VerdictName[16:26],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -25,6 +25,9 @@
 	VerdictAccepted Verdict = iota
 	// VerdictConflict means that another change was accepted first.
 	VerdictConflict
+	// VerdictSuperseded means that the newest version has the change's revision or a
+	// higher one. Nothing has changed and nothing needs to.
+	VerdictSuperseded
 )
 
 // Change asks for a new version.
@@ -40,6 +43,10 @@
 	Document []byte `cbor:"4,keyasint"`
 	// At is the wall clock of the proposer in RFC 3339, for display only.
 	At string `cbor:"5,keyasint,omitempty"`
+	// Revision is set by a source that numbers its documents itself. Such a change is
+	// accepted if its revision is higher than the newest version's, whatever Expected
+	// says, so that documents may arrive out of order and more than once.
+	Revision identifier.ConfigRevision `cbor:"6,keyasint,omitempty"`
 }
 
 // Version is one accepted configuration.
@@ -49,6 +56,8 @@
 	Request  identifier.RequestID     `cbor:"3,keyasint" json:"request"`
 	At       string                   `cbor:"4,keyasint,omitempty" json:"at"`
 	Document []byte                   `cbor:"5,keyasint" json:"-"`
+	// Revision is the outside source's number of the document, if it has one.
+	Revision identifier.ConfigRevision `cbor:"6,keyasint,omitempty" json:"revision,omitempty"`
 }
 
 // Result is the answer to a change.
@@ -106,9 +115,9 @@
 
 func (register *Register) decide(change *Change) Result {
 	newest := register.Newest()
-	if change.Expected != newest.Version {
+	if verdict, rejected := register.rejection(change); rejected {
 		return Result{
-			Request: change.Request, Verdict: VerdictConflict,
+			Request: change.Request, Verdict: verdict,
 			Newest: newest.Version, Winner: newest.Operator, WonAt: newest.At,
 		}
 	}
@@ -118,6 +127,7 @@
 		Request:  change.Request,
 		At:       change.At,
 		Document: change.Document,
+		Revision: change.Revision,
 	}
 	register.versions = append(register.versions, accepted)
 	if excess := len(register.versions) - register.HistoryBound; excess > 0 {
@@ -129,6 +139,17 @@
 	}
 }
 
+// rejection tells why a change does not become the newest version, if it doesn't.
+func (register *Register) rejection(change *Change) (Verdict, bool) {
+	newest := register.Newest()
+	switch {
+	case change.Revision > 0:
+		return VerdictSuperseded, change.Revision <= newest.Revision
+	default:
+		return VerdictConflict, change.Expected != newest.Version
+	}
+}
+
 func (register *Register) remember(result Result) {
 	register.results.Put(result.Request, &result)
 	if register.results.Len() <= register.ResultBound {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -5,6 +5,9 @@
 package coordinator
 
 import (
+	"slices"
+
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
@@ -14,6 +17,7 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/planner"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // Coordinator is one host of the system. Set the exported fields before the
@@ -22,6 +26,9 @@
 	// Self describes this host, Seeds the other hosts that the settings name.
 	Self  gossiper.Member
 	Seeds []gossiper.Member
+	// Founders are the keepers that found a new log; without them, those of Self and
+	// Seeds do.
+	Founders []identifier.HostID
 	// Seed makes random choices repeatable; it differs between hosts.
 	Seed     uint64
 	Settings Settings
@@ -50,6 +57,10 @@
 	driving       *driving
 	intentKeeping *intentKeeping
 	quotas        quotas
+	// supervisor and allocator serve jobs that need not be remembered on backend
+	// servers that are called.
+	supervisor *supervisor.Supervisor
+	allocator  *allocator.Allocator
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
@@ -65,6 +76,8 @@
 	toKeeper     []keeper.Input
 	toRequester  []claimer.Input
 	toFollower   []configurer.Input
+	toSupervisor []supervisor.Input
+	toAllocator  []allocator.Input
 	outputs      outbox
 	draining     bool
 	// connected are the hosts to which a connection stands.
@@ -97,6 +110,8 @@
 	next = identifier.Earlier(next, coordinator.petitions.timers.Next())
 	next = identifier.Earlier(next, coordinator.driving.nextDeadline())
 	next = identifier.Earlier(next, coordinator.intentKeeping.nextDeadline())
+	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
+	next = identifier.Earlier(next, coordinator.allocator.NextDeadline())
 	if coordinator.keeper != nil {
 		next = identifier.Earlier(next, coordinator.keeper.NextDeadline())
 	}
@@ -118,8 +133,21 @@
 		FailureDomain: coordinator.Self.FailureDomain,
 		Settings:      coordinator.Settings.Forwarder,
 	}
+	coordinator.supervisor = &supervisor.Supervisor{
+		Self:          coordinator.Self.Host,
+		FailureDomain: coordinator.Self.FailureDomain,
+		Settings:      coordinator.Settings.Supervisor,
+	}
+	coordinator.allocator = &allocator.Allocator{
+		Self:          coordinator.Self.Host,
+		FailureDomain: coordinator.Self.FailureDomain,
+		Settings:      coordinator.Settings.Allocator,
+	}
 	coordinator.gossiper = coordinator.newGossiper()
 	coordinator.elector = coordinator.newElector()
+	if !slices.Contains(coordinator.Self.Roles, gossiper.RoleEntry) {
+		coordinator.tellElector(elector.Resign{})
+	}
 	coordinator.keeper = coordinator.newKeeper()
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration, StartedAt: now}
@@ -140,6 +168,7 @@
 		coordinator.settleMembership()
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
+		coordinator.settleRooming()
 		coordinator.driving.settle()
 		coordinator.intentKeeping.settle()
 	}
@@ -149,6 +178,7 @@
 	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
+		len(coordinator.toSupervisor) > 0 || len(coordinator.toAllocator) > 0 ||
 		len(coordinator.toFollower) > 0 || len(coordinator.driving.inputs) > 0
 }
 
@@ -200,7 +230,7 @@
 // reportDrained tells, during a graceful shutdown, that every caller's
 // submission has its answer and that other hosts know all that this one knows.
 func (coordinator *Coordinator) reportDrained() {
-	if coordinator.draining && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.Unhanded() == 0 {
+	if coordinator.draining && coordinator.supervisor.Jobs() == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.Unhanded() == 0 {
 		coordinator.outputs.add(&Drained{})
 	}
 }
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -19,14 +19,36 @@
 		return nil
 	}
 	created := &keeper.Keeper{Self: coordinator.Self.Host, Seed: coordinator.Seed, Settings: coordinator.Settings.Keeper}
-	for _, host := range coordinator.keeperHosts() {
+	if coordinator.Settings.JoinKeepers {
+		return created
+	}
+	founders := coordinator.Founders
+	if len(founders) == 0 {
+		founders = coordinator.settingsKeepers()
+	}
+	for _, host := range founders {
 		created.InitialMembers = append(created.InitialMembers, replicator.Member{Host: host, Role: replicator.MemberVoter})
 	}
 	return created
 }
 
-// keeperHosts lists the keepers that the settings name, in order of their ids.
+// keeperHosts lists the keepers that the settings name and those that the membership
+// knows, in order of their ids. The settings of a process may be older than the
+// keepers: one that was replaced is only known by the membership.
 func (coordinator *Coordinator) keeperHosts() []identifier.HostID {
+	hosts := coordinator.settingsKeepers()
+	for _, state := range coordinator.gossiper.Members() {
+		member := state.Member
+		if state.Living() && slices.Contains(member.Roles, gossiper.RoleKeeper) && !slices.Contains(hosts, member.Host) {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// settingsKeepers lists the keepers that the settings name, in order of their ids.
+func (coordinator *Coordinator) settingsKeepers() []identifier.HostID {
 	var hosts []identifier.HostID
 	for _, member := range append([]gossiper.Member{coordinator.Self}, coordinator.Seeds...) {
 		if slices.Contains(member.Roles, gossiper.RoleKeeper) && !slices.Contains(hosts, member.Host) {
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
@@ -86,7 +87,7 @@
 	}
 	living := coordinator.livingIn(member.FailureDomain)
 	coordinator.tellElector(elector.HostsChanged{
-		FailureDomain: member.FailureDomain, Living: living, Missing: coordinator.missingIn(member.FailureDomain),
+		FailureDomain: member.FailureDomain, Living: coordinator.entryHosts(living), Missing: coordinator.missingIn(member.FailureDomain),
 	})
 	coordinator.tellForwarder(&forwarder.DomainChanged{FailureDomain: member.FailureDomain, Living: len(living) > 0})
 	if member.FailureDomain == coordinator.Self.FailureDomain {
@@ -96,6 +97,7 @@
 		}
 		coordinator.tellHostChanged(change, restarted)
 	}
+	coordinator.changeRoomHost(change.New, restarted)
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.changeKeeperReachability(change.New)
 	}
@@ -136,6 +138,7 @@
 // loseLeaver waits no longer for a host that has left.
 func (coordinator *Coordinator) loseLeaver(host identifier.HostID) {
 	if state, known := coordinator.gossiper.State(host); known && state.Status == gossiper.StatusLeft {
+		coordinator.tellAllocator(&allocator.HostGone{Host: host})
 		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host, Left: true})
 	}
 }
@@ -180,6 +183,22 @@
 	return living
 }
 
+// entryHosts returns those of hosts that serve callers. A host that only keeps the
+// replicated log must not lead a cell: it has no part of the data path.
+func (coordinator *Coordinator) entryHosts(hosts []identifier.HostID) []identifier.HostID {
+	var serving []identifier.HostID
+	for _, host := range hosts {
+		member := coordinator.Self
+		if state, known := coordinator.gossiper.State(host); known && host != coordinator.Self.Host {
+			member = state.Member
+		}
+		if slices.Contains(member.Roles, gossiper.RoleEntry) {
+			serving = append(serving, host)
+		}
+	}
+	return serving
+}
+
 // missingIn counts the hosts of a failure domain that are known and may live
 // somewhere out of reach.
 func (coordinator *Coordinator) missingIn(failureDomain identifier.FailureDomain) int {
@@ -273,6 +292,7 @@
 			FailureDomain: output.FailureDomain, Cell: output.Cell, Host: output.Host, Epoch: output.Epoch,
 		}
 		coordinator.tellForwarder(&forwarder.LeadKnown{Notice: notice})
+		coordinator.learnLead(notice)
 		if output.FailureDomain != coordinator.Self.FailureDomain {
 			coordinator.tellDispatcher(&dispatcher.RemoteLeadKnown{Notice: notice})
 		}
@@ -285,6 +305,7 @@
 		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missing(),
 	})
 	coordinator.driving.leadTaken(taken.Cell)
+	coordinator.takeRoomLead(taken)
 	notice := messenger.LeadNotice{
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cell:          taken.Cell,
@@ -299,6 +320,7 @@
 func (coordinator *Coordinator) loseLead(lost elector.LeadLost) {
 	coordinator.tellDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
 	coordinator.driving.leadLost(lost.Cell)
+	coordinator.loseRoomLead(lost)
 	coordinator.publish(leadRecordKey(lost.Cell), "")
 	notice := messenger.LeadNotice{FailureDomain: coordinator.Self.FailureDomain, Cell: lost.Cell, Epoch: lost.Epoch}
 	coordinator.outputs.add(&LeadChanged{Notice: notice})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/explainer"
@@ -11,6 +12,7 @@
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // Input is a message or event that Tick applies.
@@ -60,6 +62,9 @@
 	Command keeper.Command
 	// Read asks to read intents in place of a command.
 	Read *keeper.IntentRead
+	// ReadConfig asks for the newest accepted configuration in place of a command. It
+	// is answered only while a quorum of the keepers confirms it.
+	ReadConfig bool
 }
 
 // ConfigHistoryWanted asks for the configurations that the own keeper has.
@@ -77,6 +82,18 @@
 // StatusWanted asks for what operators see of this host.
 type StatusWanted struct{ Waiter uint64 }
 
+// SupervisorEvent brings an event of a job that need not be remembered.
+type SupervisorEvent struct{ Event supervisor.Input }
+
+// AllocatorEvent brings the answer of a backend server that was called.
+type AllocatorEvent struct{ Event allocator.Input }
+
+// CardAnnounced brings what a backend server that is called says about itself.
+type CardAnnounced struct{ Card messenger.ServerCard }
+
+func (*SupervisorEvent) isCoordinatorInput()     {}
+func (*AllocatorEvent) isCoordinatorInput()      {}
+func (*CardAnnounced) isCoordinatorInput()       {}
 func (*PeerBatchArrived) isCoordinatorInput()    {}
 func (*PeerConnected) isCoordinatorInput()       {}
 func (*PeerDisconnected) isCoordinatorInput()    {}
@@ -175,6 +192,30 @@
 	Status Status
 }
 
+// CallHold calls a backend server for what runs and what has ended there.
+type CallHold struct{ Call *allocator.HoldServer }
+
+// CallStop calls a backend server to stop a run.
+type CallStop struct{ Call *allocator.StopRun }
+
+// CallStart calls a backend server to start a run.
+type CallStart struct{ Call *supervisor.StartRun }
+
+// JobEnded answers the caller of a job that need not be remembered.
+type JobEnded struct{ Ended *supervisor.JobEnded }
+
+// Decided reports a decision for the log.
+type Decided struct{ Decision messenger.Decision }
+
+// LeadKnown tells who leads a failure domain; an empty host that nobody does.
+type LeadKnown struct{ Notice messenger.LeadNotice }
+
+func (*CallHold) isCoordinatorOutput()            {}
+func (*CallStop) isCoordinatorOutput()            {}
+func (*CallStart) isCoordinatorOutput()           {}
+func (*JobEnded) isCoordinatorOutput()            {}
+func (*Decided) isCoordinatorOutput()             {}
+func (*LeadKnown) isCoordinatorOutput()           {}
 func (*ToPeer) isCoordinatorOutput()              {}
 func (*ToServer) isCoordinatorOutput()            {}
 func (*ToCaller) isCoordinatorOutput()            {}
@@ -229,6 +270,15 @@
 	// Intents.
 	IntentSync *IntentSync   `cbor:"40,keyasint,omitempty"`
 	IntentNews *planner.News `cbor:"41,keyasint,omitempty"`
+	// Jobs that need not be remembered, and the backend servers that are called.
+	RoomRequest *messenger.RoomRequest `cbor:"50,keyasint,omitempty"`
+	RoomRelease identifier.JobID       `cbor:"51,keyasint,omitempty"`
+	StartReport *messenger.StartReport `cbor:"52,keyasint,omitempty"`
+	Grant       *messenger.Grant       `cbor:"53,keyasint,omitempty"`
+	RoomAnswer  *messenger.RoomAnswer  `cbor:"54,keyasint,omitempty"`
+	TaskDone    *messenger.TaskDone    `cbor:"55,keyasint,omitempty"`
+	RoomNotice  *messenger.RoomNotice  `cbor:"56,keyasint,omitempty"`
+	ServerCards []messenger.ServerCard `cbor:"57,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/petitions.go
+++ b/pkg/coordinator/petitions.go
@@ -26,11 +26,13 @@
 }
 
 type petition struct {
-	waiter   uint64
-	command  keeper.Command
-	read     *keeper.IntentRead
-	giveUpAt identifier.Moment
-	attempts int
+	waiter  uint64
+	command keeper.Command
+	read    *keeper.IntentRead
+	// readConfig asks for the newest configuration.
+	readConfig bool
+	giveUpAt   identifier.Moment
+	attempts   int
 }
 
 func newPetitions(coordinator *Coordinator) *petitions {
@@ -55,7 +57,9 @@
 	petitions.coordinator.nextNonce++
 	nonce := petitions.coordinator.nextNonce
 	giveUpAt := petitions.coordinator.now.Add(petitionGiveUp)
-	petitions.waiting.Put(nonce, &petition{waiter: request.Waiter, command: request.Command, read: request.Read, giveUpAt: giveUpAt})
+	petitions.waiting.Put(nonce, &petition{
+		waiter: request.Waiter, command: request.Command, read: request.Read, readConfig: request.ReadConfig, giveUpAt: giveUpAt,
+	})
 	petitions.send(nonce)
 }
 
@@ -65,7 +69,7 @@
 	if len(keepers) > 0 {
 		to := keepers[petition.attempts%len(keepers)]
 		petitions.coordinator.sendRequest(to, keeper.Request{
-			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command, Read: petition.read,
+			Origin: petitions.coordinator.Self.Host, Nonce: nonce, Command: petition.command, Read: petition.read, ReadConfig: petition.readConfig,
 		})
 	}
 	petition.attempts++
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -33,6 +33,12 @@
 		coordinator.hearServer(input.Event)
 	case *CallerEvent:
 		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
+	case *SupervisorEvent:
+		coordinator.tellSupervisor(input.Event)
+	case *AllocatorEvent:
+		coordinator.hearCalledServer(input.Event)
+	case *CardAnnounced:
+		coordinator.announceCard(&input.Card)
 	case *ShutdownRequested:
 		coordinator.shutDown()
 	default:
@@ -87,6 +93,9 @@
 }
 
 func (coordinator *Coordinator) applyPeerMessage(from identifier.HostID, message *PeerMessage) {
+	if coordinator.applyRoomMessage(from, message) {
+		return
+	}
 	switch {
 	case message.Forward != nil:
 		coordinator.receiveForward(from, message.Forward)
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
@@ -10,6 +11,7 @@
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // Settings joins the settings of the parts.
@@ -21,9 +23,15 @@
 	Claims        claimer.RequesterSettings
 	Configuration configurer.FollowerSettings
 	Intents       IntentSettings
+	Supervisor    supervisor.Settings
+	Allocator     allocator.Settings
 	// LeadSettle is how long a starting host waits to hear of a living lead
 	// before it takes a cell, so that it does not duel with that lead.
 	LeadSettle time.Duration
+	// JoinKeepers makes a keeper without a log wait until the others take it in, in
+	// place of founding a log with the keepers that the settings name. A keeper that
+	// lost its disk would else vote as if it had never accepted anything.
+	JoinKeepers bool
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
@@ -36,6 +44,8 @@
 		Claims:        claimer.DefaultRequesterSettings(),
 		Configuration: configurer.DefaultFollowerSettings(),
 		Intents:       DefaultIntentSettings(),
+		Supervisor:    supervisor.DefaultSettings(),
+		Allocator:     allocator.DefaultSettings(),
 		LeadSettle:    elector.DefaultSettleTime,
 	}
 }
--- a/pkg/identifier/ids.go
+++ b/pkg/identifier/ids.go
@@ -57,6 +57,10 @@
 // ConfigVersion numbers the accepted configurations; the first is 1.
 type ConfigVersion uint64
 
+// ConfigRevision is the number that an outside source of configurations gives its
+// documents; numbers rise, but not always by one. Zero means that there is none.
+type ConfigRevision uint64
+
 // Slots counts tasks that a backend server can run at the same moment.
 type Slots int
 
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -24,6 +24,9 @@
 	Intent    *planner.Result    `cbor:"3,keyasint,omitempty"`
 	// Intents answers a request that reads.
 	Intents *IntentRecords `cbor:"4,keyasint,omitempty"`
+	// Config answers a request that reads the configuration; its version is 0 before
+	// the first one.
+	Config *configurer.Version `cbor:"5,keyasint,omitempty"`
 }
 
 // Nonce names a request between the host that asks and its reply.
@@ -41,8 +44,13 @@
 	Forwarded bool `cbor:"4,keyasint,omitempty"`
 	// Read asks to read in place of carrying out a command.
 	Read *IntentRead `cbor:"5,keyasint,omitempty"`
+	// ReadConfig asks for the newest configuration in place of carrying out a command.
+	ReadConfig bool `cbor:"6,keyasint,omitempty"`
 }
 
+// reads tells whether the request carries out no command.
+func (request *Request) reads() bool { return request.Read != nil || request.ReadConfig }
+
 // Reply answers a Request.
 type Reply struct {
 	Nonce  Nonce     `cbor:"1,keyasint"`
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -138,7 +138,7 @@
 		keeper.outputs = append(keeper.outputs, &Forward{To: keeper.leader, Request: request})
 		return log
 	}
-	if request.Read != nil {
+	if request.reads() {
 		return keeper.read(log, request)
 	}
 	data, err := encodeCommand(&request.Command)
--- a/pkg/keeper/reading.go
+++ b/pkg/keeper/reading.go
@@ -41,6 +41,11 @@
 		return
 	}
 	keeper.pending.Remove(handle)
+	if request.ReadConfig {
+		newest := keeper.newestVersion()
+		keeper.reply(request, Reply{Kind: ReplyApplied, Result: Result{Config: &newest}})
+		return
+	}
 	records := keeper.machine.readIntents(request.Read)
 	keeper.reply(request, Reply{Kind: ReplyApplied, Result: Result{Intents: &records}})
 }
--- /dev/null
+++ b/pkg/messenger/room.go
@@ -0,0 +1,179 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// TaskIndex numbers the tasks of one job from 0.
+type TaskIndex int
+
+// RunKey names one run of one task.
+type RunKey struct {
+	Job  identifier.JobID     `cbor:"1,keyasint"`
+	Task TaskIndex            `cbor:"2,keyasint,omitempty"`
+	Run  identifier.RunNumber `cbor:"3,keyasint"`
+}
+
+// RoomRequest asks the lead of a failure domain for room on backend servers that are
+// called, for the tasks of one job. It carries no payload: the host that asks starts
+// the runs itself.
+type RoomRequest struct {
+	Job     identifier.JobID       `cbor:"1,keyasint"`
+	Service identifier.ServiceName `cbor:"2,keyasint"`
+	// Queue groups jobs that are alike, for estimates.
+	Queue identifier.QueueName `cbor:"3,keyasint"`
+	// Urgency is the queue's priority; 0 comes first.
+	Urgency int        `cbor:"4,keyasint,omitempty"`
+	Tasks   []RoomTask `cbor:"5,keyasint"`
+	// Attempts is how many runs of one task may fail.
+	Attempts int `cbor:"6,keyasint"`
+	// Label is what the backend server must have; empty for any.
+	Label string `cbor:"7,keyasint,omitempty"`
+	// PerServer bounds the job's tasks on one backend server; 0 does not.
+	PerServer int `cbor:"8,keyasint,omitempty"`
+	// Elapsed is how long ago the caller sent the job.
+	Elapsed time.Duration `cbor:"9,keyasint,omitempty"`
+	// Stretch times the longest run time plus Allowance is the response time that the
+	// caller counts as in time.
+	Stretch   float64       `cbor:"10,keyasint"`
+	Allowance time.Duration `cbor:"11,keyasint,omitempty"`
+	// Remaining is the time after which the caller no longer waits.
+	Remaining time.Duration `cbor:"12,keyasint"`
+	// HandedOver tells that another lead sent the job here; it is not sent on.
+	HandedOver bool `cbor:"13,keyasint,omitempty"`
+	// RunsBelow is a run number that every new run must exceed.
+	RunsBelow identifier.RunNumber `cbor:"14,keyasint,omitempty"`
+	// Held are the runs that an earlier lead granted and that have not ended.
+	Held []HeldRun `cbor:"15,keyasint,omitempty"`
+}
+
+// RoomTask is one task that needs room.
+type RoomTask struct {
+	Task     TaskIndex            `cbor:"1,keyasint,omitempty"`
+	Needs    identifier.Resources `cbor:"2,keyasint"`
+	Declared time.Duration        `cbor:"3,keyasint,omitempty"`
+}
+
+// HeldRun is a run that an earlier lead granted.
+type HeldRun struct {
+	RoomTask RoomTask                   `cbor:"1,keyasint"`
+	Run      identifier.RunNumber       `cbor:"2,keyasint"`
+	Server   identifier.BackendServerID `cbor:"3,keyasint"`
+}
+
+// Grant gives tasks of a job room; the host that asked starts them.
+type Grant struct {
+	Job   identifier.JobID `cbor:"1,keyasint"`
+	Epoch identifier.Epoch `cbor:"2,keyasint"`
+	Runs  []GrantedRun     `cbor:"3,keyasint"`
+}
+
+// GrantedRun is the room of one run.
+type GrantedRun struct {
+	Task    TaskIndex                  `cbor:"1,keyasint,omitempty"`
+	Run     identifier.RunNumber       `cbor:"2,keyasint"`
+	Server  identifier.BackendServerID `cbor:"3,keyasint"`
+	Address string                     `cbor:"4,keyasint"`
+	// LeaseEnd is on the backend server's clock. A start that comes later is refused.
+	LeaseEnd identifier.ServerTime `cbor:"5,keyasint"`
+}
+
+// RoomAnswer tells what became of a RoomRequest that is not granted at once.
+type RoomAnswer struct {
+	Job  identifier.JobID `cbor:"1,keyasint"`
+	Kind RoomAnswerKind   `cbor:"2,keyasint"`
+	// Reason tells why a job is turned away or has failed.
+	Reason Reason `cbor:"3,keyasint,omitempty"`
+	Detail string `cbor:"4,keyasint,omitempty"`
+	// RetryAfter is when a job that was turned away is worth another try.
+	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
+	// Lead is the host to ask in place of this one.
+	Lead identifier.HostID `cbor:"6,keyasint,omitempty"`
+}
+
+//go:generate enumer -type=RoomAnswerKind,StartOutcome -trimprefix=RoomAnswer,Start -transform=kebab -text -output=room_enumer.go
+
+// RoomAnswerKind tells what became of a request for room.
+type RoomAnswerKind int
+
+// The kinds of answers.
+const (
+	// RoomAnswerWaiting means that the job waits for room.
+	RoomAnswerWaiting RoomAnswerKind = iota
+	// RoomAnswerTurnedAway means that the job gets no room and that no run of it was
+	// granted by this lead.
+	RoomAnswerTurnedAway
+	// RoomAnswerAskOther means that another lead has room.
+	RoomAnswerAskOther
+	// RoomAnswerFailed means that the job can't be completed any more.
+	RoomAnswerFailed
+	// RoomAnswerNotLed means that the host does not lead.
+	RoomAnswerNotLed
+)
+
+// StartOutcome is what became of the call that starts a run.
+type StartOutcome int
+
+// The outcomes of starts.
+const (
+	// StartAccepted means that the run is there.
+	StartAccepted StartOutcome = iota
+	// StartNoRoom means that the backend server has less room than was thought.
+	StartNoRoom
+	// StartStaleRun means that the backend server has seen this run or a later one
+	// end.
+	StartStaleRun
+	// StartLeaseOver means that the lease ended before the start came.
+	StartLeaseOver
+	// StartFenced means that the backend server has seen a newer lead.
+	StartFenced
+	// StartUnhealthy means that the backend server takes no starts now.
+	StartUnhealthy
+	// StartInvalid means that the backend server can't read the start.
+	StartInvalid
+	// StartServerGone means that another incarnation answers at the address, or none.
+	StartServerGone
+	// StartUnanswered means that nobody knows whether the run is there.
+	StartUnanswered
+)
+
+// StartReport tells a lead of a start that was not accepted.
+type StartReport struct {
+	RunKey  RunKey       `cbor:"1,keyasint"`
+	Outcome StartOutcome `cbor:"2,keyasint"`
+}
+
+// TaskDone tells that a run of a task has ended well.
+type TaskDone struct {
+	RunKey RunKey `cbor:"1,keyasint"`
+}
+
+// RoomNotice tells other leads what room one has.
+type RoomNotice struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint"`
+	// Spots is how many tasks of the usual size could start at once.
+	Spots int `cbor:"2,keyasint,omitempty"`
+	// Waiting is how many tasks wait for room.
+	Waiting int `cbor:"3,keyasint,omitempty"`
+	// Servers is how many backend servers can be used.
+	Servers int `cbor:"4,keyasint,omitempty"`
+}
+
+// ServerCard is what a backend server that is called says about itself.
+type ServerCard struct {
+	Server        identifier.BackendServerID `cbor:"1,keyasint"`
+	Service       identifier.ServiceName     `cbor:"2,keyasint"`
+	Address       string                     `cbor:"3,keyasint"`
+	FailureDomain identifier.FailureDomain   `cbor:"4,keyasint"`
+	Capacity      identifier.Resources       `cbor:"5,keyasint"`
+	Labels        []string                   `cbor:"6,keyasint,omitempty"`
+	Draining      bool                       `cbor:"7,keyasint,omitempty"`
+	// Sequence orders the cards of one life of a backend server.
+	Sequence uint64 `cbor:"8,keyasint"`
+	// Clock is the server's clock when it sent the card; zero tells nothing.
+	Clock identifier.ServerTime `cbor:"9,keyasint,omitempty"`
+	// Gone tells that the life has ended.
+	Gone bool `cbor:"10,keyasint,omitempty"`
+}
--- /dev/null
+++ b/pkg/supervisor/supervisor.go
@@ -0,0 +1,178 @@
+// Package supervisor decides, on the host that a caller is connected to, what becomes
+// of one job that need not be remembered: which lead is asked for room, which runs
+// are started, and when the caller gets its one answer. Only this host starts runs of
+// its jobs, so that a lead that is lost loses none of them.
+//
+// It is pure: time and events come in through Tick, calls and messages go out.
+package supervisor
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/tabulator"
+)
+
+// Settings says how long things last.
+type Settings struct {
+	// LeadSilence is how long a lead may take to answer a request before another lead
+	// is asked. The way there and back takes about 1 ms, a busy host some more.
+	LeadSilence time.Duration
+	// LeadWait is how long a job waits for somebody to lead its failure domain.
+	LeadWait time.Duration
+	// RetryAfter is when a job that found no lead is worth another try: a lost lead is
+	// replaced in little more than a second.
+	RetryAfter time.Duration
+}
+
+// DefaultSettings returns the settings that the daemon starts from.
+func DefaultSettings() Settings {
+	return Settings{LeadSilence: 40 * time.Millisecond, LeadWait: 60 * time.Millisecond, RetryAfter: time.Second}
+}
+
+// Supervisor holds the jobs of this host's callers. Set the exported fields before
+// the first Tick.
+type Supervisor struct {
+	Self          identifier.HostID
+	FailureDomain identifier.FailureDomain
+	Settings      Settings
+
+	now     identifier.Moment
+	jobs    *tabulator.Table[identifier.JobID, job]
+	leads   *tabulator.Table[identifier.FailureDomain, identifier.HostID]
+	timers  *tabulator.Timers[timerKey]
+	outputs []Output
+}
+
+// timerKind tells what a timer is for.
+type timerKind int
+
+const (
+	timerDeadline timerKind = iota
+	timerSilence
+)
+
+type timerKey struct {
+	kind timerKind
+	job  identifier.JobID
+}
+
+// job is one job of a caller.
+type job struct {
+	spec      Job
+	waiters   []WaiterID
+	arrivedAt identifier.Moment
+	deadline  identifier.Moment
+	tasks     []task
+	left      int
+	// lead is the host that was asked for room, empty while nobody is; domain is the
+	// failure domain that it leads.
+	lead   identifier.HostID
+	domain identifier.FailureDomain
+	// heard tells that the lead has answered the request.
+	heard bool
+	// granted tells that a start of some run may have gone out.
+	granted bool
+	lastRun identifier.RunNumber
+	// tried are the leads that were asked.
+	tried map[identifier.HostID]bool
+}
+
+// task is one task of a job.
+type task struct {
+	done bool
+	// run is the run that was granted last and is not known to be over; 0 is none.
+	run    identifier.RunNumber
+	server identifier.BackendServerID
+}
+
+// Tick applies the inputs, lets deadlines fall due and returns what to do.
+func (supervisor *Supervisor) Tick(now identifier.Moment, inputs []Input) []Output {
+	supervisor.prepare(now)
+	for _, input := range inputs {
+		supervisor.apply(input)
+	}
+	supervisor.timers.EachDue(now, supervisor.expire)
+	outputs := supervisor.outputs
+	supervisor.outputs = nil
+	return outputs
+}
+
+// NextDeadline returns when Tick must run even without inputs.
+func (supervisor *Supervisor) NextDeadline() identifier.Moment {
+	if supervisor.timers == nil {
+		return identifier.Never
+	}
+	return supervisor.timers.Next()
+}
+
+// Jobs returns how many jobs have no answer yet.
+func (supervisor *Supervisor) Jobs() int {
+	if supervisor.jobs == nil {
+		return 0
+	}
+	return supervisor.jobs.Len()
+}
+
+// Led tells whether some failure domain has a lead, as far as this host knows.
+func (supervisor *Supervisor) Led() bool {
+	return supervisor.leads != nil && supervisor.leadOf(supervisor.FailureDomain) != ""
+}
+
+func (supervisor *Supervisor) prepare(now identifier.Moment) {
+	supervisor.now = now
+	if supervisor.timers != nil {
+		return
+	}
+	supervisor.jobs = tabulator.New[identifier.JobID, job]()
+	supervisor.leads = tabulator.New[identifier.FailureDomain, identifier.HostID]()
+	supervisor.timers = tabulator.NewTimers[timerKey]()
+}
+
+func (supervisor *Supervisor) apply(input Input) {
+	switch input := input.(type) {
+	case *JobArrived:
+		supervisor.arrive(input)
+	case *CallerLeft:
+		supervisor.callerLeft(input)
+	case *LeadKnown:
+		supervisor.changeLead(input)
+	case *GrantArrived:
+		supervisor.takeGrant(input)
+	case *AnswerArrived:
+		supervisor.takeAnswer(input)
+	case *DoneArrived:
+		supervisor.takeDone(input)
+	case *StartReturned:
+		supervisor.takeStart(input)
+	}
+}
+
+func (supervisor *Supervisor) expire(key timerKey) {
+	job := supervisor.jobs.Get(key.job)
+	if job == nil {
+		return
+	}
+	switch key.kind {
+	case timerDeadline:
+		supervisor.giveUp(job)
+	case timerSilence:
+		supervisor.leadSilent(job)
+	}
+}
+
+func (supervisor *Supervisor) emit(output Output) {
+	supervisor.outputs = append(supervisor.outputs, output)
+}
+
+func (supervisor *Supervisor) decided(decision messenger.Decision) {
+	supervisor.emit(&Decided{Decision: decision})
+}
+
+func (supervisor *Supervisor) leadOf(domain identifier.FailureDomain) identifier.HostID {
+	if lead := supervisor.leads.Get(domain); lead != nil {
+		return *lead
+	}
+	return ""
+}
