Don't take a run on an unknown backend server for over

A host that had just started took the lead without the cards of the backend servers; a job's host named a run on one of them, and the new lead granted the task again although the run went on. Ruled out: a late start under the old fence (the first run was listed before the lead changed).

Change: a server that only a job's host names is called before anything is concluded; leases of earlier leads count until they have surely lapsed; cards are shared again whenever a connection stands. A fenced start counts only under the present epoch.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -119,7 +119,10 @@
 		return
 	}
 	server := allocator.servers.Get(held.Server)
-	if server == nil || server.gone {
+	if server == nil {
+		server = allocator.joinUnannounced(job, held)
+	}
+	if server.gone {
 		return
 	}
 	known := server.runs[key]
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -171,6 +171,7 @@
 	allocator.dropLedger()
 	allocator.epoch = epoch
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		server.oldLeasesEnd = allocator.oldLeasesEnd()
 		allocator.hold(server)
 		return true
 	})
--- /dev/null
+++ b/pkg/allocator/allocator_test.go
@@ -0,0 +1,259 @@
+package allocator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/stoathitch/stoathitch/pkg/allocator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestScenarios plays the files of testdata. Each command is one tick at the time of
+// its argument at; what comes out is printed, a line each.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		scenario := &scenario{allocator: &allocator.Allocator{
+			Self: "host-a", FailureDomain: "leuven", Settings: allocator.DefaultSettings(),
+		}}
+		datadriven.RunTest(t, path, scenario.run)
+	})
+}
+
+// scenario is one allocator whose surroundings a test file plays.
+type scenario struct {
+	allocator *allocator.Allocator
+	now       identifier.Moment
+}
+
+func (scenario *scenario) run(t *testing.T, data *datadriven.TestData) string {
+	var at time.Duration
+	if scanned, found := scanDuration(t, data, "at"); found {
+		at = scanned
+		scenario.now = identifier.Moment(at)
+	}
+	var inputs []allocator.Input
+	switch data.Cmd {
+	case "lead":
+		var epoch uint64
+		data.ScanArgs(t, "epoch", &epoch)
+		inputs = append(inputs, &allocator.LeadTaken{Epoch: identifier.Epoch(epoch)})
+	case "lead-lost":
+		inputs = append(inputs, &allocator.LeadLost{})
+	case "card":
+		inputs = append(inputs, &allocator.CardArrived{Card: scanCard(t, data)})
+	case "request":
+		inputs = append(inputs, &allocator.RoomRequested{From: "host-b", Request: scanRequest(t, data)})
+	case "release":
+		inputs = append(inputs, &allocator.RoomReleased{From: "host-b", Job: identifier.JobID(scanString(t, data, "job"))})
+	case "report":
+		inputs = append(inputs, scanReport(t, data))
+	case "hold":
+		inputs = append(inputs, scenario.scanHold(t, data))
+	case "stopped":
+		inputs = append(inputs, scanStopped(t, data))
+	case "host-gone":
+		inputs = append(inputs, &allocator.HostGone{Host: "host-b"})
+	case "remote":
+		inputs = append(inputs, &allocator.RemoteLeadKnown{FailureDomain: "geel", Host: "host-g"})
+		var spots int
+		data.ScanArgs(t, "spots", &spots)
+		inputs = append(inputs, &allocator.NoticeArrived{Notice: messenger.RoomNotice{FailureDomain: "geel", Spots: spots}})
+	case "wait":
+		return scenario.wait()
+	default:
+		t.Fatalf("unknown command %q", data.Cmd)
+	}
+	return show(scenario.allocator.Tick(scenario.now, inputs))
+}
+
+// wait lets deadlines fall due up to the present moment, each at its time.
+func (scenario *scenario) wait() string {
+	var lines strings.Builder
+	until := scenario.now
+	for {
+		next := scenario.allocator.NextDeadline()
+		if next > until {
+			return lines.String()
+		}
+		scenario.now = next
+		for _, line := range strings.SplitAfter(show(scenario.allocator.Tick(next, nil)), "\n") {
+			if line != "" {
+				fmt.Fprintf(&lines, "%v: %s", time.Duration(next), line)
+			}
+		}
+		scenario.now = until
+	}
+}
+
+func show(outputs []allocator.Output) string {
+	var lines strings.Builder
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case *allocator.GrantRoom:
+			for _, run := range output.Grant.Runs {
+				fmt.Fprintf(&lines, "grant %s task %d run %d on %s epoch %d\n", output.Grant.Job, run.Task, run.Run, run.Server, output.Grant.Epoch)
+			}
+		case *allocator.AnswerRoom:
+			fmt.Fprintf(&lines, "answer %s %s %s\n", output.Answer.Job, output.Answer.Kind, output.Answer.Reason)
+		case *allocator.TellDone:
+			fmt.Fprintf(&lines, "done %s task %d run %d\n", output.Done.RunKey.Job, output.Done.RunKey.Task, output.Done.RunKey.Run)
+		case *allocator.HoldServer:
+			fmt.Fprintf(&lines, "hold %s lease %d cursor %d wait %v\n", output.Server, output.LeaseEnd, output.Cursor, output.Wait)
+		case *allocator.StopRun:
+			fmt.Fprintf(&lines, "stop %s task %d run %d on %s\n", output.Run.Job, output.Run.Task, output.Run.Run, output.Server)
+		case *allocator.Fenced:
+			fmt.Fprintf(&lines, "fenced %d\n", output.Epoch)
+		}
+	}
+	return lines.String()
+}
+
+func scanString(t *testing.T, data *datadriven.TestData, key string) string {
+	var text string
+	data.MaybeScanArgs(t, key, &text)
+	return text
+}
+
+func scanDuration(t *testing.T, data *datadriven.TestData, key string) (time.Duration, bool) {
+	text := scanString(t, data, key)
+	if text == "" {
+		return 0, false
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return duration, true
+}
+
+func scanCard(t *testing.T, data *datadriven.TestData) messenger.ServerCard {
+	card := messenger.ServerCard{
+		Server: identifier.BackendServerID(scanString(t, data, "server")), Service: "desk", FailureDomain: "leuven", Sequence: 1,
+	}
+	card.Address = scanString(t, data, "address")
+	if card.Address == "" {
+		card.Address = "address of " + string(card.Server)
+	}
+	cpu := 32000
+	data.MaybeScanArgs(t, "cpu", &cpu)
+	data.MaybeScanArgs(t, "sequence", &card.Sequence)
+	card.Capacity = identifier.Resources{MilliCPU: identifier.MilliCPU(cpu), Memory: 64 << 30}
+	card.Draining = data.HasArg("draining")
+	card.Gone = data.HasArg("gone")
+	return card
+}
+
+// scanRequest reads a request for tasks=N of 14 cores and ms=N each, with the runs that
+// the job still has as held=TASK/RUN@SERVER.
+func scanRequest(t *testing.T, data *datadriven.TestData) messenger.RoomRequest {
+	request := messenger.RoomRequest{
+		Job: identifier.JobID(scanString(t, data, "job")), Service: "desk", Queue: "quick", Attempts: 2, Stretch: 1.6,
+		Allowance: 60 * time.Millisecond, Remaining: 2 * time.Second, HandedOver: data.HasArg("handed-over"),
+	}
+	tasks, milliseconds, cpu := 0, 60, 14000
+	data.MaybeScanArgs(t, "tasks", &tasks)
+	data.MaybeScanArgs(t, "ms", &milliseconds)
+	data.MaybeScanArgs(t, "cpu", &cpu)
+	room := messenger.RoomTask{
+		Needs:    identifier.Resources{MilliCPU: identifier.MilliCPU(cpu), Memory: 64 << 20},
+		Declared: time.Duration(milliseconds) * time.Millisecond,
+	}
+	for index := range tasks {
+		room.Task = messenger.TaskIndex(index)
+		request.Tasks = append(request.Tasks, room)
+	}
+	for _, text := range scanStrings(t, data, "held") {
+		key, server := scanRun(t, string(request.Job)+"/"+text)
+		room.Task = key.Task
+		request.Held = append(request.Held, messenger.HeldRun{
+			RoomTask: room, Run: key.Run, Server: server, Address: "address of " + string(server),
+		})
+	}
+	return request
+}
+
+func scanStrings(t *testing.T, data *datadriven.TestData, key string) []string {
+	if !data.HasArg(key) {
+		return nil
+	}
+	for _, argument := range data.CmdArgs {
+		if argument.Key == key {
+			return argument.Vals
+		}
+	}
+	return nil
+}
+
+// scanRun reads JOB/TASK/RUN, or JOB/TASK/RUN@SERVER.
+func scanRun(t *testing.T, text string) (messenger.RunKey, identifier.BackendServerID) {
+	text, server, _ := strings.Cut(text, "@")
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 {
+		t.Fatalf("want JOB/TASK/RUN, got %q", text)
+	}
+	key := messenger.RunKey{Job: identifier.JobID(parts[0])}
+	if _, err := fmt.Sscan(parts[1]+" "+parts[2], &key.Task, &key.Run); err != nil {
+		t.Fatal(err)
+	}
+	return key, identifier.BackendServerID(server)
+}
+
+func scanReport(t *testing.T, data *datadriven.TestData) *allocator.StartReported {
+	key, _ := scanRun(t, scanString(t, data, "run"))
+	outcome, err := messenger.StartOutcomeString(scanString(t, data, "outcome"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{RunKey: key, Outcome: outcome}}
+}
+
+// scanHold reads the answer to a call: running=(RUN,...) and ended=(NUMBER:KIND:RUN,...).
+func (scenario *scenario) scanHold(t *testing.T, data *datadriven.TestData) *allocator.HoldReturned {
+	returned := &allocator.HoldReturned{
+		Server: identifier.BackendServerID(scanString(t, data, "server")), SentAt: scenario.now - identifier.Moment(time.Millisecond),
+		Clock: identifier.ServerTime(time.Duration(scenario.now).Milliseconds()),
+	}
+	if sent, found := scanDuration(t, data, "sent"); found {
+		returned.SentAt = identifier.Moment(sent)
+	}
+	if text := scanString(t, data, "outcome"); text != "" {
+		outcome, err := allocator.CallOutcomeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		returned.Outcome = outcome
+	}
+	for _, text := range scanStrings(t, data, "running") {
+		key, _ := scanRun(t, text)
+		returned.Running = append(returned.Running, key)
+	}
+	for _, text := range scanStrings(t, data, "ended") {
+		parts := strings.SplitN(text, ":", 3)
+		key, _ := scanRun(t, parts[2])
+		end := allocator.RunEnd{Run: key}
+		if _, err := fmt.Sscan(parts[0], &end.Number); err != nil {
+			t.Fatal(err)
+		}
+		kind, err := allocator.EndKindString(parts[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		end.Kind = kind
+		returned.Ended = append(returned.Ended, end)
+	}
+	return returned
+}
+
+func scanStopped(t *testing.T, data *datadriven.TestData) *allocator.StopReturned {
+	key, server := scanRun(t, scanString(t, data, "run"))
+	returned := &allocator.StopReturned{Server: server, Run: key}
+	if data.HasArg("unanswered") {
+		returned.Outcome = allocator.CallUnanswered
+	}
+	return returned
+}
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -285,7 +285,10 @@
 		allocator.endLife(server, "another incarnation answers")
 		return
 	case messenger.StartFenced:
-		allocator.emit(&Fenced{Epoch: allocator.epoch})
+		// A start under an earlier lead's epoch says nothing about this one.
+		if input.Report.Epoch == allocator.epoch {
+			allocator.emit(&Fenced{Epoch: allocator.epoch})
+		}
 	case messenger.StartNoRoom, messenger.StartUnhealthy:
 		server.closedUntil = allocator.now.Add(allocator.Settings.CloseTime)
 		allocator.timers.Set(timerKey{kind: timerReopen, server: run.server}, server.closedUntil)
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -31,6 +31,8 @@
 	clockAt identifier.Moment
 	// leaseEnd is the latest lease that any order may have given.
 	leaseEnd identifier.ServerTime
+	// oldLeasesEnd is when every lease has surely lapsed that an earlier lead gave.
+	oldLeasesEnd identifier.Moment
 	// holding tells that a call is under way, sent at heldAt.
 	holding bool
 	heldAt  identifier.Moment
@@ -75,7 +77,7 @@
 // lapsesAt is when all that runs there is surely over without a renewal.
 func (server *server) lapsesAt(now identifier.Moment) identifier.Moment {
 	left := time.Duration(server.leaseEnd-server.earliestClock(now)) * time.Millisecond
-	return now.Add(max(left, 0)*1000/(1000-clockDriftPerMille) + lapseMargin)
+	return max(now.Add(max(left, 0)*1000/(1000-clockDriftPerMille)+lapseMargin), server.oldLeasesEnd)
 }
 
 // lapseMargin covers the rounding of clocks to milliseconds and the time that a
@@ -137,6 +139,7 @@
 	}
 	created := &server{card: *card, heardAt: allocator.now, allowed: healthSlots}
 	created.reset()
+	created.oldLeasesEnd = allocator.oldLeasesEnd()
 	if card.Clock > 0 {
 		created.readClock(allocator.now, card.Clock)
 	}
@@ -156,6 +159,22 @@
 	}
 }
 
+// joinUnannounced takes up a backend server that only a job's host has told of: an
+// earlier lead knew it. Nothing is known of its room, so it gets nothing until it has
+// announced itself; it is called to find out what became of the run.
+func (allocator *Allocator) joinUnannounced(job *job, held messenger.HeldRun) *server {
+	allocator.join(&messenger.ServerCard{
+		Server: held.Server, Service: job.request.Service, Address: held.Address, FailureDomain: allocator.FailureDomain,
+	})
+	return allocator.servers.Get(held.Server)
+}
+
+// oldLeasesEnd is when every lease has lapsed that another lead may have given up to
+// now, by clocks as slow as they may be.
+func (allocator *Allocator) oldLeasesEnd() identifier.Moment {
+	return allocator.now.Add(allocator.Settings.Lease*1000/(1000-clockDriftPerMille) + lapseMargin)
+}
+
 func (allocator *Allocator) awaitForget(server *server) {
 	due := allocator.now.Add(allocator.Settings.ForgetServer)
 	allocator.timers.Set(timerKey{kind: timerServerForget, server: server.card.Server}, due)
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -19,7 +19,7 @@
 	Host       string
 	PathPrefix string
 	Service    identifier.ServiceName
-	// Timeout is how long a job may take at most.
+	// Timeout is how long a caller waits that doesn't say for how long.
 	Timeout time.Duration
 	// Stretch times the longest run time plus Allowance is the response time that
 	// counts as in time.
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -15,7 +15,9 @@
 
 // fenceStep is what is added to an epoch that backend servers have refused. All hosts
 // of a failure domain that start anew have forgotten the epochs before.
-const fenceStep identifier.Epoch = 1 << hostBits
+// A step of several takings passes what an ordinary day has used up in one go: steps
+// of one cost 0.7 s each, and three of them after all hosts had been killed.
+const fenceStep identifier.Epoch = 16 << hostBits
 
 func (coordinator *Coordinator) tellSupervisor(input supervisor.Input) {
 	coordinator.toSupervisor = append(coordinator.toSupervisor, input)
@@ -79,6 +81,15 @@
 	}
 }
 
+// shareCardsWith tells a host of the own failure domain, to which a connection stands
+// now, which backend servers there are. What was sent before may have been lost with
+// an older connection.
+func (coordinator *Coordinator) shareCardsWith(host identifier.HostID) {
+	if coordinator.allocator.Leads() && coordinator.ownDomain(host) {
+		coordinator.sendCards(host, coordinator.allocator.Cards())
+	}
+}
+
 // changeRoomHost follows a host whose callers' jobs may have room here. A leaving host
 // still answers its callers; it is gone when its connection ends.
 func (coordinator *Coordinator) changeRoomHost(state gossiper.State, restarted bool) {
@@ -86,8 +97,8 @@
 	if restarted || state.Status == gossiper.StatusDead {
 		coordinator.tellAllocator(&allocator.HostGone{Host: host})
 	}
-	if state.Status == gossiper.StatusAlive && coordinator.allocator.Leads() && coordinator.ownDomain(host) {
-		coordinator.sendCards(host, coordinator.allocator.Cards())
+	if state.Status == gossiper.StatusAlive {
+		coordinator.shareCardsWith(host)
 	}
 }
 
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -25,6 +25,7 @@
 		coordinator.tellGossiper(gossiper.PeerConnected{Host: input.Host})
 		coordinator.tellForwarder(&forwarder.LeadReconnected{Host: input.Host})
 		coordinator.tellDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
+		coordinator.shareCardsWith(input.Host)
 	case *PeerDisconnected:
 		delete(coordinator.connected, input.Host)
 		coordinator.loseLeaver(input.Host)
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -61,6 +61,7 @@
 	RoomTask RoomTask                   `cbor:"1,keyasint"`
 	Run      identifier.RunNumber       `cbor:"2,keyasint"`
 	Server   identifier.BackendServerID `cbor:"3,keyasint"`
+	Address  string                     `cbor:"4,keyasint"`
 }
 
 // Grant gives tasks of a job room; the host that asked starts them.
@@ -143,6 +144,8 @@
 type StartReport struct {
 	RunKey  RunKey       `cbor:"1,keyasint"`
 	Outcome StartOutcome `cbor:"2,keyasint"`
+	// Epoch is that of the lead which granted the run.
+	Epoch identifier.Epoch `cbor:"3,keyasint"`
 }
 
 // TaskDone tells that a run of a task has ended well.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -71,7 +71,9 @@
 		switch {
 		case task.done:
 		case task.run != 0:
-			request.Held = append(request.Held, messenger.HeldRun{RoomTask: job.spec.Tasks[index], Run: task.run, Server: task.server})
+			request.Held = append(request.Held, messenger.HeldRun{
+				RoomTask: job.spec.Tasks[index], Run: task.run, Server: task.server, Address: task.address,
+			})
 		default:
 			request.Tasks = append(request.Tasks, job.spec.Tasks[index])
 		}
@@ -137,6 +139,7 @@
 		task := &job.tasks[run.Task]
 		task.run = run.Run
 		task.server = run.Server
+		task.address = run.Address
 		supervisor.emit(&StartRun{
 			Server: run.Server, Address: run.Address, Run: messenger.RunKey{Job: job.spec.Job, Task: run.Task, Run: run.Run},
 			Epoch: input.Grant.Epoch, LeaseEnd: run.LeaseEnd, Payload: job.spec.Payload,
@@ -152,7 +155,9 @@
 		return
 	}
 	if job.lead != "" {
-		supervisor.emit(&ReportStart{To: job.lead, Report: messenger.StartReport{RunKey: input.Run, Outcome: input.Outcome}})
+		supervisor.emit(&ReportStart{To: job.lead, Report: messenger.StartReport{
+			RunKey: input.Run, Outcome: input.Outcome, Epoch: input.Epoch,
+		}})
 	}
 }
 
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -72,6 +72,7 @@
 // StartReturned brings the answer to a StartRun.
 type StartReturned struct {
 	Run     messenger.RunKey
+	Epoch   identifier.Epoch
 	Outcome messenger.StartOutcome
 }
 
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -83,8 +83,9 @@
 type task struct {
 	done bool
 	// run is the run that was granted last and is not known to be over; 0 is none.
-	run    identifier.RunNumber
-	server identifier.BackendServerID
+	run     identifier.RunNumber
+	server  identifier.BackendServerID
+	address string
 }
 
 // Tick applies the inputs, lets deadlines fall due and returns what to do.
