Tell the answers of overlapping holds apart, and ask a lead again that leads anew

After that the answer to the call of the old epoch counted for the new call, and two calls to each server overlapped from then on; the older one may return last, and a run that is missing in it counted as over. Jobs were also not asked for again when the same host leads under a higher epoch; 64 ended at their deadline. Ruled out: a resend of the caller (the runs are 6 ms apart), a start that was refused (its run would not have been listed).

Change: calls are numbered; hosts ask again for each epoch.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -19,7 +19,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		scenario := &scenario{allocator: &allocator.Allocator{
 			Self: "host-a", FailureDomain: "leuven", Settings: allocator.DefaultSettings(),
-		}}
+		}, lastSequence: make(map[identifier.BackendServerID]uint64)}
 		datadriven.RunTest(t, path, scenario.run)
 	})
 }
@@ -28,6 +28,8 @@
 type scenario struct {
 	allocator *allocator.Allocator
 	now       identifier.Moment
+	// lastSequence is that of the last call to each server.
+	lastSequence map[identifier.BackendServerID]uint64
 }
 
 func (scenario *scenario) run(t *testing.T, data *datadriven.TestData) string {
@@ -68,7 +70,7 @@
 	default:
 		t.Fatalf("unknown command %q", data.Cmd)
 	}
-	return show(scenario.allocator.Tick(scenario.now, inputs))
+	return scenario.show(scenario.allocator.Tick(scenario.now, inputs))
 }
 
 // wait lets deadlines fall due up to the present moment, each at its time.
@@ -81,7 +83,7 @@
 			return lines.String()
 		}
 		scenario.now = next
-		for _, line := range strings.SplitAfter(show(scenario.allocator.Tick(next, nil)), "\n") {
+		for _, line := range strings.SplitAfter(scenario.show(scenario.allocator.Tick(next, nil)), "\n") {
 			if line != "" {
 				fmt.Fprintf(&lines, "%v: %s", time.Duration(next), line)
 			}
@@ -90,7 +92,7 @@
 	}
 }
 
-func show(outputs []allocator.Output) string {
+func (scenario *scenario) show(outputs []allocator.Output) string {
 	var lines strings.Builder
 	for _, output := range outputs {
 		switch output := output.(type) {
@@ -103,6 +105,7 @@
 		case *allocator.TellDone:
 			fmt.Fprintf(&lines, "done %s task %d run %d\n", output.Done.RunKey.Job, output.Done.RunKey.Task, output.Done.RunKey.Run)
 		case *allocator.HoldServer:
+			scenario.lastSequence[output.Server] = output.Sequence
 			fmt.Fprintf(&lines, "hold %s lease %d cursor %d wait %v\n", output.Server, output.LeaseEnd, output.Cursor, output.Wait)
 		case *allocator.StopRun:
 			fmt.Fprintf(&lines, "stop %s task %d run %d on %s\n", output.Run.Job, output.Run.Task, output.Run.Run, output.Server)
@@ -218,6 +221,9 @@
 		Server: identifier.BackendServerID(scanString(t, data, "server")), SentAt: scenario.now - identifier.Moment(time.Millisecond),
 		Clock: identifier.ServerTime(time.Duration(scenario.now).Milliseconds()),
 	}
+	sequence := scenario.lastSequence[returned.Server]
+	data.MaybeScanArgs(t, "sequence", &sequence)
+	returned.Sequence = sequence
 	if sent, found := scanDuration(t, data, "sent"); found {
 		returned.SentAt = identifier.Moment(sent)
 	}
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -12,9 +12,9 @@
 		return
 	}
 	server.holding = true
-	server.heldAt = allocator.now
+	server.holds++
 	call := &HoldServer{
-		Server: server.card.Server, Address: server.card.Address, Epoch: allocator.epoch, Cursor: server.cursor,
+		Server: server.card.Server, Sequence: server.holds, Address: server.card.Address, Epoch: allocator.epoch, Cursor: server.cursor,
 	}
 	// A server that does not answer may carry the call out much later. A renewal
 	// would then keep its runs, which are counted as lapsed, at work.
@@ -39,10 +39,12 @@
 	}
 }
 
-// takeHold takes the answer to a call.
+// takeHold takes the answer to the call that is under way. The answer to an earlier
+// one, from before this host took the lead again, says nothing under the new epoch; if
+// it counted, two calls would overlap from then on and the older could return last.
 func (allocator *Allocator) takeHold(input *HoldReturned) {
 	server := allocator.servers.Get(input.Server)
-	if server == nil || !server.holding || server.gone {
+	if server == nil || !server.holding || server.gone || input.Sequence != server.holds {
 		return
 	}
 	server.holding = false
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -92,12 +92,14 @@
 
 // HoldReturned brings the answer to a HoldServer.
 type HoldReturned struct {
-	Server  identifier.BackendServerID
-	SentAt  identifier.Moment
-	Outcome CallOutcome
-	Clock   identifier.ServerTime
-	Running []messenger.RunKey
-	Ended   []RunEnd
+	Server identifier.BackendServerID
+	// Sequence is that of the call.
+	Sequence uint64
+	SentAt   identifier.Moment
+	Outcome  CallOutcome
+	Clock    identifier.ServerTime
+	Running  []messenger.RunKey
+	Ended    []RunEnd
 }
 
 // StopReturned brings the answer to a StopRun.
@@ -149,9 +151,11 @@
 // HoldServer calls a backend server: it renews the lease of all that runs there,
 // acknowledges ends and waits for new ones.
 type HoldServer struct {
-	Server  identifier.BackendServerID
-	Address string
-	Epoch   identifier.Epoch
+	Server identifier.BackendServerID
+	// Sequence numbers the calls to one server.
+	Sequence uint64
+	Address  string
+	Epoch    identifier.Epoch
 	// LeaseEnd is zero where the lease is not renewed.
 	LeaseEnd identifier.ServerTime
 	Cursor   int64
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -33,9 +33,9 @@
 	leaseEnd identifier.ServerTime
 	// oldLeasesEnd is when every lease has surely lapsed that an earlier lead gave.
 	oldLeasesEnd identifier.Moment
-	// holding tells that a call is under way, sent at heldAt.
+	// holding tells that a call is under way; holds is the sequence of the last one.
 	holding bool
-	heldAt  identifier.Moment
+	holds   uint64
 	// cursor is the highest end that was taken note of.
 	cursor int64
 	// heardAt is when it was last heard, by a call or a card.
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -64,7 +64,7 @@
 	if notice.Cell != roomCell {
 		return
 	}
-	coordinator.tellSupervisor(&supervisor.LeadKnown{FailureDomain: notice.FailureDomain, Host: notice.Host})
+	coordinator.tellSupervisor(&supervisor.LeadKnown{FailureDomain: notice.FailureDomain, Host: notice.Host, Epoch: notice.Epoch})
 	coordinator.tellAllocator(&allocator.RemoteLeadKnown{FailureDomain: notice.FailureDomain, Host: notice.Host})
 	coordinator.outputs.add(&LeadKnown{Notice: notice})
 }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -44,9 +44,9 @@
 // askElsewhere asks the lead of another failure domain that was not asked yet.
 func (supervisor *Supervisor) askElsewhere(job *job) bool {
 	asked := false
-	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *identifier.HostID) bool {
-		if *lead != "" && !job.tried[*lead] && domain != supervisor.FailureDomain {
-			supervisor.ask(job, *lead, domain)
+	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *lead) bool {
+		if lead.host != "" && !job.tried[lead.host] && domain != supervisor.FailureDomain {
+			supervisor.ask(job, lead.host, domain)
 			asked = true
 		}
 		return !asked
@@ -105,18 +105,18 @@
 // are asked for again; what they have running is named, so that the new lead knows
 // whose runs those are.
 func (supervisor *Supervisor) changeLead(input *LeadKnown) {
-	if supervisor.leadOf(input.FailureDomain) == input.Host {
+	changed := lead{host: input.Host, epoch: input.Epoch}
+	if known := supervisor.leads.Get(input.FailureDomain); known != nil && *known == changed {
 		return
 	}
-	host := input.Host
-	supervisor.leads.Put(input.FailureDomain, &host)
-	if host == "" {
+	supervisor.leads.Put(input.FailureDomain, &changed)
+	if input.Host == "" {
 		return
 	}
 	for _, id := range supervisor.jobs.Keys() {
 		job := supervisor.jobs.Get(id)
 		if job.lead == "" || job.domain == input.FailureDomain {
-			supervisor.ask(job, host, input.FailureDomain)
+			supervisor.ask(job, input.Host, input.FailureDomain)
 		}
 	}
 }
@@ -200,9 +200,9 @@
 // askOther follows a lead that sends the job to another one.
 func (supervisor *Supervisor) askOther(job *job, answer *messenger.RoomAnswer) {
 	found := false
-	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *identifier.HostID) bool {
-		if *lead == answer.Lead {
-			supervisor.ask(job, *lead, domain)
+	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *lead) bool {
+		if lead.host == answer.Lead {
+			supervisor.ask(job, lead.host, domain)
 			found = true
 		}
 		return !found
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -49,6 +49,9 @@
 type LeadKnown struct {
 	FailureDomain identifier.FailureDomain
 	Host          identifier.HostID
+	// Epoch is the lead's; a host that takes the lead again has a higher one and knows
+	// nothing of what it granted before.
+	Epoch identifier.Epoch
 }
 
 // GrantArrived brings room for runs.
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -40,7 +40,7 @@
 
 	now     identifier.Moment
 	jobs    *tabulator.Table[identifier.JobID, job]
-	leads   *tabulator.Table[identifier.FailureDomain, identifier.HostID]
+	leads   *tabulator.Table[identifier.FailureDomain, lead]
 	timers  *tabulator.Timers[timerKey]
 	outputs []Output
 }
@@ -58,6 +58,12 @@
 	job  identifier.JobID
 }
 
+// lead is who leads a failure domain; an empty host is nobody.
+type lead struct {
+	host  identifier.HostID
+	epoch identifier.Epoch
+}
+
 // job is one job of a caller.
 type job struct {
 	spec      Job
@@ -127,7 +133,7 @@
 		return
 	}
 	supervisor.jobs = tabulator.New[identifier.JobID, job]()
-	supervisor.leads = tabulator.New[identifier.FailureDomain, identifier.HostID]()
+	supervisor.leads = tabulator.New[identifier.FailureDomain, lead]()
 	supervisor.timers = tabulator.NewTimers[timerKey]()
 }
 
@@ -172,8 +178,8 @@
 }
 
 func (supervisor *Supervisor) leadOf(domain identifier.FailureDomain) identifier.HostID {
-	if lead := supervisor.leads.Get(domain); lead != nil {
-		return *lead
+	if known := supervisor.leads.Get(domain); known != nil {
+		return known.host
 	}
 	return ""
 }
--- /dev/null
+++ b/pkg/supervisor/supervisor_test.go
@@ -0,0 +1,124 @@
+package supervisor_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
+)
+
+// TestScenarios plays the files of testdata. Each command is one tick at the time of
+// its argument at; what comes out is printed, a line each.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		scenario := &scenario{supervisor: &supervisor.Supervisor{
+			Self: "host-b", FailureDomain: "leuven", Settings: supervisor.DefaultSettings(),
+		}}
+		datadriven.RunTest(t, path, scenario.run)
+	})
+}
+
+// scenario is one supervisor whose surroundings a test file plays.
+type scenario struct {
+	supervisor *supervisor.Supervisor
+	now        identifier.Moment
+}
+
+func (scenario *scenario) run(t *testing.T, data *datadriven.TestData) string {
+	if text := scanString(t, data, "at"); text != "" {
+		at, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		scenario.now = identifier.Moment(at)
+	}
+	id := identifier.JobID(scanString(t, data, "job"))
+	from := identifier.HostID(scanString(t, data, "from"))
+	key := messenger.RunKey{Job: id}
+	data.MaybeScanArgs(t, "task", (*int)(&key.Task))
+	run, waiter, epoch := 0, uint64(1), uint64(7)
+	data.MaybeScanArgs(t, "run", &run)
+	data.MaybeScanArgs(t, "waiter", &waiter)
+	data.MaybeScanArgs(t, "epoch", &epoch)
+	key.Run = identifier.RunNumber(run)
+	var inputs []supervisor.Input
+	switch data.Cmd {
+	case "lead":
+		inputs = append(inputs, &supervisor.LeadKnown{
+			FailureDomain: identifier.FailureDomain(scanString(t, data, "domain")), Host: identifier.HostID(scanString(t, data, "host")),
+			Epoch: identifier.Epoch(epoch),
+		})
+	case "job":
+		inputs = append(inputs, scenario.arrival(t, data, id, supervisor.WaiterID(waiter)))
+	case "left":
+		inputs = append(inputs, &supervisor.CallerLeft{Waiter: supervisor.WaiterID(waiter), Job: id})
+	case "grant":
+		granted := messenger.GrantedRun{Task: key.Task, Run: key.Run, Server: "s1", Address: "address of s1", LeaseEnd: 1000}
+		inputs = append(inputs, &supervisor.GrantArrived{From: from, Grant: messenger.Grant{
+			Job: id, Epoch: identifier.Epoch(epoch), Runs: []messenger.GrantedRun{granted},
+		}})
+	case "answer":
+		kind, err := messenger.RoomAnswerKindString(scanString(t, data, "kind"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		inputs = append(inputs, &supervisor.AnswerArrived{From: from, Answer: messenger.RoomAnswer{
+			Job: id, Kind: kind, Lead: identifier.HostID(scanString(t, data, "lead")),
+		}})
+	case "done":
+		inputs = append(inputs, &supervisor.DoneArrived{From: from, Done: messenger.TaskDone{RunKey: key}})
+	case "started":
+		outcome, err := messenger.StartOutcomeString(scanString(t, data, "outcome"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		inputs = append(inputs, &supervisor.StartReturned{Run: key, Outcome: outcome, Epoch: identifier.Epoch(epoch)})
+	case "wait":
+	default:
+		t.Fatalf("unknown command %q", data.Cmd)
+	}
+	return show(scenario.supervisor.Tick(scenario.now, inputs))
+}
+
+func (scenario *scenario) arrival(t *testing.T, data *datadriven.TestData, id identifier.JobID, waiter supervisor.WaiterID) supervisor.Input {
+	tasks := 1
+	data.MaybeScanArgs(t, "tasks", &tasks)
+	job := supervisor.Job{Job: id, Service: "desk", Queue: "quick", Attempts: 2, Stretch: 1.6, Payload: "payload"}
+	for index := range tasks {
+		job.Tasks = append(job.Tasks, messenger.RoomTask{Task: messenger.TaskIndex(index), Declared: 60 * time.Millisecond})
+	}
+	return &supervisor.JobArrived{Waiter: waiter, Job: job, Deadline: scenario.now.Add(2 * time.Second)}
+}
+
+func scanString(t *testing.T, data *datadriven.TestData, key string) string {
+	var text string
+	data.MaybeScanArgs(t, key, &text)
+	return text
+}
+
+func show(outputs []supervisor.Output) string {
+	var lines strings.Builder
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case *supervisor.AskRoom:
+			fmt.Fprintf(&lines, "ask %s for %s: %d tasks, %d held, runs above %d, handed over %v\n", output.To, output.Request.Job,
+				len(output.Request.Tasks), len(output.Request.Held), output.Request.RunsBelow, output.Request.HandedOver)
+		case *supervisor.ReleaseRoom:
+			fmt.Fprintf(&lines, "release %s at %s\n", output.Job, output.To)
+		case *supervisor.ReportStart:
+			fmt.Fprintf(&lines, "report %s task %d run %d to %s: %s\n", output.Report.RunKey.Job, output.Report.RunKey.Task,
+				output.Report.RunKey.Run, output.To, output.Report.Outcome)
+		case *supervisor.StartRun:
+			fmt.Fprintf(&lines, "start %s task %d run %d on %s epoch %d\n", output.Run.Job, output.Run.Task, output.Run.Run, output.Server, output.Epoch)
+		case *supervisor.JobEnded:
+			fmt.Fprintf(&lines, "tell %d: %s %s %s\n", output.Waiter, output.Job, output.Outcome, output.Reason)
+		}
+	}
+	return lines.String()
+}
