Let a keeper without its disk join anew, and keep the members fit

Cause: a keeper that came back with an empty disk voted as if it had never acknowledged anything, and the leader, which remembered what it held, never sent it the log again. Two disks lost in turn stopped all changes or lost one.

Change: a keeper that remembers no founders abstains from votes until it has seen itself as a learner and then as a voter; the leader removes and adds it, replaces voters that are gone, and grows to twice the disks that may be lost plus one; an entry needs one copy more than the disks that may be lost.

TestWipedKeeperElectsNobody fails without the abstention (revision 0 is read).

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -171,6 +171,9 @@
 		daemon.peers.Learn(member.Host, member.Addresses.Peers)
 	case *coordinator.KeeperLeaderChanged:
 		daemon.Log.Info("keeper leader changed", "leader", output.Leader, "term", output.Term)
+	case *coordinator.KeeperJoined:
+		daemon.Log.Info("keeper joined", "members", len(output.Members))
+		go daemon.rememberFounders(output.Members)
 	case *coordinator.KeeperHalted:
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.ConfigInForce:
--- a/pkg/assembler/founding.go
+++ b/pkg/assembler/founding.go
@@ -75,6 +75,15 @@
 	return founders{hosts: known}, nil
 }
 
+// rememberFounders notes that this keeper counts from now on. Until it is durable, a
+// restart makes the keeper join once more, which does no harm.
+func (daemon *Daemon) rememberFounders(hosts []identifier.HostID) {
+	path := filepath.Join(daemon.Settings.DataFolder, foundersFile)
+	if err := writeFounders(path, hosts); err != nil {
+		daemon.Log.Error("founders not remembered, the keeper joins again after a restart", "err", err)
+	}
+}
+
 func readFounders(path string) ([]identifier.HostID, error) {
 	content, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -57,6 +57,7 @@
 	driving       *driving
 	intentKeeping *intentKeeping
 	quotas        quotas
+	tending       *tending
 	// supervisor and allocator serve jobs that need not be remembered on backend
 	// servers that are called.
 	supervisor *supervisor.Supervisor
@@ -110,6 +111,7 @@
 	next = identifier.Earlier(next, coordinator.petitions.timers.Next())
 	next = identifier.Earlier(next, coordinator.driving.nextDeadline())
 	next = identifier.Earlier(next, coordinator.intentKeeping.nextDeadline())
+	next = identifier.Earlier(next, coordinator.tending.dueAt)
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
 	next = identifier.Earlier(next, coordinator.allocator.NextDeadline())
 	if coordinator.keeper != nil {
@@ -149,6 +151,7 @@
 		coordinator.tellElector(elector.Resign{})
 	}
 	coordinator.keeper = coordinator.newKeeper()
+	coordinator.tending = newTending(coordinator)
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration, StartedAt: now}
 	coordinator.petitions = newPetitions(coordinator)
@@ -166,6 +169,7 @@
 func (coordinator *Coordinator) settle() {
 	for round := 0; round == 0 || coordinator.unsettled(); round++ {
 		coordinator.settleMembership()
+		coordinator.tending.settle()
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
 		coordinator.settleRooming()
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -20,6 +20,7 @@
 	}
 	created := &keeper.Keeper{Self: coordinator.Self.Host, Seed: coordinator.Seed, Settings: coordinator.Settings.Keeper}
 	if coordinator.Settings.JoinKeepers {
+		created.Joining = true
 		return created
 	}
 	founders := coordinator.Founders
@@ -84,6 +85,13 @@
 		coordinator.changeKeeperLeader(output)
 	case *keeper.History:
 		coordinator.outputs.add(&ConfigHistory{Waiter: output.Waiter, Versions: output.Versions})
+	case *keeper.Joined:
+		coordinator.publish(joiningRecordKey, "")
+		joined := &KeeperJoined{}
+		for _, member := range coordinator.keeper.Members() {
+			joined.Members = append(joined.Members, member.Host)
+		}
+		coordinator.outputs.add(joined)
 	case *keeper.Halted:
 		coordinator.outputs.add(&KeeperHalted{Reason: output.Reason})
 	}
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -20,6 +20,7 @@
 	leadRecordPrefix  = "lead-"
 	configRecordKey   = "config-version"
 	keeperLeaderKey   = "keeper-leader"
+	joiningRecordKey  = "keeper-joining"
 	recordNumberBase  = 10
 	recordNumberWidth = 64
 )
@@ -248,6 +249,8 @@
 		if err == nil {
 			coordinator.tellFollower(&configurer.VersionSeen{Host: change.Host, Version: identifier.ConfigVersion(version)})
 		}
+	case key == joiningRecordKey:
+		coordinator.tending.learnJoining(change.Host, value)
 	case key == keeperLeaderKey:
 		coordinator.preferKeeper(identifier.HostID(value))
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -148,6 +148,13 @@
 	Term   identifier.Term
 }
 
+// KeeperJoined tells that the keeper of this host, which had nothing on its disk, has
+// been taken in by the others.
+type KeeperJoined struct {
+	// Members are those of the log, this host included.
+	Members []identifier.HostID
+}
+
 // KeeperHalted tells that the keeper of this host can't go on.
 type KeeperHalted struct{ Reason string }
 
@@ -225,6 +232,7 @@
 func (*Persist) isCoordinatorOutput()             {}
 func (*SaveSnapshot) isCoordinatorOutput()        {}
 func (*KeeperLeaderChanged) isCoordinatorOutput() {}
+func (*KeeperJoined) isCoordinatorOutput()        {}
 func (*KeeperHalted) isCoordinatorOutput()        {}
 func (*ConfigInForce) isCoordinatorOutput()       {}
 func (*ConfigHistory) isCoordinatorOutput()       {}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -34,6 +34,8 @@
 	settings coordinator.Settings
 	// intents is nil where no intents are run.
 	intents *intentWorld
+	// operators holds the answers to operators' requests where no intents are run.
+	operators map[uint64]*coordinator.OperatorAnswer
 	// cost counts messages between hosts unless it is nil.
 	cost *cost
 }
@@ -81,7 +83,9 @@
 	generation  int
 	// keeper gives the host a part in the replicated log.
 	keeper bool
-	disk   fakeDisk
+	// joins tells that the host's keeper has nothing on its disk that it vouched for.
+	joins bool
+	disk  fakeDisk
 }
 
 // member describes the host's present process.
@@ -104,6 +108,7 @@
 
 func newNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots) *network {
 	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
+	created.operators = make(map[uint64]*coordinator.OperatorAnswer)
 	created.settings = coordinator.DefaultSettings()
 	for _, domain := range domains {
 		for index := range hostsEach {
@@ -198,6 +203,7 @@
 		Seed:     uint64(slices.Index(network.hosts, host)),
 		Settings: network.settings,
 	}
+	host.coordinator.Settings.JoinKeepers = host.joins
 	for _, other := range network.hosts {
 		host.coordinator.Seeds = append(host.coordinator.Seeds, other.member())
 	}
@@ -299,6 +305,14 @@
 		}
 	case *coordinator.Persist:
 		network.persist(host, output)
+	case *coordinator.KeeperJoined:
+		host.joins = false
+	case *coordinator.OperatorAnswer:
+		if network.intents == nil {
+			network.operators[output.Waiter] = output
+			return
+		}
+		network.intents.carryOut(host, output)
 	case *coordinator.Drained:
 		network.endDrained(host)
 	case *coordinator.ToCaller:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -32,6 +32,9 @@
 	// place of founding a log with the keepers that the settings name. A keeper that
 	// lost its disk would else vote as if it had never accepted anything.
 	JoinKeepers bool
+	// Voters is how many voters the keepers' log should have; 0 leaves its members as
+	// they are.
+	Voters int
 }
 
 // DefaultSettings returns the settings that the daemon starts from.
--- /dev/null
+++ b/pkg/coordinator/tending_test.go
@@ -0,0 +1,137 @@
+package coordinator_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
+)
+
+// tendedKeepers starts three keepers, one in each failure domain, and spare hosts that
+// become keepers when they are started.
+func tendedKeepers(t *testing.T) *network {
+	t.Helper()
+	network := newNetwork([]identifier.FailureDomain{"leuven", "roeselare", "geel"}, 1, 0, 0)
+	network.settings.Voters = 3
+	network.settings.Keeper.Replicator.MinCopies = 2
+	network.makeKeepers()
+	return network
+}
+
+// propose sends a configuration to a host and returns the waiter of its answer.
+func (network *network) propose(host *fakeHost, revision identifier.ConfigRevision) uint64 {
+	waiter := uint64(len(network.operators) + 1)
+	network.operators[waiter] = nil
+	change := &configurer.Change{Request: identifier.RequestID(time.Duration(revision).String()), Operator: "anna", Revision: revision}
+	network.tick(host, &coordinator.OperatorRequest{Waiter: waiter, Command: keeper.Command{Change: change}})
+	return waiter
+}
+
+func (network *network) acknowledged(waiter uint64) bool {
+	answer := network.operators[waiter]
+	return answer != nil && answer.Applied
+}
+
+// read returns the revision that a host reads, and false without a quorum.
+func (network *network) read(host *fakeHost) (identifier.ConfigRevision, bool) {
+	waiter := uint64(len(network.operators) + 1)
+	network.operators[waiter] = nil
+	network.tick(host, &coordinator.OperatorRequest{Waiter: waiter, ReadConfig: true})
+	network.advance(3 * time.Second)
+	if !network.acknowledged(waiter) {
+		return 0, false
+	}
+	return network.operators[waiter].Result.Config.Revision, true
+}
+
+// wipe ends a host's process, takes its disk, and starts it again.
+func (network *network) wipe(host *fakeHost) {
+	network.crashHost(host)
+	host.disk = fakeDisk{}
+	host.joins = true
+	network.startHost(host)
+}
+
+// Symptom: an acknowledged configuration is gone, an older one is in force.
+// Sequence: a change is acknowledged by two of three keepers while the third is cut
+// off. One of the two loses its disk right after and comes back at the old address;
+// then the other is lost for a moment and the third is reached again.
+// Cause: the keeper with the empty disk voted for the third, as if it had never
+// acknowledged anything.
+func TestWipedKeeperElectsNobody(t *testing.T) {
+	network := tendedKeepers(t)
+	first, second, third := network.hosts[0], network.hosts[1], network.hosts[2]
+	network.breakHosts(first, third)
+	network.breakHosts(second, third)
+	network.advance(3 * time.Second)
+	waiter := network.propose(first, 7)
+	network.advance(time.Second)
+	if !network.acknowledged(waiter) {
+		t.Fatal("two of three keepers did not acknowledge")
+	}
+	network.crashHost(first)
+	network.wipe(second)
+	network.advance(10 * time.Second)
+	if revision, known := network.read(third); known {
+		t.Fatalf("a quorum without the only copy reads revision %d", revision)
+	}
+	network.startHost(first)
+	network.advance(5 * time.Second)
+	if revision, known := network.read(third); !known || revision != 7 {
+		t.Fatalf("with the copy back revision %d is read, known %v", revision, known)
+	}
+}
+
+// Symptom: after one keeper's disk and later another's are lost, nothing can be changed
+// any more, or a change is lost.
+// Sequence: each of the three keepers loses its disk in turn, with seconds between.
+// Cause: a keeper that came back empty never counted again.
+func TestKeepersAreWipedInTurn(t *testing.T) {
+	network := tendedKeepers(t)
+	for round, host := range network.hosts {
+		revision := identifier.ConfigRevision(round + 1)
+		waiter := network.propose(network.hosts[(round+1)%3], revision)
+		network.advance(time.Second)
+		if !network.acknowledged(waiter) {
+			t.Fatalf("revision %d was not acknowledged", revision)
+		}
+		network.wipe(host)
+		network.advance(4 * time.Second)
+		if host.joins {
+			t.Fatalf("%s does not count 4 s after its disk was lost", host.id)
+		}
+		if read, known := network.read(host); !known || read != revision {
+			t.Fatalf("revision %d is read, known %v, want %d", read, known, revision)
+		}
+	}
+}
+
+// Symptom: the loss of a second keeper stops all changes, long after another one has
+// taken the place of the first.
+// Sequence: one keeper is gone for good, an empty one comes at another address.
+// Cause: the members of the log were those of the first start for ever.
+func TestNewKeeperTakesThePlaceOfOneThatIsGone(t *testing.T) {
+	network := tendedKeepers(t)
+	network.propose(network.hosts[0], 1)
+	network.advance(time.Second)
+	network.crashHost(network.hosts[2])
+	created := &fakeHost{id: "geel-host-9", domain: "geel", keeper: true, joins: true}
+	network.hosts = append(network.hosts, created)
+	network.startHost(created)
+	network.advance(8 * time.Second)
+	if created.joins {
+		t.Fatal("the new keeper does not count after 8 s")
+	}
+	network.crashHost(network.hosts[0])
+	network.advance(5 * time.Second)
+	living := slices.Index(network.hosts, created)
+	waiter := network.propose(network.hosts[living], 2)
+	network.advance(3 * time.Second)
+	if !network.acknowledged(waiter) {
+		t.Fatal("the two keepers that are left take no change")
+	}
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -38,6 +38,8 @@
 	Settings Settings
 	// InitialMembers are the keepers of a new log.
 	InitialMembers []replicator.Member
+	// Joining tells that this keeper's disk holds nothing that it vouched for before.
+	Joining bool
 
 	now        identifier.Moment
 	machine    *machine
@@ -46,7 +48,6 @@
 	nextHandle replicator.Handle
 	leader     identifier.HostID
 	term       identifier.Term
-	members    []replicator.Member
 	commit     identifier.LogIndex
 	halted     string
 	// announced is the newest configuration that was told to this host.
@@ -90,6 +91,14 @@
 // Leads tells whether this keeper leads the others.
 func (keeper *Keeper) Leads() bool { return keeper.leader == keeper.Self }
 
+// Members returns the members of the log, as far as this keeper knows.
+func (keeper *Keeper) Members() []replicator.Member {
+	if keeper.replicator == nil {
+		return nil
+	}
+	return keeper.replicator.Members()
+}
+
 // Intents returns the state of all intents as far as this keeper has applied the
 // log, or nil before the first Tick. It must not be changed.
 func (keeper *Keeper) Intents() *planner.Machine {
@@ -112,6 +121,7 @@
 		Seed:           keeper.Seed,
 		Settings:       keeper.Settings.Replicator,
 		InitialMembers: keeper.InitialMembers,
+		Joining:        keeper.Joining,
 		StateMachine:   keeper.machine,
 	}
 }
@@ -178,8 +188,8 @@
 		keeper.noteApplied(output.Index)
 	case replicator.LeaderChanged:
 		keeper.changeLeader(output)
-	case replicator.MembershipChanged:
-		keeper.members = output.Members
+	case replicator.Joined:
+		keeper.outputs = append(keeper.outputs, &Joined{})
 	case replicator.Halted:
 		keeper.halted = output.Err.Error()
 		keeper.outputs = append(keeper.outputs, &Halted{Reason: keeper.halted})
@@ -288,7 +298,7 @@
 // Status returns what operators see of this keeper.
 func (keeper *Keeper) Status() Status {
 	status := Status{Leader: keeper.leader, Term: keeper.term, Applied: keeper.commit, Halted: keeper.halted}
-	for _, member := range keeper.members {
+	for _, member := range keeper.Members() {
 		status.Members = append(status.Members, MemberStatus{Host: member.Host, Role: member.Role.String()})
 	}
 	if keeper.machine != nil {
--- a/pkg/keeper/messages.go
+++ b/pkg/keeper/messages.go
@@ -65,6 +65,9 @@
 	Versions []configurer.Version
 }
 
+// Joined tells that a joining keeper counts from now on.
+type Joined struct{}
+
 // Halted tells that this keeper can't go on until an operator has seen to it.
 type Halted struct{ Reason string }
 
@@ -76,4 +79,5 @@
 func (*VersionAccepted) isKeeperOutput() {}
 func (*LeaderChanged) isKeeperOutput()   {}
 func (*History) isKeeperOutput()         {}
+func (*Joined) isKeeperOutput()          {}
 func (*Halted) isKeeperOutput()          {}
--- a/pkg/replicator/electing.go
+++ b/pkg/replicator/electing.go
@@ -56,7 +56,7 @@
 func (replicator *Replicator) startPreVote() {
 	replicator.setLeader("")
 	replicator.resetCampaignDeadline()
-	if !isVoter(replicator.Members(), replicator.Self) {
+	if !replicator.mayVote() {
 		replicator.role = RoleFollower
 		return
 	}
@@ -105,6 +105,9 @@
 // receiveVoteRequest votes whether or not this keeper or the candidate is a voter
 // by its own members: they may be older than the candidate's.
 func (replicator *Replicator) receiveVoteRequest(from identifier.HostID, term identifier.Term, request *VoteRequest) {
+	if replicator.joining.abstains {
+		return
+	}
 	if replicator.inLease() && !request.Transfer {
 		if request.PreVote {
 			replicator.replyVote(from, request, false)
--- a/pkg/replicator/leading.go
+++ b/pkg/replicator/leading.go
@@ -170,7 +170,7 @@
 		}
 		matches = append(matches, replicator.peers.Get(member.Host).match)
 	}
-	agreed := nthLargest(matches, quorumSize(replicator.Members()))
+	agreed := nthLargest(matches, replicator.copiesWanted())
 	if agreed > replicator.hard.Commit && replicator.log.matches(agreed, replicator.hard.Term) {
 		replicator.hard.Commit = agreed
 	}
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -85,6 +85,14 @@
 // quorumSize is the smallest majority of the voters.
 func quorumSize(members []Member) int { return countVoters(members)/2 + 1 }
 
+// copiesWanted is how many voters must hold an entry before it is committed. While the
+// voters are still few, a majority of them may be no more than the disks that can be
+// lost at once.
+func (replicator *Replicator) copiesWanted() int {
+	members := replicator.Members()
+	return max(quorumSize(members), min(replicator.Settings.MinCopies, countVoters(members)))
+}
+
 // changedMembers returns the members after a change; false if the change makes no
 // sense for them.
 func changedMembers(members []Member, kind ChangeKind, host identifier.HostID) ([]Member, bool) {
@@ -186,6 +194,7 @@
 		return
 	}
 	replicator.memberships = append(replicator.memberships, membershipChange{entry.Index, members})
+	replicator.noteJoined(members)
 	replicator.membershipMoved()
 }
 
--- a/pkg/replicator/outputs.go
+++ b/pkg/replicator/outputs.go
@@ -105,6 +105,9 @@
 // MembershipChanged reports the members that this keeper goes by now.
 type MembershipChanged struct{ Members []Member }
 
+// Joined reports that a joining keeper counts from now on.
+type Joined struct{}
+
 // TransferAbandoned reports that the other keeper did not take over in time.
 type TransferAbandoned struct{}
 
@@ -121,5 +124,6 @@
 func (ReadRefused) output()       {}
 func (LeaderChanged) output()     {}
 func (MembershipChanged) output() {}
+func (Joined) output()            {}
 func (TransferAbandoned) output() {}
 func (Halted) output()            {}
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -33,7 +33,10 @@
 	// InitialMembers are the voters of a new log, the same on each of them. A keeper
 	// that joins an existing log later has none.
 	InitialMembers []Member
-	StateMachine   StateMachine
+	// Joining tells that this keeper's disk holds nothing that it vouched for before:
+	// it is new, or has lost its disk. See joining.go.
+	Joining      bool
+	StateMachine StateMachine
 
 	started bool
 	halted  bool
@@ -46,6 +49,7 @@
 	hard        HardState
 	log         memoryLog
 	memberships membershipHistory
+	joining     joining
 	snapshot    Snapshot
 	saving      identifier.LogIndex
 	applied     identifier.LogIndex
--- a/pkg/replicator/settings.go
+++ b/pkg/replicator/settings.go
@@ -41,6 +41,10 @@
 	EntriesKeptBehindSnapshot int
 	// SnapshotChunkBytes bounds the data of one snapshot message.
 	SnapshotChunkBytes identifier.Bytes
+	// MinCopies is how many voters must hold an entry before it is committed, beyond a
+	// majority; one more than the disks that may be lost at once. Zero asks for a
+	// majority alone.
+	MinCopies int
 }
 
 // DefaultSettings suit keepers about 1 ms apart with syncs of several
--- a/pkg/replicator/snapshotting.go
+++ b/pkg/replicator/snapshotting.go
@@ -145,5 +145,6 @@
 	replicator.saving = 0
 	replicator.journal.replaced(snapshot)
 	replicator.emit(SnapshotInstalled{Index: snapshot.Index})
+	replicator.noteJoined(snapshot.Members)
 	replicator.membershipMoved()
 }
--- a/pkg/replicator/starting.go
+++ b/pkg/replicator/starting.go
@@ -22,6 +22,7 @@
 	replicator.peers = tabulator.New[identifier.HostID, peer]()
 	replicator.pending = tabulator.New[identifier.LogIndex, pendingProposal]()
 	replicator.memberships = membershipHistory{{members: slices.Clone(replicator.InitialMembers)}}
+	replicator.joining.abstains = replicator.Joining
 	if err := replicator.Settings.Validate(); err != nil {
 		replicator.halt(err)
 		return nil
--- a/pkg/replicator/transferring.go
+++ b/pkg/replicator/transferring.go
@@ -56,7 +56,7 @@
 }
 
 func (replicator *Replicator) receiveCampaignNow(from identifier.HostID) {
-	if replicator.role != RoleFollower || replicator.leader != from || !isVoter(replicator.Members(), replicator.Self) {
+	if replicator.role != RoleFollower || replicator.leader != from || !replicator.mayVote() {
 		return
 	}
 	replicator.startElection(true)
