Tell other leads of room only where backend servers are called

Cause: notices of room went out also where no backend server is called; kept traces showed 4 to 12 % more control bytes and one test two more messages a job. Change: none without called servers; the golden files hold unchanged.

--- a/pkg/allocator/handing.go
+++ b/pkg/allocator/handing.go
@@ -77,7 +77,13 @@
 
 // tellNotice tells the other leads of the room here when it has changed, and now and
 // then when it has not, so that they know it still holds.
+//
+// Where no backend servers are called there is nothing to tell, and hosts send each
+// other no more than before.
 func (allocator *Allocator) tellNotice() {
+	if allocator.servers.Len() == 0 {
+		return
+	}
 	due := allocator.toldAt.Add(allocator.Settings.NoticeInterval)
 	timer := timerKey{kind: timerNotice}
 	if !due.Due(allocator.now) {
