--- /dev/null
+++ b/pkg/allocator/load_test.go
@@ -0,0 +1,280 @@
+package allocator_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/allocator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// load plays one lead in virtual time against backend servers that run what they are
+// granted: jobs arrive at random, in the users' three kinds.
+type load struct {
+	allocator *allocator.Allocator
+	now       identifier.Moment
+	events    loadEvents
+	servers   map[identifier.BackendServerID]*loadServer
+	random    *rand.Rand
+	next      int
+	// counts of what became of jobs and runs.
+	jobs, turnedAway, done int
+	inTime                 map[identifier.QueueName]int
+	arrived                map[identifier.QueueName]int
+	open                   map[identifier.JobID]*loadJob
+	ticks                  int
+}
+
+type loadJob struct {
+	queue     identifier.QueueName
+	left      int
+	arrivedAt identifier.Moment
+	objective time.Duration
+	runTimes  []time.Duration
+}
+
+type loadServer struct {
+	id       identifier.BackendServerID
+	running  map[messenger.RunKey]bool
+	ended    []allocator.RunEnd
+	number   int64
+	waiting  *allocator.HoldServer
+	waitedAt identifier.Moment
+}
+
+type loadEvent struct {
+	due identifier.Moment
+	run func() []allocator.Input
+}
+
+type loadEvents []loadEvent
+
+func (events loadEvents) Len() int                    { return len(events) }
+func (events loadEvents) Less(first, second int) bool { return events[first].due < events[second].due }
+func (events loadEvents) Swap(first, second int) {
+	events[first], events[second] = events[second], events[first]
+}
+func (events *loadEvents) Push(value any) { *events = append(*events, value.(loadEvent)) }
+func (events *loadEvents) Pop() any {
+	last := len(*events) - 1
+	popped := (*events)[last]
+	*events = (*events)[:last]
+	return popped
+}
+
+// kind is one kind of the users' jobs.
+type kind struct {
+	queue identifier.QueueName
+	share float64
+	width float64
+	work  time.Duration
+}
+
+var kinds = []kind{
+	{"quick", 0.244, 8, 60 * time.Millisecond},
+	{"large", 0.044, 4, 900 * time.Millisecond},
+	{"lookup", 0.712, 2, 200 * time.Millisecond},
+}
+
+// hop is the way to a backend server.
+const hop = 300 * time.Microsecond
+
+func newLoad(servers int) *load {
+	created := &load{
+		allocator: &allocator.Allocator{Self: "host-a", FailureDomain: "leuven", Settings: allocator.DefaultSettings()},
+		servers:   make(map[identifier.BackendServerID]*loadServer),
+		random:    rand.New(rand.NewPCG(1, 2)),
+		inTime:    make(map[identifier.QueueName]int), arrived: make(map[identifier.QueueName]int),
+		open: make(map[identifier.JobID]*loadJob),
+	}
+	created.tick(&allocator.LeadTaken{Epoch: 1})
+	for index := range servers {
+		id := identifier.BackendServerID(fmt.Sprintf("s%d", index))
+		created.servers[id] = &loadServer{id: id, running: make(map[messenger.RunKey]bool)}
+		cpu := identifier.MilliCPU(16000)
+		if index%3 == 2 {
+			cpu = 24000
+		}
+		created.tick(&allocator.CardArrived{Card: messenger.ServerCard{
+			Server: id, Service: "desk", Address: string(id), FailureDomain: "leuven", Sequence: 1,
+			Capacity: identifier.Resources{MilliCPU: cpu, Memory: 32 << 30},
+		}})
+	}
+	return created
+}
+
+func (load *load) at(delay time.Duration, run func() []allocator.Input) {
+	heap.Push(&load.events, loadEvent{due: load.now.Add(delay), run: run})
+}
+
+func (load *load) tick(inputs ...allocator.Input) {
+	load.ticks++
+	for _, output := range load.allocator.Tick(load.now, inputs) {
+		load.carryOut(output)
+	}
+}
+
+func (load *load) carryOut(output allocator.Output) {
+	switch output := output.(type) {
+	case *allocator.GrantRoom:
+		job := load.open[output.Grant.Job]
+		for _, run := range output.Grant.Runs {
+			server := load.servers[run.Server]
+			key := messenger.RunKey{Job: output.Grant.Job, Task: run.Task, Run: run.Run}
+			load.at(hop, func() []allocator.Input {
+				server.running[key] = true
+				load.at(job.runTimes[key.Task], func() []allocator.Input { return load.end(server, key) })
+				return nil
+			})
+		}
+	case *allocator.HoldServer:
+		server := load.servers[output.Server]
+		load.at(hop, func() []allocator.Input {
+			if len(server.ended) > 0 || output.Wait == 0 {
+				return load.answer(server, output)
+			}
+			server.waiting = output
+			load.at(output.Wait, func() []allocator.Input {
+				if server.waiting == output {
+					return load.answer(server, output)
+				}
+				return nil
+			})
+			return nil
+		})
+	case *allocator.TellDone:
+		load.finish(output.Done.RunKey.Job)
+	case *allocator.AnswerRoom:
+		if output.Answer.Kind == messenger.RoomAnswerTurnedAway {
+			load.turnedAway++
+			delete(load.open, output.Answer.Job)
+		}
+	}
+}
+
+func (load *load) end(server *loadServer, key messenger.RunKey) []allocator.Input {
+	delete(server.running, key)
+	server.number++
+	server.ended = append(server.ended, allocator.RunEnd{Number: server.number, Run: key, Kind: allocator.EndDone})
+	if server.waiting != nil {
+		return load.answer(server, server.waiting)
+	}
+	return nil
+}
+
+// answer answers a call after the way back.
+func (load *load) answer(server *loadServer, call *allocator.HoldServer) []allocator.Input {
+	server.waiting = nil
+	returned := &allocator.HoldReturned{
+		Server: server.id, Sequence: call.Sequence, SentAt: load.now - identifier.Moment(hop),
+		Clock: identifier.ServerTime(time.Duration(load.now).Milliseconds()), Ended: server.ended,
+	}
+	for key := range server.running {
+		returned.Running = append(returned.Running, key)
+	}
+	server.ended = nil
+	load.at(hop, func() []allocator.Input { return []allocator.Input{returned} })
+	return nil
+}
+
+func (load *load) finish(id identifier.JobID) {
+	job := load.open[id]
+	if job == nil {
+		return
+	}
+	load.done++
+	job.left--
+	if job.left == 0 {
+		if load.now.Sub(job.arrivedAt) <= job.objective {
+			load.inTime[job.queue]++
+		}
+		delete(load.open, id)
+	}
+}
+
+// arrive makes one job of a random kind, with sizes and times spread as the users' are
+// and declared times off by two fifths.
+func (load *load) arrive() []allocator.Input {
+	drawn := load.random.Float64()
+	chosen := kinds[0]
+	for _, kind := range kinds {
+		chosen = kind
+		if drawn < kind.share {
+			break
+		}
+		drawn -= kind.share
+	}
+	load.next++
+	request := messenger.RoomRequest{
+		Job: identifier.JobID(fmt.Sprintf("j%d", load.next)), Service: "desk", Queue: chosen.queue, Attempts: 3, Stretch: 1.6,
+		Allowance: 60 * time.Millisecond, Remaining: 5 * time.Second,
+	}
+	width := max(1, int(chosen.width*(1+0.4*load.random.NormFloat64())+0.5))
+	work := time.Duration(float64(chosen.work) * max(0.2, 1+0.4*load.random.NormFloat64()))
+	declared := time.Duration(float64(work) * max(0.3, 1+0.4*load.random.NormFloat64()))
+	job := &loadJob{queue: chosen.queue, left: width, arrivedAt: load.now}
+	longest := time.Duration(0)
+	cpu := identifier.MilliCPU(8000 * max(0.5, 1+0.2*load.random.NormFloat64()))
+	for index := range width {
+		runTime := time.Duration(float64(work) * max(0.3, 1+0.15*load.random.NormFloat64()))
+		job.runTimes = append(job.runTimes, runTime)
+		longest = max(longest, runTime)
+		request.Tasks = append(request.Tasks, messenger.RoomTask{
+			Task: messenger.TaskIndex(index), Needs: identifier.Resources{MilliCPU: cpu, Memory: 64 << 20}, Declared: declared,
+		})
+	}
+	job.objective = time.Duration(1.6*float64(longest)) + 60*time.Millisecond
+	load.open[request.Job] = job
+	load.jobs++
+	load.arrived[chosen.queue]++
+	return []allocator.Input{&allocator.RoomRequested{From: "host-b", Request: request}}
+}
+
+// play lets jobs arrive at a rate for a time.
+func (load *load) play(perSecond float64, length time.Duration) {
+	var schedule func() []allocator.Input
+	stop := load.now.Add(length)
+	schedule = func() []allocator.Input {
+		if load.now >= stop {
+			return nil
+		}
+		load.at(time.Duration(load.random.ExpFloat64()/perSecond*float64(time.Second)), schedule)
+		return load.arrive()
+	}
+	load.at(0, schedule)
+	for len(load.events) > 0 {
+		deadline := load.allocator.NextDeadline()
+		if deadline < load.events[0].due {
+			if deadline > stop.Add(5*time.Second) {
+				return
+			}
+			load.now = max(load.now, deadline)
+			load.tick()
+			continue
+		}
+		event := heap.Pop(&load.events).(loadEvent)
+		if event.due > stop.Add(5*time.Second) {
+			return
+		}
+		load.now = max(load.now, event.due)
+		if inputs := event.run(); len(inputs) > 0 {
+			load.tick(inputs...)
+		}
+	}
+}
+
+// BenchmarkLead gives what a second of one lead costs in deciding alone, at the load of
+// a failure domain of the grown deployments.
+func BenchmarkLead(b *testing.B) {
+	for range b.N {
+		load := newLoad(88)
+		load.play(240, 10*time.Second)
+		b.ReportMetric(float64(load.ticks)/10, "ticks/s")
+		b.ReportMetric(float64(load.turnedAway)/float64(load.jobs), "turned-away")
+		b.ReportMetric(float64(b.Elapsed().Milliseconds())/10/float64(b.N), "ms/s")
+	}
+}
