Keep jobs with runs in their cell, and forget no server that is only unheard

Found beside it: a job with runs was sent to another failure domain's lead when its own said that it doesn't lead, which then called the servers under epochs of its own. Ruled out: stops and unanswered starts (none on that task).

Change: a new lead counts silence from its takeover, and silence ends no run; jobs with runs wait for a lead of their cell.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -19,11 +19,13 @@
 		allocator.turnAway(job, messenger.ReasonNeverRunnable, reason, 0)
 		return
 	}
-	if lead, found := allocator.otherLead(job); found {
-		allocator.handOver(job, lead)
-		return
-	}
 	wait, inTime := allocator.predict(job)
+	if !inTime || wait >= allocator.Settings.HandOverWait {
+		if other, found := allocator.otherCell(job); found {
+			allocator.handOver(job, other)
+			return
+		}
+	}
 	if !inTime {
 		allocator.turnAway(job, messenger.ReasonDeadlineUnreachable, "the room is taken for longer than the job can wait", wait)
 		return
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -14,12 +14,14 @@
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
-// Allocator is the lead's side of one failure domain. Set the exported fields before
+// Allocator is the lead's side of one cell of a failure domain. Set the exported fields before
 // the first Tick.
 type Allocator struct {
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
-	Settings      Settings
+	// Cell is the part of the failure domain whose backend servers these are.
+	Cell     messenger.CellNumber
+	Settings Settings
 
 	now identifier.Moment
 	// epoch is the fence of this lead; zero while another host leads.
@@ -38,7 +40,7 @@
 	estimates estimates
 	assessor  *assessor.Assessor
 	judged    []assessor.Input
-	remotes   *tabulator.Table[identifier.FailureDomain, remote]
+	remotes   *tabulator.Table[messenger.CellRef, remote]
 	told      messenger.RoomNotice
 	toldAt    identifier.Moment
 	timers    *tabulator.Timers[timerKey]
@@ -110,7 +112,7 @@
 	allocator.jobs = tabulator.New[identifier.JobID, job]()
 	allocator.lastRuns = tabulator.New[identifier.JobID, identifier.RunNumber]()
 	allocator.strayEnds = tabulator.New[messenger.RunKey, strayEnd]()
-	allocator.remotes = tabulator.New[identifier.FailureDomain, remote]()
+	allocator.remotes = tabulator.New[messenger.CellRef, remote]()
 	allocator.estimates = newEstimates()
 	allocator.assessor = &assessor.Assessor{Settings: allocator.Settings.Health}
 }
@@ -172,6 +174,9 @@
 	allocator.epoch = epoch
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
 		server.oldLeasesEnd = allocator.oldLeasesEnd()
+		if !server.gone {
+			allocator.awaitForget(server)
+		}
 		allocator.hold(server)
 		return true
 	})
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -24,6 +24,9 @@
 	})
 }
 
+// geel is the cell of the other failure domain.
+var geel = messenger.CellRef{FailureDomain: "geel"}
+
 // scenario is one allocator whose surroundings a test file plays.
 type scenario struct {
 	allocator *allocator.Allocator
@@ -61,10 +64,10 @@
 	case "host-gone":
 		inputs = append(inputs, &allocator.HostGone{Host: "host-b"})
 	case "remote":
-		inputs = append(inputs, &allocator.RemoteLeadKnown{FailureDomain: "geel", Host: "host-g"})
+		inputs = append(inputs, &allocator.RemoteLeadKnown{Cell: geel, Host: "host-g"})
 		var spots int
 		data.ScanArgs(t, "spots", &spots)
-		inputs = append(inputs, &allocator.NoticeArrived{Notice: messenger.RoomNotice{FailureDomain: "geel", Spots: spots}})
+		inputs = append(inputs, &allocator.NoticeArrived{Notice: messenger.RoomNotice{From: geel, Spots: spots}})
 	case "wait":
 		return scenario.wait()
 	default:
--- a/pkg/allocator/handing.go
+++ b/pkg/allocator/handing.go
@@ -5,7 +5,7 @@
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
-// remote is the lead of another failure domain and the room that it told of.
+// remote is the lead of another cell and the room that it told of.
 type remote struct {
 	host   identifier.HostID
 	notice messenger.RoomNotice
@@ -17,59 +17,68 @@
 const spareSpots = 2
 
 func (allocator *Allocator) learnRemoteLead(input *RemoteLeadKnown) {
-	if input.FailureDomain == allocator.FailureDomain {
+	if input.Cell == allocator.ref() {
 		return
 	}
-	known := allocator.remotes.Get(input.FailureDomain)
+	known := allocator.remotes.Get(input.Cell)
 	if known == nil {
 		known = &remote{}
-		allocator.remotes.Put(input.FailureDomain, known)
+		allocator.remotes.Put(input.Cell, known)
 	}
 	if known.host != input.Host {
 		*known = remote{host: input.Host}
 	}
 }
 
+// ref names the own cell.
+func (allocator *Allocator) ref() messenger.CellRef {
+	return messenger.CellRef{FailureDomain: allocator.FailureDomain, Cell: allocator.Cell}
+}
+
 func (allocator *Allocator) takeNotice(notice *messenger.RoomNotice) {
-	if known := allocator.remotes.Get(notice.FailureDomain); known != nil {
+	if known := allocator.remotes.Get(notice.From); known != nil {
 		known.notice = *notice
 		known.heard = allocator.now
 	}
 }
 
-// otherLead returns the lead that a job is better off with: the job can't start here
-// at once, and there is room for all its tasks elsewhere.
-func (allocator *Allocator) otherLead(job *job) (identifier.HostID, bool) {
+// otherCell returns the cell that a job is better off with when it would have to wait
+// here: one that has room for all its tasks. One of the own failure domain goes first,
+// as bytes between failure domains are dear.
+func (allocator *Allocator) otherCell(job *job) (messenger.CellRef, bool) {
 	if job.request.HandedOver {
-		return "", false
-	}
-	wait, inTime := allocator.predict(job)
-	if inTime && wait < allocator.Settings.HandOverWait {
-		return "", false
+		return messenger.CellRef{}, false
 	}
-	var best *remote
-	allocator.remotes.Each(func(_ identifier.FailureDomain, candidate *remote) bool {
+	var best messenger.CellRef
+	var most *remote
+	allocator.remotes.Each(func(cell messenger.CellRef, candidate *remote) bool {
 		fresh := allocator.now.Sub(candidate.heard) <= allocator.Settings.NoticeAge
-		spare := candidate.notice.Spots - candidate.notice.Waiting
-		if candidate.host != "" && fresh && spare >= len(job.tasks)+spareSpots {
-			if best == nil || spare > best.notice.Spots-best.notice.Waiting {
-				best = candidate
-			}
+		if candidate.host == "" || !fresh || candidate.spare() < len(job.tasks)+spareSpots {
+			return true
+		}
+		near := cell.FailureDomain == allocator.FailureDomain
+		bestNear := best.FailureDomain == allocator.FailureDomain
+		if most == nil || near && !bestNear || near == bestNear && candidate.spare() > most.spare() {
+			best, most = cell, candidate
 		}
 		return true
 	})
-	if best == nil {
-		return "", false
+	if most == nil {
+		return messenger.CellRef{}, false
 	}
-	best.notice.Spots -= len(job.tasks)
-	return best.host, true
+	most.notice.Spots -= len(job.tasks)
+	return best, true
 }
 
-// handOver sends a job's host to another lead.
-func (allocator *Allocator) handOver(job *job, lead identifier.HostID) {
-	allocator.answer(job.from, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerAskOther, Lead: lead})
+// spare is how many spots a lead had left when it last told, less what was sent there.
+func (remote *remote) spare() int { return remote.notice.Spots - remote.notice.Waiting }
+
+// handOver sends a job's host to another cell's lead.
+func (allocator *Allocator) handOver(job *job, other messenger.CellRef) {
+	allocator.answer(job.from, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerAskOther, Other: other})
 	allocator.decided(messenger.Decision{
-		Kind: messenger.DecisionHandedOver, Job: job.request.Job, Host: lead, Tasks: len(job.tasks), Spots: allocator.spots(),
+		Kind: messenger.DecisionHandedOver, Job: job.request.Job, Host: allocator.remotes.Get(other).host,
+		Reason: string(other.FailureDomain), Tasks: len(job.tasks), Spots: allocator.spots(),
 	})
 	job.closed = true
 	allocator.dropIfOver(job)
@@ -90,7 +99,7 @@
 		allocator.timers.Set(timer, due)
 		return
 	}
-	notice := messenger.RoomNotice{FailureDomain: allocator.FailureDomain, Spots: allocator.spots(), Waiting: allocator.waitingTasks}
+	notice := messenger.RoomNotice{From: allocator.ref(), Spots: allocator.spots(), Waiting: allocator.waitingTasks}
 	if notice == allocator.told && allocator.now.Before(allocator.toldAt.Add(allocator.Settings.NoticeAge/2)) {
 		allocator.timers.Set(timer, allocator.toldAt.Add(allocator.Settings.NoticeAge/2))
 		return
@@ -98,7 +107,7 @@
 	allocator.told = notice
 	allocator.toldAt = allocator.now
 	allocator.timers.Set(timer, allocator.now.Add(allocator.Settings.NoticeAge/2))
-	allocator.remotes.Each(func(_ identifier.FailureDomain, remote *remote) bool {
+	allocator.remotes.Each(func(_ messenger.CellRef, remote *remote) bool {
 		if remote.host != "" {
 			allocator.emit(&TellNotice{To: remote.host, Notice: notice})
 		}
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -253,6 +253,7 @@
 }
 
 func (allocator *Allocator) answer(to identifier.HostID, answer messenger.RoomAnswer) {
+	answer.Cell = allocator.Cell
 	allocator.emit(&AnswerRoom{To: to, Answer: answer})
 }
 
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -40,14 +40,14 @@
 // HostGone tells that a host can't supervise its jobs any more.
 type HostGone struct{ Host identifier.HostID }
 
-// RemoteLeadKnown tells who leads another failure domain; an empty host that nobody
+// RemoteLeadKnown tells who leads another cell, here or in another failure domain; an empty host that nobody
 // does.
 type RemoteLeadKnown struct {
-	FailureDomain identifier.FailureDomain
-	Host          identifier.HostID
+	Cell messenger.CellRef
+	Host identifier.HostID
 }
 
-// NoticeArrived brings the room of another failure domain.
+// NoticeArrived brings the room of another cell.
 type NoticeArrived struct{ Notice messenger.RoomNotice }
 
 //go:generate enumer -type=CallOutcome,EndKind -trimprefix=Call,End -transform=kebab -text -output=messages_enumer.go
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -199,19 +199,24 @@
 	}
 }
 
-// forgetServer drops a server that has not been heard for long. The id of an ended
-// life is kept as long, so that a late card doesn't bring it back.
+// forgetServer drops a server that has not been heard for long and on which nothing can
+// run any more. The id of an ended life is kept as long, so that a late card doesn't
+// bring it back. Silence proves no end: what runs there counts until it has lapsed.
 func (allocator *Allocator) forgetServer(id identifier.BackendServerID) {
 	known := allocator.servers.Get(id)
 	if known == nil {
 		return
 	}
-	if !known.gone && !allocator.Leads() {
-		// Heartbeats go to the lead, which tells when a life has ended.
+	if !known.gone && (!allocator.Leads() || len(known.runs) > 0) {
+		// Heartbeats go to the lead, which tells the others when a life has ended.
 		allocator.awaitForget(known)
 		return
 	}
-	allocator.endLife(known, "not heard")
+	if !known.gone {
+		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerGone, Server: id, Reason: "not heard"})
+		allocator.timers.Clear(timerKey{kind: timerHold, server: id})
+		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: id})
+	}
 	allocator.servers.Remove(id)
 	allocator.judged = append(allocator.judged, &assessor.ServerGone{Server: id})
 }
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -7,7 +7,6 @@
 import (
 	"slices"
 
-	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
@@ -58,10 +57,10 @@
 	intentKeeping *intentKeeping
 	quotas        quotas
 	tending       *tending
-	// supervisor and allocator serve jobs that need not be remembered on backend
-	// servers that are called.
+	// supervisor and rooms serve jobs that need not be remembered on backend servers
+	// that are called.
 	supervisor *supervisor.Supervisor
-	allocator  *allocator.Allocator
+	rooms      []*room
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
@@ -78,7 +77,6 @@
 	toRequester  []claimer.Input
 	toFollower   []configurer.Input
 	toSupervisor []supervisor.Input
-	toAllocator  []allocator.Input
 	outputs      outbox
 	draining     bool
 	// connected are the hosts to which a connection stands.
@@ -113,7 +111,9 @@
 	next = identifier.Earlier(next, coordinator.intentKeeping.nextDeadline())
 	next = identifier.Earlier(next, coordinator.tending.dueAt)
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
-	next = identifier.Earlier(next, coordinator.allocator.NextDeadline())
+	for _, room := range coordinator.rooms {
+		next = identifier.Earlier(next, room.allocator.NextDeadline())
+	}
 	if coordinator.keeper != nil {
 		next = identifier.Earlier(next, coordinator.keeper.NextDeadline())
 	}
@@ -138,13 +138,10 @@
 	coordinator.supervisor = &supervisor.Supervisor{
 		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
+		Cells:         coordinator.cells(),
 		Settings:      coordinator.Settings.Supervisor,
 	}
-	coordinator.allocator = &allocator.Allocator{
-		Self:          coordinator.Self.Host,
-		FailureDomain: coordinator.Self.FailureDomain,
-		Settings:      coordinator.Settings.Allocator,
-	}
+	coordinator.rooms = newRooms(coordinator)
 	coordinator.gossiper = coordinator.newGossiper()
 	coordinator.elector = coordinator.newElector()
 	if !slices.Contains(coordinator.Self.Roles, gossiper.RoleEntry) {
@@ -182,7 +179,7 @@
 	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
-		len(coordinator.toSupervisor) > 0 || len(coordinator.toAllocator) > 0 ||
+		len(coordinator.toSupervisor) > 0 || coordinator.roomsUnsettled() ||
 		len(coordinator.toFollower) > 0 || len(coordinator.driving.inputs) > 0
 }
 
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -139,7 +139,7 @@
 // loseLeaver waits no longer for a host that has left.
 func (coordinator *Coordinator) loseLeaver(host identifier.HostID) {
 	if state, known := coordinator.gossiper.State(host); known && state.Status == gossiper.StatusLeft {
-		coordinator.tellAllocator(&allocator.HostGone{Host: host})
+		coordinator.tellAllocators(&allocator.HostGone{Host: host})
 		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host, Left: true})
 	}
 }
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
@@ -9,9 +11,32 @@
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
-// roomCell is the cell whose lead grants room. The room of a failure domain is one
-// ledger: divided into cells, a wide job would no longer fit into one of them.
-const roomCell messenger.CellNumber = 0
+// room is the ledger of one cell of the own failure domain. Cells divide the backend
+// servers and the jobs, so that a lead has no more to do than one small host can.
+type room struct {
+	allocator *allocator.Allocator
+	inputs    []allocator.Input
+}
+
+func newRooms(coordinator *Coordinator) []*room {
+	rooms := make([]*room, coordinator.cells())
+	for cell := range rooms {
+		rooms[cell] = &room{allocator: &allocator.Allocator{
+			Self:          coordinator.Self.Host,
+			FailureDomain: coordinator.Self.FailureDomain,
+			Cell:          messenger.CellNumber(cell),
+			Settings:      coordinator.Settings.Allocator,
+		}}
+	}
+	return rooms
+}
+
+// cells is how many cells each failure domain has.
+func (coordinator *Coordinator) cells() int { return max(coordinator.Settings.Dispatcher.Cells, 1) }
+
+func (coordinator *Coordinator) roomsUnsettled() bool {
+	return slices.ContainsFunc(coordinator.rooms, func(room *room) bool { return len(room.inputs) > 0 })
+}
 
 // fenceStep is what is added to an epoch that backend servers have refused. All hosts
 // of a failure domain that start anew have forgotten the epochs before.
@@ -23,27 +48,50 @@
 	coordinator.toSupervisor = append(coordinator.toSupervisor, input)
 }
 
-func (coordinator *Coordinator) tellAllocator(input allocator.Input) {
-	coordinator.toAllocator = append(coordinator.toAllocator, input)
+// tellAllocator tells the ledger of one cell. A cell that doesn't exist comes from a
+// host with other settings.
+func (coordinator *Coordinator) tellAllocator(cell messenger.CellNumber, input allocator.Input) {
+	if int(cell) < len(coordinator.rooms) {
+		room := coordinator.rooms[cell]
+		room.inputs = append(room.inputs, input)
+	}
+}
+
+// tellAllocators tells the ledgers of all cells.
+func (coordinator *Coordinator) tellAllocators(input allocator.Input) {
+	for cell := range coordinator.rooms {
+		coordinator.tellAllocator(messenger.CellNumber(cell), input)
+	}
+}
+
+// cellOfServer is the cell that a backend server belongs to.
+func (coordinator *Coordinator) cellOfServer(server identifier.BackendServerID) messenger.CellNumber {
+	return messenger.CellOfServer(server, coordinator.cells())
 }
 
 // hearCalledServer takes the answer of a backend server that was called. An answer
 // proves that this host isn't cut off from it.
 func (coordinator *Coordinator) hearCalledServer(event allocator.Input) {
-	coordinator.tellAllocator(event)
-	if returned, isHold := event.(*allocator.HoldReturned); isHold && returned.Outcome == allocator.CallAnswered {
-		coordinator.proveContact()
+	switch event := event.(type) {
+	case *allocator.HoldReturned:
+		coordinator.tellAllocator(coordinator.cellOfServer(event.Server), event)
+		if event.Outcome == allocator.CallAnswered {
+			coordinator.proveContact()
+		}
+	case *allocator.StopReturned:
+		coordinator.tellAllocator(coordinator.cellOfServer(event.Server), event)
 	}
 }
 
 // announceCard takes what a backend server says about itself, and passes it to the
 // lead of its failure domain, or to every host there while nobody leads.
 func (coordinator *Coordinator) announceCard(card *messenger.ServerCard) {
-	coordinator.tellAllocator(&allocator.CardArrived{Card: *card})
+	cell := coordinator.cellOfServer(card.Server)
 	if card.FailureDomain == coordinator.Self.FailureDomain {
+		coordinator.tellAllocator(cell, &allocator.CardArrived{Card: *card})
 		coordinator.proveContact()
 	}
-	lead, _ := coordinator.elector.Lead(card.FailureDomain, identifier.CellID(roomCell))
+	lead, _ := coordinator.elector.Lead(card.FailureDomain, cell)
 	if lead != "" {
 		coordinator.sendCards(lead, []messenger.ServerCard{*card})
 		return
@@ -53,6 +101,16 @@
 	}
 }
 
+// takeCard takes a card from another host. One that only keeps the log may not know
+// how many cells this failure domain has; its card is passed on to the right lead.
+func (coordinator *Coordinator) takeCard(from identifier.HostID, card *messenger.ServerCard) {
+	if state, known := coordinator.gossiper.State(from); known && !slices.Contains(state.Member.Roles, gossiper.RoleEntry) {
+		coordinator.announceCard(card)
+		return
+	}
+	coordinator.tellAllocator(coordinator.cellOfServer(card.Server), &allocator.CardArrived{Card: *card})
+}
+
 func (coordinator *Coordinator) sendCards(to identifier.HostID, cards []messenger.ServerCard) {
 	if to != coordinator.Self.Host && len(cards) > 0 {
 		coordinator.outputs.toPeer(to, PeerMessage{ServerCards: cards})
@@ -61,32 +119,31 @@
 
 // learnLead tells who leads a failure domain.
 func (coordinator *Coordinator) learnLead(notice messenger.LeadNotice) {
-	if notice.Cell != roomCell {
-		return
-	}
-	coordinator.tellSupervisor(&supervisor.LeadKnown{FailureDomain: notice.FailureDomain, Host: notice.Host, Epoch: notice.Epoch})
-	coordinator.tellAllocator(&allocator.RemoteLeadKnown{FailureDomain: notice.FailureDomain, Host: notice.Host})
+	cell := messenger.CellRef{FailureDomain: notice.FailureDomain, Cell: notice.Cell}
+	coordinator.tellSupervisor(&supervisor.LeadKnown{Cell: cell, Host: notice.Host, Epoch: notice.Epoch})
+	coordinator.tellAllocators(&allocator.RemoteLeadKnown{Cell: cell, Host: notice.Host})
 	coordinator.outputs.add(&LeadKnown{Notice: notice})
 }
 
 func (coordinator *Coordinator) takeRoomLead(taken elector.LeadTaken) {
-	if taken.Cell == roomCell {
-		coordinator.tellAllocator(&allocator.LeadTaken{Epoch: taken.Epoch})
-	}
+	coordinator.tellAllocator(taken.Cell, &allocator.LeadTaken{Epoch: taken.Epoch})
 }
 
 func (coordinator *Coordinator) loseRoomLead(lost elector.LeadLost) {
-	if lost.Cell == roomCell {
-		coordinator.tellAllocator(&allocator.LeadLost{})
-	}
+	coordinator.tellAllocator(lost.Cell, &allocator.LeadLost{})
 }
 
 // shareCardsWith tells a host of the own failure domain, to which a connection stands
 // now, which backend servers there are. What was sent before may have been lost with
 // an older connection.
 func (coordinator *Coordinator) shareCardsWith(host identifier.HostID) {
-	if coordinator.allocator.Leads() && coordinator.ownDomain(host) {
-		coordinator.sendCards(host, coordinator.allocator.Cards())
+	if !coordinator.ownDomain(host) {
+		return
+	}
+	for _, room := range coordinator.rooms {
+		if room.allocator.Leads() {
+			coordinator.sendCards(host, room.allocator.Cards())
+		}
 	}
 }
 
@@ -95,7 +152,7 @@
 func (coordinator *Coordinator) changeRoomHost(state gossiper.State, restarted bool) {
 	host := state.Member.Host
 	if restarted || state.Status == gossiper.StatusDead {
-		coordinator.tellAllocator(&allocator.HostGone{Host: host})
+		coordinator.tellAllocators(&allocator.HostGone{Host: host})
 	}
 	if state.Status == gossiper.StatusAlive {
 		coordinator.shareCardsWith(host)
@@ -105,18 +162,22 @@
 func (coordinator *Coordinator) settleRooming() {
 	now := coordinator.now
 	tickPart(now, coordinator.supervisor, &coordinator.toSupervisor, coordinator.routeSupervisorOutput)
-	tickPart(now, coordinator.allocator, &coordinator.toAllocator, coordinator.routeAllocatorOutput)
+	for cell, room := range coordinator.rooms {
+		tickPart(now, room.allocator, &room.inputs, func(output allocator.Output) {
+			coordinator.routeAllocatorOutput(messenger.CellNumber(cell), output)
+		})
+	}
 }
 
 // applyRoomMessage applies a message about room, and tells whether it was one.
 func (coordinator *Coordinator) applyRoomMessage(from identifier.HostID, message *PeerMessage) bool {
 	switch {
 	case message.RoomRequest != nil:
-		coordinator.tellAllocator(&allocator.RoomRequested{From: from, Request: *message.RoomRequest})
-	case message.RoomRelease != "":
-		coordinator.tellAllocator(&allocator.RoomReleased{From: from, Job: message.RoomRelease})
+		coordinator.tellAllocator(message.RoomRequest.Cell, &allocator.RoomRequested{From: from, Request: *message.RoomRequest})
+	case message.RoomRelease != nil:
+		coordinator.tellAllocator(message.RoomRelease.Cell, &allocator.RoomReleased{From: from, Job: message.RoomRelease.Job})
 	case message.StartReport != nil:
-		coordinator.tellAllocator(&allocator.StartReported{From: from, Report: *message.StartReport})
+		coordinator.tellAllocator(message.StartReport.Cell, &allocator.StartReported{From: from, Report: *message.StartReport})
 	case message.Grant != nil:
 		coordinator.tellSupervisor(&supervisor.GrantArrived{From: from, Grant: *message.Grant})
 	case message.RoomAnswer != nil:
@@ -124,10 +185,10 @@
 	case message.TaskDone != nil:
 		coordinator.tellSupervisor(&supervisor.DoneArrived{From: from, Done: *message.TaskDone})
 	case message.RoomNotice != nil:
-		coordinator.tellAllocator(&allocator.NoticeArrived{Notice: *message.RoomNotice})
+		coordinator.tellAllocators(&allocator.NoticeArrived{Notice: *message.RoomNotice})
 	case message.ServerCards != nil:
 		for index := range message.ServerCards {
-			coordinator.tellAllocator(&allocator.CardArrived{Card: message.ServerCards[index]})
+			coordinator.takeCard(from, &message.ServerCards[index])
 		}
 	default:
 		return false
@@ -140,19 +201,19 @@
 	switch output := output.(type) {
 	case *supervisor.AskRoom:
 		if output.To == self {
-			coordinator.tellAllocator(&allocator.RoomRequested{From: self, Request: output.Request})
+			coordinator.tellAllocator(output.Request.Cell, &allocator.RoomRequested{From: self, Request: output.Request})
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{RoomRequest: &output.Request})
 	case *supervisor.ReleaseRoom:
 		if output.To == self {
-			coordinator.tellAllocator(&allocator.RoomReleased{From: self, Job: output.Job})
+			coordinator.tellAllocator(output.Release.Cell, &allocator.RoomReleased{From: self, Job: output.Release.Job})
 			return
 		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{RoomRelease: output.Job})
+		coordinator.outputs.toPeer(output.To, PeerMessage{RoomRelease: &output.Release})
 	case *supervisor.ReportStart:
 		if output.To == self {
-			coordinator.tellAllocator(&allocator.StartReported{From: self, Report: output.Report})
+			coordinator.tellAllocator(output.Report.Cell, &allocator.StartReported{From: self, Report: output.Report})
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{StartReport: &output.Report})
@@ -165,7 +226,7 @@
 	}
 }
 
-func (coordinator *Coordinator) routeAllocatorOutput(output allocator.Output) {
+func (coordinator *Coordinator) routeAllocatorOutput(cell messenger.CellNumber, output allocator.Output) {
 	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *allocator.GrantRoom:
@@ -187,20 +248,24 @@
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TaskDone: &output.Done})
 	default:
-		coordinator.routeAllocatorCall(output)
+		coordinator.routeAllocatorCall(cell, output)
 	}
 }
 
-func (coordinator *Coordinator) routeAllocatorCall(output allocator.Output) {
+func (coordinator *Coordinator) routeAllocatorCall(cell messenger.CellNumber, output allocator.Output) {
 	switch output := output.(type) {
 	case *allocator.TellNotice:
+		if output.To == coordinator.Self.Host {
+			coordinator.tellAllocators(&allocator.NoticeArrived{Notice: output.Notice})
+			return
+		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{RoomNotice: &output.Notice})
 	case *allocator.HoldServer:
 		coordinator.outputs.add(&CallHold{Call: output})
 	case *allocator.StopRun:
 		coordinator.outputs.add(&CallStop{Call: output})
 	case *allocator.Fenced:
-		coordinator.tellElector(elector.EpochSeen{Cell: identifier.CellID(roomCell), Epoch: output.Epoch + fenceStep})
+		coordinator.tellElector(elector.EpochSeen{Cell: cell, Epoch: output.Epoch + fenceStep})
 	case *allocator.ShareCard:
 		for _, host := range coordinator.entryHosts(coordinator.livingIn(coordinator.Self.FailureDomain)) {
 			coordinator.sendCards(host, []messenger.ServerCard{output.Card})
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -20,7 +20,9 @@
 // called, for the tasks of one job. It carries no payload: the host that asks starts
 // the runs itself.
 type RoomRequest struct {
-	Job     identifier.JobID       `cbor:"1,keyasint"`
+	Job identifier.JobID `cbor:"1,keyasint"`
+	// Cell is the part of the lead's failure domain in which room is asked for.
+	Cell    CellNumber             `cbor:"16,keyasint,omitempty"`
 	Service identifier.ServiceName `cbor:"2,keyasint"`
 	// Queue groups jobs that are alike, for estimates.
 	Queue identifier.QueueName `cbor:"3,keyasint"`
@@ -69,6 +71,7 @@
 	Job   identifier.JobID `cbor:"1,keyasint"`
 	Epoch identifier.Epoch `cbor:"2,keyasint"`
 	Runs  []GrantedRun     `cbor:"3,keyasint"`
+	Cell  CellNumber       `cbor:"4,keyasint,omitempty"`
 }
 
 // GrantedRun is the room of one run.
@@ -90,8 +93,22 @@
 	Detail string `cbor:"4,keyasint,omitempty"`
 	// RetryAfter is when a job that was turned away is worth another try.
 	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
-	// Lead is the host to ask in place of this one.
-	Lead identifier.HostID `cbor:"6,keyasint,omitempty"`
+	// Cell is that of the lead which answers.
+	Cell CellNumber `cbor:"7,keyasint,omitempty"`
+	// Other is the cell to ask in place of this one.
+	Other CellRef `cbor:"6,keyasint,omitzero"`
+}
+
+// CellRef names a cell among all failure domains.
+type CellRef struct {
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint,omitempty"`
+	Cell          CellNumber               `cbor:"2,keyasint,omitempty"`
+}
+
+// RoomRelease tells a lead that a job needs no more room.
+type RoomRelease struct {
+	Job  identifier.JobID `cbor:"1,keyasint"`
+	Cell CellNumber       `cbor:"2,keyasint,omitempty"`
 }
 
 //go:generate enumer -type=RoomAnswerKind,StartOutcome -trimprefix=RoomAnswer,Start -transform=kebab -text -output=room_enumer.go
@@ -146,6 +163,7 @@
 	Outcome StartOutcome `cbor:"2,keyasint"`
 	// Epoch is that of the lead which granted the run.
 	Epoch identifier.Epoch `cbor:"3,keyasint"`
+	Cell  CellNumber       `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskDone tells that a run of a task has ended well.
@@ -155,7 +173,7 @@
 
 // RoomNotice tells other leads what room one has.
 type RoomNotice struct {
-	FailureDomain identifier.FailureDomain `cbor:"1,keyasint"`
+	From CellRef `cbor:"1,keyasint"`
 	// Spots is how many tasks of the usual size could start at once.
 	Spots int `cbor:"2,keyasint,omitempty"`
 	// Waiting is how many tasks wait for room.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -17,7 +17,7 @@
 	}
 	created := &job{
 		spec: input.Job, waiters: []WaiterID{input.Waiter}, arrivedAt: supervisor.now, deadline: input.Deadline,
-		tasks: make([]task, len(input.Job.Tasks)), left: len(input.Job.Tasks), tried: make(map[identifier.HostID]bool),
+		tasks: make([]task, len(input.Job.Tasks)), left: len(input.Job.Tasks), tried: make(map[messenger.CellRef]bool),
 	}
 	supervisor.jobs.Put(id, created)
 	supervisor.timers.Set(timerKey{timerDeadline, id}, input.Deadline)
@@ -27,11 +27,18 @@
 	supervisor.askHome(created)
 }
 
-// askHome asks the lead of the own failure domain for room, or any other lead where
-// the own failure domain has none.
+// homeOf is the cell that a job is asked for first. Cells of a failure domain share its
+// jobs evenly.
+func (supervisor *Supervisor) homeOf(job *job) messenger.CellRef {
+	cell := messenger.CellOf(identifier.SubmissionID(job.spec.Job), max(supervisor.Cells, 1))
+	return messenger.CellRef{FailureDomain: supervisor.FailureDomain, Cell: cell}
+}
+
+// askHome asks the lead of the job's home, or another lead where the home has none.
 func (supervisor *Supervisor) askHome(job *job) {
-	if lead := supervisor.leadOf(supervisor.FailureDomain); lead != "" && !job.tried[lead] {
-		supervisor.ask(job, lead, supervisor.FailureDomain)
+	home := supervisor.homeOf(job)
+	if lead := supervisor.leadOf(home); lead != "" {
+		supervisor.ask(job, lead, home)
 		return
 	}
 	if supervisor.askElsewhere(job) {
@@ -41,31 +48,41 @@
 	supervisor.timers.Set(timerKey{timerSilence, job.spec.Job}, supervisor.now.Add(supervisor.Settings.LeadWait))
 }
 
-// askElsewhere asks the lead of another failure domain that was not asked yet.
+// askElsewhere asks a lead that was not asked yet, one of the own failure domain first.
+// A job with runs stays with its cell: another lead doesn't know the order of epochs at
+// the servers that have them, and would fence their own lead off.
 func (supervisor *Supervisor) askElsewhere(job *job) bool {
-	asked := false
-	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *lead) bool {
-		if lead.host != "" && !job.tried[lead.host] && domain != supervisor.FailureDomain {
-			supervisor.ask(job, lead.host, domain)
-			asked = true
+	if job.granted {
+		return false
+	}
+	var found messenger.CellRef
+	supervisor.leads.Each(func(cell messenger.CellRef, lead *lead) bool {
+		if lead.host != "" && !job.tried[cell] {
+			if found.FailureDomain == "" || cell.FailureDomain == supervisor.FailureDomain {
+				found = cell
+			}
 		}
-		return !asked
+		return true
 	})
-	return asked
+	if found.FailureDomain == "" {
+		return false
+	}
+	supervisor.ask(job, supervisor.leadOf(found), found)
+	return true
 }
 
 // ask sends a lead a request for all that the job still needs.
-func (supervisor *Supervisor) ask(job *job, lead identifier.HostID, domain identifier.FailureDomain) {
+func (supervisor *Supervisor) ask(job *job, lead identifier.HostID, cell messenger.CellRef) {
 	job.lead = lead
-	job.domain = domain
+	job.cell = cell
 	job.heard = false
-	job.tried[lead] = true
+	job.tried[cell] = true
 	job.silentFrom = supervisor.now
 	request := messenger.RoomRequest{
-		Job: job.spec.Job, Service: job.spec.Service, Queue: job.spec.Queue, Urgency: job.spec.Urgency,
+		Job: job.spec.Job, Cell: cell.Cell, Service: job.spec.Service, Queue: job.spec.Queue, Urgency: job.spec.Urgency,
 		Attempts: job.spec.Attempts, Label: job.spec.Label, PerServer: job.spec.PerServer,
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
-		Remaining: job.deadline.Sub(supervisor.now), HandedOver: domain != supervisor.FailureDomain, RunsBelow: job.lastRun,
+		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job), RunsBelow: job.lastRun,
 	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
@@ -103,7 +120,7 @@
 		return
 	}
 	if job.lead != "" {
-		supervisor.emit(&ReleaseRoom{To: job.lead, Job: job.spec.Job})
+		supervisor.release(job.lead, job.cell.Cell, job.spec.Job)
 		if len(job.tried) < leadsTried && supervisor.askElsewhere(job) {
 			return
 		}
@@ -120,17 +137,17 @@
 // whose runs those are.
 func (supervisor *Supervisor) changeLead(input *LeadKnown) {
 	changed := lead{host: input.Host, epoch: input.Epoch}
-	if known := supervisor.leads.Get(input.FailureDomain); known != nil && *known == changed {
+	if known := supervisor.leads.Get(input.Cell); known != nil && *known == changed {
 		return
 	}
-	supervisor.leads.Put(input.FailureDomain, &changed)
+	supervisor.leads.Put(input.Cell, &changed)
 	if input.Host == "" {
 		return
 	}
 	for _, id := range supervisor.jobs.Keys() {
 		job := supervisor.jobs.Get(id)
-		if job.lead == "" || job.domain == input.FailureDomain {
-			supervisor.ask(job, input.Host, input.FailureDomain)
+		if job.cell == input.Cell || job.lead == "" && !job.granted {
+			supervisor.ask(job, input.Host, input.Cell)
 		}
 	}
 }
@@ -139,8 +156,8 @@
 // back.
 func (supervisor *Supervisor) takeGrant(input *GrantArrived) {
 	job := supervisor.jobs.Get(input.Grant.Job)
-	if job == nil || job.lead != input.From {
-		supervisor.emit(&ReleaseRoom{To: input.From, Job: input.Grant.Job})
+	if job == nil || job.lead != input.From || job.cell.Cell != input.Grant.Cell {
+		supervisor.release(input.From, input.Grant.Cell, input.Grant.Job)
 		return
 	}
 	job.heard = true
@@ -170,7 +187,7 @@
 	}
 	if job.lead != "" {
 		supervisor.emit(&ReportStart{To: job.lead, Report: messenger.StartReport{
-			RunKey: input.Run, Outcome: input.Outcome, Epoch: input.Epoch,
+			RunKey: input.Run, Outcome: input.Outcome, Epoch: input.Epoch, Cell: job.cell.Cell,
 		}})
 	}
 }
@@ -191,7 +208,7 @@
 func (supervisor *Supervisor) takeAnswer(input *AnswerArrived) {
 	answer := &input.Answer
 	job := supervisor.jobs.Get(answer.Job)
-	if job == nil || job.lead != input.From {
+	if job == nil || job.lead != input.From || job.cell.Cell != answer.Cell {
 		return
 	}
 	job.heard = true
@@ -211,19 +228,19 @@
 	}
 }
 
-// askOther follows a lead that sends the job to another one.
+// askOther follows a lead that sends the job to another cell.
 func (supervisor *Supervisor) askOther(job *job, answer *messenger.RoomAnswer) {
-	found := false
-	supervisor.leads.Each(func(domain identifier.FailureDomain, lead *lead) bool {
-		if lead.host == answer.Lead {
-			supervisor.ask(job, lead.host, domain)
-			found = true
-		}
-		return !found
-	})
-	if !found {
+	lead := supervisor.leadOf(answer.Other)
+	if lead == "" {
 		supervisor.refuse(job, messenger.ReasonNoBackendServer, "the lead that has room is gone", *answer)
+		return
 	}
+	supervisor.ask(job, lead, answer.Other)
+}
+
+// release tells a lead that a job needs no more room.
+func (supervisor *Supervisor) release(to identifier.HostID, cell messenger.CellNumber, job identifier.JobID) {
+	supervisor.emit(&ReleaseRoom{To: to, Release: messenger.RoomRelease{Job: job, Cell: cell}})
 }
 
 // turnedAway refuses a job, or, where a run of it may have started under an earlier
@@ -262,7 +279,7 @@
 		Kind: messenger.DecisionAnswered, Job: id, Reason: endReason(&ended), Failed: ended.Outcome != OutcomeComplete, Tasks: len(job.tasks), Elapsed: supervisor.now.Sub(job.arrivedAt),
 	})
 	if job.lead != "" && ended.Outcome != OutcomeComplete {
-		supervisor.emit(&ReleaseRoom{To: job.lead, Job: id})
+		supervisor.release(job.lead, job.cell.Cell, id)
 	}
 	supervisor.forget(id)
 }
@@ -295,7 +312,7 @@
 		Kind: messenger.DecisionCallerLeft, Job: input.Job, Tasks: job.left, Elapsed: supervisor.now.Sub(job.arrivedAt),
 	})
 	if job.lead != "" {
-		supervisor.emit(&ReleaseRoom{To: job.lead, Job: input.Job})
+		supervisor.release(job.lead, job.cell.Cell, input.Job)
 	}
 	supervisor.forget(input.Job)
 }
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -45,10 +45,10 @@
 	Job    identifier.JobID
 }
 
-// LeadKnown tells who leads a failure domain; an empty host that nobody does.
+// LeadKnown tells who leads a cell; an empty host that nobody does.
 type LeadKnown struct {
-	FailureDomain identifier.FailureDomain
-	Host          identifier.HostID
+	Cell messenger.CellRef
+	Host identifier.HostID
 	// Epoch is the lead's; a host that takes the lead again has a higher one and knows
 	// nothing of what it granted before.
 	Epoch identifier.Epoch
@@ -98,8 +98,8 @@
 
 // ReleaseRoom tells a lead that a job needs no more room.
 type ReleaseRoom struct {
-	To  identifier.HostID
-	Job identifier.JobID
+	To      identifier.HostID
+	Release messenger.RoomRelease
 }
 
 // ReportStart tells a lead of a start that was not accepted.
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -36,11 +36,13 @@
 type Supervisor struct {
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
-	Settings      Settings
+	// Cells is how many cells each failure domain has.
+	Cells    int
+	Settings Settings
 
 	now   identifier.Moment
 	jobs  *tabulator.Table[identifier.JobID, job]
-	leads *tabulator.Table[identifier.FailureDomain, lead]
+	leads *tabulator.Table[messenger.CellRef, lead]
 	// heardAt is when each lead was last heard.
 	heardAt map[identifier.HostID]identifier.Moment
 	timers  *tabulator.Timers[timerKey]
@@ -60,7 +62,7 @@
 	job  identifier.JobID
 }
 
-// lead is who leads a failure domain; an empty host is nobody.
+// lead is who leads a cell; an empty host is nobody.
 type lead struct {
 	host  identifier.HostID
 	epoch identifier.Epoch
@@ -74,10 +76,10 @@
 	deadline  identifier.Moment
 	tasks     []task
 	left      int
-	// lead is the host that was asked for room, empty while nobody is; domain is the
-	// failure domain that it leads.
-	lead   identifier.HostID
-	domain identifier.FailureDomain
+	// lead is the host that was asked for room, empty while nobody is; cell is what it
+	// leads.
+	lead identifier.HostID
+	cell messenger.CellRef
 	// heard tells that the lead has answered the request.
 	heard bool
 	// silentFrom is since when nothing may be heard from the lead before it counts as
@@ -86,8 +88,8 @@
 	// granted tells that a start of some run may have gone out.
 	granted bool
 	lastRun identifier.RunNumber
-	// tried are the leads that were asked.
-	tried map[identifier.HostID]bool
+	// tried are the cells whose leads were asked.
+	tried map[messenger.CellRef]bool
 }
 
 // task is one task of a job.
@@ -127,18 +129,13 @@
 	return supervisor.jobs.Len()
 }
 
-// Led tells whether some failure domain has a lead, as far as this host knows.
-func (supervisor *Supervisor) Led() bool {
-	return supervisor.leads != nil && supervisor.leadOf(supervisor.FailureDomain) != ""
-}
-
 func (supervisor *Supervisor) prepare(now identifier.Moment) {
 	supervisor.now = now
 	if supervisor.timers != nil {
 		return
 	}
 	supervisor.jobs = tabulator.New[identifier.JobID, job]()
-	supervisor.leads = tabulator.New[identifier.FailureDomain, lead]()
+	supervisor.leads = tabulator.New[messenger.CellRef, lead]()
 	supervisor.heardAt = make(map[identifier.HostID]identifier.Moment)
 	supervisor.timers = tabulator.NewTimers[timerKey]()
 }
@@ -186,8 +183,8 @@
 	supervisor.emit(&Decided{Decision: decision})
 }
 
-func (supervisor *Supervisor) leadOf(domain identifier.FailureDomain) identifier.HostID {
-	if known := supervisor.leads.Get(domain); known != nil {
+func (supervisor *Supervisor) leadOf(cell messenger.CellRef) identifier.HostID {
+	if known := supervisor.leads.Get(cell); known != nil {
 		return known.host
 	}
 	return ""
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -51,7 +51,7 @@
 	switch data.Cmd {
 	case "lead":
 		inputs = append(inputs, &supervisor.LeadKnown{
-			FailureDomain: identifier.FailureDomain(scanString(t, data, "domain")), Host: identifier.HostID(scanString(t, data, "host")),
+			Cell: messenger.CellRef{FailureDomain: identifier.FailureDomain(scanString(t, data, "domain"))}, Host: identifier.HostID(scanString(t, data, "host")),
 			Epoch: identifier.Epoch(epoch),
 		})
 	case "job":
@@ -69,7 +69,7 @@
 			t.Fatal(err)
 		}
 		inputs = append(inputs, &supervisor.AnswerArrived{From: from, Answer: messenger.RoomAnswer{
-			Job: id, Kind: kind, Lead: identifier.HostID(scanString(t, data, "lead")),
+			Job: id, Kind: kind, Other: messenger.CellRef{FailureDomain: identifier.FailureDomain(scanString(t, data, "other"))},
 		}})
 	case "done":
 		inputs = append(inputs, &supervisor.DoneArrived{From: from, Done: messenger.TaskDone{RunKey: key}})
@@ -110,7 +110,7 @@
 			fmt.Fprintf(&lines, "ask %s for %s: %d tasks, %d held, runs above %d, handed over %v\n", output.To, output.Request.Job,
 				len(output.Request.Tasks), len(output.Request.Held), output.Request.RunsBelow, output.Request.HandedOver)
 		case *supervisor.ReleaseRoom:
-			fmt.Fprintf(&lines, "release %s at %s\n", output.Job, output.To)
+			fmt.Fprintf(&lines, "release %s at %s\n", output.Release.Job, output.To)
 		case *supervisor.ReportStart:
 			fmt.Fprintf(&lines, "report %s task %d run %d to %s: %s\n", output.Report.RunKey.Job, output.Report.RunKey.Task,
 				output.Report.RunKey.Run, output.To, output.Report.Outcome)
