Shorten the outage after a start of all hosts

Hosts listened 0.7 s for a lead, then the epoch was refused by backend servers that had seen a higher one, and the lead waited 0.7 s for an overtaker that doesn't exist. 45 to 88 callers waited to their deadline for jobs in a failure domain that was cut off.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -41,6 +41,7 @@
 		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
 		Others:        coordinator.seedsOfOwnDomain(),
 		SettleTime:    coordinator.Settings.LeadSettle,
+		OvertakenTime: coordinator.Settings.LeadOvertaken,
 		NextEpoch: func(after identifier.Epoch) identifier.Epoch {
 			return nextEpoch(after, coordinator.Self.Host)
 		},
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -28,6 +28,9 @@
 	// LeadSettle is how long a starting host waits to hear of a living lead
 	// before it takes a cell, so that it does not duel with that lead.
 	LeadSettle time.Duration
+	// LeadOvertaken is how long a lead whose epoch was refused waits for the lead with
+	// the higher one; zero means LeadSettle.
+	LeadOvertaken time.Duration
 	// JoinKeepers makes a keeper without a log wait until the others take it in, in
 	// place of founding a log with the keepers that the settings name. A keeper that
 	// lost its disk would else vote as if it had never accepted anything.
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -164,7 +165,7 @@
 	case cell.overtakenUntil == identifier.Never:
 		// Someone leads or led with a higher epoch, and backend servers refuse
 		// this host's starts. Its announcement is mostly on the way.
-		cell.overtakenUntil = elector.now.Add(elector.SettleTime)
+		cell.overtakenUntil = elector.now.Add(cmp.Or(elector.OvertakenTime, elector.SettleTime))
 	case cell.overtakenUntil.Due(elector.now):
 		elector.takeLead(id, cell)
 	}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -29,6 +29,9 @@
 	// While none of them and no backend server is heard, a host that has just
 	// started takes no cell.
 	Others int
+	// OvertakenTime is how long a lead that is overtaken waits for the one who overtook
+	// it to show itself, before it takes the cell anew. Zero means SettleTime.
+	OvertakenTime time.Duration
 	// SettleTime is how long a host that starts listens before it takes a cell,
 	// so that it doesn't duel with a living lead it has not heard of yet; and how
 	// long a lead that is overtaken waits for the one who overtook it.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -142,6 +142,7 @@
 	}
 	supervisor.leads.Put(input.Cell, &changed)
 	if input.Host == "" {
+		supervisor.loseCell(input.Cell)
 		return
 	}
 	for _, id := range supervisor.jobs.Keys() {
@@ -152,6 +153,20 @@
 	}
 }
 
+// loseCell gives up the jobs that have runs in another failure domain where nobody leads
+// any more, as far as is seen here: it is most likely cut off. Whether they still run
+// nobody here can find out in time, and their callers would wait in vain.
+func (supervisor *Supervisor) loseCell(cell messenger.CellRef) {
+	if cell.FailureDomain == supervisor.FailureDomain {
+		return
+	}
+	for _, id := range supervisor.jobs.Keys() {
+		if job := supervisor.jobs.Get(id); job.cell == cell && job.granted {
+			supervisor.refuse(job, messenger.ReasonTaskUnknown, "the failure domain that runs the job is out of reach", messenger.RoomAnswer{})
+		}
+	}
+}
+
 // takeGrant starts the granted runs. A lead that is not asked any more gets its room
 // back.
 func (supervisor *Supervisor) takeGrant(input *GrantArrived) {
