--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -38,12 +38,11 @@
 }
 
 type loadServer struct {
-	id       identifier.BackendServerID
-	running  map[messenger.RunKey]bool
-	ended    []allocator.RunEnd
-	number   int64
-	waiting  *allocator.HoldServer
-	waitedAt identifier.Moment
+	id      identifier.BackendServerID
+	running map[messenger.RunKey]bool
+	ended   []allocator.RunEnd
+	number  int64
+	waiting *allocator.HoldServer
 }
 
 type loadEvent struct {
