--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -149,6 +149,9 @@
 	data.MaybeScanArgs(t, "cpu", &cpu)
 	data.MaybeScanArgs(t, "sequence", &card.Sequence)
 	card.Capacity = identifier.Resources{MilliCPU: identifier.MilliCPU(cpu), Memory: 64 << 30}
+	if rack := scanString(t, data, "rack"); rack != "" {
+		card.Labels = []string{rack}
+	}
 	card.Draining = data.HasArg("draining")
 	card.Gone = data.HasArg("gone")
 	return card
@@ -160,6 +163,7 @@
 	request := messenger.RoomRequest{
 		Job: identifier.JobID(scanString(t, data, "job")), Service: "desk", Queue: "quick", Attempts: 2, Stretch: 1.6,
 		Allowance: 60 * time.Millisecond, Remaining: 2 * time.Second, HandedOver: data.HasArg("handed-over"),
+		Near: scanString(t, data, "near"),
 	}
 	tasks, milliseconds, cpu := 0, 60, 14000
 	data.MaybeScanArgs(t, "tasks", &tasks)
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -84,10 +84,12 @@
 
 // roomFor returns the server that a task fits best, or nil: the one on which it
 // leaves the least room that no usual task fits. Packing by size decides how much of
-// a failure domain can be used, as two tasks fill most of a server.
+// a failure domain can be used, as two tasks fill most of a server. A server near the
+// job's data goes first; a job does not wait for one, since many may want the same rack.
 func (allocator *Allocator) roomFor(job *job, task *task) *server {
 	var best *server
 	var bestWaste, bestLoad identifier.MilliCPU
+	bestNear := false
 	usual := allocator.estimates.usualNeeds().MilliCPU
 	allocator.servers.Each(func(id identifier.BackendServerID, server *server) bool {
 		if !allocator.mayRun(job, task, server) {
@@ -99,8 +101,10 @@
 			waste = left % usual
 		}
 		load := server.used.MilliCPU
-		if best == nil || waste < bestWaste || waste == bestWaste && load < bestLoad {
-			best, bestWaste, bestLoad = server, waste, load
+		near := server.hasLabel(job.request.Near)
+		fitsBetter := waste < bestWaste || waste == bestWaste && load < bestLoad
+		if best == nil || near && !bestNear || near == bestNear && fitsBetter {
+			best, bestWaste, bestLoad, bestNear = server, waste, load, near
 		}
 		return true
 	})
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -33,6 +33,9 @@
 	Attempts int `cbor:"6,keyasint"`
 	// Label is what the backend server must have; empty for any.
 	Label string `cbor:"7,keyasint,omitempty"`
+	// Near is a label that the backend server should have: the rack of the job's data.
+	// Elsewhere the tasks take longer.
+	Near string `cbor:"17,keyasint,omitempty"`
 	// PerServer bounds the job's tasks on one backend server; 0 does not.
 	PerServer int `cbor:"8,keyasint,omitempty"`
 	// Elapsed is how long ago the caller sent the job.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -80,7 +80,7 @@
 	job.silentFrom = supervisor.now
 	request := messenger.RoomRequest{
 		Job: job.spec.Job, Cell: cell.Cell, Service: job.spec.Service, Queue: job.spec.Queue, Urgency: job.spec.Urgency,
-		Attempts: job.spec.Attempts, Label: job.spec.Label, PerServer: job.spec.PerServer,
+		Attempts: job.spec.Attempts, Label: job.spec.Label, Near: job.spec.Near, PerServer: job.spec.PerServer,
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
 		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job), RunsBelow: job.lastRun,
 	}
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -23,6 +23,8 @@
 	Stretch   float64
 	Allowance time.Duration
 	Label     string
+	// Near is the rack of the job's data; empty for any.
+	Near      string
 	PerServer int
 	// Payload is what each task is given.
 	Payload string
