--- /dev/null
+++ b/pkg/coordinator/called_fuzz_test.go
@@ -0,0 +1,78 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// TestCalledServersUnderRandomFaults sends jobs to three hosts of one failure domain with
+// five backend servers that are called, while hosts crash, return and lose sight of each
+// other, backend servers crash, and calls are lost, unanswered or carried out late.
+func TestCalledServersUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		network := newNetwork([]identifier.FailureDomain{"leuven"}, 3, 0, 0)
+		world := newCalledWorld(network, draw, 5)
+		network.advance(2 * time.Second)
+		world.trouble = rapid.IntRange(0, 15).Draw(draw, "trouble")
+		for step := range rapid.IntRange(20, 60).Draw(draw, "steps") {
+			world.step(step)
+			network.advance(time.Duration(rapid.IntRange(1, 400).Draw(draw, "pause")) * time.Millisecond)
+		}
+		world.trouble = 0
+		for _, host := range network.hosts {
+			if host.coordinator == nil {
+				network.startHost(host)
+			}
+		}
+		network.advance(20 * time.Second)
+		for _, problem := range world.problems {
+			draw.Error(problem)
+			draw.Log(strings.Join(world.history, "\n"))
+		}
+	})
+}
+
+func (world *calledWorld) step(step int) {
+	network := world.network
+	host := network.hosts[world.chance("host", len(network.hosts)-1)]
+	switch kind := world.chance("step", 19); {
+	case kind < 14:
+		world.submit(host, identifier.JobID(fmt.Sprintf("job-%d", step)), 1+world.chance("tasks", 4))
+	case kind == 14 && host.coordinator != nil:
+		network.crashHost(host)
+	case kind <= 16 && host.coordinator == nil:
+		network.startHost(host)
+	case kind == 17:
+		other := network.hosts[world.chance("other", len(network.hosts)-1)]
+		if other != host {
+			network.breakHosts(host, other)
+			network.at(time.Duration(world.chance("cut", 3000))*time.Millisecond, func() { network.connectHosts(host, other) })
+		}
+	case kind == 18:
+		world.crashOne(step)
+	}
+}
+
+// crashOne ends the life of one backend server; a new one stands at its address soon.
+func (world *calledWorld) crashOne(step int) {
+	var living []identifier.BackendServerID
+	for id, server := range world.servers {
+		if !server.dead {
+			living = append(living, id)
+		}
+	}
+	slices.Sort(living)
+	if len(living) == 0 {
+		return
+	}
+	server := world.servers[living[world.chance("server", len(living)-1)]]
+	server.crash()
+	world.network.at(time.Second, func() { world.startServer(server.place, step+2) })
+}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -36,6 +36,8 @@
 	intents *intentWorld
 	// operators holds the answers to operators' requests where no intents are run.
 	operators map[uint64]*coordinator.OperatorAnswer
+	// called is nil where no backend servers are called.
+	called *calledWorld
 	// cost counts messages between hosts unless it is nil.
 	cost *cost
 }
@@ -300,6 +302,9 @@
 		server := network.server(output.Batch.Server)
 		network.send(string(host.id), string(server.id), func() { server.handle(host, output.Batch) })
 	case *coordinator.LeadChanged:
+		if network.called != nil {
+			network.called.history = append(network.called.history, fmt.Sprintf("%v %s lead changed: %+v", time.Duration(network.now), host.id, output.Notice))
+		}
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
@@ -317,6 +322,8 @@
 		network.endDrained(host)
 	case *coordinator.ToCaller:
 		network.oracle.answered(output.Answer.Waiter, output.Answer.Answer)
+	case *coordinator.CallStart, *coordinator.CallStop, *coordinator.CallHold, *coordinator.JobEnded, *coordinator.Decided:
+		network.called.carryOut(host, output)
 	default:
 		network.intents.carryOut(host, output)
 	}
