--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -1,5 +1,5 @@
-// Package allocator decides, on the host that leads a failure domain, which backend
-// server has room for which task of jobs that need not be remembered. It keeps the
+// Package allocator decides, on the host that leads a cell of a failure domain, which
+// backend server has room for which task of jobs that need not be remembered. It keeps the
 // ledger of granted room, lets jobs wait, turns them away, renews the leases of what
 // runs, and finds out which runs are surely over. The hosts that ask start the runs
 // themselves; the fence of each lead keeps two leads apart.
@@ -14,8 +14,8 @@
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
-// Allocator is the lead's side of one cell of a failure domain. Set the exported fields before
-// the first Tick.
+// Allocator is the lead's side of one cell of a failure domain. Set the exported fields
+// before the first Tick.
 type Allocator struct {
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -96,7 +96,6 @@
 
 // takeRuns compares what runs and what has ended on a server with the ledger.
 func (allocator *Allocator) takeRuns(server *server, input *HoldReturned) {
-	server.heardAt = allocator.now
 	server.readClock(allocator.now, input.Clock)
 	allocator.awaitForget(server)
 	if server.silent {
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -38,8 +38,6 @@
 	holds   uint64
 	// cursor is the highest end that was taken note of.
 	cursor int64
-	// heardAt is when it was last heard, by a call or a card.
-	heardAt identifier.Moment
 }
 
 // clockDriftPerMille is how slow a backend server's clock may be.
@@ -113,7 +111,6 @@
 		allocator.endLife(known, "left")
 		return
 	}
-	known.heardAt = allocator.now
 	leaves := card.Draining && !known.card.Draining
 	changed := leaves || card.Address != known.card.Address
 	// A server that drains never stops draining within one life.
@@ -137,7 +134,7 @@
 	if card.Gone {
 		return
 	}
-	created := &server{card: *card, heardAt: allocator.now, allowed: healthSlots}
+	created := &server{card: *card, allowed: healthSlots}
 	created.reset()
 	created.oldLeasesEnd = allocator.oldLeasesEnd()
 	if card.Clock > 0 {
--- a/pkg/assembler/extension.go
+++ b/pkg/assembler/extension.go
@@ -5,6 +5,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
 )
 
 // Extension serves further interfaces of a host beside the product's own ones.
@@ -31,5 +32,8 @@
 	return daemon.operations.await(ctx, input)
 }
 
+// Measurer returns what counts the jobs of this host.
+func (daemon *Daemon) Measurer() *measurer.Measurer { return daemon.measurer }
+
 // Now returns the present moment on the coordinator's clock.
 func (daemon *Daemon) Now() identifier.Moment { return daemon.clock.Now() }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -230,7 +230,7 @@
 	switch answer.Kind {
 	case messenger.RoomAnswerWaiting:
 	case messenger.RoomAnswerTurnedAway:
-		supervisor.turnedAway(job, answer)
+		supervisor.refuse(job, answer.Reason, answer.Detail, *answer)
 	case messenger.RoomAnswerAskOther:
 		supervisor.askOther(job, answer)
 	case messenger.RoomAnswerFailed:
@@ -258,12 +258,8 @@
 	supervisor.emit(&ReleaseRoom{To: to, Release: messenger.RoomRelease{Job: job, Cell: cell}})
 }
 
-// turnedAway refuses a job, or, where a run of it may have started under an earlier
-// lead, says that it failed.
-func (supervisor *Supervisor) turnedAway(job *job, answer *messenger.RoomAnswer) {
-	supervisor.refuse(job, answer.Reason, answer.Detail, *answer)
-}
-
+// refuse tells a job's callers that it has not run, or, where a run of it may have
+// started, that its time was given up.
 func (supervisor *Supervisor) refuse(job *job, reason messenger.Reason, detail string, answer messenger.RoomAnswer) {
 	outcome := OutcomeRefused
 	if job.granted {
