Name both starts of a task that starts twice; prove the cause of the red test

The checker named the second start alone, so a replay could not tell whether the first was at home. Ruled out: the fence inside a failure domain. The test itself is not mended. Conclusion: a lead that misses two hosts has to ask the other failure domains for guests, and backend servers have to report what was acknowledged lately.

--- a/pkg/replayer/answerchecker.go
+++ b/pkg/replayer/answerchecker.go
@@ -71,7 +71,7 @@
 			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
 				"task %s has %d results", task, counts[task])
 		}
-		if ran.starts[task] == 0 {
+		if ran.starts[task] == nil {
 			checker.violate("an answer is complete or marked failed, never partial", answer.Submission, at,
 				"task %s has never started", task)
 		}
--- a/pkg/replayer/checker.go
+++ b/pkg/replayer/checker.go
@@ -62,13 +62,20 @@
 	tasks   []identifier.TaskID
 	// requests counts what may be answered: each sending and each cancellation.
 	requests  int
-	starts    map[identifier.TaskID]int
+	starts    map[identifier.TaskID]*taskStarts
 	answers   int
 	first     CallerAnswer
 	notRunAt  identifier.Moment
 	saidNoRun bool
 }
 
+// taskStarts is how often a task started, and where and when it did so first.
+type taskStarts struct {
+	count       int
+	firstServer identifier.BackendServerID
+	firstAt     identifier.Moment
+}
+
 // requestKey names a request over all its submissions.
 type requestKey struct {
 	caller identifier.CallerID
@@ -88,7 +95,7 @@
 func (checker *Checker) OnSending(job *tracer.Job) {
 	submission := checker.submissions[job.Submission]
 	if submission == nil {
-		submission = &checkedSubmission{caller: job.Caller, tasks: TaskIDs(job), starts: make(map[identifier.TaskID]int)}
+		submission = &checkedSubmission{caller: job.Caller, tasks: TaskIDs(job), starts: make(map[identifier.TaskID]*taskStarts)}
 		if !job.Repeatable {
 			submission.request = &requestKey{caller: job.Caller, job: job.Job}
 		}
@@ -132,11 +139,15 @@
 }
 
 func (checker *Checker) checkSingleStart(submission *checkedSubmission, start TaskStart, at identifier.Moment) {
-	submission.starts[start.Task]++
-	if count := submission.starts[start.Task]; count > 1 {
-		checker.violate("no task within a submission starts twice", start.Submission, at,
-			"task %s started for the %s time, at %s", start.Task, ordinal(count), start.BackendServer)
+	known := submission.starts[start.Task]
+	if known == nil {
+		submission.starts[start.Task] = &taskStarts{count: 1, firstServer: start.BackendServer, firstAt: at}
+		return
 	}
+	known.count++
+	checker.violate("no task within a submission starts twice", start.Submission, at,
+		"task %s started for the %s time, at %s; the first time at %s, at %s",
+		start.Task, ordinal(known.count), start.BackendServer, known.firstServer, time.Duration(known.firstAt))
 }
 
 // checkSingleRun holds a not-repeatable request to the first submission that
