Answer what has arrived before a drain closes its connection

The HTTP library's Shutdown closes every connection on which it has not begun to read a request; a process that gets 0.19 of a core late may have had the request waiting unread for 200 ms. Ruled out: the job itself (no line on it, so it was never read); the executors; the 5 s after which new connections count as idle. Change: pkg/listener serves callers in place of two copies (assembler and adapter): it closes a connection only when nothing was read that is unanswered and the operating system holds nothing unread.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"errors"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +17,7 @@
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/listener"
 	"github.com/stoathitch/stoathitch/pkg/measurer"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
@@ -245,7 +246,7 @@
 
 // servers are the serving sides of the listeners.
 type servers struct {
-	http           *http.Server
+	callers        *listener.Server
 	backendServers *grpc.Server
 	peers          *grpc.Server
 }
@@ -258,13 +259,13 @@
 	daemon.registerStatus(router)
 	router.Handle("/debug/vars", daemon.measurer).Methods(http.MethodGet)
 	created := &servers{
-		http:           daemon.newHTTPServer(router),
+		callers:        daemon.NewServer(router, daemon.security.callersConfig()),
 		backendServers: daemon.servers.NewServer(),
 		peers:          daemon.peers.NewServer(),
 	}
 	backendv1.RegisterEntryHostServer(created.backendServers, daemon.servers)
 	peerv1.RegisterPeerServer(created.peers, daemon.peers)
-	go daemon.serveHTTP(created.http, listeners.callers)
+	go daemon.Serve(created.callers, listeners.callers)
 	if listeners.backendServers != nil {
 		go daemon.serveGRPC(created.backendServers, listeners.backendServers)
 	}
@@ -272,29 +273,28 @@
 	return created
 }
 
-// newHTTPServer bounds what a caller may hold of this host before it has sent a
-// whole request. The receiver bounds the body.
-func (daemon *Daemon) newHTTPServer(handler http.Handler) *http.Server {
+// NewServer returns a server for callers. It bounds what a caller may hold of this
+// host before it has sent a whole request; the handler bounds the body. Without
+// security callers connect in clear text.
+func (daemon *Daemon) NewServer(handler http.Handler, security *tls.Config) *listener.Server {
 	timeouts := &daemon.Settings.Timeouts
-	return &http.Server{
+	created := &listener.Server{HTTP: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: timeouts.HeaderTimeout.Std(),
 		IdleTimeout:       timeouts.IdleTimeout.Std(),
 		MaxHeaderBytes:    int(daemon.Settings.Limits.RequestHeader),
-		Protocols:         onlyHTTP1(),
-		TLSConfig:         daemon.security.callersConfig(),
+		TLSConfig:         security,
 		// Anybody can cause such lines by knocking at the port.
 		ErrorLog: daemon.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
+	}}
+	created.Prepare()
+	return created
 }
 
-func (daemon *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
-	serve := server.Serve
-	if server.TLSConfig != nil {
-		serve = func(listener net.Listener) error { return server.ServeTLS(listener, "", "") }
-	}
-	if err := serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		daemon.Log.Error("callers not served", "err", err)
+// Serve serves callers until the server is drained or closed.
+func (daemon *Daemon) Serve(server *listener.Server, accepting *listener.Listener) {
+	if err := server.Serve(accepting); err != nil {
+		daemon.Log.Error("callers not served", "address", accepting.Addr(), "err", err)
 	}
 }
 
@@ -309,10 +309,8 @@
 func (servers *servers) stop() {
 	deadline, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if servers.http.Shutdown(deadline) != nil {
-		// Nothing is left to do about a connection that can't be closed.
-		_ = servers.http.Close()
-	}
+	servers.callers.Drain(deadline)
+	servers.callers.Close()
 	servers.backendServers.Stop()
 	servers.peers.Stop()
 }
--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -5,6 +5,8 @@
 	"net/netip"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/listener"
 )
 
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
@@ -40,16 +42,16 @@
 // listeners are the bound addresses of one daemon. A host without the role entry
 // may have no address for backend servers.
 type listeners struct {
-	callers        net.Listener
-	backendServers net.Listener
-	peers          net.Listener
+	callers        *listener.Listener
+	backendServers *listener.Listener
+	peers          *listener.Listener
 }
 
 func (daemon *Daemon) listen() (*listeners, error) {
 	bound := &listeners{}
 	wanted := []struct {
 		address netip.AddrPort
-		target  *net.Listener
+		target  **listener.Listener
 	}{
 		{daemon.Settings.CallersAddress, &bound.callers},
 		{daemon.Settings.BackendServersAddress, &bound.backendServers},
@@ -59,19 +61,28 @@
 		if !wish.address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", wish.address.String())
+		opened, err := daemon.Listen(wish.address)
 		if err != nil {
 			bound.close()
-			return nil, &Error{Operation: "listen on " + wish.address.String(), Kind: ErrorListen, Err: eris.Wrap(err, "listen")}
-		}
-		*wish.target = &boundedListener{
-			Listener: listener, limit: int64(daemon.Settings.Connections.PerListener),
-			writeTimeout: daemon.Settings.Timeouts.BodyTimeout.Std(), log: daemon.Log,
+			return nil, err
 		}
+		*wish.target = opened
 	}
 	return bound, nil
 }
 
+// Listen binds an address for callers, within the settings' limits of connections.
+func (daemon *Daemon) Listen(address netip.AddrPort) (*listener.Listener, error) {
+	opened, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Operation: "listen on " + address.String(), Kind: ErrorListen, Err: eris.Wrap(err, "listen")}
+	}
+	return &listener.Listener{
+		Listener: opened, Limit: int64(daemon.Settings.Connections.PerListener),
+		WriteTimeout: daemon.Settings.Timeouts.BodyTimeout.Std(), Log: daemon.Log,
+	}, nil
+}
+
 // backendServersAddress is for the log.
 func (bound *listeners) backendServersAddress() string {
 	if bound.backendServers == nil {
@@ -81,9 +92,9 @@
 }
 
 func (bound *listeners) close() {
-	for _, listener := range []net.Listener{bound.callers, bound.backendServers, bound.peers} {
-		if listener != nil {
-			_ = listener.Close()
+	for _, opened := range []*listener.Listener{bound.callers, bound.backendServers, bound.peers} {
+		if opened != nil {
+			_ = opened.Close()
 		}
 	}
 }
