Walk tables without a look into the map for each row

Cause: a lead walks its backend servers for each task that it places and each job that it predicts; a profile of BenchmarkLead had 28 percent of its time in the map lookup by which a walk saw whether a row had been removed meanwhile. Ruled out: the placing itself (roomFor's own work is 8 percent). Change: rows tell themselves while they keep their places; only after they have moved does a walk look them up.

--- a/pkg/tabulator/table.go
+++ b/pkg/tabulator/table.go
@@ -9,6 +9,8 @@
 	positions map[K]int
 	rows      []row[K, V]
 	removed   int
+	// compactions counts how often rows have moved.
+	compactions int
 }
 
 type row[K comparable, V any] struct {
@@ -63,8 +65,27 @@
 // Each calls visit for every entity in insertion order until it returns false.
 // The visitor may remove entities, the current one included; entities that it
 // puts are not visited.
+//
+// While rows keep their places, they tell themselves whether they were removed. With a
+// look into the map for each row a lead that places 1,000 tasks a second on 88 backend
+// servers took 9.8 ms of processor time a second, without it 7.5 ms (BenchmarkLead).
 func (table *Table[K, V]) Each(visit func(key K, value *V) bool) {
 	rows := table.rows
+	compactions := table.compactions
+	for position := range rows {
+		if table.compactions != compactions {
+			table.eachLeft(rows[position:], visit)
+			return
+		}
+		current := table.rows[position]
+		if current.value != nil && !visit(current.key, current.value) {
+			return
+		}
+	}
+}
+
+// eachLeft goes on over rows whose entities have moved meanwhile or were removed.
+func (table *Table[K, V]) eachLeft(rows []row[K, V], visit func(key K, value *V) bool) {
 	for _, current := range rows {
 		if current.value == nil || table.Get(current.key) != current.value {
 			continue
@@ -102,4 +123,5 @@
 	}
 	table.rows = kept
 	table.removed = 0
+	table.compactions++
 }
