--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -114,7 +114,7 @@
 	key := messenger.RunKey{Job: job.request.Job, Task: held.RoomTask.Task, Run: held.Run}
 	task := job.task(held.RoomTask.Task)
 	if end := allocator.strayEnds.Get(key); end != nil {
-		if end.kind == EndDone {
+		if *end == EndDone {
 			task.done = true
 			allocator.emit(&TellDone{To: job.from, Done: messenger.TaskDone{RunKey: key}})
 		}
@@ -140,7 +140,7 @@
 	}
 	known.needs = held.RoomTask.Needs
 	known.job = job
-	known.expectedEnd = allocator.now.Add(allocator.estimates.runTime(job.request.Queue, held.RoomTask.Declared))
+	known.expectIn(allocator.now, allocator.estimates.runTime(job.request.Queue, held.RoomTask.Declared))
 	server.used = server.used.Add(known.needs)
 	task.run = known
 	allocator.hold(server)
@@ -177,7 +177,7 @@
 	if len(ends) == 0 {
 		return allocator.usualWait(), false
 	}
-	first := max(ahead-allocator.spots(), 0)
+	first := max(-free, 0)
 	last := len(job.tasks) - free - 1
 	if last >= len(ends) {
 		return ends[len(ends)-1].Sub(allocator.now), false
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -36,7 +36,7 @@
 	lastRuns *tabulator.Table[identifier.JobID, identifier.RunNumber]
 	// strayEnds are ends of runs that no job here asked for, kept for a job that is
 	// asked for again after a change of the lead.
-	strayEnds *tabulator.Table[messenger.RunKey, strayEnd]
+	strayEnds *tabulator.Table[messenger.RunKey, EndKind]
 	estimates estimates
 	assessor  *assessor.Assessor
 	judged    []assessor.Input
@@ -111,7 +111,7 @@
 	allocator.servers = tabulator.New[identifier.BackendServerID, server]()
 	allocator.jobs = tabulator.New[identifier.JobID, job]()
 	allocator.lastRuns = tabulator.New[identifier.JobID, identifier.RunNumber]()
-	allocator.strayEnds = tabulator.New[messenger.RunKey, strayEnd]()
+	allocator.strayEnds = tabulator.New[messenger.RunKey, EndKind]()
 	allocator.remotes = tabulator.New[messenger.CellRef, remote]()
 	allocator.estimates = newEstimates()
 	allocator.assessor = &assessor.Assessor{Settings: allocator.Settings.Health}
@@ -153,7 +153,7 @@
 	case timerServerForget:
 		allocator.forgetServer(key.server)
 	case timerRunStop:
-		allocator.stopDue(key.run)
+		allocator.stopDue(key.server, key.run)
 	case timerJobDeadline:
 		allocator.expireJob(key.job)
 	case timerJobStart:
@@ -200,12 +200,11 @@
 		allocator.strayEnds.Remove(key)
 	}
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		for key := range server.runs {
-			allocator.timers.Clear(timerKey{kind: timerRunStop, server: server.card.Server, run: key})
+		for _, run := range server.runs {
+			allocator.timers.Clear(stopTimer(run))
 		}
 		server.reset()
-		allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
-		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+		allocator.stopCalling(server.card.Server)
 		return true
 	})
 }
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -20,9 +20,9 @@
 	// would then keep its runs, which are counted as lapsed, at work.
 	if !server.silent && server.fenced && len(server.runs) > 0 {
 		call.LeaseEnd = allocator.extendLease(server)
-		call.Wait = allocator.Settings.HoldWait
+		call.Wait = allocator.Settings.holdWait()
 	}
-	allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
+	allocator.timers.Clear(holdTimer(server.card.Server))
 	allocator.emit(call)
 }
 
@@ -75,7 +75,7 @@
 
 func (allocator *Allocator) retryHold(server *server) {
 	due := allocator.now.Add(allocator.Settings.HoldRetry)
-	allocator.timers.Set(timerKey{kind: timerHold, server: server.card.Server}, due)
+	allocator.timers.Set(holdTimer(server.card.Server), due)
 }
 
 // silence notes that a backend server doesn't answer. It gets nothing new, and what
@@ -86,8 +86,7 @@
 	}
 	server.silent = true
 	allocator.decided(messenger.Decision{Kind: messenger.DecisionServerLost, Server: server.card.Server, Tasks: len(server.runs)})
-	key := timerKey{kind: timerServerLapse, server: server.card.Server}
-	allocator.timers.Set(key, server.lapsesAt(allocator.now))
+	allocator.timers.Set(lapseTimer(server.card.Server), server.lapsesAt(allocator.now))
 }
 
 // lapse ends the runs of a silent server.
@@ -105,7 +104,7 @@
 	allocator.awaitForget(server)
 	if server.silent {
 		server.silent = false
-		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+		allocator.timers.Clear(lapseTimer(server.card.Server))
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerBack, Server: server.card.Server})
 	}
 	if !server.fenced {
@@ -145,13 +144,10 @@
 	allocator.endRunBy(server, run, end.Kind)
 }
 
-// strayEnd is the end of a run that no job here asked for.
-type strayEnd struct{ kind EndKind }
-
 // keepStrayEnd keeps an end for a job that is asked for again after a change of the
 // lead. Without it a task that has done its work would run once more.
 func (allocator *Allocator) keepStrayEnd(end *RunEnd) {
-	allocator.strayEnds.Put(end.Run, &strayEnd{kind: end.Kind})
+	allocator.strayEnds.Put(end.Run, &end.Kind)
 	due := allocator.now.Add(allocator.Settings.ForgetJob)
 	allocator.timers.Set(timerKey{kind: timerStrayForget, run: end.Run}, due)
 }
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -30,6 +30,13 @@
 	expectedTime time.Duration
 }
 
+// expectIn notes that the run is expected to end after a time. Once that has passed,
+// the time also tells how much longer the run may take.
+func (run *run) expectIn(now identifier.Moment, expected time.Duration) {
+	run.expectedEnd = now.Add(expected)
+	run.expectedTime = expected
+}
+
 // absenceProves tells whether the answer to a call sent at sentAt, which does not
 // list the run, proves that it is over and will never start.
 func (run *run) absenceProves(sentAt identifier.Moment) bool {
@@ -41,13 +48,11 @@
 	job.lastRun++
 	key := messenger.RunKey{Job: job.request.Job, Task: task.room.Task, Run: job.lastRun}
 	lease := allocator.extendLease(server)
-	expected := allocator.estimates.runTime(job.request.Queue, task.room.Declared)
 	created := &run{
 		key: key, server: server.card.Server, needs: task.room.Needs, job: job, grantedAt: allocator.now,
-		absentAfter:  server.lapsesAt(allocator.now),
-		expectedEnd:  allocator.now.Add(expected),
-		expectedTime: expected,
+		absentAfter: server.lapsesAt(allocator.now),
 	}
+	created.expectIn(allocator.now, allocator.estimates.runTime(job.request.Queue, task.room.Declared))
 	server.runs[key] = created
 	server.used = server.used.Add(task.room.Needs)
 	task.run = created
@@ -68,8 +73,9 @@
 	needs := allocator.estimates.usualNeeds()
 	orphan := &run{
 		key: key, server: server.card.Server, needs: needs, confirmed: true,
-		grantedAt: allocator.now, absentAfter: allocator.now, expectedEnd: allocator.now.Add(allocator.Settings.OrphanWait),
+		grantedAt: allocator.now, absentAfter: allocator.now,
 	}
+	orphan.expectIn(allocator.now, allocator.Settings.OrphanWait)
 	server.runs[key] = orphan
 	server.used = server.used.Add(needs)
 	due := allocator.now.Add(allocator.Settings.OrphanWait)
@@ -130,20 +136,21 @@
 
 // stopDue is when an orphan's wait is over, a stop is sent again, or a stopped run is
 // over although no end of it was listed: it was never there, and never will be.
-func (allocator *Allocator) stopDue(key messenger.RunKey) {
-	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		run := server.runs[key]
-		switch {
-		case run == nil:
-		case run.stopAnswered:
-			allocator.endRun(server, run, "stopped")
-		case run.stopping:
-			allocator.callStop(run)
-		case run.job == nil:
-			allocator.stop(run, "no host asks for it")
-		}
-		return true
-	})
+func (allocator *Allocator) stopDue(id identifier.BackendServerID, key messenger.RunKey) {
+	server := allocator.servers.Get(id)
+	if server == nil {
+		return
+	}
+	run := server.runs[key]
+	switch {
+	case run == nil:
+	case run.stopAnswered:
+		allocator.endRun(server, run, "stopped")
+	case run.stopping:
+		allocator.callStop(run)
+	case run.job == nil:
+		allocator.stop(run, "no host asks for it")
+	}
 }
 
 // finishRun takes the good end of a run.
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -186,8 +186,7 @@
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionServerGone, Server: server.card.Server, Reason: reason, Tasks: len(server.runs),
 	})
-	allocator.timers.Clear(timerKey{kind: timerHold, server: server.card.Server})
-	allocator.timers.Clear(timerKey{kind: timerServerLapse, server: server.card.Server})
+	allocator.stopCalling(server.card.Server)
 	allocator.endAllRuns(server, "server gone")
 	if allocator.Leads() {
 		gone := server.card
@@ -196,6 +195,20 @@
 	}
 }
 
+func holdTimer(server identifier.BackendServerID) timerKey {
+	return timerKey{kind: timerHold, server: server}
+}
+
+func lapseTimer(server identifier.BackendServerID) timerKey {
+	return timerKey{kind: timerServerLapse, server: server}
+}
+
+// stopCalling makes no more calls to a server and waits for no lease of it.
+func (allocator *Allocator) stopCalling(server identifier.BackendServerID) {
+	allocator.timers.Clear(holdTimer(server))
+	allocator.timers.Clear(lapseTimer(server))
+}
+
 // forgetServer drops a server that has not been heard for long and on which nothing can
 // run any more. The id of an ended life is kept as long, so that a late card doesn't
 // bring it back. Silence proves no end: what runs there counts until it has lapsed.
@@ -211,8 +224,7 @@
 	}
 	if !known.gone {
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerGone, Server: id, Reason: "not heard"})
-		allocator.timers.Clear(timerKey{kind: timerHold, server: id})
-		allocator.timers.Clear(timerKey{kind: timerServerLapse, server: id})
+		allocator.stopCalling(id)
 	}
 	allocator.servers.Remove(id)
 	allocator.judged = append(allocator.judged, &assessor.ServerGone{Server: id})
--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -12,9 +12,6 @@
 	Lease time.Duration
 	// StopTime is how long a backend server takes to stop a run, at most.
 	StopTime time.Duration
-	// HoldWait is how long a call waits at a backend server for an end. It leaves
-	// more than half of the lease for a renewal that is delayed or repeated.
-	HoldWait time.Duration
 	// HoldRetry is how long after an unanswered call the next one goes out.
 	HoldRetry time.Duration
 	// StopRetry is how long after an unanswered stop the next one goes out.
@@ -39,13 +36,18 @@
 	Health assessor.Settings
 }
 
+// holdsPerLease is how many calls fit into a lease. While a call is under way whose
+// answer is lost, ends are not heard of; more calls cost the lead processor time.
+const holdsPerLease = 4
+
+// holdWait is how long a call waits at a backend server for an end. It leaves more than
+// half of the lease for a renewal that is delayed or repeated.
+func (settings *Settings) holdWait() time.Duration { return settings.Lease / holdsPerLease }
+
 // Defaults that have no other source than the reasons given here.
 const (
 	defaultLease    = time.Second
 	defaultStopTime = 50 * time.Millisecond
-	// holdsPerLease is how many calls fit into a lease. While a call is under way whose
-	// answer is lost, ends are not heard of; more calls cost the lead processor time.
-	holdsPerLease = 4
 	// A heartbeat comes every 1.5 s; eight missed ones are no pause any more.
 	defaultForgetServer = 12 * time.Second
 	// A caller that lost its connection sends again after 1.3 s, and late ones seconds
@@ -79,7 +81,6 @@
 	return Settings{
 		Lease:          defaultLease,
 		StopTime:       defaultStopTime,
-		HoldWait:       defaultLease / holdsPerLease,
 		HoldRetry:      defaultRetry,
 		StopRetry:      defaultRetry,
 		OrphanWait:     defaultOrphanWait,
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -189,11 +189,11 @@
 }
 
 func (daemon *Daemon) logLead(change *coordinator.LeadChanged) {
-	event := "lead taken"
 	if change.Notice.Host == "" {
-		event = "lead given up"
+		daemon.Log.Info("lead given up", "cell", change.Notice.Cell, "epoch", change.Notice.Epoch)
+		return
 	}
-	daemon.Log.Info(event, "cell", change.Notice.Cell, "epoch", change.Notice.Epoch)
+	daemon.Log.Info("lead taken", "cell", change.Notice.Cell, "epoch", change.Notice.Epoch)
 }
 
 func (daemon *Daemon) markDrained() {
--- a/pkg/assembler/founding.go
+++ b/pkg/assembler/founding.go
@@ -112,9 +112,5 @@
 	if err := renameio.WriteFile(path, content, foundersMode, renameio.WithTempDir(folder)); err != nil {
 		return eris.Wrap(err, "write")
 	}
-	opened, err := os.Open(folder)
-	if err != nil {
-		return eris.Wrap(err, "open the data folder")
-	}
-	return errors.Join(opened.Sync(), opened.Close())
+	return syncPaths(folder)
 }
--- a/pkg/assembler/recall.go
+++ b/pkg/assembler/recall.go
@@ -93,7 +93,12 @@
 }
 
 func (memory *memory) sync() error {
-	for _, path := range []string{memory.path(), memory.Settings.DataFolder} {
+	return syncPaths(memory.path(), memory.Settings.DataFolder)
+}
+
+// syncPaths makes files, and the names in folders, outlive a loss of power.
+func syncPaths(paths ...string) error {
+	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
 			return eris.Wrap(err, "open")
--- a/pkg/logwriter/line.go
+++ b/pkg/logwriter/line.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// timeFormat is that of the general logger, so that all lines of a process sort alike.
-const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+// TimeFormat is that of all lines of a process, so that they sort by time.
+const TimeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
 // Line builds one line of key=value pairs. Strings are quoted where they must be.
 type Line struct{ buffer []byte }
@@ -15,7 +15,7 @@
 // Begin starts a line with its time, level and message.
 func Begin(buffer []byte, now time.Time, level, message string) Line {
 	buffer = append(buffer, "time="...)
-	buffer = now.AppendFormat(buffer, timeFormat)
+	buffer = now.AppendFormat(buffer, TimeFormat)
 	line := Line{buffer: buffer}
 	return line.Text("level", level).Text("msg", message)
 }
--- a/pkg/provider/common.go
+++ b/pkg/provider/common.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/logwriter"
 )
 
 // Common is what the parts of one process share.
@@ -21,7 +22,7 @@
 	logger := log.NewWithOptions(writer, log.Options{
 		Level:           logLevel(settings.Log.Level),
 		ReportTimestamp: true,
-		TimeFormat:      "2006-01-02T15:04:05.000000Z07:00",
+		TimeFormat:      logwriter.TimeFormat,
 		Formatter:       log.LogfmtFormatter,
 	})
 	return &Common{Log: logger.With("host", settings.Host), Settings: settings}
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -125,7 +126,7 @@
 			return
 		}
 	}
-	supervisor.refuse(job, messenger.ReasonNoBackendServer, "no lead answers", messenger.RoomAnswer{RetryAfter: supervisor.Settings.RetryAfter})
+	supervisor.refuse(job, messenger.ReasonNoBackendServer, "no lead answers", supervisor.Settings.RetryAfter)
 }
 
 // leadsTried is how many silent leads are asked for one job: the failure domain's own
@@ -162,7 +163,7 @@
 	}
 	for _, id := range supervisor.jobs.Keys() {
 		if job := supervisor.jobs.Get(id); job.cell == cell && job.granted {
-			supervisor.refuse(job, messenger.ReasonTaskUnknown, "the failure domain that runs the job is out of reach", messenger.RoomAnswer{})
+			supervisor.refuse(job, messenger.ReasonTaskUnknown, "the failure domain that runs the job is out of reach", 0)
 		}
 	}
 }
@@ -230,7 +231,7 @@
 	switch answer.Kind {
 	case messenger.RoomAnswerWaiting:
 	case messenger.RoomAnswerTurnedAway:
-		supervisor.refuse(job, answer.Reason, answer.Detail, *answer)
+		supervisor.refuse(job, answer.Reason, answer.Detail, answer.RetryAfter)
 	case messenger.RoomAnswerAskOther:
 		supervisor.askOther(job, answer)
 	case messenger.RoomAnswerFailed:
@@ -247,7 +248,7 @@
 func (supervisor *Supervisor) askOther(job *job, answer *messenger.RoomAnswer) {
 	lead := supervisor.leadOf(answer.Other)
 	if lead == "" {
-		supervisor.refuse(job, messenger.ReasonNoBackendServer, "the lead that has room is gone", *answer)
+		supervisor.refuse(job, messenger.ReasonNoBackendServer, "the lead that has room is gone", answer.RetryAfter)
 		return
 	}
 	supervisor.ask(job, lead, answer.Other)
@@ -260,12 +261,12 @@
 
 // refuse tells a job's callers that it has not run, or, where a run of it may have
 // started, that its time was given up.
-func (supervisor *Supervisor) refuse(job *job, reason messenger.Reason, detail string, answer messenger.RoomAnswer) {
+func (supervisor *Supervisor) refuse(job *job, reason messenger.Reason, detail string, retryAfter time.Duration) {
 	outcome := OutcomeRefused
 	if job.granted {
 		outcome = OutcomeGivenUp
 	}
-	supervisor.end(job, JobEnded{Outcome: outcome, Reason: reason, Detail: detail, RetryAfter: answer.RetryAfter})
+	supervisor.end(job, JobEnded{Outcome: outcome, Reason: reason, Detail: detail, RetryAfter: retryAfter})
 }
 
 // giveUp ends a job whose caller's time is over.
@@ -273,7 +274,7 @@
 	supervisor.decided(messenger.Decision{
 		Kind: messenger.DecisionGivenUp, Job: job.spec.Job, Host: job.lead, Tasks: job.left, Elapsed: supervisor.now.Sub(job.arrivedAt),
 	})
-	supervisor.refuse(job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was done", messenger.RoomAnswer{})
+	supervisor.refuse(job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was done", 0)
 }
 
 // end answers every waiter and forgets the job. Whatever still runs is stopped by the
