Soak the real programs under faults from outside them

Change: platform/soaker, the command stoathitch soak. It checks while it runs: no task at work twice, every refusal as not run true, no older configuration after an acknowledgement, no request cut by planned work, planned ends within the grace period, jobs served everywhere within 12 s of the last fault. Ruled out: proxies between hosts: their addresses follow from the IP numbers, so that nothing can stand between them; signals disturb these connections.

--- a/cmd/stoathitch/main.go
+++ b/cmd/stoathitch/main.go
@@ -5,6 +5,10 @@
 	"os"
 
 	"github.com/stoathitch/stoathitch/pkg/commander"
+	"github.com/stoathitch/stoathitch/platform/soaker"
 )
 
-func main() { os.Exit(commander.RunTool(os.Args[1:])) }
+func main() {
+	soak := commander.Extension{Name: soaker.Name, Short: soaker.Short, Long: soaker.Long, Data: &soaker.Command{}}
+	os.Exit(commander.RunTool(os.Args[1:], soak))
+}
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -38,12 +38,22 @@
 	return &exitError{code: ExitMalformed, message: fmt.Sprintf(format, arguments...)}
 }
 
+// Extension is a command that the program adds to those of this package. Data holds its
+// options and its Execute, as the parser wants them.
+type Extension struct {
+	Name, Short, Long string
+	Data              any
+}
+
 // RunTool runs the command-line tool and returns its exit code.
-func RunTool(arguments []string) int {
+func RunTool(arguments []string, extensions ...Extension) int {
 	ctx, stop := interruptible()
 	defer stop()
 	terminal := newTerminal(ctx)
 	parser := newToolParser(terminal)
+	for _, extension := range extensions {
+		addCommand(parser.Command, extension.Name, extension.Short, extension.Long, extension.Data)
+	}
 	_, err := parser.ParseArgs(arguments)
 	return terminal.exitCode(err)
 }
