Explain a request from logs alone

Cause: on-call engineers have logs and metrics only; docs/OPERATIONS.md showed the way by hand with grep and sort, across clocks that differ.

--- a/pkg/commander/explain.go
+++ b/pkg/commander/explain.go
@@ -15,13 +15,23 @@
 // explainCommand tells what was decided about a submission, and why.
 type explainCommand struct {
 	remoteOptions
+	Logs       []string `long:"logs" value-name:"FILE" description:"tell it from this log, or the logs in this folder, instead of asking hosts; may be given again"`
+	Failed     bool     `long:"failed" description:"with --logs: count the requests that were not complete, by outcome, and how many causes the lines name"`
 	Positional struct {
-		Submission identifier.SubmissionID `positional-arg-name:"SUBMISSION" description:"the submission's id"`
-	} `positional-args:"yes" required:"yes"`
+		Submission identifier.SubmissionID `positional-arg-name:"ID" description:"the submission's or request's id"`
+	} `positional-args:"yes"`
 }
 
 // Execute asks every living host and prints the steps in order of their moments.
 func (command *explainCommand) Execute(_ []string) error {
+	switch {
+	case len(command.Logs) > 0 && (command.Failed || command.Positional.Submission != ""):
+		return command.explainFromLogs()
+	case command.Failed:
+		return malformed("--failed needs --logs")
+	case command.Positional.Submission == "":
+		return malformed("the id of a submission is missing")
+	}
 	answers, err := command.askAll()
 	if err != nil {
 		return err
--- a/pkg/connector/refusals.go
+++ b/pkg/connector/refusals.go
@@ -26,6 +26,6 @@
 		refusals.unlogged++
 		return
 	}
-	logger.Warn(kind+" refused", kind, name, "err", cause, "refusals-not-logged", refusals.unlogged)
+	logger.Warn("connection refused", kind, name, "err", cause, "refusals-not-logged", refusals.unlogged)
 	refusals.logged, refusals.unlogged = now, 0
 }
--- /dev/null
+++ b/pkg/narrator/record.go
@@ -0,0 +1,38 @@
+// Package narrator tells afterwards, from the logs of several processes alone, what
+// became of one request and why. It reads the lines that package logwriter and the
+// general logger write.
+package narrator
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// Record is one line of a log.
+type Record struct {
+	// At is the moment by the clock of the process that wrote the line.
+	At   time.Time         `json:"-"`
+	Host identifier.HostID `json:"host"`
+	// Message names the decision or event.
+	Message string                     `json:"message"`
+	Job     identifier.JobID           `json:"-"`
+	Server  identifier.BackendServerID `json:"-"`
+	// To is the host that something was sent to.
+	To identifier.HostID `json:"-"`
+	// Peer is the host that something is believed of, and Status what.
+	Peer      string        `json:"-"`
+	Status    string        `json:"-"`
+	Reason    string        `json:"-"`
+	Elapsed   time.Duration `json:"-"`
+	Predicted time.Duration `json:"-"`
+	// LeftOut is how many lines of LeftOutKind are missing before this one.
+	LeftOut     string `json:"-"`
+	LeftOutKind string `json:"-"`
+	// Text is the line without what stands in columns of its own.
+	Text string `json:"text"`
+}
+
+// is tells whether the line is about a decision of a kind.
+func (record *Record) is(kind messenger.DecisionKind) bool { return record.Message == kind.String() }
