Show no older configuration after a loss of power, and remember it on the platform

Ruled out: the sync of the file: none was written. Change: a keeper tells its host of a configuration only once an entry of the present leader has been applied; the daemon remembers before any extension takes the event. A tick waits for the file for 20 ms at most, as on the platform disks stall. Without a quorum a restarted host still goes by what it remembers; that is older than what was acknowledged if the power goes in the milliseconds before the sync.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -140,6 +140,9 @@
 // deliver carries the outputs of one tick out.
 func (daemon *Daemon) deliver(outputs []coordinator.Output) {
 	for _, output := range outputs {
+		if accepted, isInForce := output.(*coordinator.ConfigInForce); isInForce {
+			daemon.memory.remember(accepted.Version)
+		}
 		if daemon.Extension != nil && daemon.Extension.Deliver(output) {
 			continue
 		}
--- a/pkg/assembler/recall.go
+++ b/pkg/assembler/recall.go
@@ -7,6 +7,8 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -14,6 +16,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
@@ -33,28 +36,59 @@
 	*provider.Common
 	// unsynced holds a token when the file has not been synced yet.
 	unsynced chan struct{}
+	// patience is how long a tick waits for the file to be replaced.
+	patience time.Duration
+
+	mutex sync.Mutex
+	// written is the version in the file, as far as this process wrote it.
+	written identifier.ConfigVersion
 }
 
 func newMemory(common *provider.Common) *memory {
-	return &memory{Common: common, unsynced: make(chan struct{}, 1)}
+	return &memory{Common: common, unsynced: make(chan struct{}, 1), patience: rememberPatience}
 }
 
 func (memory *memory) path() string {
 	return filepath.Join(memory.Settings.DataFolder, rememberedFile)
 }
 
+// rememberPatience is the patience of a daemon. The file takes well under a millisecond;
+// a disk that stalls takes seconds, in which this host would be silent and count as dead.
+const rememberPatience = 20 * time.Millisecond
+
 // remember replaces the file before anybody is told of the version, so that the
 // death of the process loses nothing that was seen. The sync follows behind the
 // tick, which must not wait for a disk; a power loss in between leaves an older
-// file, or one whose checksum is wrong.
+// file, or one whose checksum is wrong. So does the death of the process while the
+// disk stalls.
 func (memory *memory) remember(version configurer.Version) {
 	if memory.Settings.DataFolder == "" {
 		return
 	}
+	replaced := make(chan struct{})
+	go func() {
+		defer close(replaced)
+		memory.replace(version)
+	}()
+	select {
+	case <-replaced:
+	case <-time.After(memory.patience):
+		memory.Log.Warn("configuration not remembered yet, the disk is slow", "version", version.Version)
+	}
+}
+
+// replace writes a version unless a newer one was written meanwhile.
+func (memory *memory) replace(version configurer.Version) {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	if version.Version < memory.written {
+		return
+	}
 	if err := memory.write(version); err != nil {
 		memory.Log.Error("configuration not remembered", "version", version.Version, "err", err)
 		return
 	}
+	memory.written = version.Version
 	select {
 	case memory.unsynced <- struct{}{}:
 	default:
--- a/pkg/assembler/recall_test.go
+++ b/pkg/assembler/recall_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/loader"
@@ -19,6 +20,7 @@
 	settings := loader.Defaults()
 	settings.DataFolder = filepath.Join(t.TempDir(), "made-when-missing")
 	memory := newMemory(provider.New(&settings, io.Discard))
+	memory.patience = time.Minute
 	wanted := configurer.Version{Version: 7, Operator: "anke", Request: "r-7", Document: []byte(`{"teams":[]}`)}
 	memory.remember(configurer.Version{Version: 6})
 	memory.remember(wanted)
@@ -42,3 +44,21 @@
 		}
 	}
 }
+
+// Symptom: a host with a disk is silent for seconds and counts as dead.
+// Sequence: its disk stalls, and a configuration comes into force.
+// Cause: the tick that puts it into force waits for the file to be replaced.
+func TestStalledDiskHoldsNoTickUp(t *testing.T) {
+	settings := loader.Defaults()
+	settings.DataFolder = t.TempDir()
+	memory := newMemory(provider.New(&settings, io.Discard))
+	// The write before it is under way for as long as the disk stalls.
+	memory.mutex.Lock()
+	memory.remember(configurer.Version{Version: 3})
+	memory.mutex.Unlock()
+	memory.patience = time.Minute
+	memory.remember(configurer.Version{Version: 4})
+	if read, err := memory.read(); err != nil || read.Version != 4 {
+		t.Errorf("after the stall version %d is remembered, %v", read.Version, err)
+	}
+}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -88,6 +88,8 @@
 	// joins tells that the host's keeper has nothing on its disk that it vouched for.
 	joins bool
 	disk  fakeDisk
+	// inForce are the revisions that the process has gone by, in their order.
+	inForce []identifier.ConfigRevision
 }
 
 // member describes the host's present process.
@@ -312,6 +314,9 @@
 		network.persist(host, output)
 	case *coordinator.KeeperJoined:
 		host.joins = false
+	case *coordinator.ConfigInForce:
+		host.inForce = append(host.inForce, output.Version.Revision)
+		network.intents.carryOut(host, output)
 	case *coordinator.OperatorAnswer:
 		if network.intents == nil {
 			network.operators[output.Waiter] = output
--- a/pkg/coordinator/tending_test.go
+++ b/pkg/coordinator/tending_test.go
@@ -135,3 +135,54 @@
 		t.Fatal("the two keepers that are left take no change")
 	}
 }
+
+// Symptom: after a loss of all power, hosts go by an older configuration than one that
+// had been acknowledged, for a quarter of a second, until the newer one appears.
+// Sequence: two changes are acknowledged, the second some seconds after the first; all
+// hosts lose power; each starts with its journal, which has both changes but tells only
+// of the first that it was agreed on.
+// Cause: a keeper told its host of what it had recovered before any leader had told it
+// up to where the log was agreed on.
+func TestPowerLossShowsNoOlderConfiguration(t *testing.T) {
+	network := tendedKeepers(t)
+	for revision := identifier.ConfigRevision(1); revision <= 2; revision++ {
+		waiter := network.propose(network.hosts[0], revision)
+		network.advance(2 * time.Second)
+		if !network.acknowledged(waiter) {
+			t.Fatalf("revision %d was not acknowledged", revision)
+		}
+	}
+	for _, host := range network.hosts {
+		network.crashHost(host)
+		host.inForce = nil
+	}
+	for _, host := range network.hosts {
+		network.startHost(host)
+	}
+	network.advance(5 * time.Second)
+	for _, host := range network.hosts {
+		if !slices.Equal(host.inForce, []identifier.ConfigRevision{2}) {
+			t.Errorf("%s went by the revisions %v, want 2 alone", host.id, host.inForce)
+		}
+	}
+}
+
+// TestLateKeeperTellsTheConfiguration: a keeper that starts again beside a living leader
+// goes by the configuration without a new election.
+func TestLateKeeperTellsTheConfiguration(t *testing.T) {
+	network := tendedKeepers(t)
+	waiter := network.propose(network.hosts[0], 1)
+	network.advance(time.Second)
+	if !network.acknowledged(waiter) {
+		t.Fatal("the change was not acknowledged")
+	}
+	for _, host := range network.hosts {
+		network.crashHost(host)
+		host.inForce = nil
+		network.startHost(host)
+		network.advance(3 * time.Second)
+		if !slices.Equal(host.inForce, []identifier.ConfigRevision{1}) {
+			t.Errorf("%s went by the revisions %v, want 1", host.id, host.inForce)
+		}
+	}
+}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -50,6 +50,8 @@
 	term       identifier.Term
 	commit     identifier.LogIndex
 	halted     string
+	// confirmed tells that all that was agreed on before this start has been applied.
+	confirmed bool
 	// announced is the newest configuration that was told to this host.
 	announced identifier.ConfigVersion
 	marks     []mark
@@ -221,9 +223,17 @@
 
 // announceVersion tells the host of a newer configuration, be it applied now or
 // recovered at the start.
+//
+// A journal tells only of earlier entries that they were agreed on, not of the last
+// ones. Were what it has recovered told at once, hosts that all lost power would go by
+// an older configuration than one that was acknowledged, until there is a leader again.
+// Once an entry of the present leader has been applied, all that was agreed on has been.
 func (keeper *Keeper) announceVersion() {
+	if !keeper.confirmed {
+		keeper.confirmed = keeper.leader != "" && keeper.replicator.AppliedTerm() == keeper.term
+	}
 	newest := keeper.machine.configuration.Newest()
-	if newest.Version <= keeper.announced {
+	if !keeper.confirmed || newest.Version <= keeper.announced {
 		return
 	}
 	keeper.announced = newest.Version
--- a/pkg/narrator/cause.go
+++ b/pkg/narrator/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -172,19 +173,51 @@
 // causeOfGivingUp is about a request whose caller's time was over.
 func (teller *teller) causeOfGivingUp() (string, bool) {
 	granted := teller.first(messenger.DecisionGranted)
-	over := teller.last(messenger.DecisionRunOver)
 	switch {
-	case over != nil:
-		return fmt.Sprintf("its time was over; a run on %s had come to nothing after %v: %s", over.Server, over.Elapsed, over.Reason), true
 	case granted == nil && teller.first(messenger.DecisionWaits) == nil:
 		return "its time was over before any lead had given it room" + teller.hostChange(""), true
 	case granted == nil:
 		return "its time was over while it waited for room", true
 	}
+	if over := teller.lastRunLost(); over != nil {
+		return fmt.Sprintf("its time was over; a run on %s had come to nothing after %v: %s", over.Server, over.Elapsed, over.Reason), true
+	}
 	for _, step := range teller.story.Steps {
 		if step.is(messenger.DecisionServerLost) || step.is(messenger.DecisionServerGone) {
 			return fmt.Sprintf("its time was over; its backend server %s had been lost at %s", step.Server, step.At.Format("15:04:05.000")), true
 		}
 	}
+	if servers, runs := teller.stoppedOn(); runs > 0 {
+		return fmt.Sprintf("its time was over; %d of its runs were still at work on %s and were stopped then", runs, servers), true
+	}
 	return fmt.Sprintf("its time was over before its tasks were done; they got room after %v and took longer than the rest", granted.Elapsed), true
 }
+
+// lastRunLost returns the last run that came to nothing before the answer, or nil. Runs
+// that were stopped because of the answer say nothing about it.
+func (teller *teller) lastRunLost() *Record {
+	answered := teller.last(messenger.DecisionAnswered)
+	var found *Record
+	for _, record := range teller.own {
+		if record.is(messenger.DecisionRunOver) && !teller.at(record).After(teller.at(answered)) {
+			found = record
+		}
+	}
+	return found
+}
+
+// stoppedOn returns the backend servers on which runs were stopped, and how many runs.
+func (teller *teller) stoppedOn() (string, int) {
+	var servers []string
+	runs := 0
+	for _, record := range teller.own {
+		if !record.is(messenger.DecisionStopped) {
+			continue
+		}
+		runs++
+		if !slices.Contains(servers, string(record.Server)) {
+			servers = append(servers, string(record.Server))
+		}
+	}
+	return strings.Join(servers, ", "), runs
+}
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -192,6 +192,14 @@
 // change them.
 func (replicator *Replicator) Members() []Member { return replicator.memberships.current() }
 
+// AppliedTerm returns the term of the last entry that was applied. One of the present
+// leader's term means that all that was agreed on under earlier leaders is applied too.
+func (replicator *Replicator) AppliedTerm() identifier.Term {
+	// What is applied is in the log or just below it, so its term is known.
+	term, _ := replicator.log.term(replicator.applied)
+	return term
+}
+
 // Role returns what this keeper does at the moment.
 func (replicator *Replicator) Role() Role { return replicator.role }
 
