Drop what was read or carried and never used

Fields that decide nothing tell a reader that they do. Ruled out: taking the limits of headers over at run time; the servers listen by then.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -17,7 +17,6 @@
 // Allocator is the lead's side of one cell of a failure domain. Set the exported fields
 // before the first Tick.
 type Allocator struct {
-	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
 	// Cell is the part of the failure domain whose backend servers these are.
 	Cell     messenger.CellNumber
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -18,7 +18,7 @@
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		scenario := &scenario{allocator: &allocator.Allocator{
-			Self: "host-a", FailureDomain: "leuven", Settings: allocator.DefaultSettings(),
+			FailureDomain: "leuven", Settings: allocator.DefaultSettings(),
 		}, lastSequence: make(map[identifier.BackendServerID]uint64)}
 		datadriven.RunTest(t, path, scenario.run)
 	})
--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -97,7 +97,7 @@
 
 func newLoad(servers int) *load {
 	created := &load{
-		allocator: &allocator.Allocator{Self: "host-a", FailureDomain: "leuven", Settings: allocator.DefaultSettings()},
+		allocator: &allocator.Allocator{FailureDomain: "leuven", Settings: allocator.DefaultSettings()},
 		servers:   make(map[identifier.BackendServerID]*loadServer),
 		random:    rand.New(rand.NewPCG(1, 2)),
 		inTime:    make(map[identifier.QueueName]int), late: make(map[identifier.QueueName]int), arrived: make(map[identifier.QueueName]int),
--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -33,10 +33,7 @@
 
 // Limits bounds what callers may send; zero bounds nothing.
 type Limits struct {
-	HeaderBytes   identifier.Bytes
-	BodyBytes     identifier.Bytes
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes identifier.Bytes
 }
 
 // Catalogue is one version of the queues. It is never changed.
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -136,7 +136,7 @@
 		Settings:      coordinator.Settings.Forwarder,
 	}
 	coordinator.supervisor = &supervisor.Supervisor{
-		Self:          coordinator.Self.Host,
+
 		FailureDomain: coordinator.Self.FailureDomain,
 		Cells:         coordinator.cells(),
 		Settings:      coordinator.Settings.Supervisor,
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -22,7 +22,7 @@
 	rooms := make([]*room, coordinator.cells())
 	for cell := range rooms {
 		rooms[cell] = &room{allocator: &allocator.Allocator{
-			Self:          coordinator.Self.Host,
+
 			FailureDomain: coordinator.Self.FailureDomain,
 			Cell:          messenger.CellNumber(cell),
 			Settings:      coordinator.Settings.Allocator,
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -181,8 +181,6 @@
 	Spots int `cbor:"2,keyasint,omitempty"`
 	// Waiting is how many tasks wait for room.
 	Waiting int `cbor:"3,keyasint,omitempty"`
-	// Servers is how many backend servers can be used.
-	Servers int `cbor:"4,keyasint,omitempty"`
 }
 
 // ServerCard is what a backend server that is called says about itself.
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -34,7 +34,6 @@
 // Supervisor holds the jobs of this host's callers. Set the exported fields before
 // the first Tick.
 type Supervisor struct {
-	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
 	// Cells is how many cells each failure domain has.
 	Cells    int
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -18,7 +18,7 @@
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		scenario := &scenario{supervisor: &supervisor.Supervisor{
-			Self: "host-b", FailureDomain: "leuven", Settings: supervisor.DefaultSettings(),
+			FailureDomain: "leuven", Settings: supervisor.DefaultSettings(),
 		}}
 		datadriven.RunTest(t, path, scenario.run)
 	})
