--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -148,7 +148,8 @@
 // keepStrayEnd keeps an end for a job that is asked for again after a change of the
 // lead. Without it a task that has done its work would run once more.
 func (allocator *Allocator) keepStrayEnd(end *RunEnd) {
-	allocator.strayEnds.Put(end.Run, &end.Kind)
+	kind := end.Kind
+	allocator.strayEnds.Put(end.Run, &kind)
 	due := allocator.now.Add(allocator.Settings.ForgetJob)
 	allocator.timers.Set(timerKey{kind: timerStrayForget, run: end.Run}, due)
 }
--- a/pkg/listener/server.go
+++ b/pkg/listener/server.go
@@ -121,14 +121,22 @@
 // none is open any more.
 func (server *Server) closeQuiet() bool {
 	server.mutex.Lock()
-	defer server.mutex.Unlock()
+	var idle []net.Conn
 	for open, state := range server.states {
-		if state != http.StateActive && quiet(open) {
-			// One that can't be closed is gone.
-			_ = open.Close()
+		if state != http.StateActive {
+			idle = append(idle, open)
+		}
+	}
+	left := len(server.states)
+	server.mutex.Unlock()
+	for _, open := range idle {
+		if quiet(open) {
+			// One that can't be closed is gone. Where connections are secured, the last
+			// message may take seconds to a client that doesn't read.
+			go func() { _ = open.Close() }()
 		}
 	}
-	return len(server.states) == 0
+	return left == 0
 }
 
 // quiet tells whether nothing has arrived on a connection that is still to be answered.
