Cut nothing off at the end of a shutdown; repeat starts without an answer

A start without an answer is made again, twice at most: it is idempotent by its run's number. What a repeated start is told is not taken for the fate of the first: the fuzzer found both ways in which a task then runs twice (room, and the fence of another lead).

--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -187,23 +187,48 @@
 		task.run = run.Run
 		task.server = run.Server
 		task.address = run.Address
-		supervisor.emit(&StartRun{
+		task.start = &StartRun{
 			Server: run.Server, Address: run.Address, Run: messenger.RunKey{Job: job.spec.Job, Task: run.Task, Run: run.Run},
 			Epoch: input.Grant.Epoch, LeaseEnd: run.LeaseEnd, Payload: job.spec.Payload,
-		})
+		}
+		task.repeats = 0
+		supervisor.emit(task.start)
 	}
 }
 
+// startRepeats is how often a start without an answer is made again. Three calls of
+// 150 ms take less than half of the lease under which a run may start.
+const startRepeats = 2
+
 // takeStart takes the answer to a start. The lead finds out what became of one that
 // was not accepted, and gives the task room elsewhere.
+//
+// Most often only the answer to a start is lost, and the run is at work. It would be
+// stopped in vain; so the start is made again first. It is idempotent by the number of
+// the run, and its lease bounds it like the first call, which may also arrive late.
 func (supervisor *Supervisor) takeStart(input *StartReturned) {
 	job := supervisor.jobs.Get(input.Run.Job)
-	if job == nil || input.Outcome == messenger.StartAccepted {
+	if job == nil || input.Outcome == messenger.StartAccepted || int(input.Run.Task) >= len(job.tasks) {
 		return
 	}
+	outcome := input.Outcome
+	if task := &job.tasks[input.Run.Task]; task.run == input.Run.Run && !task.done {
+		switch {
+		case outcome == messenger.StartUnanswered && task.repeats < startRepeats:
+			task.repeats++
+			supervisor.emit(task.start)
+			return
+		case outcome == messenger.StartStaleRun && task.repeats > 0:
+			return // An earlier call was carried out; the lead learns of its end.
+		case task.repeats > 0 && outcome != messenger.StartServerGone:
+			// An earlier call may be at work, or still under way. If the lead took the run
+			// for settled, its task would run twice at once.
+			outcome = messenger.StartUnanswered
+		}
+	}
 	if job.lead != "" {
 		supervisor.emit(&ReportStart{To: job.lead, Report: messenger.StartReport{
-			RunKey: input.Run, Outcome: input.Outcome, Epoch: input.Epoch, Cell: job.cell.Cell,
+			RunKey: input.Run, Outcome: outcome, Epoch: input.Epoch, Cell: job.cell.Cell,
 		}})
 	}
 }
@@ -277,6 +302,14 @@
 	supervisor.refuse(job, messenger.ReasonDeadlinePassed, "the deadline passed before every task was done", 0)
 }
 
+// endAll answers every job that is left when this host ends. Its callers would else see
+// their connections close, and not know whether to wait or to ask elsewhere.
+func (supervisor *Supervisor) endAll() {
+	for _, id := range supervisor.jobs.Keys() {
+		supervisor.refuse(supervisor.jobs.Get(id), messenger.ReasonShuttingDown, "this host shuts down", supervisor.Settings.RetryAfter)
+	}
+}
+
 // end answers every waiter and forgets the job. Whatever still runs is stopped by the
 // lead.
 func (supervisor *Supervisor) end(job *job, ended JobEnded) {
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -81,6 +81,10 @@
 	Outcome messenger.StartOutcome
 }
 
+// HostEnds tells that this host ends in a moment, whatever still runs.
+type HostEnds struct{}
+
+func (*HostEnds) isSupervisorInput()      {}
 func (*JobArrived) isSupervisorInput()    {}
 func (*CallerLeft) isSupervisorInput()    {}
 func (*LeadKnown) isSupervisorInput()     {}
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -98,6 +98,9 @@
 	run     identifier.RunNumber
 	server  identifier.BackendServerID
 	address string
+	// start is the call that starts the run; repeats counts how often it was made again.
+	start   *StartRun
+	repeats int
 }
 
 // Tick applies the inputs, lets deadlines fall due and returns what to do.
@@ -145,6 +148,8 @@
 		supervisor.arrive(input)
 	case *CallerLeft:
 		supervisor.callerLeft(input)
+	case *HostEnds:
+		supervisor.endAll()
 	case *LeadKnown:
 		supervisor.changeLead(input)
 	case *GrantArrived:
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -79,6 +79,8 @@
 			t.Fatal(err)
 		}
 		inputs = append(inputs, &supervisor.StartReturned{Run: key, Outcome: outcome, Epoch: identifier.Epoch(epoch)})
+	case "host-ends":
+		inputs = append(inputs, &supervisor.HostEnds{})
 	case "wait":
 	default:
 		t.Fatalf("unknown command %q", data.Cmd)
