--- a/pkg/narrator/narrator_test.go
+++ b/pkg/narrator/narrator_test.go
@@ -1,7 +1,9 @@
 package narrator_test
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -54,7 +56,7 @@
 // TestMissingLog: a path that is not there is told apart from one that can't be read.
 func TestMissingLog(t *testing.T) {
 	for _, path := range []string{filepath.Join(t.TempDir(), "none.log"), t.TempDir()} {
-		if _, err := narrator.Read([]string{path}); err == nil || !narrator.Missing(err) {
+		if _, err := narrator.Read([]string{path}); err == nil || !errors.Is(err, fs.ErrNotExist) {
 			t.Errorf("reading %s: %v", path, err)
 		}
 	}
--- a/pkg/narrator/reader.go
+++ b/pkg/narrator/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -220,6 +219,3 @@
 	}
 	return err
 }
-
-// Missing tells whether an error is about a file that is not there.
-func Missing(err error) bool { return errors.Is(err, fs.ErrNotExist) }
