--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/stoathitch/stoathitch/pkg/awaiter"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
@@ -23,13 +23,11 @@
 	*provider.Common
 	post connector.Poster
 
-	mutex      sync.Mutex
-	nextWaiter uint64
-	waiters    map[uint64]chan coordinator.Output
+	waiting awaiter.Awaiter[uint64, coordinator.Output]
 }
 
 func newOperations(common *provider.Common, post connector.Poster) *operations {
-	return &operations{Common: common, post: post, waiters: make(map[uint64]chan coordinator.Output)}
+	return &operations{Common: common, post: post}
 }
 
 // Register adds the operators' paths to router.
@@ -56,34 +54,14 @@
 	case *coordinator.ExplainAnswer:
 		waiter = output.Waiter
 	}
-	operations.mutex.Lock()
-	waiting, found := operations.waiters[waiter]
-	delete(operations.waiters, waiter)
-	operations.mutex.Unlock()
-	if found {
-		waiting <- output
-	}
+	operations.waiting.Answer(waiter, output)
 }
 
 // await posts an input for a new waiter and returns the output that answers it,
 // or nil when the operator hangs up.
 func (operations *operations) await(ctx context.Context, input func(waiter uint64) coordinator.Input) coordinator.Output {
-	waiting := make(chan coordinator.Output, 1)
-	operations.mutex.Lock()
-	operations.nextWaiter++
-	waiter := operations.nextWaiter
-	operations.waiters[waiter] = waiting
-	operations.mutex.Unlock()
-	operations.post(ctx, input(waiter))
-	select {
-	case output := <-waiting:
-		return output
-	case <-ctx.Done():
-		operations.mutex.Lock()
-		delete(operations.waiters, waiter)
-		operations.mutex.Unlock()
-		return nil
-	}
+	output, _ := operations.waiting.Await(ctx, func(waiter uint64) { operations.post(ctx, input(waiter)) })
+	return output
 }
 
 func (operations *operations) showConfig(writer http.ResponseWriter, request *http.Request) {
--- /dev/null
+++ b/pkg/awaiter/awaiter_test.go
@@ -0,0 +1,32 @@
+package awaiter_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/awaiter"
+)
+
+// TestAnswersReachTheirRequests: each request gets the answer to its own number, also
+// one that comes before it waits; one that has left gets none, and nobody is held up.
+func TestAnswersReachTheirRequests(t *testing.T) {
+	var waiting awaiter.Awaiter[uint64, string]
+	answer, answered := waiting.Await(context.Background(), func(id uint64) {
+		waiting.Answer(id+1, "another's")
+		waiting.Answer(id, "its own")
+		waiting.Answer(id, "once more")
+	})
+	if !answered || answer != "its own" {
+		t.Errorf("got %q, answered %t", answer, answered)
+	}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	var number uint64
+	if _, answered := waiting.Await(left, func(id uint64) { number = id }); answered {
+		t.Error("one who has left was answered")
+	}
+	waiting.Answer(number, "too late")
+	if waiting.Len() != 0 {
+		t.Errorf("%d requests wait, want none", waiting.Len())
+	}
+}
--- a/pkg/receiver/receiver.go
+++ b/pkg/receiver/receiver.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/gorilla/mux"
 
+	"github.com/stoathitch/stoathitch/pkg/awaiter"
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
@@ -31,18 +31,15 @@
 	Measurer *measurer.Measurer
 
 	// limits are those in force; a new configuration replaces them.
-	limits     atomic.Pointer[loader.Limits]
-	ready      atomic.Bool
-	refusing   atomic.Bool
-	waitBytes  atomic.Int64
-	nextWaiter atomic.Uint64
-	mutex      sync.Mutex
-	waiters    map[forwarder.WaiterID]chan *messenger.JobAnswer
+	limits    atomic.Pointer[loader.Limits]
+	ready     atomic.Bool
+	refusing  atomic.Bool
+	waitBytes atomic.Int64
+	waiting   awaiter.Awaiter[forwarder.WaiterID, *messenger.JobAnswer]
 }
 
-// Prepare makes the table of waiting requests.
+// Prepare makes the receiver usable.
 func (receiver *Receiver) Prepare() {
-	receiver.waiters = make(map[forwarder.WaiterID]chan *messenger.JobAnswer)
 	receiver.SetLimits(receiver.Settings.Limits)
 	if receiver.Measurer == nil {
 		receiver.Measurer = measurer.New()
@@ -70,21 +67,11 @@
 // Answer hands an answer to the request that waits for it. An answer for a
 // request whose caller hung up is dropped; a resend finds it.
 func (receiver *Receiver) Answer(answer *forwarder.AnswerCaller) {
-	receiver.mutex.Lock()
-	waiting, found := receiver.waiters[answer.Waiter]
-	delete(receiver.waiters, answer.Waiter)
-	receiver.mutex.Unlock()
-	if found {
-		waiting <- answer.Answer
-	}
+	receiver.waiting.Answer(answer.Waiter, answer.Answer)
 }
 
 // Waiting returns how many requests wait for an answer.
-func (receiver *Receiver) Waiting() int {
-	receiver.mutex.Lock()
-	defer receiver.mutex.Unlock()
-	return len(receiver.waiters)
-}
+func (receiver *Receiver) Waiting() int { return receiver.waiting.Len() }
 
 // WaitingBytes returns the sum of the bodies of the jobs that wait for an answer.
 func (receiver *Receiver) WaitingBytes() identifier.Bytes {
@@ -94,19 +81,8 @@
 // await posts an event for a new waiter and waits for the answer, or nil when the
 // caller hangs up. A caller that hangs up has not cancelled.
 func (receiver *Receiver) await(ctx context.Context, event func(forwarder.WaiterID) forwarder.Input) *messenger.JobAnswer {
-	waiter := forwarder.WaiterID(receiver.nextWaiter.Add(1))
-	waiting := make(chan *messenger.JobAnswer, 1)
-	receiver.mutex.Lock()
-	receiver.waiters[waiter] = waiting
-	receiver.mutex.Unlock()
-	receiver.Post(ctx, &coordinator.CallerEvent{Event: event(waiter)})
-	select {
-	case answer := <-waiting:
-		return answer
-	case <-ctx.Done():
-		receiver.mutex.Lock()
-		delete(receiver.waiters, waiter)
-		receiver.mutex.Unlock()
-		return nil
-	}
+	answer, _ := receiver.waiting.Await(ctx, func(waiter forwarder.WaiterID) {
+		receiver.Post(ctx, &coordinator.CallerEvent{Event: event(waiter)})
+	})
+	return answer
 }
