Send messages about room to the own host the way others get them

Cause: each of seven outputs said twice what becomes of it, once for this host and once for a message that arrives; answers and lookups did so too. Change: send hands a message for this host to the function that takes arrived ones. Ruled out: takeover queries and replies, for which the two ways differ.

--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -197,26 +197,13 @@
 }
 
 func (coordinator *Coordinator) routeSupervisorOutput(output supervisor.Output) {
-	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *supervisor.AskRoom:
-		if output.To == self {
-			coordinator.tellAllocator(output.Request.Cell, &allocator.RoomRequested{From: self, Request: output.Request})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{RoomRequest: &output.Request})
+		coordinator.send(output.To, PeerMessage{RoomRequest: &output.Request})
 	case *supervisor.ReleaseRoom:
-		if output.To == self {
-			coordinator.tellAllocator(output.Release.Cell, &allocator.RoomReleased{From: self, Job: output.Release.Job})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{RoomRelease: &output.Release})
+		coordinator.send(output.To, PeerMessage{RoomRelease: &output.Release})
 	case *supervisor.ReportStart:
-		if output.To == self {
-			coordinator.tellAllocator(output.Report.Cell, &allocator.StartReported{From: self, Report: output.Report})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{StartReport: &output.Report})
+		coordinator.send(output.To, PeerMessage{StartReport: &output.Report})
 	case *supervisor.StartRun:
 		coordinator.outputs.add(&CallStart{Call: output})
 	case *supervisor.JobEnded:
@@ -227,26 +214,13 @@
 }
 
 func (coordinator *Coordinator) routeAllocatorOutput(cell messenger.CellNumber, output allocator.Output) {
-	self := coordinator.Self.Host
 	switch output := output.(type) {
 	case *allocator.GrantRoom:
-		if output.To == self {
-			coordinator.tellSupervisor(&supervisor.GrantArrived{From: self, Grant: output.Grant})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{Grant: &output.Grant})
+		coordinator.send(output.To, PeerMessage{Grant: &output.Grant})
 	case *allocator.AnswerRoom:
-		if output.To == self {
-			coordinator.tellSupervisor(&supervisor.AnswerArrived{From: self, Answer: output.Answer})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{RoomAnswer: &output.Answer})
+		coordinator.send(output.To, PeerMessage{RoomAnswer: &output.Answer})
 	case *allocator.TellDone:
-		if output.To == self {
-			coordinator.tellSupervisor(&supervisor.DoneArrived{From: self, Done: output.Done})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{TaskDone: &output.Done})
+		coordinator.send(output.To, PeerMessage{TaskDone: &output.Done})
 	default:
 		coordinator.routeAllocatorCall(cell, output)
 	}
@@ -255,11 +229,7 @@
 func (coordinator *Coordinator) routeAllocatorCall(cell messenger.CellNumber, output allocator.Output) {
 	switch output := output.(type) {
 	case *allocator.TellNotice:
-		if output.To == coordinator.Self.Host {
-			coordinator.tellAllocators(&allocator.NoticeArrived{Notice: output.Notice})
-			return
-		}
-		coordinator.outputs.toPeer(output.To, PeerMessage{RoomNotice: &output.Notice})
+		coordinator.send(output.To, PeerMessage{RoomNotice: &output.Notice})
 	case *allocator.HoldServer:
 		coordinator.outputs.add(&CallHold{Call: output})
 	case *allocator.StopRun:
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -251,7 +251,7 @@
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{AnswerReceipt: output.Submission})
 	case *forwarder.SendAnswer:
-		coordinator.sendAnswer(output.To, output.Answer)
+		coordinator.send(output.To, PeerMessage{Answer: output.Answer})
 	case *forwarder.ForwardCancel:
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.CancelArrived{From: self, Cancel: output.Cancel})
@@ -271,7 +271,7 @@
 			Again: output.Forward.Again, Age: output.Forward.Age,
 		})
 	case *forwarder.AnswerQuestion:
-		coordinator.sendLookupReply(output.To, output.Reply)
+		coordinator.send(output.To, PeerMessage{LookupReply: &output.Reply})
 	case *forwarder.HolderAnswered:
 		coordinator.tellDispatcher(&dispatcher.HolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
 	case *forwarder.ReplyTakeover:
@@ -326,20 +326,13 @@
 	coordinator.outputs.toPeer(holders[index], PeerMessage{CopyRequest: []messenger.CopyRecord{output.Record}})
 }
 
-func (coordinator *Coordinator) sendAnswer(to identifier.HostID, answer *messenger.JobAnswer) {
+// send sends a message to a host, which may be this one.
+func (coordinator *Coordinator) send(to identifier.HostID, message PeerMessage) {
 	if to == coordinator.Self.Host {
-		coordinator.tellForwarder(&forwarder.AnswerArrived{From: to, Answer: answer})
+		coordinator.applyPeerMessage(to, &message)
 		return
 	}
-	coordinator.outputs.toPeer(to, PeerMessage{Answer: answer})
-}
-
-func (coordinator *Coordinator) sendLookupReply(to identifier.HostID, reply messenger.LookupReply) {
-	if to == coordinator.Self.Host {
-		coordinator.tellForwarder(&forwarder.QuestionAnswered{From: to, Reply: reply})
-		return
-	}
-	coordinator.outputs.toPeer(to, PeerMessage{LookupReply: &reply})
+	coordinator.outputs.toPeer(to, message)
 }
 
 func (coordinator *Coordinator) routeDispatcherOutput(output dispatcher.Output) {
@@ -349,9 +342,9 @@
 		coordinator.outputs.add(&ToServer{Batch: output})
 	case *dispatcher.JobAnswered:
 		coordinator.tellForwarder(&forwarder.AnswerGiven{Answer: output.Answer})
-		coordinator.sendAnswer(output.To, output.Answer)
+		coordinator.send(output.To, PeerMessage{Answer: output.Answer})
 	case *dispatcher.LookupAnswered:
-		coordinator.sendLookupReply(output.To, output.Reply)
+		coordinator.send(output.To, PeerMessage{LookupReply: &output.Reply})
 	case *dispatcher.HolderWanted:
 		coordinator.tellForwarder(&forwarder.HolderAsked{
 			Claimant: output.Claimant, Caller: output.Caller, Holder: output.Holder, Home: output.Home,
