Derive what stood twice in tasks, overdue runs and records

Cause: a task kept run, server and address beside the call that holds them; the time after which a run is overdue was written again for adopted runs; the narrator walked records by index to take their addresses. Change: the call alone is kept; overdueAfter serves both; records are pointers. Ruled out: nothing.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -150,7 +150,7 @@
 	known.needs = held.RoomTask.Needs
 	known.job = job
 	known.expectIn(allocator.now, allocator.estimates.runTime(job.request.Queue, held.RoomTask.Declared))
-	allocator.timers.Set(overdueTimer(known), allocator.now.Add(max(slowAfter*known.expectedTime, minOverdue)))
+	allocator.timers.Set(overdueTimer(known), allocator.now.Add(known.overdueAfter(slowAfter)))
 	server.used = server.used.Add(known.needs)
 	task.run = known
 	allocator.hold(server)
--- a/pkg/allocator/overdue.go
+++ b/pkg/allocator/overdue.go
@@ -29,9 +29,9 @@
 	return timerKey{kind: timerRunOverdue, server: run.server, run: run.key}
 }
 
-// overdueAt is when a run has gone on for so many times its expected time.
-func (run *run) overdueAt(times time.Duration) identifier.Moment {
-	return run.grantedAt.Add(max(times*run.expectedTime, minOverdue))
+// overdueAfter is how long a run goes on until that is so many times its expected time.
+func (run *run) overdueAfter(times time.Duration) time.Duration {
+	return max(times*run.expectedTime, minOverdue)
 }
 
 // runOverdue judges a server by a run that goes on for too long, and stops the run if
@@ -54,7 +54,7 @@
 	if !run.judgedSlow {
 		run.judgedSlow = true
 		allocator.judgeRun(run, run.job, false, allocator.now.Sub(run.grantedAt))
-		allocator.timers.Set(overdueTimer(run), run.overdueAt(hungAfter))
+		allocator.timers.Set(overdueTimer(run), run.grantedAt.Add(run.overdueAfter(hungAfter)))
 		return
 	}
 	allocator.giveUpHung(run)
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -58,7 +58,7 @@
 	server.runs[key] = created
 	server.used = server.used.Add(task.room.Needs)
 	task.run = created
-	allocator.timers.Set(overdueTimer(created), created.overdueAt(slowAfter))
+	allocator.timers.Set(overdueTimer(created), created.grantedAt.Add(created.overdueAfter(slowAfter)))
 	allocator.estimates.noteNeeds(task.room.Needs)
 	allocator.hold(server)
 	return messenger.GrantedRun{
--- a/pkg/narrator/cause.go
+++ b/pkg/narrator/cause.go
@@ -51,8 +51,7 @@
 	}
 	var lastLine *Record
 	later := teller.logs.within(arrived.At, arrived.At.Add(silentTime))
-	for index := range later {
-		record := &later[index]
+	for _, record := range later {
 		if record.Host != arrived.Host {
 			continue
 		}
@@ -103,9 +102,7 @@
 // lostRoom tells how many backend servers the lead had lost or judged shortly before.
 func (teller *teller) lostRoom(turned *Record) string {
 	lost := make(map[identifier.BackendServerID]bool)
-	around := teller.around()
-	for index := range around {
-		record := &around[index]
+	for _, record := range teller.around() {
 		if record.Host != turned.Host || !teller.near(record) {
 			continue
 		}
@@ -139,9 +136,7 @@
 // hostChange tells what the caller's host came to believe of a host, or of any host if
 // none is named, about then.
 func (teller *teller) hostChange(host string) string {
-	around := teller.around()
-	for index := range around {
-		record := &around[index]
+	for _, record := range teller.around() {
 		if record.Host != teller.own[0].Host || record.Peer == "" || host != "" && record.Peer != host {
 			continue
 		}
--- a/pkg/narrator/reader.go
+++ b/pkg/narrator/reader.go
@@ -15,6 +15,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/logwriter"
+	"github.com/stoathitch/stoathitch/pkg/wrapper"
 )
 
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
@@ -31,26 +32,14 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
 
 var errNoLine = eris.New("no line has a time and a message")
 
 // Logs are the lines of several processes, and what was wrong with their files.
 type Logs struct {
 	// Records stand in the order of their times.
-	Records []Record
+	Records []*Record
 	// Warnings tell which files were damaged, and how.
 	Warnings []string
 
@@ -59,19 +48,19 @@
 }
 
 // within returns the records from one moment to another.
-func (logs *Logs) within(from, to time.Time) []Record {
+func (logs *Logs) within(from, to time.Time) []*Record {
 	first, _ := slices.BinarySearchFunc(logs.Records, from, compareAt)
 	last, _ := slices.BinarySearchFunc(logs.Records, to.Add(1), compareAt)
 	return logs.Records[first:max(first, last)]
 }
 
-func compareAt(record Record, at time.Time) int { return record.At.Compare(at) }
+func compareAt(record *Record, at time.Time) int { return record.At.Compare(at) }
 
 func (logs *Logs) index() {
-	slices.SortStableFunc(logs.Records, func(first, second Record) int { return first.At.Compare(second.At) })
+	slices.SortStableFunc(logs.Records, func(first, second *Record) int { return first.At.Compare(second.At) })
 	logs.jobs = make(map[identifier.JobID][]*Record)
-	for number := range logs.Records {
-		if record := &logs.Records[number]; record.Job != "" {
+	for _, record := range logs.Records {
+		if record.Job != "" {
 			logs.jobs[record.Job] = append(logs.jobs[record.Job], record)
 		}
 	}
@@ -134,7 +123,7 @@
 			bad++
 			continue
 		}
-		logs.Records = append(logs.Records, *record)
+		logs.Records = append(logs.Records, record)
 	}
 	if len(logs.Records) == before {
 		return &Error{Operation: "read " + path, Kind: ErrorNotALog, Err: errNoLine}
--- a/pkg/narrator/story.go
+++ b/pkg/narrator/story.go
@@ -160,9 +160,7 @@
 		}
 		teller.add(record)
 	}
-	around := teller.around()
-	for index := range around {
-		record := &around[index]
+	for _, record := range teller.around() {
 		if record.Job != "" || !teller.near(record) {
 			continue
 		}
@@ -178,7 +176,7 @@
 }
 
 // around returns all lines from shortly before the request until shortly after it.
-func (teller *teller) around() []Record {
+func (teller *teller) around() []*Record {
 	return teller.logs.within(teller.own[0].At.Add(-aroundRequest), teller.own[len(teller.own)-1].At.Add(aroundRequest))
 }
 
@@ -192,9 +190,8 @@
 // noteGaps tells of lines that a process left out near the request, since the story may
 // lack them.
 func (teller *teller) noteGaps() {
-	around := teller.around()
-	for index := range around {
-		if record := &around[index]; record.Message == "lines-left-out" {
+	for _, record := range teller.around() {
+		if record.Message == "lines-left-out" {
 			teller.note("%s left out %s lines of kind %s about then", record.Host, record.LeftOut, record.LeftOutKind)
 		}
 	}
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -89,9 +89,9 @@
 		task := &job.tasks[index]
 		switch {
 		case task.done:
-		case task.run != 0:
+		case task.start != nil:
 			request.Held = append(request.Held, messenger.HeldRun{
-				RoomTask: job.spec.Tasks[index], Run: task.run, Server: task.server, Address: task.address,
+				RoomTask: job.spec.Tasks[index], Run: task.start.Run.Run, Server: task.start.Server, Address: task.start.Address,
 			})
 		default:
 			request.Tasks = append(request.Tasks, job.spec.Tasks[index])
@@ -184,9 +184,6 @@
 		}
 		job.lastRun = max(job.lastRun, run.Run)
 		task := &job.tasks[run.Task]
-		task.run = run.Run
-		task.server = run.Server
-		task.address = run.Address
 		task.start = &StartRun{
 			Server: run.Server, Address: run.Address, Run: messenger.RunKey{Job: job.spec.Job, Task: run.Task, Run: run.Run},
 			Epoch: input.Grant.Epoch, LeaseEnd: run.LeaseEnd, Payload: job.spec.Payload,
@@ -212,7 +209,7 @@
 		return
 	}
 	outcome := input.Outcome
-	if task := &job.tasks[input.Run.Task]; task.run == input.Run.Run && !task.done {
+	if task := &job.tasks[input.Run.Task]; task.start != nil && task.start.Run == input.Run && !task.done {
 		switch {
 		case outcome == messenger.StartUnanswered && task.repeats < startRepeats:
 			task.repeats++
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -94,11 +94,8 @@
 // task is one task of a job.
 type task struct {
 	done bool
-	// run is the run that was granted last and is not known to be over; 0 is none.
-	run     identifier.RunNumber
-	server  identifier.BackendServerID
-	address string
-	// start is the call that starts the run; repeats counts how often it was made again.
+	// start is the call that starts the run which was granted last and is not known to be
+	// over; nil is none. repeats counts how often it was made again.
 	start   *StartRun
 	repeats int
 }
