--- a/pkg/assembler/listeners.go
+++ b/pkg/assembler/listeners.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/listener"
+	"github.com/stoathitch/stoathitch/pkg/wrapper"
 )
 
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
@@ -25,19 +26,7 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
 
 // listeners are the bound addresses of one daemon. A host without the role entry
 // may have no address for backend servers.
--- a/pkg/configurer/snapshot.go
+++ b/pkg/configurer/snapshot.go
@@ -5,6 +5,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/wrapper"
 )
 
 // ErrorKind tells what kind of thing went wrong.
@@ -17,19 +18,7 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
 
 // snapshot is the durable form of a register.
 type snapshot struct {
--- a/pkg/connector/errors.go
+++ b/pkg/connector/errors.go
@@ -5,6 +5,8 @@
 
 import (
 	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/wrapper"
 )
 
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
@@ -27,19 +29,7 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
 
 func newError(operation string, kind ErrorKind, cause error) error {
 	return &Error{Operation: operation, Kind: kind, Err: eris.Wrap(cause, operation)}
--- a/pkg/loadgenerator/error.go
+++ b/pkg/loadgenerator/error.go
@@ -1,6 +1,10 @@
 package loadgenerator
 
-import "github.com/rotisserie/eris"
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/stoathitch/stoathitch/pkg/wrapper"
+)
 
 //go:generate enumer -type=ErrorKind -trimprefix=ErrorKind -transform=kebab -text
 
@@ -16,19 +20,7 @@
 )
 
 // Error is the error of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
 
 func malformed(operation, format string, arguments ...any) error {
 	return &Error{Operation: operation, Kind: ErrorKindMalformed, Err: eris.Errorf(format, arguments...)}
--- a/pkg/sizer/error.go
+++ b/pkg/sizer/error.go
@@ -1,5 +1,7 @@
 package sizer
 
+import "github.com/stoathitch/stoathitch/pkg/wrapper"
+
 //go:generate enumer -type=ErrorKind -trimprefix=Error -transform=kebab -text
 
 // ErrorKind tells what kind of thing went wrong.
@@ -12,16 +14,4 @@
 )
 
 // Error is the error type of this package.
-type Error struct {
-	Operation string
-	Kind      ErrorKind
-	Err       error
-}
-
-// Error describes the operation, the kind and the cause.
-func (failure *Error) Error() string {
-	return failure.Operation + ": " + failure.Kind.String() + ": " + failure.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (failure *Error) Unwrap() error { return failure.Err }
+type Error = wrapper.Error[ErrorKind]
