--- a/pkg/commander/load.go
+++ b/pkg/commander/load.go
@@ -3,14 +3,12 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/renameio/v2"
 
-	"github.com/stoathitch/stoathitch/pkg/loader"
 	"github.com/stoathitch/stoathitch/pkg/loadgenerator"
 )
 
@@ -117,13 +115,9 @@
 // callersAddresses lists where callers reach the hosts, from the settings of any
 // of them.
 func callersAddresses(folder string) ([]string, error) {
-	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
-	if err != nil || len(files) == 0 {
-		return nil, malformed("%s holds no settings files", folder)
-	}
-	settings, err := loader.Load(files[0])
+	settings, err := anySettings(folder)
 	if err != nil {
-		return nil, malformed("%v", err)
+		return nil, err
 	}
 	var addresses []string
 	for _, host := range settings.Hosts {
--- a/pkg/commander/standin.go
+++ b/pkg/commander/standin.go
@@ -99,13 +99,9 @@
 // entryHostAddresses lists where backend servers of a failure domain attach,
 // from the settings of any of the hosts.
 func entryHostAddresses(folder, failureDomain string) ([]string, error) {
-	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
-	if err != nil || len(files) == 0 {
-		return nil, malformed("%s holds no settings files", folder)
-	}
-	settings, err := loader.Load(files[0])
+	settings, err := anySettings(folder)
 	if err != nil {
-		return nil, malformed("%v", err)
+		return nil, err
 	}
 	var addresses []string
 	for _, host := range settings.Hosts {
@@ -118,3 +114,17 @@
 	}
 	return addresses, nil
 }
+
+// anySettings loads the settings of one of the hosts whose files are in folder: each
+// names all hosts.
+func anySettings(folder string) (*loader.Settings, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
+	if err != nil || len(files) == 0 {
+		return nil, malformed("%s holds no settings files", folder)
+	}
+	settings, err := loader.Load(files[0])
+	if err != nil {
+		return nil, malformed("%v", err)
+	}
+	return settings, nil
+}
