Try connections between hosts anew while a batch waits, with short first attempts

Entry hosts had the configuration 0.13 to 0.34 s after the first keeper was up. Ruled out: asking the seeds every 50 ms (the record of a configuration then spreads in 88 in place of 56 ms in the membership's scenario, and jobs no longer spill in its tests). Change: first attempts are given 50 ms, growing by a fifth up to 300 ms; a batch waits up to a second for its connection, which is tried again meanwhile.

--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -19,13 +19,15 @@
 
 // Timing of the connections to other hosts.
 const (
-	dialBaseDelay = 100 * time.Millisecond
+	// dialBaseDelay is the pause after a first failed attempt. A host that is up while
+	// its process starts refuses at once; processes that start together are there within
+	// some tens of milliseconds.
+	dialBaseDelay = 20 * time.Millisecond
 	dialMaxDelay  = time.Second
-	// dialTimeout is how long a connection may take to open; between regions it takes
-	// some tens of milliseconds. A machine without power answers nothing, so that hosts
-	// which start a moment before the others wait for the whole of it: with a second,
-	// 1.29 s went by after a loss of all power before they knew each other.
-	dialTimeout = 300 * time.Millisecond
+	// openWait is how long a batch waits for a connection, which is tried again
+	// meanwhile. Without it the connection would be tried only when something new is to be
+	// sent: a host that starts asks the hosts of its settings every 250 ms.
+	openWait = time.Second
 	// sendQueue bounds the batches that wait for a slow peer. Beyond it batches
 	// are dropped: every message between hosts is either repeated by its sender or
 	// covered by a timeout.
@@ -177,6 +179,7 @@
 }
 
 func (peers *Peers) dial(link *peerLink) (*grpc.ClientConn, error) {
+	patience := &dialPatience{}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(clientCredentials(peers.Keys, hostCheck(peers.Settings, link.host))),
 		probing(peers.Settings),
@@ -186,7 +189,9 @@
 			Backoff:           backoff.Config{BaseDelay: dialBaseDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: dialMaxDelay},
 			MinConnectTimeout: dialMaxDelay,
 		}),
-		grpc.WithContextDialer(peers.open),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return patience.open(ctx, address, peers.open)
+		}),
 	}
 	connection, err := grpc.NewClient(link.address, options...)
 	if err != nil {
@@ -197,8 +202,6 @@
 
 // open opens one connection to another host.
 func (peers *Peers) open(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	if peers.Dial != nil {
 		return peers.Dial(ctx, address)
 	}
@@ -210,7 +213,11 @@
 func (peers *Peers) runStream(ctx context.Context, connection *grpc.ClientConn, link *peerLink, payload []byte) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	overdue := time.AfterFunc(openWait, cancel)
 	stream, err := peers.openStream(ctx, connection)
+	if !overdue.Stop() && err == nil {
+		err = newError("open peer stream", ErrorStream, context.DeadlineExceeded)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -230,7 +237,7 @@
 // openStream opens a stream and introduces this host. The answer proves that a
 // host of the system serves the other side.
 func (peers *Peers) openStream(ctx context.Context, connection *grpc.ClientConn) (peerv1.Peer_ExchangeClient, error) {
-	stream, err := peerv1.NewPeerClient(connection).Exchange(ctx)
+	stream, err := peerv1.NewPeerClient(connection).Exchange(ctx, grpc.WaitForReady(true))
 	if err != nil {
 		return nil, newError("open peer stream", ErrorStream, err)
 	}
--- a/pkg/connector/peers_test.go
+++ b/pkg/connector/peers_test.go
@@ -49,3 +49,56 @@
 		}
 	}
 }
+
+// Symptom: after a loss of all power a host knows of no other one for a quarter of a
+// second after the last of them has started.
+// Sequence: a host starts first and sends one batch to each host of its settings; they are
+// without power; they start; the host sends the next batch only 250 ms later.
+// Cause: a connection was tried once for each batch, and the batch dropped when that failed.
+func TestWaitingBatchHasItsConnectionTriedAgain(t *testing.T) {
+	settings := loader.Defaults()
+	settings.Host = "mol-0"
+	settings.Hosts = []loader.Host{{Host: "mol-0"}, {Host: "geel-0", PeersAddress: netip.MustParseAddrPort("127.0.0.1:1")}}
+	const wanted = 4
+	attempts := make(chan time.Duration, 64)
+	peers := &Peers{
+		Common: provider.New(&settings, io.Discard),
+		Post:   func(context.Context, coordinator.Input) bool { return true },
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			deadline, _ := ctx.Deadline()
+			attempts <- time.Until(deadline)
+			return nil, context.DeadlineExceeded
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	peers.running = ctx
+	peers.links = make(map[identifier.HostID]*peerLink)
+	peers.Learn("geel-0", "127.0.0.1:1")
+	peers.Send("geel-0", &coordinator.PeerBatch{})
+	for range wanted {
+		<-attempts
+	}
+}
+
+// Symptom and sequence as above: an attempt that was made while the other host had no
+// power went on for 300 ms, although that host was there 20 ms later.
+// Cause: every attempt was given as long as one between regions may take.
+func TestFirstAttemptsToConnectAreShort(t *testing.T) {
+	patience := &dialPatience{}
+	unanswered := func(ctx context.Context, _ string) (net.Conn, error) { return nil, context.DeadlineExceeded }
+	refused := func(ctx context.Context, _ string) (net.Conn, error) { return nil, io.ErrClosedPipe }
+	if given := patience.timeout(); given != firstDialTimeout {
+		t.Errorf("the first attempt is given %v, want %v", given, firstDialTimeout)
+	}
+	for range 20 {
+		_, _ = patience.open(context.Background(), "geel-0", unanswered)
+	}
+	if given := patience.timeout(); given != dialTimeout {
+		t.Errorf("after 20 attempts without an answer one is given %v, want %v", given, dialTimeout)
+	}
+	_, _ = patience.open(context.Background(), "geel-0", refused)
+	if given := patience.timeout(); given != firstDialTimeout {
+		t.Errorf("after a refusal an attempt is given %v, want %v", given, firstDialTimeout)
+	}
+}
