Let a starting host lead as soon as it knows that nobody else does

Change: the membership tells when another host has answered with all that it knows; the settling time ends 0.1 s after that.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -42,6 +42,7 @@
 		Others:        coordinator.seedsOfOwnDomain(),
 		SettleTime:    coordinator.Settings.LeadSettle,
 		OvertakenTime: coordinator.Settings.LeadOvertaken,
+		JoinedTime:    coordinator.Settings.LeadJoined,
 		NextEpoch: func(after identifier.Epoch) identifier.Epoch {
 			return nextEpoch(after, coordinator.Self.Host)
 		},
@@ -75,6 +76,8 @@
 		coordinator.changeMember(output)
 	case gossiper.RecordChanged:
 		coordinator.changeRecord(output)
+	case gossiper.Joined:
+		coordinator.tellElector(elector.Joined{})
 	}
 }
 
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -31,6 +31,9 @@
 	// LeadOvertaken is how long a lead whose epoch was refused waits for the lead with
 	// the higher one; zero means LeadSettle.
 	LeadOvertaken time.Duration
+	// LeadJoined is how long a starting host still waits once another host has told it all
+	// that it knows; zero makes no difference to LeadSettle.
+	LeadJoined time.Duration
 	// JoinKeepers makes a keeper without a log wait until the others take it in, in
 	// place of founding a log with the keepers that the settings name. A keeper that
 	// lost its disk would else vote as if it had never accepted anything.
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -27,6 +27,8 @@
 	case EpochSeen:
 		cell := elector.cell(elector.FailureDomain, input.Cell)
 		cell.highest = max(cell.highest, input.Epoch)
+	case Joined:
+		elector.noteJoined()
 	case Resign:
 		elector.resign()
 	}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -36,6 +36,10 @@
 	// so that it doesn't duel with a living lead it has not heard of yet; and how
 	// long a lead that is overtaken waits for the one who overtook it.
 	SettleTime time.Duration
+	// JoinedTime is how long a host that starts still listens once another host has told
+	// it all that it knows, where that is sooner than SettleTime; zero means that it makes
+	// no difference.
+	JoinedTime time.Duration
 	// NextEpoch returns the epoch under which this host takes a cell after another;
 	// nil counts on by one. Hosts that lose sight of each other must not take the
 	// same one: backend servers could not tell them apart.
--- a/pkg/elector/isolation.go
+++ b/pkg/elector/isolation.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// noteJoined shortens the settling time of a host that has been told all that another
+// host knows: a living lead is among that.
+func (elector *Elector) noteJoined() {
+	if elector.JoinedTime == 0 || elector.settles == identifier.Never {
+		return
+	}
+	elector.settles = identifier.Earlier(elector.settles, elector.now.Add(elector.JoinedTime))
+}
+
 // cutOff tells whether this host may be cut off from all others.
 func (elector *Elector) cutOff() bool {
 	return elector.isolation.alone && !elector.isolation.heard
--- a/pkg/elector/messages.go
+++ b/pkg/elector/messages.go
@@ -48,6 +48,10 @@
 	Epoch identifier.Epoch
 }
 
+// Joined tells that another host has answered with all that it knows: who leads is
+// known from now on, but for what is on its way.
+type Joined struct{}
+
 // Resign makes this host give up its cells and take none any more.
 type Resign struct{}
 
@@ -57,6 +61,7 @@
 func (LeadSeen) input()      {}
 func (LeadWithdrawn) input() {}
 func (EpochSeen) input()     {}
+func (Joined) input()        {}
 func (Resign) input()        {}
 
 // Output is a decision or a change of view.
--- a/pkg/elector/start_test.go
+++ b/pkg/elector/start_test.go
@@ -46,3 +46,30 @@
 		t.Error("it did not take the cell after it had heard a backend server")
 	}
 }
+
+// Symptom: after all hosts were killed nobody leads for 0.4 s, and callers are turned away.
+// Sequence: the hosts start together and know each other within 0.1 s; each goes on
+// listening for a living lead until its settling time is over.
+// Cause: a host did not know that it had been told everything.
+func TestStartingHostThatWasToldAllSettlesSooner(t *testing.T) {
+	const (
+		settleTime = 400 * time.Millisecond
+		joinedTime = 100 * time.Millisecond
+	)
+	starting := &elector.Elector{Self: "entry-0", FailureDomain: "thu-duc", Cells: 1, SettleTime: settleTime, JoinedTime: joinedTime}
+	take := func(at time.Duration, inputs ...elector.Input) bool {
+		for _, output := range starting.Tick(identifier.Moment(at), inputs) {
+			if _, took := output.(elector.LeadTaken); took {
+				return true
+			}
+		}
+		return false
+	}
+	take(0)
+	if take(50*time.Millisecond, elector.Joined{}) || take(149*time.Millisecond) {
+		t.Error("it took the cell before what was on its way could arrive")
+	}
+	if !take(150 * time.Millisecond) {
+		t.Error("it did not take the cell once it had been told all")
+	}
+}
--- a/pkg/gossiper/outputs.go
+++ b/pkg/gossiper/outputs.go
@@ -29,7 +29,11 @@
 	Record Record
 }
 
+// Joined tells, once, that another host has answered with all that it knows.
+type Joined struct{}
+
 func (Send) output()            {}
+func (Joined) output()          {}
 func (MemberChanged) output()   {}
 func (MemberForgotten) output() {}
 func (RecordChanged) output()   {}
--- a/pkg/gossiper/sync.go
+++ b/pkg/gossiper/sync.go
@@ -188,6 +188,7 @@
 		gossiper.joined = true
 		gossiper.joinEnds = gossiper.now.Add(joinSettles)
 		gossiper.nextJoin = identifier.Never
+		gossiper.outputs = append(gossiper.outputs, Joined{})
 		// What was told before was told to nobody.
 		gossiper.tell(memberRumor(gossiper.Self.Host), originated)
 		gossiper.tellOwnRecords()
