Have the keepers remember the backend servers and epochs of each cell

Change: a lead tells the keepers its servers and epoch, 0.25 s after a change, whole; the keepers write that aside to their disks, with no promise; a host that starts is told by each keeper it meets. A remembered server is called first and gets nothing before it answers; one whose address belongs to a life that has announced itself is dropped.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -128,6 +128,8 @@
 		allocator.loseLead()
 	case *CardArrived:
 		allocator.takeCard(&input.Card)
+	case *CardRecalled:
+		allocator.recallCard(&input.Card)
 	case *RoomRequested:
 		allocator.request(input)
 	case *RoomReleased:
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -51,6 +51,8 @@
 		inputs = append(inputs, &allocator.LeadLost{})
 	case "card":
 		inputs = append(inputs, &allocator.CardArrived{Card: scanCard(t, data)})
+	case "recall":
+		inputs = append(inputs, &allocator.CardRecalled{Card: scanCard(t, data)})
 	case "request":
 		inputs = append(inputs, &allocator.RoomRequested{From: "host-b", Request: scanRequest(t, data)})
 	case "release":
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -19,6 +19,10 @@
 // CardArrived brings what a backend server says about itself.
 type CardArrived struct{ Card messenger.ServerCard }
 
+// CardRecalled brings what a backend server said about itself before this host started,
+// as the keepers remember it.
+type CardRecalled struct{ Card messenger.ServerCard }
+
 // RoomRequested brings a request of a host that supervises a job.
 type RoomRequested struct {
 	From    identifier.HostID
@@ -112,6 +116,7 @@
 func (*LeadTaken) isAllocatorInput()       {}
 func (*LeadLost) isAllocatorInput()        {}
 func (*CardArrived) isAllocatorInput()     {}
+func (*CardRecalled) isAllocatorInput()    {}
 func (*RoomRequested) isAllocatorInput()   {}
 func (*RoomReleased) isAllocatorInput()    {}
 func (*StartReported) isAllocatorInput()   {}
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -131,6 +131,27 @@
 	allocator.awaitForget(known)
 }
 
+// recallCard takes up a backend server that is remembered, unless it has announced itself
+// or another life is known at its address: that one is newer. It gets nothing before it
+// has answered a call.
+func (allocator *Allocator) recallCard(card *messenger.ServerCard) {
+	if allocator.servers.Get(card.Server) != nil || card.FailureDomain != allocator.FailureDomain {
+		return
+	}
+	newer := false
+	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
+		newer = other.card.Address == card.Address
+		return !newer
+	})
+	if newer {
+		return
+	}
+	recalled := *card
+	// The clock's reading is old, and the life may have begun anew.
+	recalled.Clock = 0
+	allocator.join(&recalled)
+}
+
 // join takes up a backend server. At the same address an earlier life has ended.
 func (allocator *Allocator) join(card *messenger.ServerCard) {
 	if card.Gone {
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -55,6 +55,7 @@
 	keeping    *keeping
 	operations *operations
 	memory     *memory
+	cellMemory *cellMemory
 	security   *security
 }
 
@@ -86,6 +87,8 @@
 	}
 	daemon.memory.recall(running, daemon)
 	runners.Go(func() { daemon.memory.run(running) })
+	daemon.cellMemory.recall(running, daemon)
+	runners.Go(func() { daemon.cellMemory.run(running) })
 	servers := daemon.serve(listeners)
 	if daemon.Extension != nil {
 		if err := daemon.Extension.Open(daemon); err != nil {
@@ -134,6 +137,7 @@
 	daemon.receiver = &receiver.Receiver{Common: daemon.Common, Post: daemon.runner.Post, Clock: daemon.clock, Measurer: daemon.measurer}
 	daemon.receiver.Prepare()
 	daemon.memory = newMemory(daemon.Common)
+	daemon.cellMemory = newCellMemory(daemon.Common)
 	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
 
@@ -143,6 +147,10 @@
 		if accepted, isInForce := output.(*coordinator.ConfigInForce); isInForce {
 			daemon.memory.remember(accepted.Version)
 		}
+		if cells, isMemory := output.(*coordinator.RememberCells); isMemory {
+			daemon.cellMemory.remember(cells.Cells)
+			continue
+		}
 		if daemon.Extension != nil && daemon.Extension.Deliver(output) {
 			continue
 		}
--- a/pkg/assembler/recall.go
+++ b/pkg/assembler/recall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"io/fs"
 	"os"
@@ -10,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
@@ -23,11 +20,6 @@
 // rememberedFile is the file of the configuration in force, in the data folder.
 const rememberedFile = "in-force.cbor"
 
-// checksumLength is the length of the checksum before the version.
-const checksumLength = 8
-
-var errWrongChecksum = eris.New("its checksum is wrong")
-
 // memory keeps the configuration in force in the data folder. Without it, a host
 // that starts again would serve under the limits of its settings file until it
 // hears from others, in a cut-off failure domain perhaps for minutes: an operator
@@ -84,7 +76,7 @@
 	if version.Version < memory.written {
 		return
 	}
-	if err := memory.write(version); err != nil {
+	if err := writeChecked(memory.path(), &version); err != nil {
 		memory.Log.Error("configuration not remembered", "version", version.Version, "err", err)
 		return
 	}
@@ -95,23 +87,6 @@
 	}
 }
 
-func (memory *memory) write(version configurer.Version) error {
-	encoded, err := cbor.Marshal(&version)
-	if err != nil {
-		return eris.Wrap(err, "encode")
-	}
-	content := binary.BigEndian.AppendUint64(nil, xxhash.Sum64(encoded))
-	content = append(content, encoded...)
-	if err := os.MkdirAll(memory.Settings.DataFolder, 0o700); err != nil {
-		return eris.Wrap(err, "make the data folder")
-	}
-	temporary := memory.path() + ".new"
-	if err := os.WriteFile(temporary, content, 0o644); err != nil {
-		return eris.Wrap(err, "write")
-	}
-	return eris.Wrap(os.Rename(temporary, memory.path()), "rename")
-}
-
 // run syncs what was written until ctx is done.
 func (memory *memory) run(ctx context.Context) {
 	for {
@@ -165,12 +140,6 @@
 
 func (memory *memory) read() (configurer.Version, error) {
 	var version configurer.Version
-	content, err := os.ReadFile(memory.path())
-	if err != nil {
-		return version, err
-	}
-	if len(content) < checksumLength || binary.BigEndian.Uint64(content) != xxhash.Sum64(content[checksumLength:]) {
-		return version, errWrongChecksum
-	}
-	return version, cbor.Unmarshal(content[checksumLength:], &version)
+	err := readChecked(memory.path(), &version)
+	return version, err
 }
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -57,6 +57,8 @@
 	// waits are the calls that wait for an end.
 	waits []func()
 	dead  bool
+	// mute tells that the server announces itself no more, though it lives.
+	mute bool
 }
 
 type calledRun struct{ key messenger.RunKey }
@@ -96,7 +98,7 @@
 
 // beat announces the server to some living host every half second.
 func (server *calledServer) beat() {
-	if server.dead {
+	if server.dead || server.mute {
 		return
 	}
 	network := server.world.network
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -61,6 +61,8 @@
 	// that are called.
 	supervisor *supervisor.Supervisor
 	rooms      []*room
+	// remembering has the keepers remember the backend servers.
+	remembering *remembering
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
@@ -110,6 +112,7 @@
 	next = identifier.Earlier(next, coordinator.driving.nextDeadline())
 	next = identifier.Earlier(next, coordinator.intentKeeping.nextDeadline())
 	next = identifier.Earlier(next, coordinator.tending.dueAt)
+	next = identifier.Earlier(next, coordinator.remembering.dueAt)
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
 	for _, room := range coordinator.rooms {
 		next = identifier.Earlier(next, room.allocator.NextDeadline())
@@ -142,6 +145,7 @@
 		Settings:      coordinator.Settings.Supervisor,
 	}
 	coordinator.rooms = newRooms(coordinator)
+	coordinator.remembering = newRemembering(coordinator)
 	coordinator.gossiper = coordinator.newGossiper()
 	coordinator.elector = coordinator.newElector()
 	if !slices.Contains(coordinator.Self.Roles, gossiper.RoleEntry) {
@@ -170,6 +174,7 @@
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
 		coordinator.settleRooming()
+		coordinator.remembering.settle()
 		coordinator.driving.settle()
 		coordinator.intentKeeping.settle()
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -55,6 +55,10 @@
 // before it started again.
 type ConfigRemembered struct{ Version configurer.Version }
 
+// CellsRemembered hands over what this keeper remembered of the cells before it started
+// again.
+type CellsRemembered struct{ Cells []messenger.CellMemory }
+
 // OperatorRequest brings a command that an operator wants the keepers to carry
 // out.
 type OperatorRequest struct {
@@ -104,6 +108,7 @@
 func (*Persisted) isCoordinatorInput()           {}
 func (*SnapshotSaved) isCoordinatorInput()       {}
 func (*ConfigRemembered) isCoordinatorInput()    {}
+func (*CellsRemembered) isCoordinatorInput()     {}
 func (*OperatorRequest) isCoordinatorInput()     {}
 func (*ConfigHistoryWanted) isCoordinatorInput() {}
 func (*ConfigWanted) isCoordinatorInput()        {}
@@ -161,6 +166,10 @@
 // ConfigInForce tells that a configuration is in force on this host from now on.
 type ConfigInForce struct{ Version configurer.Version }
 
+// RememberCells asks for all that is known of the cells to be remembered on the disk,
+// aside and without a promise.
+type RememberCells struct{ Cells []messenger.CellMemory }
+
 // ConfigHistory answers a ConfigHistoryWanted.
 type ConfigHistory struct {
 	Waiter   uint64
@@ -235,6 +244,7 @@
 func (*KeeperJoined) isCoordinatorOutput()        {}
 func (*KeeperHalted) isCoordinatorOutput()        {}
 func (*ConfigInForce) isCoordinatorOutput()       {}
+func (*RememberCells) isCoordinatorOutput()       {}
 func (*ConfigHistory) isCoordinatorOutput()       {}
 func (*ConfigAnswer) isCoordinatorOutput()        {}
 func (*OperatorAnswer) isCoordinatorOutput()      {}
@@ -287,6 +297,7 @@
 	TaskDone    *messenger.TaskDone    `cbor:"55,keyasint,omitempty"`
 	RoomNotice  *messenger.RoomNotice  `cbor:"56,keyasint,omitempty"`
 	ServerCards []messenger.ServerCard `cbor:"57,keyasint,omitempty"`
+	CellMemory  *messenger.CellMemory  `cbor:"58,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -88,6 +88,8 @@
 	// joins tells that the host's keeper has nothing on its disk that it vouched for.
 	joins bool
 	disk  fakeDisk
+	// cells is what the keeper remembers of the cells on its disk.
+	cells []messenger.CellMemory
 	// inForce are the revisions that the process has gone by, in their order.
 	inForce []identifier.ConfigRevision
 }
@@ -310,6 +312,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.RememberCells:
+		host.cells = output.Cells
 	case *coordinator.Persist:
 		network.persist(host, output)
 	case *coordinator.KeeperJoined:
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -127,6 +127,7 @@
 
 func (coordinator *Coordinator) takeRoomLead(taken elector.LeadTaken) {
 	coordinator.tellAllocator(taken.Cell, &allocator.LeadTaken{Epoch: taken.Epoch})
+	coordinator.remembering.change(taken.Cell)
 }
 
 func (coordinator *Coordinator) loseRoomLead(lost elector.LeadLost) {
@@ -156,6 +157,7 @@
 	}
 	if state.Status == gossiper.StatusAlive {
 		coordinator.shareCardsWith(host)
+		coordinator.remembering.meet(host)
 	}
 }
 
@@ -186,6 +188,8 @@
 		coordinator.tellSupervisor(&supervisor.DoneArrived{From: from, Done: *message.TaskDone})
 	case message.RoomNotice != nil:
 		coordinator.tellAllocators(&allocator.NoticeArrived{Notice: *message.RoomNotice})
+	case message.CellMemory != nil:
+		coordinator.remembering.take(message.CellMemory)
 	case message.ServerCards != nil:
 		for index := range message.ServerCards {
 			coordinator.takeCard(from, &message.ServerCards[index])
@@ -237,6 +241,7 @@
 	case *allocator.Fenced:
 		coordinator.tellElector(elector.EpochSeen{Cell: cell, Epoch: output.Epoch + fenceStep})
 	case *allocator.ShareCard:
+		coordinator.remembering.change(cell)
 		for _, host := range coordinator.entryHosts(coordinator.livingIn(coordinator.Self.FailureDomain)) {
 			coordinator.sendCards(host, []messenger.ServerCard{output.Card})
 		}
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -26,6 +26,7 @@
 		coordinator.tellForwarder(&forwarder.LeadReconnected{Host: input.Host})
 		coordinator.tellDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
 		coordinator.shareCardsWith(input.Host)
+		coordinator.remembering.meet(input.Host)
 	case *PeerDisconnected:
 		delete(coordinator.connected, input.Host)
 		coordinator.loseLeaver(input.Host)
@@ -75,6 +76,8 @@
 		coordinator.tellKeeper(&keeper.ToLog{Input: replicator.SnapshotSaved{Index: input.Index}})
 	case *ConfigRemembered:
 		coordinator.tellFollower(&configurer.VersionFetched{Version: input.Version})
+	case *CellsRemembered:
+		coordinator.remembering.recall(input.Cells)
 	case *OperatorRequest:
 		coordinator.petitions.begin(input)
 	case *ConfigHistoryWanted:
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -199,3 +199,12 @@
 	// Gone tells that the life has ended.
 	Gone bool `cbor:"10,keyasint,omitempty"`
 }
+
+// CellMemory is what the keepers remember of a cell for hosts that start with nothing:
+// the backend servers that its lead last told of, and the lead's epoch. It promises
+// nothing; each server is called before anything is placed on it.
+type CellMemory struct {
+	Cell  CellRef          `cbor:"1,keyasint"`
+	Epoch identifier.Epoch `cbor:"2,keyasint"`
+	Cards []ServerCard     `cbor:"3,keyasint,omitempty"`
+}
