--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -46,7 +46,19 @@
 		return
 	}
 	job.lead = ""
-	supervisor.timers.Set(timerKey{timerSilence, job.spec.Job}, supervisor.now.Add(supervisor.Settings.LeadWait))
+	supervisor.timers.Set(timerKey{timerSilence, job.spec.Job}, supervisor.now.Add(supervisor.leadWait(job)))
+}
+
+// leadWait is how long a job waits for somebody to lead: as long as it can still be in
+// time. A lost lead is replaced in about a second, all leads after a start of all hosts in
+// some 0.1 s; a caller that is told to come back in a second has lost more than that.
+func (supervisor *Supervisor) leadWait(job *job) time.Duration {
+	longest := time.Duration(0)
+	for index := range job.spec.Tasks {
+		longest = max(longest, job.spec.Tasks[index].Declared)
+	}
+	spare := time.Duration(float64(longest)*(job.spec.Stretch-1)) + job.spec.Allowance
+	return max(spare, supervisor.Settings.LeadWait)
 }
 
 // askElsewhere asks a lead that was not asked yet, one of the own failure domain first.
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -91,9 +91,17 @@
 func (scenario *scenario) arrival(t *testing.T, data *datadriven.TestData, id identifier.JobID, waiter supervisor.WaiterID) supervisor.Input {
 	tasks := 1
 	data.MaybeScanArgs(t, "tasks", &tasks)
+	declared := 60 * time.Millisecond
+	if text := scanString(t, data, "declared"); text != "" {
+		parsed, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		declared = parsed
+	}
 	job := supervisor.Job{Job: id, Service: "desk", Queue: "quick", Attempts: 2, Stretch: 1.6, Payload: "payload"}
 	for index := range tasks {
-		job.Tasks = append(job.Tasks, messenger.RoomTask{Task: messenger.TaskIndex(index), Declared: 60 * time.Millisecond})
+		job.Tasks = append(job.Tasks, messenger.RoomTask{Task: messenger.TaskIndex(index), Declared: declared})
 	}
 	return &supervisor.JobArrived{Waiter: waiter, Job: job, Deadline: scenario.now.Add(2 * time.Second)}
 }
