Let the home take back tasks that a silent lead was asked for

Change: the host asks the home's lead for such a part; a lead takes tasks in again for a job that it has from the same host.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -168,7 +168,7 @@
 func scanRequest(t *testing.T, data *datadriven.TestData) messenger.RoomRequest {
 	request := messenger.RoomRequest{
 		Job: identifier.JobID(scanString(t, data, "job")), Service: "desk", Queue: "quick", Attempts: 2, Stretch: 1.6,
-		Allowance: 60 * time.Millisecond, Remaining: 2 * time.Second, HandedOver: data.HasArg("handed-over"),
+		Allowance: 60 * time.Millisecond, Remaining: 2 * time.Second, HandedOver: data.HasArg("handed-over"), Part: data.HasArg("part"),
 		Near: scanString(t, data, "near"),
 	}
 	tasks, milliseconds, cpu := 0, 60, 14000
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -80,7 +80,12 @@
 		allocator.answer(input.From, messenger.RoomAnswer{Job: input.Request.Job, Kind: messenger.RoomAnswerNotLed})
 		return
 	}
-	if known := allocator.jobs.Get(input.Request.Job); known != nil {
+	known := allocator.jobs.Get(input.Request.Job)
+	if known != nil && known.from == input.From && input.Request.Part && !known.closed {
+		allocator.takeBack(known, input.Request.Tasks)
+		return
+	}
+	if known != nil {
 		// The caller sent the job again, to this host or another, and the earlier
 		// sending is no longer waited for. Its runs must be over first.
 		known.successor = input
@@ -90,6 +95,20 @@
 	allocator.admit(allocator.newJob(input))
 }
 
+// takeBack takes tasks of a job in that another cell's lead was asked for in vain.
+func (allocator *Allocator) takeBack(job *job, rooms []messenger.RoomTask) {
+	for _, room := range rooms {
+		if !slices.ContainsFunc(job.tasks, func(task task) bool { return task.room.Task == room.Task }) {
+			job.tasks = append(job.tasks, task{room: room})
+		}
+	}
+	for index := range job.tasks {
+		if task := &job.tasks[index]; task.run == nil {
+			allocator.queueTask(job, task)
+		}
+	}
+}
+
 func (allocator *Allocator) newJob(input *RoomRequested) *job {
 	request := &input.Request
 	created := &job{request: *request, from: input.From, arrivedAt: allocator.now.Add(-request.Elapsed), lastRun: request.RunsBelow}
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -138,11 +138,21 @@
 	part.heard = false
 	part.tried[cell] = true
 	part.silentFrom = supervisor.now
+	request := supervisor.requestFor(job, part, cell)
+	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.LeadSilence))
+	supervisor.emit(&AskRoom{To: lead, Request: request})
+	supervisor.decided(messenger.Decision{
+		Kind: messenger.DecisionAsked, Job: job.spec.Job, Host: lead, Tasks: len(request.Tasks), Elapsed: request.Elapsed,
+	})
+}
+
+// requestFor is a request to the lead of a cell for all that a part still needs.
+func (supervisor *Supervisor) requestFor(job *job, part *part, cell messenger.CellRef) messenger.RoomRequest {
 	request := messenger.RoomRequest{
 		Job: job.spec.Job, Cell: cell.Cell, Service: job.spec.Service, Queue: job.spec.Queue, Urgency: job.spec.Urgency,
 		Attempts: job.spec.Attempts, Label: job.spec.Label, Near: job.spec.Near, PerServer: job.spec.PerServer,
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
-		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job), Part: len(job.parts) > 1,
+		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job) || len(part.tried) > 1, Part: len(job.parts) > 1,
 		RunsBelow: job.lastRun,
 	}
 	for index := range job.tasks {
@@ -157,11 +167,7 @@
 			request.Tasks = append(request.Tasks, job.spec.Tasks[index])
 		}
 	}
-	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.LeadSilence))
-	supervisor.emit(&AskRoom{To: lead, Request: request})
-	supervisor.decided(messenger.Decision{
-		Kind: messenger.DecisionAsked, Job: job.spec.Job, Host: lead, Tasks: len(request.Tasks), Elapsed: request.Elapsed,
-	})
+	return request
 }
 
 // askOther follows a lead that sends a part, or some of its tasks, to another cell.
@@ -187,8 +193,7 @@
 		}
 	}
 	if !slices.ContainsFunc(job.tasks, func(task task) bool { return task.part == from }) {
-		supervisor.timers.Clear(silenceTimer(job, from))
-		job.parts = slices.DeleteFunc(job.parts, func(part *part) bool { return part == from })
+		supervisor.dropPart(job, from)
 	}
 	return created
 }
@@ -211,13 +216,42 @@
 	}
 	if part.lead != "" {
 		supervisor.release(part.lead, part.cell.Cell, job.spec.Job)
-		if len(part.tried) < leadsTried && supervisor.askElsewhere(job, part) {
+		if supervisor.giveBack(job, part) || len(part.tried) < leadsTried && supervisor.askElsewhere(job, part) {
 			return
 		}
 	}
 	supervisor.refuse(job, messenger.ReasonNoBackendServer, "no lead answers", supervisor.Settings.RetryAfter)
 }
 
+// giveBack asks the lead of the job's home for the tasks of a part whose lead is silent, and
+// tells whether it could. The home sent them there by what it had heard lately; a failure
+// domain that has been cut off since would else end jobs of which other tasks run.
+func (supervisor *Supervisor) giveBack(job *job, part *part) bool {
+	home := supervisor.homeOf(job)
+	lead := supervisor.leadOf(home)
+	if lead == "" || part.cell == home {
+		return false
+	}
+	_, atHome := supervisor.partAt(job.spec.Job, lead, home.Cell)
+	if atHome == nil {
+		supervisor.ask(job, part, lead, home)
+		return true
+	}
+	supervisor.emit(&AskRoom{To: lead, Request: supervisor.requestFor(job, part, home)})
+	for index := range job.tasks {
+		if task := &job.tasks[index]; task.part == part {
+			task.part = atHome
+		}
+	}
+	supervisor.dropPart(job, part)
+	return true
+}
+
+func (supervisor *Supervisor) dropPart(job *job, dropped *part) {
+	supervisor.timers.Clear(silenceTimer(job, dropped))
+	job.parts = slices.DeleteFunc(job.parts, func(part *part) bool { return part == dropped })
+}
+
 // leadsTried is how many silent leads are asked for one job: the failure domain's own
 // and one more. Where both are silent, this host is more likely cut off itself.
 const leadsTried = 2
