Call servers that lose answers more often, and wait for them less

A lost answer was noticed after its call's wait and 150 ms, up to 0.4 s later, and until then no end of that server was heard of. Change: a server that was silent and is back counts as losing answers for 5 s: its calls wait 60 ms for an end and are waited for 40 ms longer.

--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -1,6 +1,8 @@
 package allocator
 
 import (
+	"time"
+
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -18,14 +20,34 @@
 	}
 	// A server that does not answer may carry the call out much later. A renewal
 	// would then keep its runs, which are counted as lapsed, at work.
+	slack := holdSlack
 	if !server.silent && server.fenced && len(server.runs) > 0 {
 		call.LeaseEnd = allocator.extendLease(server)
 		call.Wait = allocator.Settings.holdWait()
+		if !server.losesUntil.Due(allocator.now) {
+			call.Wait = min(call.Wait, lossyWait)
+			slack = lossySlack
+		}
 	}
+	call.Timeout = call.Wait + slack
 	allocator.timers.Clear(holdTimer(server.card.Server))
 	allocator.emit(call)
 }
 
+const (
+	// holdSlack is how much longer than its wait an answer is waited for. Wait and slack
+	// together leave more than half of the lease for the next calls.
+	holdSlack = 150 * time.Millisecond
+	// lossyTime is how long a server counts as one whose answers are lost: a few dozen
+	// calls.
+	lossyTime = 5 * time.Second
+	// lossyWait and lossySlack are wait and slack at such a server. While a call is under
+	// way whose answer was lost no end is heard of, and users wait for it; a server that
+	// answers takes about 1 ms.
+	lossyWait  = 60 * time.Millisecond
+	lossySlack = 40 * time.Millisecond
+)
+
 // extendLease returns a lease that ends as late as one may, and notes it.
 func (allocator *Allocator) extendLease(server *server) identifier.ServerTime {
 	end := server.estimatedClock(allocator.now) + identifier.ServerTime(allocator.Settings.Lease.Milliseconds())
@@ -105,6 +127,7 @@
 	allocator.awaitForget(server)
 	if server.silent {
 		server.silent = false
+		server.losesUntil = allocator.now.Add(lossyTime)
 		allocator.timers.Clear(lapseTimer(server.card.Server))
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerBack, Server: server.card.Server})
 	}
--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -98,8 +98,6 @@
 	hop = 300 * time.Microsecond
 	// between is the way to another failure domain.
 	between = 800 * time.Microsecond
-	// holdTimeout is when a call whose answer is lost counts as unanswered.
-	holdTimeout = 400 * time.Millisecond
 )
 
 func newLoad(servers int) *load { return newLoadOf(1, servers) }
@@ -280,7 +278,7 @@
 	server.waiting = nil
 	if server.index < load.lossy && load.random.Float64() < 0.3 {
 		lost := &allocator.HoldReturned{Server: server.id, Sequence: call.Sequence, Outcome: allocator.CallUnanswered}
-		load.tell(server.lead, holdTimeout, lost)
+		load.tell(server.lead, server.sentAt.Add(call.Timeout).Sub(load.now), lost)
 		return nil
 	}
 	returned := &allocator.HoldReturned{
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -164,7 +164,10 @@
 	// LeaseEnd is zero where the lease is not renewed.
 	LeaseEnd identifier.ServerTime
 	Cursor   int64
-	Wait     time.Duration
+	// Wait is how long the server holds its answer back for an end, Timeout how long the
+	// answer is waited for.
+	Wait    time.Duration
+	Timeout time.Duration
 }
 
 // StopRun calls a backend server to stop a run, or to refuse it if it comes later.
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -36,6 +36,8 @@
 	// holding tells that a call is under way; holds is the sequence of the last one.
 	holding bool
 	holds   uint64
+	// losesUntil is until when its answers count as often lost.
+	losesUntil identifier.Moment
 	// heardAt is when its last answer came.
 	heardAt identifier.Moment
 	// cursor is the highest end that was taken note of.
