Number the requests for room, so that a late answer counts for its own request only

Its answer to the first request named another cell for two of three tasks while its record of the second held all three: both cells granted them. Ruled out: a run granted twice by one lead (it waits until the run before is over). Change: requests for a job are numbered; grants and answers repeat the number; others are ignored. A run is started only for a task that stands in the part that was granted. A lead that was tried for a part is not asked to take it back.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -56,7 +56,7 @@
 // wait tells the host that the job waits, and turns the job away when it can't be in
 // time any more and nothing of it has started.
 func (allocator *Allocator) wait(job *job, predicted time.Duration) {
-	allocator.answer(job.from, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerWaiting})
+	allocator.answerJob(job, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerWaiting})
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionWaits, Job: job.request.Job, Tasks: job.queued, Predicted: predicted, Spots: allocator.spots(),
 	})
@@ -73,7 +73,7 @@
 
 // turnAway tells a host that its job gets no room; none of its runs was granted here.
 func (allocator *Allocator) turnAway(job *job, reason messenger.Reason, detail string, wait time.Duration) {
-	allocator.answer(job.from, messenger.RoomAnswer{
+	allocator.answerJob(job, messenger.RoomAnswer{
 		Job: job.request.Job, Kind: messenger.RoomAnswerTurnedAway, Reason: reason, Detail: detail, RetryAfter: wait,
 	})
 	allocator.decided(messenger.Decision{
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -77,7 +77,7 @@
 // request takes a request for room.
 func (allocator *Allocator) request(input *RoomRequested) {
 	if !allocator.Leads() {
-		allocator.answer(input.From, messenger.RoomAnswer{Job: input.Request.Job, Kind: messenger.RoomAnswerNotLed})
+		allocator.answer(input.From, messenger.RoomAnswer{Job: input.Request.Job, Kind: messenger.RoomAnswerNotLed, Ask: input.Request.Ask})
 		return
 	}
 	known := allocator.jobs.Get(input.Request.Job)
@@ -245,7 +245,7 @@
 
 // failJob ends a job that can't be completed.
 func (allocator *Allocator) failJob(job *job, reason messenger.Reason, detail string) {
-	allocator.answer(job.from, messenger.RoomAnswer{
+	allocator.answerJob(job, messenger.RoomAnswer{
 		Job: job.request.Job, Kind: messenger.RoomAnswerFailed, Reason: reason, Detail: detail,
 	})
 	allocator.close(job, detail)
@@ -318,6 +318,12 @@
 	allocator.timers.Clear(timerKey{kind: timerJobStart, job: id})
 }
 
+// answerJob answers the host of a job.
+func (allocator *Allocator) answerJob(job *job, answer messenger.RoomAnswer) {
+	answer.Ask = job.request.Ask
+	allocator.answer(job.from, answer)
+}
+
 func (allocator *Allocator) answer(to identifier.HostID, answer messenger.RoomAnswer) {
 	answer.Cell = allocator.Cell
 	allocator.emit(&AnswerRoom{To: to, Answer: answer})
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -36,7 +36,7 @@
 
 // placeJob gives room to the waiting tasks of one job and tells whether all got it.
 func (allocator *Allocator) placeJob(job *job) bool {
-	grant := messenger.Grant{Job: job.request.Job, Epoch: allocator.epoch, Cell: allocator.Cell}
+	grant := messenger.Grant{Job: job.request.Job, Epoch: allocator.epoch, Cell: allocator.Cell, Ask: job.request.Ask}
 	for index := range job.tasks {
 		task := &job.tasks[index]
 		if !task.queued {
--- a/pkg/allocator/sharing.go
+++ b/pkg/allocator/sharing.go
@@ -78,7 +78,7 @@
 	job.tasks = slices.DeleteFunc(job.tasks, func(task task) bool { return slices.Contains(given.tasks, task.room.Task) })
 	// Its siblings start there, and the job's answer waits for those that wait here.
 	allocator.markGranted(job)
-	allocator.answer(job.from, messenger.RoomAnswer{
+	allocator.answerJob(job, messenger.RoomAnswer{
 		Job: job.request.Job, Kind: messenger.RoomAnswerAskOther, Other: given.cell, Tasks: given.tasks,
 	})
 	allocator.decided(messenger.Decision{
--- a/pkg/coordinator/called_fuzz_test.go
+++ b/pkg/coordinator/called_fuzz_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -39,6 +40,46 @@
 	})
 }
 
+// Symptom: a task runs twice at the same time, in two failure domains.
+// Sequence: jobs are shared between the leads of two failure domains with two cells each;
+// connections between hosts are slow by tens of milliseconds, so that leads count as
+// silent, are asked again and answer late; hosts crash and lose sight of each other.
+// Cause guarded against: a task that stands in two parts of its job.
+func TestSharedJobsUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		settings := coordinator.DefaultSettings()
+		settings.Dispatcher.Cells = 2
+		network := newNetworkWith([]identifier.FailureDomain{"leuven", "geel"}, 2, settings)
+		world := newCalledWorld(network, draw, 8)
+		network.advance(3 * time.Second)
+		for step := range rapid.IntRange(40, 80).Draw(draw, "steps") {
+			world.stepShared(step)
+			network.advance(time.Duration(rapid.IntRange(1, 60).Draw(draw, "pause")) * time.Millisecond)
+		}
+		network.advance(20 * time.Second)
+		for _, problem := range world.problems {
+			draw.Error(problem)
+			draw.Log(strings.Join(world.history, "\n"))
+		}
+	})
+}
+
+func (world *calledWorld) stepShared(step int) {
+	network := world.network
+	host := network.hosts[world.chance("host", len(network.hosts)-1)]
+	other := network.hosts[world.chance("other", len(network.hosts)-1)]
+	switch kind := world.chance("step", 19); {
+	case kind < 13:
+		world.submit(host, identifier.JobID(fmt.Sprintf("job-%d", step)), 1+world.chance("tasks", 12))
+	case kind < 18 && other != host:
+		delays := []time.Duration{0, 10 * time.Millisecond, 35 * time.Millisecond, 60 * time.Millisecond}
+		network.connection(string(host.id), string(other.id)).delay = delays[world.chance("delay", len(delays)-1)]
+	case kind == 18 && other != host:
+		network.breakHosts(host, other)
+		network.at(time.Duration(world.chance("cut", 300))*time.Millisecond, func() { network.connectHosts(host, other) })
+	}
+}
+
 func (world *calledWorld) step(step int) {
 	network := world.network
 	host := network.hosts[world.chance("host", len(network.hosts)-1)]
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -84,7 +85,7 @@
 		world: world, place: index, began: world.network.now, slow: world.chance("slow", 20),
 		runs: make(map[string]*calledRun), past: make(map[string]identifier.RunNumber),
 		card: messenger.ServerCard{
-			Server: id, Service: "desk", Address: fmt.Sprintf("address-%d", index), FailureDomain: "leuven",
+			Server: id, Service: "desk", Address: fmt.Sprintf("address-%d", index), FailureDomain: world.domainOf(index),
 			Capacity: identifier.Resources{MilliCPU: 3000, Memory: 1 << 30},
 		},
 	}
@@ -92,6 +93,17 @@
 	server.beat()
 }
 
+// domainOf spreads the servers over the failure domains of the network.
+func (world *calledWorld) domainOf(index int) identifier.FailureDomain {
+	var domains []identifier.FailureDomain
+	for _, host := range world.network.hosts {
+		if !slices.Contains(domains, host.domain) {
+			domains = append(domains, host.domain)
+		}
+	}
+	return domains[index%len(domains)]
+}
+
 func (world *calledWorld) chance(label string, bound int) int {
 	return rapid.IntRange(0, bound).Draw(world.draw, label)
 }
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -113,9 +113,18 @@
 const hop = 250 * time.Microsecond
 
 func newNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots) *network {
+	return startNetwork(domains, hostsEach, serversEach, slots, coordinator.DefaultSettings())
+}
+
+// newNetworkWith makes a network without backend servers that open a stream.
+func newNetworkWith(domains []identifier.FailureDomain, hostsEach int, settings coordinator.Settings) *network {
+	return startNetwork(domains, hostsEach, 0, 0, settings)
+}
+
+func startNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings) *network {
 	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
 	created.operators = make(map[uint64]*coordinator.OperatorAnswer)
-	created.settings = coordinator.DefaultSettings()
+	created.settings = settings
 	for _, domain := range domains {
 		for index := range hostsEach {
 			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain}
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -48,6 +48,9 @@
 	Remaining time.Duration `cbor:"12,keyasint"`
 	// HandedOver tells that another lead sent the job here; it is not sent on.
 	HandedOver bool `cbor:"13,keyasint,omitempty"`
+	// Ask numbers the requests of a host for one job. Grants and answers repeat it: what
+	// comes late for an earlier request to the same lead says nothing about this one.
+	Ask AskNumber `cbor:"19,keyasint,omitempty"`
 	// Part tells that other tasks of the job have been given room by other leads: these
 	// are taken in whatever they wait for, as the job's answer waits for them.
 	Part bool `cbor:"18,keyasint,omitempty"`
@@ -78,8 +81,12 @@
 	Epoch identifier.Epoch `cbor:"2,keyasint"`
 	Runs  []GrantedRun     `cbor:"3,keyasint"`
 	Cell  CellNumber       `cbor:"4,keyasint,omitempty"`
+	Ask   AskNumber        `cbor:"5,keyasint,omitempty"`
 }
 
+// AskNumber numbers the requests of a host for room for one job, from 1.
+type AskNumber uint32
+
 // GrantedRun is the room of one run.
 type GrantedRun struct {
 	Task    TaskIndex                  `cbor:"1,keyasint,omitempty"`
@@ -102,7 +109,8 @@
 	// Cell is that of the lead which answers.
 	Cell CellNumber `cbor:"7,keyasint,omitempty"`
 	// Other is the cell to ask in place of this one.
-	Other CellRef `cbor:"6,keyasint,omitzero"`
+	Other CellRef   `cbor:"6,keyasint,omitzero"`
+	Ask   AskNumber `cbor:"9,keyasint,omitempty"`
 	// Tasks are those for which Other is to be asked; the rest stays here. None means all.
 	Tasks []TaskIndex `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -35,15 +35,18 @@
 // takeGrant starts the granted runs. A lead that is not asked any more gets its room
 // back.
 func (supervisor *Supervisor) takeGrant(input *GrantArrived) {
-	job, part := supervisor.partAt(input.Grant.Job, input.From, input.Grant.Cell)
+	job, part := supervisor.answered(input.Grant.Job, input.From, input.Grant.Cell, input.Grant.Ask)
 	if part == nil {
-		supervisor.release(input.From, input.Grant.Cell, input.Grant.Job)
+		// The lead of a part that was asked again has had its release already.
+		if _, asked := supervisor.partAt(input.Grant.Job, input.From, input.Grant.Cell); asked == nil {
+			supervisor.release(input.From, input.Grant.Cell, input.Grant.Job)
+		}
 		return
 	}
 	part.heard = true
 	part.granted = true
 	for _, run := range input.Grant.Runs {
-		if int(run.Task) >= len(job.tasks) || job.tasks[run.Task].done {
+		if int(run.Task) >= len(job.tasks) || job.tasks[run.Task].done || job.tasks[run.Task].part != part {
 			continue
 		}
 		job.lastRun = max(job.lastRun, run.Run)
@@ -109,7 +112,7 @@
 
 func (supervisor *Supervisor) takeAnswer(input *AnswerArrived) {
 	answer := &input.Answer
-	job, part := supervisor.partAt(answer.Job, input.From, answer.Cell)
+	job, part := supervisor.answered(answer.Job, input.From, answer.Cell, answer.Ask)
 	if part == nil {
 		return
 	}
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -20,6 +20,8 @@
 	// leads.
 	lead identifier.HostID
 	cell messenger.CellRef
+	// ask numbers the request that the lead has.
+	ask messenger.AskNumber
 	// heard tells that the lead has answered the request.
 	heard bool
 	// silentFrom is since when nothing may be heard from the lead before it counts as
@@ -57,7 +59,18 @@
 	return slices.ContainsFunc(job.parts, func(part *part) bool { return part != but && part.lead != "" && part.cell == cell })
 }
 
-// partAt returns the part that a lead answers for, or nil.
+// answered returns the part that a lead answers for, or nil where it answers an earlier
+// request. A slow lead's answer to a request that was taken back may come after the same
+// lead was asked again; if it counted, a task could stand in two parts and run twice.
+func (supervisor *Supervisor) answered(id identifier.JobID, from identifier.HostID, cell messenger.CellNumber, ask messenger.AskNumber) (*job, *part) {
+	job, part := supervisor.partAt(id, from, cell)
+	if part != nil && part.ask != ask {
+		return job, nil
+	}
+	return job, part
+}
+
+// partAt returns the part for which a lead was asked, or nil.
 func (supervisor *Supervisor) partAt(id identifier.JobID, from identifier.HostID, cell messenger.CellNumber) (*job, *part) {
 	job := supervisor.jobs.Get(id)
 	if job == nil {
@@ -138,6 +151,8 @@
 	part.heard = false
 	part.tried[cell] = true
 	part.silentFrom = supervisor.now
+	job.lastAsk++
+	part.ask = job.lastAsk
 	request := supervisor.requestFor(job, part, cell)
 	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.LeadSilence))
 	supervisor.emit(&AskRoom{To: lead, Request: request})
@@ -153,7 +168,7 @@
 		Attempts: job.spec.Attempts, Label: job.spec.Label, Near: job.spec.Near, PerServer: job.spec.PerServer,
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
 		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job) || len(part.tried) > 1, Part: len(job.parts) > 1,
-		RunsBelow: job.lastRun,
+		RunsBelow: job.lastRun, Ask: part.ask,
 	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
@@ -229,7 +244,7 @@
 func (supervisor *Supervisor) giveBack(job *job, part *part) bool {
 	home := supervisor.homeOf(job)
 	lead := supervisor.leadOf(home)
-	if lead == "" || part.cell == home {
+	if lead == "" || part.tried[home] {
 		return false
 	}
 	_, atHome := supervisor.partAt(job.spec.Job, lead, home.Cell)
@@ -237,7 +252,9 @@
 		supervisor.ask(job, part, lead, home)
 		return true
 	}
-	supervisor.emit(&AskRoom{To: lead, Request: supervisor.requestFor(job, part, home)})
+	request := supervisor.requestFor(job, part, home)
+	request.Ask = atHome.ask
+	supervisor.emit(&AskRoom{To: lead, Request: request})
 	for index := range job.tasks {
 		if task := &job.tasks[index]; task.part == part {
 			task.part = atHome
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -81,6 +81,7 @@
 	parts    []*part
 	lastPart partNumber
 	lastRun  identifier.RunNumber
+	lastAsk  messenger.AskNumber
 }
 
 // task is one task of a job.
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -20,7 +20,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		scenario := &scenario{supervisor: &supervisor.Supervisor{
 			FailureDomain: "leuven", Settings: supervisor.DefaultSettings(),
-		}}
+		}, asks: make(map[string]messenger.AskNumber), t: t}
 		datadriven.RunTest(t, path, scenario.run)
 	})
 }
@@ -29,6 +29,17 @@
 type scenario struct {
 	supervisor *supervisor.Supervisor
 	now        identifier.Moment
+	// asks are the numbers of the last requests to each lead for each job.
+	asks map[string]messenger.AskNumber
+	t    *testing.T
+}
+
+// ask returns the request that a lead answers: the last one, unless the test names an
+// earlier one.
+func (scenario *scenario) ask(data *datadriven.TestData, from identifier.HostID, job identifier.JobID) messenger.AskNumber {
+	ask := int(scenario.asks[string(from)+" "+string(job)])
+	data.MaybeScanArgs(scenario.t, "ask", &ask)
+	return messenger.AskNumber(ask)
 }
 
 func (scenario *scenario) run(t *testing.T, data *datadriven.TestData) string {
@@ -62,7 +73,7 @@
 	case "grant":
 		granted := messenger.GrantedRun{Task: key.Task, Run: key.Run, Server: "s1", Address: "address of s1", LeaseEnd: 1000}
 		inputs = append(inputs, &supervisor.GrantArrived{From: from, Grant: messenger.Grant{
-			Job: id, Epoch: identifier.Epoch(epoch), Runs: []messenger.GrantedRun{granted},
+			Job: id, Epoch: identifier.Epoch(epoch), Runs: []messenger.GrantedRun{granted}, Ask: scenario.ask(data, from, id),
 		}})
 	case "answer":
 		kind, err := messenger.RoomAnswerKindString(scanString(t, data, "kind"))
@@ -71,7 +82,7 @@
 		}
 		inputs = append(inputs, &supervisor.AnswerArrived{From: from, Answer: messenger.RoomAnswer{
 			Job: id, Kind: kind, Other: messenger.CellRef{FailureDomain: identifier.FailureDomain(scanString(t, data, "other"))},
-			Tasks: scanTasks(t, data),
+			Tasks: scanTasks(t, data), Ask: scenario.ask(data, from, id),
 		}})
 	case "done":
 		inputs = append(inputs, &supervisor.DoneArrived{From: from, Done: messenger.TaskDone{RunKey: key}})
@@ -87,7 +98,13 @@
 	default:
 		t.Fatalf("unknown command %q", data.Cmd)
 	}
-	return show(scenario.supervisor.Tick(scenario.now, inputs))
+	outputs := scenario.supervisor.Tick(scenario.now, inputs)
+	for _, output := range outputs {
+		if asked, isAsk := output.(*supervisor.AskRoom); isAsk {
+			scenario.asks[string(asked.To)+" "+string(asked.Request.Job)] = asked.Request.Ask
+		}
+	}
+	return show(outputs)
 }
 
 func (scenario *scenario) arrival(t *testing.T, data *datadriven.TestData, id identifier.JobID, waiter supervisor.WaiterID) supervisor.Input {
