Bound the times in notices, and name what is told after what it is

Cause: a run of more than 65 s came out of a notice as a short one (found by reading; users' tasks take 3.6 s at most). The file and the setting still spoke of handing whole jobs over.

--- a/pkg/allocator/handing.go
+++ b/pkg/allocator/notices.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"math"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -68,7 +69,8 @@
 			notice.Spots++
 			continue
 		}
-		notice.Openings = append(notice.Openings, messenger.Delay(opening.Sub(allocator.now).Milliseconds()))
+		delay := min(opening.Sub(allocator.now).Milliseconds(), math.MaxUint16)
+		notice.Openings = append(notice.Openings, messenger.Delay(delay))
 	}
 	return notice
 }
--- a/pkg/allocator/planning.go
+++ b/pkg/allocator/planning.go
@@ -116,7 +116,7 @@
 		if remote.host == "" || allocator.now.Sub(remote.heard) > allocator.Settings.NoticeAge {
 			return true
 		}
-		way := allocator.Settings.HandOverWait
+		way := allocator.Settings.WayElsewhere
 		if cell.FailureDomain == allocator.FailureDomain {
 			way /= 2
 		}
--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -30,8 +30,9 @@
 	NoticeInterval time.Duration
 	// NoticeAge is how old a notice may be to be relied on.
 	NoticeAge time.Duration
-	// HandOverWait is the predicted wait from which a job is sent to a lead with room.
-	HandOverWait time.Duration
+	// WayElsewhere is by how much later room at another cell counts as free: what asking
+	// its lead takes, and a reserve for what its notice leaves out.
+	WayElsewhere time.Duration
 	// Health judges backend servers by the outcomes of their runs.
 	Health assessor.Settings
 }
@@ -64,7 +65,7 @@
 	defaultNoticeInterval = 20 * time.Millisecond
 	defaultNoticeAge      = time.Second
 	// The way to another failure domain and back costs about 2 ms.
-	defaultHandOverWait = 4 * time.Millisecond
+	defaultWayElsewhere = 4 * time.Millisecond
 	// outcomesWeighed is over how many of a server's latest runs failures are weighed:
 	// a server runs two or three tasks at once, so this spans about three rounds.
 	outcomesWeighed = 8
@@ -104,7 +105,7 @@
 		CloseTime:      defaultCloseTime,
 		NoticeInterval: defaultNoticeInterval,
 		NoticeAge:      defaultNoticeAge,
-		HandOverWait:   defaultHandOverWait,
+		WayElsewhere:   defaultWayElsewhere,
 		Health:         health,
 	}
 }
--- a/pkg/connector/peers_test.go
+++ b/pkg/connector/peers_test.go
@@ -14,17 +14,13 @@
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
-// Symptom: after a loss of all power hosts don't know each other for more than a second
-// after the last one has started, and each leads its failure domain alone.
-// Sequence: a host starts a moment before another one and dials it; a machine without
-// power answers nothing; by the time that the attempt is given up, the other one has
-// been there for long.
-// Cause: an attempt to connect was given a second.
-func TestHostWithoutPowerIsDialledAgainSoon(t *testing.T) {
+// peersOfSilentHost returns the connections of a host whose only other host answers no
+// attempt, and how long each attempt was given.
+func peersOfSilentHost() (*Peers, <-chan time.Duration) {
 	settings := loader.Defaults()
 	settings.Host = "mol-0"
 	settings.Hosts = []loader.Host{{Host: "mol-0"}, {Host: "geel-0", PeersAddress: netip.MustParseAddrPort("127.0.0.1:1")}}
-	attempts := make(chan time.Duration, 16)
+	attempts := make(chan time.Duration, 64)
 	peers := &Peers{
 		Common: provider.New(&settings, io.Discard),
 		Post:   func(context.Context, coordinator.Input) bool { return true },
@@ -34,6 +30,17 @@
 			return nil, context.DeadlineExceeded
 		},
 	}
+	return peers, attempts
+}
+
+// Symptom: after a loss of all power hosts don't know each other for more than a second
+// after the last one has started, and each leads its failure domain alone.
+// Sequence: a host starts a moment before another one and dials it; a machine without
+// power answers nothing; by the time that the attempt is given up, the other one has
+// been there for long.
+// Cause: an attempt to connect was given a second.
+func TestHostWithoutPowerIsDialledAgainSoon(t *testing.T) {
+	peers, attempts := peersOfSilentHost()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go peers.Run(ctx)
@@ -56,20 +63,8 @@
 // without power; they start; the host sends the next batch only 250 ms later.
 // Cause: a connection was tried once for each batch, and the batch dropped when that failed.
 func TestWaitingBatchHasItsConnectionTriedAgain(t *testing.T) {
-	settings := loader.Defaults()
-	settings.Host = "mol-0"
-	settings.Hosts = []loader.Host{{Host: "mol-0"}, {Host: "geel-0", PeersAddress: netip.MustParseAddrPort("127.0.0.1:1")}}
 	const wanted = 4
-	attempts := make(chan time.Duration, 64)
-	peers := &Peers{
-		Common: provider.New(&settings, io.Discard),
-		Post:   func(context.Context, coordinator.Input) bool { return true },
-		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
-			deadline, _ := ctx.Deadline()
-			attempts <- time.Until(deadline)
-			return nil, context.DeadlineExceeded
-		},
-	}
+	peers, attempts := peersOfSilentHost()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peers.running = ctx
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -197,7 +197,7 @@
 	Openings []Delay `cbor:"4,keyasint,omitempty"`
 }
 
-// Delay is a time to come, in milliseconds.
+// Delay is a time to come, in milliseconds; the largest stands for all that are longer.
 type Delay uint16
 
 // ServerCard is what a backend server that is called says about itself.
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -19,7 +19,7 @@
 	// LeadSilence is how long a lead may take to answer a request before another lead
 	// is asked. The way there and back takes about 1 ms, a busy host some more.
 	LeadSilence time.Duration
-	// LeadWait is how long a job waits for somebody to lead its failure domain.
+	// LeadWait is how long a job waits for somebody to lead its failure domain, at least.
 	LeadWait time.Duration
 	// RetryAfter is when a job that found no lead is worth another try: a lost lead is
 	// replaced in little more than a second.
