--- a/pkg/connector/peers.go
+++ b/pkg/connector/peers.go
@@ -25,7 +25,7 @@
 	dialBaseDelay = 20 * time.Millisecond
 	dialMaxDelay  = time.Second
 	// openWait is how long a batch waits for a connection, which is tried again
-	// meanwhile. Without it the connection would be tried only when something new is to be
+	// meanwhile, and then is dropped. Without it the connection would be tried only when something new is to be
 	// sent: a host that starts asks the hosts of its settings every 250 ms.
 	openWait = time.Second
 	// sendQueue bounds the batches that wait for a slow peer. Beyond it batches
@@ -72,10 +72,22 @@
 type peerLink struct {
 	host    identifier.HostID
 	address string
-	queue   chan []byte
+	queue   chan outgoing
 	cancel  context.CancelFunc
 }
 
+// outgoing is a batch that waits for its connection.
+//
+// A batch is dropped when it has waited for openWait since it was queued, not since its
+// turn came. To a host that is gone for a minute one would else follow the other by a
+// second each, and when it is back it would be told of leads and jobs of a minute ago.
+type outgoing struct {
+	payload []byte
+	sendBy  time.Time
+}
+
+func (outgoing *outgoing) overdue(now time.Time) bool { return !now.Before(outgoing.sendBy) }
+
 // Run opens the links to the hosts that the settings name and keeps all links
 // until ctx is done.
 func (peers *Peers) Run(ctx context.Context) {
@@ -107,7 +119,7 @@
 		known.cancel()
 	}
 	ctx, cancel := context.WithCancel(peers.running)
-	created := &peerLink{host: host, address: address, queue: make(chan []byte, sendQueue), cancel: cancel}
+	created := &peerLink{host: host, address: address, queue: make(chan outgoing, sendQueue), cancel: cancel}
 	peers.links[host] = created
 	go peers.keepLink(ctx, created)
 }
@@ -123,7 +135,7 @@
 	}
 	for _, payload := range peers.framesOf(to, batch) {
 		select {
-		case link.queue <- payload:
+		case link.queue <- outgoing{payload: payload, sendBy: time.Now().Add(openWait)}:
 		default:
 			peers.Log.Warn("peer batch dropped, queue full", "peer", to)
 		}
@@ -168,8 +180,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case payload := <-link.queue:
-			opened, err := peers.runStream(ctx, connection, link, payload)
+		case batch := <-link.queue:
+			if batch.overdue(time.Now()) {
+				continue
+			}
+			opened, err := peers.runStream(ctx, connection, link, &batch)
 			if !opened && !waiting && ctx.Err() == nil {
 				peers.Log.Info("waiting for peer", "peer", link.host, "address", link.address, "err", err)
 			}
@@ -210,10 +225,10 @@
 
 // runStream sends the payload and what follows it until the stream ends. It tells
 // whether the stream was opened; a payload that found none is dropped.
-func (peers *Peers) runStream(ctx context.Context, connection *grpc.ClientConn, link *peerLink, payload []byte) (bool, error) {
+func (peers *Peers) runStream(ctx context.Context, connection *grpc.ClientConn, link *peerLink, batch *outgoing) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	overdue := time.AfterFunc(openWait, cancel)
+	overdue := time.AfterFunc(time.Until(batch.sendBy), cancel)
 	stream, err := peers.openStream(ctx, connection)
 	if !overdue.Stop() && err == nil {
 		err = newError("open peer stream", ErrorStream, context.DeadlineExceeded)
@@ -228,7 +243,7 @@
 		_, err := stream.Recv()
 		ended <- err
 	}()
-	err = peers.pump(ctx, stream, link, payload, ended)
+	err = peers.pump(ctx, stream, link, batch.payload, ended)
 	peers.Log.Info("peer disconnected", "peer", link.host, "err", err)
 	peers.Post(ctx, &coordinator.PeerDisconnected{Host: link.host})
 	return true, err
@@ -257,7 +272,8 @@
 			return newError("send to peer", ErrorStream, err)
 		}
 		select {
-		case payload = <-link.queue:
+		case batch := <-link.queue:
+			payload = batch.payload
 		case err := <-ended:
 			return newError("peer stream", ErrorStream, err)
 		case <-ctx.Done():
--- a/pkg/connector/peers_test.go
+++ b/pkg/connector/peers_test.go
@@ -97,3 +97,23 @@
 		t.Errorf("after a refusal an attempt is given %v, want %v", given, firstDialTimeout)
 	}
 }
+
+// Symptom: a host that was gone for a minute is told of leads and jobs of a minute ago when
+// it is back.
+// Sequence: batches for it are queued while it is gone; each one waits for a second for the
+// connection when its turn comes.
+// Cause guarded against: a wait that is counted from a batch's turn.
+func TestBatchWaitsFromWhenItWasQueued(t *testing.T) {
+	peers, _ := peersOfSilentHost()
+	peers.links = map[identifier.HostID]*peerLink{"geel-0": {host: "geel-0", queue: make(chan outgoing, sendQueue)}}
+	before := time.Now()
+	peers.Send("geel-0", &coordinator.PeerBatch{})
+	after := time.Now()
+	queued := <-peers.links["geel-0"].queue
+	if queued.overdue(before) {
+		t.Error("it is dropped before it has waited")
+	}
+	if !queued.overdue(after.Add(openWait)) {
+		t.Errorf("it is not dropped %v after it was queued", openWait)
+	}
+}
