Log what a lead knew of a run that it is told of, and each repeated start

Cause: the logs could not tell apart why a lead takes a run of another lead for over: nothing was written when a run was adopted, nor which life displaced another, nor when a start was repeated, nor under which epoch a run was believed over. Ruled out: lines for each start; the budget of lines would leave out others. Change: lines adopted (with what was known: listed, not listed, ended, its server silent, not heard under this epoch, gone) and start-repeated; server-gone names the life that displaced another; run-over has the epoch.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -138,6 +138,7 @@
 	key := messenger.RunKey{Job: job.request.Job, Task: held.RoomTask.Task, Run: held.Run}
 	task := job.task(held.RoomTask.Task)
 	if end := allocator.strayEnds.Get(key); end != nil {
+		allocator.noteAdopted(key, held.Server, "ended: "+end.String())
 		if *end == EndDone {
 			task.done = true
 			allocator.emit(&TellDone{To: job.from, Done: messenger.TaskDone{RunKey: key}})
@@ -149,16 +150,20 @@
 		server = allocator.joinUnannounced(job, held)
 	}
 	if server.gone {
+		allocator.noteAdopted(key, held.Server, "its server is gone")
 		return
 	}
 	known := server.runs[key]
 	switch {
 	case known != nil:
+		allocator.noteAdopted(key, held.Server, "listed")
 		allocator.timers.Clear(stopTimer(known))
 		server.used = server.used.Sub(known.needs)
 	case server.fenced:
+		allocator.noteAdopted(key, held.Server, "not listed")
 		return
 	default:
+		allocator.noteAdopted(key, held.Server, server.standing())
 		known = &run{key: key, server: held.Server, grantedAt: allocator.now, absentAfter: allocator.now}
 		server.runs[key] = known
 	}
@@ -171,6 +176,13 @@
 	allocator.hold(server)
 }
 
+// noteAdopted reports what was known of a run that another lead granted.
+func (allocator *Allocator) noteAdopted(key messenger.RunKey, server identifier.BackendServerID, knowledge string) {
+	allocator.decided(messenger.Decision{
+		Kind: messenger.DecisionAdopted, Job: key.Job, Task: key.Task, Run: key.Run, Server: server, Reason: knowledge, Epoch: allocator.epoch,
+	})
+}
+
 // spots is how many tasks of the usual size could start now.
 func (allocator *Allocator) spots() int {
 	usual := allocator.estimates.usualNeeds()
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -206,7 +206,7 @@
 	task.run = nil
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionRunOver, Job: ended.key.Job, Task: ended.key.Task, Run: ended.key.Run, Server: server.card.Server,
-		Reason: reason, Elapsed: allocator.now.Sub(ended.grantedAt),
+		Reason: reason, Elapsed: allocator.now.Sub(ended.grantedAt), Epoch: allocator.epoch,
 	})
 	if job.closed {
 		allocator.dropIfOver(job)
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -92,6 +92,18 @@
 		server.closedUntil.Due(now) && len(server.runs) < server.allowed
 }
 
+// standing names what is known of what runs on the server, for the log.
+func (server *server) standing() string {
+	switch {
+	case server.silent:
+		return "its server is silent"
+	case !server.fenced:
+		return "its server was not heard under this epoch"
+	default:
+		return "its server was heard under this epoch"
+	}
+}
+
 func (server *server) free() identifier.Resources { return server.card.Capacity.Sub(server.used) }
 
 func (server *server) hasLabel(label string) bool {
@@ -167,7 +179,7 @@
 	}
 	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
 		if other.card.Address == card.Address && !other.gone {
-			allocator.endLife(other, "replaced")
+			allocator.endLife(other, "replaced by "+string(card.Server))
 		}
 		return true
 	})
--- a/pkg/messenger/decision.go
+++ b/pkg/messenger/decision.go
@@ -27,6 +27,11 @@
 	DecisionTurnedAway
 	// DecisionStartFailed means that a start was not accepted.
 	DecisionStartFailed
+	// DecisionStartRepeated means that a start without an answer is made again.
+	DecisionStartRepeated
+	// DecisionAdopted means that a lead was told of a run that another lead granted; the
+	// reason is what it knew of that run.
+	DecisionAdopted
 	// DecisionRunOver means that a run ended without doing its work.
 	DecisionRunOver
 	// DecisionStopped means that a run is told to stop.
--- a/pkg/messenger/decision_enumer.go
+++ b/pkg/messenger/decision_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judged"
+const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judged"
 
-var _DecisionKindIndex = [...]uint8{0, 7, 12, 19, 24, 35, 46, 58, 66, 73, 81, 89, 100, 113, 124, 135, 148, 159, 172}
+var _DecisionKindIndex = [...]uint8{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 134, 145, 156, 169, 180, 193}
 
-const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judged"
+const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judged"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -31,20 +31,22 @@
 	_ = x[DecisionHandedOver-(4)]
 	_ = x[DecisionTurnedAway-(5)]
 	_ = x[DecisionStartFailed-(6)]
-	_ = x[DecisionRunOver-(7)]
-	_ = x[DecisionStopped-(8)]
-	_ = x[DecisionAnswered-(9)]
-	_ = x[DecisionGivenUp-(10)]
-	_ = x[DecisionCallerLeft-(11)]
-	_ = x[DecisionServerJoined-(12)]
-	_ = x[DecisionServerLost-(13)]
-	_ = x[DecisionServerBack-(14)]
-	_ = x[DecisionServerLeaves-(15)]
-	_ = x[DecisionServerGone-(16)]
-	_ = x[DecisionServerJudged-(17)]
+	_ = x[DecisionStartRepeated-(7)]
+	_ = x[DecisionAdopted-(8)]
+	_ = x[DecisionRunOver-(9)]
+	_ = x[DecisionStopped-(10)]
+	_ = x[DecisionAnswered-(11)]
+	_ = x[DecisionGivenUp-(12)]
+	_ = x[DecisionCallerLeft-(13)]
+	_ = x[DecisionServerJoined-(14)]
+	_ = x[DecisionServerLost-(15)]
+	_ = x[DecisionServerBack-(16)]
+	_ = x[DecisionServerLeaves-(17)]
+	_ = x[DecisionServerGone-(18)]
+	_ = x[DecisionServerJudged-(19)]
 }
 
-var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged}
+var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:7]:     DecisionArrived,
@@ -54,17 +56,19 @@
 	_DecisionKindName[24:35]:   DecisionHandedOver,
 	_DecisionKindName[35:46]:   DecisionTurnedAway,
 	_DecisionKindName[46:58]:   DecisionStartFailed,
-	_DecisionKindName[58:66]:   DecisionRunOver,
-	_DecisionKindName[66:73]:   DecisionStopped,
-	_DecisionKindName[73:81]:   DecisionAnswered,
-	_DecisionKindName[81:89]:   DecisionGivenUp,
-	_DecisionKindName[89:100]:  DecisionCallerLeft,
-	_DecisionKindName[100:113]: DecisionServerJoined,
-	_DecisionKindName[113:124]: DecisionServerLost,
-	_DecisionKindName[124:135]: DecisionServerBack,
-	_DecisionKindName[135:148]: DecisionServerLeaves,
-	_DecisionKindName[148:159]: DecisionServerGone,
-	_DecisionKindName[159:172]: DecisionServerJudged,
+	_DecisionKindName[58:72]:   DecisionStartRepeated,
+	_DecisionKindName[72:79]:   DecisionAdopted,
+	_DecisionKindName[79:87]:   DecisionRunOver,
+	_DecisionKindName[87:94]:   DecisionStopped,
+	_DecisionKindName[94:102]:  DecisionAnswered,
+	_DecisionKindName[102:110]: DecisionGivenUp,
+	_DecisionKindName[110:121]: DecisionCallerLeft,
+	_DecisionKindName[121:134]: DecisionServerJoined,
+	_DecisionKindName[134:145]: DecisionServerLost,
+	_DecisionKindName[145:156]: DecisionServerBack,
+	_DecisionKindName[156:169]: DecisionServerLeaves,
+	_DecisionKindName[169:180]: DecisionServerGone,
+	_DecisionKindName[180:193]: DecisionServerJudged,
 }
 
 var _DecisionKindLowerNameToValueMap = map[string]DecisionKind{
@@ -75,17 +79,19 @@
 	_DecisionKindLowerName[24:35]:   DecisionHandedOver,
 	_DecisionKindLowerName[35:46]:   DecisionTurnedAway,
 	_DecisionKindLowerName[46:58]:   DecisionStartFailed,
-	_DecisionKindLowerName[58:66]:   DecisionRunOver,
-	_DecisionKindLowerName[66:73]:   DecisionStopped,
-	_DecisionKindLowerName[73:81]:   DecisionAnswered,
-	_DecisionKindLowerName[81:89]:   DecisionGivenUp,
-	_DecisionKindLowerName[89:100]:  DecisionCallerLeft,
-	_DecisionKindLowerName[100:113]: DecisionServerJoined,
-	_DecisionKindLowerName[113:124]: DecisionServerLost,
-	_DecisionKindLowerName[124:135]: DecisionServerBack,
-	_DecisionKindLowerName[135:148]: DecisionServerLeaves,
-	_DecisionKindLowerName[148:159]: DecisionServerGone,
-	_DecisionKindLowerName[159:172]: DecisionServerJudged,
+	_DecisionKindLowerName[58:72]:   DecisionStartRepeated,
+	_DecisionKindLowerName[72:79]:   DecisionAdopted,
+	_DecisionKindLowerName[79:87]:   DecisionRunOver,
+	_DecisionKindLowerName[87:94]:   DecisionStopped,
+	_DecisionKindLowerName[94:102]:  DecisionAnswered,
+	_DecisionKindLowerName[102:110]: DecisionGivenUp,
+	_DecisionKindLowerName[110:121]: DecisionCallerLeft,
+	_DecisionKindLowerName[121:134]: DecisionServerJoined,
+	_DecisionKindLowerName[134:145]: DecisionServerLost,
+	_DecisionKindLowerName[145:156]: DecisionServerBack,
+	_DecisionKindLowerName[156:169]: DecisionServerLeaves,
+	_DecisionKindLowerName[169:180]: DecisionServerGone,
+	_DecisionKindLowerName[180:193]: DecisionServerJudged,
 }
 
 var _DecisionKindNames = []string{
@@ -96,17 +102,19 @@
 	_DecisionKindName[24:35],
 	_DecisionKindName[35:46],
 	_DecisionKindName[46:58],
-	_DecisionKindName[58:66],
-	_DecisionKindName[66:73],
-	_DecisionKindName[73:81],
-	_DecisionKindName[81:89],
-	_DecisionKindName[89:100],
-	_DecisionKindName[100:113],
-	_DecisionKindName[113:124],
-	_DecisionKindName[124:135],
-	_DecisionKindName[135:148],
-	_DecisionKindName[148:159],
-	_DecisionKindName[159:172],
+	_DecisionKindName[58:72],
+	_DecisionKindName[72:79],
+	_DecisionKindName[79:87],
+	_DecisionKindName[87:94],
+	_DecisionKindName[94:102],
+	_DecisionKindName[102:110],
+	_DecisionKindName[110:121],
+	_DecisionKindName[121:134],
+	_DecisionKindName[134:145],
+	_DecisionKindName[145:156],
+	_DecisionKindName[156:169],
+	_DecisionKindName[169:180],
+	_DecisionKindName[180:193],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -81,6 +81,10 @@
 		case outcome == messenger.StartUnanswered && task.repeats < startRepeats:
 			task.repeats++
 			supervisor.emit(task.start)
+			supervisor.decided(messenger.Decision{
+				Kind: messenger.DecisionStartRepeated, Job: job.spec.Job, Task: input.Run.Task, Run: input.Run.Run, Server: task.start.Server,
+				Tasks: task.repeats, Elapsed: supervisor.now.Sub(job.arrivedAt), Epoch: input.Epoch,
+			})
 			return
 		case outcome == messenger.StartStaleRun && task.repeats > 0:
 			return // An earlier call was carried out; the lead learns of its end.
