Take a run for over only on proof that covers it

Cause: a lead inferred the end of a run from what doesn't prove it, in six places of one class: what it knew of a server from before another lead's time (adopt), leases counted up to the taking of the lead only (silent servers), the life that was heard of last counting as the newer one (join), an announced leave (the server ends only once that is answered), and the number of a run without its server (stray ends, answers to starts). Ruled out: a special case for a change of the lead or for new lives; each would leave the others. Change: an adopted run is over when its server says so in answer to a call sent since, under this epoch, or when every lease has lapsed that another lead may have given until now. A server that refuses the epoch is not known any more. Lives at one address are called; a life that answers a call sent after the last word of another ends that one. A leaving server gets nothing new and is asked for its runs to the last. Ends and answers to starts name the server.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -134,10 +134,17 @@
 	return true
 }
 
+// adopt takes over a run that another lead granted. Whether it is over the server has to
+// tell, in answer to a call that is sent from now on under this lead's epoch, or the end of
+// every lease that another lead may have given up to now.
+//
+// What this host knew of the server before is no proof: another lead with a higher epoch may
+// have started the run there since. The task would run twice, and the log would show a run
+// adopted as "not listed" that ends well.
 func (allocator *Allocator) adopt(job *job, held messenger.HeldRun) {
 	key := messenger.RunKey{Job: job.request.Job, Task: held.RoomTask.Task, Run: held.Run}
 	task := job.task(held.RoomTask.Task)
-	if end := allocator.strayEnds.Get(key); end != nil {
+	if end := allocator.strayEnds.Get(strayEnd{server: held.Server, run: key}); end != nil {
 		allocator.noteAdopted(key, held.Server, "ended: "+end.String())
 		if *end == EndDone {
 			task.done = true
@@ -149,23 +156,16 @@
 	if server == nil {
 		server = allocator.joinUnannounced(job, held)
 	}
-	if server.gone {
-		allocator.noteAdopted(key, held.Server, "its server is gone")
-		return
-	}
 	known := server.runs[key]
-	switch {
-	case known != nil:
+	if known != nil {
 		allocator.noteAdopted(key, held.Server, "listed")
 		allocator.timers.Clear(stopTimer(known))
 		server.used = server.used.Sub(known.needs)
-	case server.fenced:
-		allocator.noteAdopted(key, held.Server, "not listed")
-		return
-	default:
+	} else {
 		allocator.noteAdopted(key, held.Server, server.standing())
 		known = &run{key: key, server: held.Server, grantedAt: allocator.now, absentAfter: allocator.now}
 		server.runs[key] = known
+		allocator.coverOtherLeases(server)
 	}
 	known.needs = held.RoomTask.Needs
 	known.job = job
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -39,7 +39,7 @@
 	shares *tabulator.Table[identifier.JobID, []share]
 	// strayEnds are ends of runs that no job here asked for, kept for a job that is
 	// asked for again after a change of the lead.
-	strayEnds *tabulator.Table[messenger.RunKey, EndKind]
+	strayEnds *tabulator.Table[strayEnd, EndKind]
 	estimates estimates
 	assessor  *assessor.Assessor
 	judged    []assessor.Input
@@ -117,7 +117,7 @@
 	allocator.jobs = tabulator.New[identifier.JobID, job]()
 	allocator.lastRuns = tabulator.New[identifier.JobID, identifier.RunNumber]()
 	allocator.shares = tabulator.New[identifier.JobID, []share]()
-	allocator.strayEnds = tabulator.New[messenger.RunKey, EndKind]()
+	allocator.strayEnds = tabulator.New[strayEnd, EndKind]()
 	allocator.remotes = tabulator.New[messenger.CellRef, remote]()
 	allocator.estimates = newEstimates()
 	allocator.assessor = &assessor.Assessor{Settings: allocator.Settings.Health}
@@ -172,7 +172,7 @@
 		allocator.lastRuns.Remove(key.job)
 		allocator.shares.Remove(key.job)
 	case timerStrayForget:
-		allocator.strayEnds.Remove(key.run)
+		allocator.strayEnds.Remove(strayEnd{server: key.server, run: key.run})
 	case timerNotice, timerReopen:
 		allocator.changed = true
 	}
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -231,12 +231,12 @@
 }
 
 func scanReport(t *testing.T, data *datadriven.TestData) *allocator.StartReported {
-	key, _ := scanRun(t, scanString(t, data, "run"))
+	key, server := scanRun(t, scanString(t, data, "run"))
 	outcome, err := messenger.StartOutcomeString(scanString(t, data, "outcome"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{RunKey: key, Outcome: outcome}}
+	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{RunKey: key, Server: server, Outcome: outcome}}
 }
 
 // scanHold reads the answer to a call: running=(RUN,...) and ended=(NUMBER:KIND:RUN,...).
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -10,7 +10,7 @@
 // hold calls a backend server, unless a call is under way. One call at a time keeps
 // the answers in order: what a later answer doesn't list has ended.
 func (allocator *Allocator) hold(server *server) {
-	if server.holding || server.gone || !allocator.Leads() {
+	if server.holding || !server.toCall() || !allocator.Leads() {
 		return
 	}
 	server.holding = true
@@ -66,15 +66,18 @@
 // it counted, two calls would overlap from then on and the older could return last.
 func (allocator *Allocator) takeHold(input *HoldReturned) {
 	server := allocator.servers.Get(input.Server)
-	if server == nil || !server.holding || server.gone || input.Sequence != server.holds {
+	if server == nil || !server.holding || input.Sequence != server.holds {
 		return
 	}
 	server.holding = false
+	if !server.toCall() {
+		return
+	}
 	switch input.Outcome {
 	case CallAnswered:
 		allocator.takeRuns(server, input)
 	case CallFenced:
-		allocator.emit(&Fenced{Epoch: allocator.epoch})
+		allocator.loseFence(server)
 		allocator.retryHold(server)
 		return
 	case CallGone:
@@ -111,6 +114,27 @@
 	allocator.timers.Set(lapseTimer(server.card.Server), server.lapsesAt(allocator.now))
 }
 
+// loseFence notes that a backend server has seen a lead with a higher epoch. What this
+// host knows of its runs is from before that lead's time and proves nothing any more: until
+// the server has answered under a new epoch it gets no start, and no run there is over.
+func (allocator *Allocator) loseFence(server *server) {
+	allocator.emit(&Fenced{Epoch: allocator.epoch})
+	server.fenced = false
+	allocator.coverOtherLeases(server)
+}
+
+// coverOtherLeases notes that another lead may have given leases at a server up to now.
+//
+// Counted up to the taking of the lead only, leases that a lead gave later, to which the
+// server still listened, would go on when their runs are taken for over. The log would show
+// "lease lapsed" for a run that began less than a lease before.
+func (allocator *Allocator) coverOtherLeases(server *server) {
+	server.oldLeasesEnd = allocator.oldLeasesEnd()
+	if server.silent {
+		allocator.timers.Set(lapseTimer(server.card.Server), server.lapsesAt(allocator.now))
+	}
+}
+
 // lapse ends the runs of a silent server.
 func (allocator *Allocator) lapse(id identifier.BackendServerID) {
 	server := allocator.servers.Get(id)
@@ -135,6 +159,9 @@
 		server.fenced = true
 		allocator.changed = true
 	}
+	if server.contested {
+		allocator.settleAddress(server, input.SentAt)
+	}
 	for index := range input.Ended {
 		allocator.takeEnd(server, &input.Ended[index])
 	}
@@ -158,7 +185,7 @@
 	server.cursor = end.Number
 	run := server.runs[end.Run]
 	if run == nil {
-		allocator.keepStrayEnd(end)
+		allocator.keepStrayEnd(server, end.Run, end.Kind)
 		return
 	}
 	if end.Kind == EndDone {
@@ -168,11 +195,18 @@
 	allocator.endRunBy(server, run, end.Kind)
 }
 
+// strayEnd names a run that ended and that no job here asked for. The number alone does
+// not: it may have been given to a run on another server when the job was first sent.
+type strayEnd struct {
+	server identifier.BackendServerID
+	run    messenger.RunKey
+}
+
 // keepStrayEnd keeps an end for a job that is asked for again after a change of the
 // lead. Without it a task that has done its work would run once more.
-func (allocator *Allocator) keepStrayEnd(end *RunEnd) {
-	kind := end.Kind
-	allocator.strayEnds.Put(end.Run, &kind)
+func (allocator *Allocator) keepStrayEnd(server *server, run messenger.RunKey, kind EndKind) {
+	stray := strayEnd{server: server.card.Server, run: run}
+	allocator.strayEnds.Put(stray, &kind)
 	due := allocator.now.Add(allocator.Settings.ForgetJob)
-	allocator.timers.Set(timerKey{kind: timerStrayForget, run: end.Run}, due)
+	allocator.timers.Set(timerKey{kind: timerStrayForget, server: stray.server, run: run}, due)
 }
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -338,7 +338,7 @@
 	}
 	task := job.task(key.Task)
 	run := task.run
-	if run == nil || run.key != key {
+	if run == nil || run.key != key || run.server != input.Report.Server {
 		return
 	}
 	server := allocator.servers.Get(run.server)
@@ -360,7 +360,8 @@
 	case messenger.StartFenced:
 		// A start under an earlier lead's epoch says nothing about this one.
 		if input.Report.Epoch == allocator.epoch {
-			allocator.emit(&Fenced{Epoch: allocator.epoch})
+			allocator.loseFence(server)
+			allocator.hold(server)
 		}
 	case messenger.StartNoRoom, messenger.StartUnhealthy:
 		server.closedUntil = allocator.now.Add(allocator.Settings.CloseTime)
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -127,7 +127,8 @@
 	case CallGone:
 		allocator.endLife(server, "another incarnation answers")
 	case CallFenced:
-		allocator.emit(&Fenced{Epoch: allocator.epoch})
+		allocator.loseFence(server)
+		allocator.hold(server)
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopRetry))
 	case CallUnanswered:
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopRetry))
@@ -161,9 +162,12 @@
 	allocator.forgetRun(server, ended)
 	job := ended.job
 	if job == nil {
-		allocator.keepStrayEnd(&RunEnd{Run: ended.key, Kind: EndDone})
+		allocator.keepStrayEnd(server, ended.key, EndDone)
 		return
 	}
+	if job.successor != nil {
+		allocator.keepStrayEnd(server, ended.key, EndDone)
+	}
 	ran := allocator.now.Sub(ended.grantedAt)
 	task := job.task(ended.key.Task)
 	allocator.judgeRun(ended, job, false, ran)
@@ -209,6 +213,10 @@
 		Reason: reason, Elapsed: allocator.now.Sub(ended.grantedAt), Epoch: allocator.epoch,
 	})
 	if job.closed {
+		if job.successor != nil {
+			// The host that asks again may name the run.
+			allocator.keepStrayEnd(server, ended.key, EndStopped)
+		}
 		allocator.dropIfOver(job)
 		return
 	}
@@ -233,6 +241,9 @@
 	allocator.timers.Clear(stopTimer(ended))
 	allocator.timers.Clear(overdueTimer(ended))
 	allocator.changed = true
+	if !server.toCall() {
+		allocator.stopCalling(server.card.Server)
+	}
 }
 
 // judgeRun hands the outcome of a run to the judge of the servers. After a lost answer an
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -17,8 +17,13 @@
 	fenced bool
 	// silent tells that the last call got no answer; it gets nothing new.
 	silent bool
-	// gone tells that the life has ended.
+	// gone tells that the life has ended, or has announced its end: it gets nothing new.
+	// What it still runs is over when a call proves it.
 	gone bool
+	// contested tells that another life at the same address may not be over.
+	contested bool
+	// cardAt is when its last card came.
+	cardAt identifier.Moment
 	// closedUntil is when it may get a start again after it refused one.
 	closedUntil identifier.Moment
 	// allowed is how many runs it may have at once, by its outcomes.
@@ -95,6 +100,8 @@
 // standing names what is known of what runs on the server, for the log.
 func (server *server) standing() string {
 	switch {
+	case server.gone:
+		return "its server is gone"
 	case server.silent:
 		return "its server is silent"
 	case !server.fenced:
@@ -106,6 +113,9 @@
 
 func (server *server) free() identifier.Resources { return server.card.Capacity.Sub(server.used) }
 
+// toCall tells whether something is to be learned from the server.
+func (server *server) toCall() bool { return !server.gone || len(server.runs) > 0 }
+
 func (server *server) hasLabel(label string) bool {
 	return label == "" || slices.Contains(server.card.Labels, label)
 }
@@ -124,9 +134,10 @@
 		return
 	}
 	if card.Gone {
-		allocator.endLife(known, "left")
+		allocator.leave(known)
 		return
 	}
+	known.cardAt = allocator.now
 	leaves := card.Draining && !known.card.Draining
 	changed := leaves || card.Address != known.card.Address
 	// A server that drains never stops draining within one life.
@@ -166,23 +177,26 @@
 	allocator.join(&recalled)
 }
 
-// join takes up a backend server. At the same address an earlier life has ended.
+// join takes up a backend server.
+//
+// Of two lives at one address the one that was heard of last need not be the newer: its card
+// may have been held up on the way, and a job's host may name a run on an older life. Taken
+// for the newer one it would end the life that is there, whose tasks would run twice; the log
+// would show "replaced" for a server that goes on answering. Both are called instead.
 func (allocator *Allocator) join(card *messenger.ServerCard) {
 	if card.Gone {
 		return
 	}
-	created := &server{card: *card, allowed: healthSlots}
+	created := &server{card: *card, allowed: healthSlots, cardAt: allocator.now}
 	created.reset()
 	created.oldLeasesEnd = allocator.oldLeasesEnd()
 	if card.Clock > 0 {
 		created.readClock(allocator.now, card.Clock)
 	}
-	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
-		if other.card.Address == card.Address && !other.gone {
-			allocator.endLife(other, "replaced by "+string(card.Server))
-		}
-		return true
-	})
+	for _, other := range allocator.othersAt(created) {
+		created.contested, other.contested = true, true
+		allocator.hold(other)
+	}
 	allocator.servers.Put(card.Server, created)
 	allocator.judged = append(allocator.judged, &assessor.ServerJoined{Server: card.Server, Incarnation: 1, Slots: healthSlots})
 	allocator.decided(messenger.Decision{Kind: messenger.DecisionServerJoined, Server: card.Server})
@@ -193,6 +207,31 @@
 	}
 }
 
+// othersAt lists the other lives at a server's address that may not be over.
+func (allocator *Allocator) othersAt(known *server) []*server {
+	var others []*server
+	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
+		if other != known && !other.gone && other.card.Address == known.card.Address {
+			others = append(others, other)
+		}
+		return true
+	})
+	return others
+}
+
+// settleAddress ends the other lives at the address of a server that has answered a call
+// which was sent after the last word of theirs came: lives at one address don't overlap.
+func (allocator *Allocator) settleAddress(answering *server, sentAt identifier.Moment) {
+	answering.contested = false
+	for _, other := range allocator.othersAt(answering) {
+		if max(other.cardAt, other.heardAt).Before(sentAt) {
+			allocator.endLife(other, "replaced by "+string(answering.card.Server))
+			continue
+		}
+		answering.contested = true
+	}
+}
+
 // joinUnannounced takes up a backend server that only a job's host has told of: an
 // earlier lead knew it. Nothing is known of its room, so it gets nothing until it has
 // announced itself; it is called to find out what became of the run.
@@ -214,8 +253,27 @@
 	allocator.timers.Set(timerKey{kind: timerServerForget, server: server.card.Server}, due)
 }
 
-// endLife notes that a life of a backend server has ended: nothing of it runs.
+// endLife notes that a life of a backend server has surely ended: nothing of it runs.
 func (allocator *Allocator) endLife(server *server, reason string) {
+	allocator.useNoMore(server, reason)
+	allocator.stopCalling(server.card.Server)
+	allocator.endAllRuns(server, "server gone")
+}
+
+// leave notes that a backend server has announced its end. It ends once the announcement is
+// answered, and until then what runs there goes on and may end well; placed elsewhere on the
+// word alone a task would run twice. So the server is asked for its runs to the last.
+func (allocator *Allocator) leave(server *server) {
+	allocator.useNoMore(server, "left")
+	if server.toCall() {
+		allocator.hold(server)
+		return
+	}
+	allocator.stopCalling(server.card.Server)
+}
+
+// useNoMore keeps new starts from a backend server, and tells the other hosts.
+func (allocator *Allocator) useNoMore(server *server, reason string) {
 	if server.gone {
 		return
 	}
@@ -223,8 +281,6 @@
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionServerGone, Server: server.card.Server, Reason: reason, Tasks: len(server.runs),
 	})
-	allocator.stopCalling(server.card.Server)
-	allocator.endAllRuns(server, "server gone")
 	if allocator.Leads() {
 		gone := server.card
 		gone.Gone = true
@@ -254,7 +310,7 @@
 	if known == nil {
 		return
 	}
-	if !known.gone && (!allocator.Leads() || len(known.runs) > 0) {
+	if len(known.runs) > 0 || !known.gone && !allocator.Leads() {
 		// Heartbeats go to the lead, which tells the others when a life has ended.
 		allocator.awaitForget(known)
 		return
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -198,7 +198,7 @@
 		start := output.Call
 		started := func(outcome messenger.StartOutcome) {
 			world.network.tick(host, &coordinator.SupervisorEvent{
-				Event: &supervisor.StartReturned{Run: start.Run, Epoch: start.Epoch, Outcome: outcome},
+				Event: &supervisor.StartReturned{Run: start.Run, Server: start.Server, Epoch: start.Epoch, Outcome: outcome},
 			})
 		}
 		world.call(host, start.Server, callTimeout, func(server *calledServer, reply func(func())) {
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -180,6 +180,8 @@
 	// Epoch is that of the lead which granted the run.
 	Epoch identifier.Epoch `cbor:"3,keyasint"`
 	Cell  CellNumber       `cbor:"4,keyasint,omitempty"`
+	// Server is that which was called. Runs of two sendings of a job may have one number.
+	Server identifier.BackendServerID `cbor:"5,keyasint"`
 }
 
 // TaskDone tells that a run of a task has ended well.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -76,7 +76,7 @@
 		return
 	}
 	outcome := input.Outcome
-	if task := &job.tasks[input.Run.Task]; task.start != nil && task.start.Run == input.Run && !task.done {
+	if task := &job.tasks[input.Run.Task]; task.isStart(input) && !task.done {
 		switch {
 		case outcome == messenger.StartUnanswered && task.repeats < startRepeats:
 			task.repeats++
@@ -96,11 +96,17 @@
 	}
 	if part := job.tasks[input.Run.Task].part; part.lead != "" {
 		supervisor.emit(&ReportStart{To: part.lead, Report: messenger.StartReport{
-			RunKey: input.Run, Outcome: outcome, Epoch: input.Epoch, Cell: part.cell.Cell,
+			RunKey: input.Run, Outcome: outcome, Epoch: input.Epoch, Cell: part.cell.Cell, Server: input.Server,
 		}})
 	}
 }
 
+// isStart tells whether an answer is to the start of the run that was granted last. The
+// number alone doesn't tell: an earlier sending of the job may have used it elsewhere.
+func (task *task) isStart(returned *StartReturned) bool {
+	return task.start != nil && task.start.Run == returned.Run && task.start.Server == returned.Server
+}
+
 func (supervisor *Supervisor) takeDone(input *DoneArrived) {
 	key := input.Done.RunKey
 	job := supervisor.jobs.Get(key.Job)
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -77,6 +77,7 @@
 // StartReturned brings the answer to a StartRun.
 type StartReturned struct {
 	Run     messenger.RunKey
+	Server  identifier.BackendServerID
 	Epoch   identifier.Epoch
 	Outcome messenger.StartOutcome
 }
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -91,7 +92,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		inputs = append(inputs, &supervisor.StartReturned{Run: key, Outcome: outcome, Epoch: identifier.Epoch(epoch)})
+		server := identifier.BackendServerID(cmp.Or(scanString(t, data, "server"), "s1"))
+		inputs = append(inputs, &supervisor.StartReturned{Run: key, Server: server, Outcome: outcome, Epoch: identifier.Epoch(epoch)})
 	case "host-ends":
 		inputs = append(inputs, &supervisor.HostEnds{})
 	case "wait":
