Test called servers under faults of single ways, hosts that stand still and late cards

The world of the random tests knew no cut between one host and one server, no host that stands still, no announcement that comes late and no caller that comes back.

Existing tests draw the same numbers as before.

A lead that has started since the older life ended doesn't know its id, so that an old card, or a woken host's share of what it knew, ends the newer life as replaced with all its runs. They go on, and their tasks start elsewhere in the same millisecond.

--- /dev/null
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -0,0 +1,159 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// Symptom: a task runs twice at the same time, on two backend servers that live.
+// Sequence: one host is cut off from one backend server, or stands still for seconds and
+// wakes, or leaves and starts again; all hosts start together; lives end and begin.
+// Cause guarded against: a lead that takes for over what runs on, by what it or another
+// host knew before.
+
+// TestHarshFaults sends jobs, each once, while ways between single hosts and backend
+// servers are cut, hosts stand still, leave and start.
+func TestHarshFaults(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{}) })
+}
+
+// TestHarshFaultsAndLateCards has announcements of lives come after their end, too.
+func TestHarshFaultsAndLateCards(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{lateCards: true}) })
+}
+
+// TestHarshFaultsAndResends has callers send their jobs again, too.
+func TestHarshFaultsAndResends(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{resends: true}) })
+}
+
+func playHarshly(draw *rapid.T, kinds harshKinds) {
+	settings := coordinator.DefaultSettings()
+	settings.Dispatcher.Cells = rapid.IntRange(1, 2).Draw(draw, "cells")
+	domains := []identifier.FailureDomain{"leuven", "geel"}[:rapid.IntRange(1, 2).Draw(draw, "domains")]
+	hosts := rapid.IntRange(2, 3).Draw(draw, "hosts")
+	network := newNetworkWith(domains, hosts, settings)
+	world := newCalledWorld(network, draw, rapid.IntRange(3, 5).Draw(draw, "servers")*len(domains))
+	harsh := newHarshFaults(world, kinds)
+	network.advance(2 * time.Second)
+	world.trouble = rapid.IntRange(0, 15).Draw(draw, "trouble")
+	for step := range rapid.IntRange(20, 80).Draw(draw, "steps") {
+		harsh.step(step)
+		network.advance(time.Duration(rapid.IntRange(1, 150).Draw(draw, "pause")) * time.Millisecond)
+		if len(world.problems) > 0 {
+			break
+		}
+	}
+	if len(world.problems) == 0 {
+		network.advance(5 * time.Second)
+	}
+	for _, problem := range world.problems {
+		draw.Error(problem)
+	}
+	if len(world.problems) > 0 {
+		draw.Log(strings.Join(world.history, "\n"))
+	}
+}
+
+// step does one thing that a caller or a fault does.
+func (harsh *harshFaults) step(step int) {
+	world, network := harsh.world, harsh.world.network
+	host := network.hosts[world.chance("host", len(network.hosts)-1)]
+	kind := world.chance("step", 34)
+	switch {
+	case kind < 14:
+		harsh.send(host, identifier.JobID(fmt.Sprintf("job-%d", step)), 1+world.chance("tasks", 3))
+	case kind < 17:
+		if jobs := harsh.jobs(); harsh.kinds.resends && len(jobs) > 0 {
+			id := jobs[world.chance("job", len(jobs)-1)]
+			harsh.resend(id, host, harsh.duration("again", 500))
+		}
+	case kind < 24:
+		harsh.disturbHost(host, kind)
+	case kind < 27:
+		harsh.disturbHosts(host, kind)
+	default:
+		harsh.disturbServer(host, kind, step)
+	}
+}
+
+func (harsh *harshFaults) duration(label string, most int) time.Duration {
+	return time.Duration(harsh.world.chance(label, most)) * time.Millisecond
+}
+
+func (harsh *harshFaults) disturbHost(host *fakeHost, kind int) {
+	network := harsh.world.network
+	switch kind {
+	case 17:
+		harsh.crash(host)
+		network.at(harsh.duration("down", 1500), func() { harsh.start(host) })
+	case 18:
+		for _, other := range network.hosts {
+			harsh.start(other)
+		}
+	case 19, 20:
+		harsh.leave(host, harsh.duration("shutdown", 2000))
+		network.at(2100*time.Millisecond+harsh.duration("down", 500), func() { harsh.start(host) })
+	case 21, 22:
+		harsh.freeze(host, 100*time.Millisecond+harsh.duration("frozen", 3900), harsh.world.chance("stands", 1) == 0)
+	case 23:
+		harsh.herd()
+	}
+}
+
+// herd ends all hosts and starts them at about the same time.
+func (harsh *harshFaults) herd() {
+	for _, host := range harsh.world.network.hosts {
+		harsh.crash(host)
+		harsh.world.network.at(harsh.duration("down", 300), func() { harsh.start(host) })
+	}
+}
+
+func (harsh *harshFaults) disturbHosts(host *fakeHost, kind int) {
+	network := harsh.world.network
+	other := network.hosts[harsh.world.chance("other", len(network.hosts)-1)]
+	if other == host {
+		return
+	}
+	if kind == 24 {
+		delays := []time.Duration{0, 10 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond}
+		network.connection(string(host.id), string(other.id)).delay = delays[harsh.world.chance("delay", len(delays)-1)]
+		return
+	}
+	harsh.note("%s and %s lose each other", host.id, other.id)
+	network.breakHosts(host, other)
+	network.at(harsh.duration("cut", 3000), func() { network.connectHosts(host, other) })
+}
+
+func (harsh *harshFaults) disturbServer(host *fakeHost, kind, step int) {
+	world := harsh.world
+	servers := harsh.living()
+	if len(servers) == 0 {
+		return
+	}
+	server := servers[world.chance("server", len(servers)-1)]
+	switch kind {
+	case 27, 28, 29:
+		ways := world.chance("ways", 2)
+		lasts := 100*time.Millisecond + harsh.duration("cut", 4000)
+		harsh.cutOff([]*fakeHost{host}, server.place, lasts, ways != 1, ways != 0, world.chance("refused", 1) == 0)
+	case 30:
+		lasts := 300*time.Millisecond + harsh.duration("blip", 400)
+		harsh.cutOff(world.network.hosts, server.place, lasts, true, true, world.chance("refused", 1) == 0)
+	case 31, 32:
+		harsh.end(server, world.chance("announced", 1) == 0, harsh.duration("next", 1000), step+2)
+	default:
+		if harsh.kinds.lateCards && len(harsh.cards) > 0 {
+			card := harsh.cards[world.chance("old card", len(harsh.cards)-1)]
+			harsh.note("old card of %s to %s", card.Server, host.id)
+			world.network.tick(host, &coordinator.CardAnnounced{Card: card})
+		}
+	}
+}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -83,6 +83,9 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
+	// frozen tells that the host does nothing; backlog is what reached it meanwhile.
+	frozen  bool
+	backlog []coordinator.Input
 	// keeper gives the host a part in the replicated log.
 	keeper bool
 	// joins tells that the host's keeper has nothing on its disk that it vouched for.
@@ -264,6 +267,8 @@
 func (network *network) crashHost(host *fakeHost) {
 	host.coordinator = nil
 	host.generation++
+	host.frozen = false
+	host.backlog = nil
 	for _, other := range network.hosts {
 		network.breakHosts(host, other)
 	}
@@ -278,6 +283,10 @@
 	if host.coordinator == nil {
 		return
 	}
+	if host.frozen {
+		host.backlog = append(host.backlog, inputs...)
+		return
+	}
 	now := identifier.Moment(network.now.Sub(host.startedAt))
 	if network.trace {
 		network.traceInputs(host, inputs)
