Count the leases of other leads from the first answer under the own epoch

The mend of the adopted runs covered leases up to the adoption only where the server had not answered yet. Ruled out: to count from each answer; after the first no other lead can renew anything there without this host being refused. Change: the first answer under an epoch sets when the leases of others have lapsed.

--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -160,6 +160,8 @@
 	if !server.fenced {
 		server.fenced = true
 		allocator.changed = true
+		// Until this answer it listened to other leads.
+		allocator.coverOtherLeases(server)
 	}
 	if server.contested {
 		allocator.settleAddress(server, input.SentAt)
