Count no lease as lapsed while another lead is known to be at work in the cell

Ruled out: to ask another server before each lapse; the answer may be older than the other lead's next renewal, and it costs a call for each silent server. Change: a refusal for a higher epoch puts off the lapse at every silent server of the cell by a lease. A lead that nobody has refused yet can still be wrong; that takes two leads that are cut off from each other for more than a lease.

--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -119,10 +119,14 @@
 // loseFence notes that a backend server has seen a lead with a higher epoch. What this
 // host knows of its runs is from before that lead's time and proves nothing any more: until
 // the server has answered under a new epoch it gets no start, and no run there is over.
-func (allocator *Allocator) loseFence(server *server) {
+func (allocator *Allocator) loseFence(refusing *server) {
 	allocator.emit(&Fenced{Epoch: allocator.epoch})
-	server.fenced = false
-	allocator.coverOtherLeases(server)
+	refusing.fenced = false
+	// The other lead renews leases also where this one is not heard.
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		allocator.coverOtherLeases(server)
+		return true
+	})
 }
 
 // coverOtherLeases notes that another lead may have given leases at a server up to now.
