Test that a list which was not read whole proves no end (fails)

Cause: an answer of a backend server is either read whole or dropped. To keep the rows that can be read, the lead must know that the list is not whole; today a run that is not listed counts as over, and a server whose list is empty counts as known.

Change: HoldReturned tells that it is partial, which decides nothing yet; two scenarios.

Figures: `go test ./pkg/allocator -run TestScenarios` fails: list-partly-read grants task 0 a second time beside its first run, new-lead-reads-list-partly takes a held run for over.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -228,7 +228,8 @@
 	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{RunKey: key, Outcome: outcome}}
 }
 
-// scanHold reads the answer to a call: running=(RUN,...) and ended=(NUMBER:KIND:RUN,...).
+// scanHold reads the answer to a call: running=(RUN,...), ended=(NUMBER:KIND:RUN,...), and
+// partial where some rows could not be read.
 func (scenario *scenario) scanHold(t *testing.T, data *datadriven.TestData) *allocator.HoldReturned {
 	returned := &allocator.HoldReturned{
 		Server: identifier.BackendServerID(scanString(t, data, "server")), SentAt: scenario.now - identifier.Moment(time.Millisecond),
@@ -247,6 +248,7 @@
 		}
 		returned.Outcome = outcome
 	}
+	returned.Partial = data.HasArg("partial")
 	for _, text := range scanStrings(t, data, "running") {
 		key, _ := scanRun(t, text)
 		returned.Running = append(returned.Running, key)
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -104,6 +104,9 @@
 	Clock    identifier.ServerTime
 	Running  []messenger.RunKey
 	Ended    []RunEnd
+	// Partial tells that something in the lists could not be read: what they don't name
+	// may run or have ended all the same.
+	Partial bool
 }
 
 // StopReturned brings the answer to a StopRun.
