Conclude nothing from what a list that was partly read leaves out

Ruled out: dropping such an answer whole. The server would count as silent and get nothing, and the leases of all its runs lapse, for as long as one strange row stands in its list. Taking the server for known by a partial list: a held run of an earlier lead that the list doesn't name would be over.

Change: a partial answer renews, brings back, confirms what it lists and takes the ends that it lists; it ends nothing that it leaves out, makes no server known to a new lead, and is asked for again after HoldRetry and not at once, since an answer with an end that can't be read comes at once each time.

--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -90,6 +90,11 @@
 		allocator.retryHold(server)
 		return
 	}
+	if input.Partial {
+		// An answer with an end that can't be read comes at once, each time.
+		allocator.retryHold(server)
+		return
+	}
 	if len(server.runs) > 0 {
 		allocator.hold(server)
 	}
@@ -131,7 +136,7 @@
 		allocator.timers.Clear(lapseTimer(server.card.Server))
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerBack, Server: server.card.Server})
 	}
-	if !server.fenced {
+	if !server.fenced && !input.Partial {
 		server.fenced = true
 		allocator.changed = true
 	}
@@ -143,8 +148,17 @@
 		listed[key] = true
 		allocator.confirmRun(server, key)
 	}
+	if !input.Partial {
+		allocator.endUnlisted(server, listed, input.SentAt)
+	}
+}
+
+// endUnlisted ends the runs that a whole list, as an answer to a call of sentAt, leaves
+// out. A list of which some rows could not be read leaves out nothing for certain: a run
+// that goes on would be taken for over, and its task be started again beside it.
+func (allocator *Allocator) endUnlisted(server *server, listed map[messenger.RunKey]bool, sentAt identifier.Moment) {
 	for key, run := range server.runs {
-		if !listed[key] && run.absenceProves(input.SentAt) {
+		if !listed[key] && run.absenceProves(sentAt) {
 			allocator.endRun(server, run, "not listed")
 		}
 	}
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -12,7 +12,7 @@
 // server is one life of a backend server.
 type server struct {
 	card messenger.ServerCard
-	// fenced tells that it has answered under this lead's epoch: what runs there is
+	// fenced tells that it has answered whole under this lead's epoch: what runs there is
 	// known, and no earlier lead can start anything.
 	fenced bool
 	// silent tells that the last call got no answer; it gets nothing new.
