Ask at the address who lives there, and keep what is fixed for a life

Ruled out: letting only a heartbeat of a named service displace another: a well-formed one of the right service does the same harm.

Change: a card at a known address has the other life called, whose id is denied there if it has ended (within a call's time, as before for one whose calls were under way); a card that differs in address, service or failure domain from the life's first one is passed over.

--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -115,8 +115,10 @@
 		allocator.endLife(known, "left")
 		return
 	}
+	if !sameLife(card, &known.card) {
+		return
+	}
 	leaves := card.Draining && !known.card.Draining
-	changed := leaves || card.Address != known.card.Address
 	// A server that drains never stops draining within one life.
 	draining := known.card.Draining || card.Draining
 	known.card = *card
@@ -127,12 +129,20 @@
 	if leaves {
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerLeaves, Server: card.Server, Tasks: len(known.runs)})
 	}
-	if changed && allocator.Leads() {
+	if leaves && allocator.Leads() {
 		allocator.emit(&ShareCard{Card: known.card})
 	}
 	allocator.awaitForget(known)
 }
 
+// sameLife tells whether two cards agree in what is fixed for a life of a backend server.
+// A card that doesn't is not its own: calls would go where another life denies the id, by
+// which this one and all its runs would count as over. Where the first card was the wrong
+// one, its calls fail, and the right one is taken up once the first is forgotten.
+func sameLife(card, known *messenger.ServerCard) bool {
+	return card.Address == known.Address && card.Service == known.Service && card.FailureDomain == known.FailureDomain
+}
+
 // recallCard takes up a backend server that is remembered, unless it has announced itself
 // or another life is known at its address: that one is newer. It gets nothing before it
 // has answered a call.
@@ -154,7 +164,10 @@
 	allocator.join(&recalled)
 }
 
-// join takes up a backend server. At the same address an earlier life has ended.
+// join takes up a backend server. Another life known at its address has most likely ended,
+// and is called to find out: a card may be another writer's, or of an earlier life and held
+// up on its way, and if it proved an end the living server's tasks would be started twice.
+// Whoever lives at the address denies the other's id.
 func (allocator *Allocator) join(card *messenger.ServerCard) {
 	if card.Gone {
 		return
@@ -166,8 +179,8 @@
 		created.readClock(allocator.now, card.Clock)
 	}
 	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
-		if other.card.Address == card.Address && !other.gone {
-			allocator.endLife(other, "replaced")
+		if other.card.Address == card.Address {
+			allocator.hold(other)
 		}
 		return true
 	})
