--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -12,7 +12,7 @@
 // server is one life of a backend server.
 type server struct {
 	card messenger.ServerCard
-	// fenced tells that it has answered under this lead's epoch: what runs there is
+	// fenced tells that it has answered whole under this lead's epoch: what runs there is
 	// known, and no earlier lead can start anything.
 	fenced bool
 	// silent tells that the last call got no answer; it gets nothing new.
@@ -149,9 +149,11 @@
 		allocator.leave(known)
 		return
 	}
+	if !sameLife(card, &known.card) {
+		return
+	}
 	known.cardAt = allocator.now
 	leaves := card.Draining && !known.card.Draining
-	changed := leaves || card.Address != known.card.Address
 	// A server that drains never stops draining within one life.
 	draining := known.card.Draining || card.Draining
 	known.card = *card
@@ -162,12 +164,20 @@
 	if leaves {
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerLeaves, Server: card.Server, Tasks: len(known.runs)})
 	}
-	if changed && allocator.Leads() {
+	if leaves && allocator.Leads() {
 		allocator.emit(&ShareCard{Card: known.card})
 	}
 	allocator.awaitForget(known)
 }
 
+// sameLife tells whether two cards agree in what is fixed for a life of a backend server.
+// A card that doesn't is not its own: calls would go where another life denies the id, by
+// which this one and all its runs would count as over. Where the first card was the wrong
+// one, its calls fail, and the right one is taken up once the first is forgotten.
+func sameLife(card, known *messenger.ServerCard) bool {
+	return card.Address == known.Address && card.Service == known.Service && card.FailureDomain == known.FailureDomain
+}
+
 // recallCard takes up a backend server that is remembered, unless it has announced itself
 // or another life is known at its address: that one is newer. It gets nothing before it
 // has answered a call.
