--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -18,13 +18,19 @@
 // of its argument at; what comes out is printed, a line each.
 func TestScenarios(t *testing.T) { playScenarios(t, "testdata/scenarios") }
 
-// A task ran twice at the same time, both runs started by the host of its caller: the first
-// began at 8.956 s and ended well at 9.115 s, the second began at 9.090 s. Its lead had taken
-// the first for over by something that is no proof of it: a list that the backend server
-// gave before another lead's time, leases that ended before the run began, a word of another
-// life at the same address, an announced leave, the end of another run with the same number.
-// Each file tells one such sequence; in each the log had the line "run-over" or "adopted" for
-// a run that was at work.
+// A task ran twice at the same time, both runs started by the host of its caller. Its lead had
+// taken the first run for over while it was at work: a host that had stood still told of a
+// backend server whose life had ended, and that life counted as the newer one at the address:
+//
+//	10.5139 server-gone server=i-66fa90cc38 reason=replaced tasks=1
+//	10.5139 run-over task=1 run=2 server=i-66fa90cc38 reason="server gone" elapsed=65.851454ms
+//	10.5139 granted run=4 server=i-4c6fe32c45
+//	10.5179 server-gone server=i-f5abbe04a8 reason="another incarnation answers"
+//	10.756  run 2 ended well
+//
+// The files tell this and the other ways in which a run was taken for over by something that is
+// no proof of it: a list from before another lead's time, leases that ended before the run began,
+// an announced leave, the end of another run with the same number.
 func TestRunIsOverOnlyOnProof(t *testing.T) { playScenarios(t, "testdata/over") }
 
 func playScenarios(t *testing.T, folder string) {
