--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -167,7 +167,7 @@
 		allocator.coverOtherLeases(server)
 	}
 	known.needs = held.RoomTask.Needs
-	allocator.claimOrphan(known, job)
+	allocator.claim(known, job)
 	known.expectIn(allocator.now, allocator.estimates.runTime(job.request.Queue, held.RoomTask.Declared))
 	allocator.timers.Set(overdueTimer(known), allocator.now.Add(known.overdueAfter(slowAfter)))
 	server.used = server.used.Add(known.needs)
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -26,9 +26,13 @@
 	// startedAt is when this process started.
 	startedAt identifier.Moment
 	// epoch is the fence of this lead; zero while another host leads.
-	epoch   identifier.Epoch
-	servers *tabulator.Table[identifier.BackendServerID, server]
-	jobs    *tabulator.Table[identifier.JobID, job]
+	epoch identifier.Epoch
+	// overtaken tells that a server has refused the epoch: another lead is or was at work. Until
+	// the next epoch nothing is granted and no lease renewed, as that lead waits for the leases of
+	// this one where it is not heard, and doesn't know of later ones.
+	overtaken bool
+	servers   *tabulator.Table[identifier.BackendServerID, server]
+	jobs      *tabulator.Table[identifier.JobID, job]
 	// waiting holds the jobs with tasks that have no room, in the order of placing.
 	waiting []*job
 	// waitingTasks counts their tasks without room.
@@ -222,6 +226,7 @@
 		return true
 	})
 	allocator.orphans = 0
+	allocator.overtaken = false
 }
 
 func (allocator *Allocator) emit(output Output) {
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -49,6 +49,8 @@
 type scenario struct {
 	allocator *allocator.Allocator
 	now       identifier.Moment
+	// epoch is that under which the allocator leads, and calls were made.
+	epoch identifier.Epoch
 	// lastSequence is that of the last call to each server.
 	lastSequence map[identifier.BackendServerID]uint64
 }
@@ -64,6 +66,7 @@
 	case "lead":
 		var epoch uint64
 		data.ScanArgs(t, "epoch", &epoch)
+		scenario.epoch = identifier.Epoch(epoch)
 		inputs = append(inputs, &allocator.LeadTaken{Epoch: identifier.Epoch(epoch)})
 	case "lead-lost":
 		inputs = append(inputs, &allocator.LeadLost{})
@@ -76,11 +79,11 @@
 	case "release":
 		inputs = append(inputs, &allocator.RoomReleased{From: "host-b", Job: identifier.JobID(scanString(t, data, "job"))})
 	case "report":
-		inputs = append(inputs, scanReport(t, data))
+		inputs = append(inputs, scenario.scanReport(t, data))
 	case "hold":
 		inputs = append(inputs, scenario.scanHold(t, data))
 	case "stopped":
-		inputs = append(inputs, scanStopped(t, data))
+		inputs = append(inputs, scenario.scanStopped(t, data))
 	case "host-gone":
 		inputs = append(inputs, &allocator.HostGone{Host: "host-b"})
 	case "remote":
@@ -236,13 +239,18 @@
 	return key, identifier.BackendServerID(server)
 }
 
-func scanReport(t *testing.T, data *datadriven.TestData) *allocator.StartReported {
+func (scenario *scenario) scanReport(t *testing.T, data *datadriven.TestData) *allocator.StartReported {
 	key, server := scanRun(t, scanString(t, data, "run"))
 	outcome, err := messenger.StartOutcomeString(scanString(t, data, "outcome"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{RunKey: key, Server: server, Outcome: outcome}}
+	if server == "" {
+		t.Fatal("a report names its server: run=JOB/TASK/RUN@SERVER")
+	}
+	return &allocator.StartReported{From: "host-b", Report: messenger.StartReport{
+		RunKey: key, Server: server, Outcome: outcome, Epoch: scenario.epoch,
+	}}
 }
 
 // scanHold reads the answer to a call: running=(RUN,...), ended=(NUMBER:KIND:RUN,...), and
@@ -287,9 +295,9 @@
 	return returned
 }
 
-func scanStopped(t *testing.T, data *datadriven.TestData) *allocator.StopReturned {
+func (scenario *scenario) scanStopped(t *testing.T, data *datadriven.TestData) *allocator.StopReturned {
 	key, server := scanRun(t, scanString(t, data, "run"))
-	returned := &allocator.StopReturned{Server: server, Run: key}
+	returned := &allocator.StopReturned{Epoch: scenario.epoch, Server: server, Run: key}
 	if data.HasArg("unanswered") {
 		returned.Outcome = allocator.CallUnanswered
 	}
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -22,10 +22,13 @@
 	// would then keep its runs, which are counted as lapsed, at work.
 	slack := holdSlack
 	if !server.silent && server.fenced && len(server.runs) > 0 {
-		if server.hasWantedRun() {
+		call.Wait = allocator.Settings.holdWait()
+		if server.hasWantedRun() && !allocator.overtaken {
 			call.LeaseEnd = allocator.extendLease(server)
+		} else {
+			// A run that its host names now has a lease from the next call only.
+			call.Wait = min(call.Wait, unwantedWait)
 		}
-		call.Wait = allocator.Settings.holdWait()
 		if !server.losesUntil.Due(allocator.now) {
 			call.Wait = min(call.Wait, lossyWait)
 			slack = lossySlack
@@ -46,8 +49,11 @@
 	// lossyWait and lossySlack are wait and slack at such a server. While a call is under
 	// way whose answer was lost no end is heard of, and users wait for it; a server that
 	// answers takes about 1 ms.
-	lossyWait  = 60 * time.Millisecond
-	lossySlack = 40 * time.Millisecond
+	lossyWait = 60 * time.Millisecond
+	// unwantedWait is how long a call waits that renews nothing: hosts name their runs within
+	// tens of milliseconds after a change of the lead.
+	unwantedWait = 60 * time.Millisecond
+	lossySlack   = 40 * time.Millisecond
 )
 
 // extendLease returns a lease that ends as late as one may, and notes it.
@@ -127,6 +133,7 @@
 func (allocator *Allocator) loseFence(refusing *server) {
 	allocator.emit(&Fenced{Epoch: allocator.epoch})
 	refusing.fenced = false
+	allocator.overtaken = true
 	// The other lead renews leases also where this one is not heard.
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
 		allocator.coverOtherLeases(server)
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -81,7 +81,7 @@
 		return
 	}
 	known := allocator.jobs.Get(input.Request.Job)
-	if known != nil && known.from == input.From && input.Request.Part && !known.closed {
+	if known != nil && known.isRequest(input) && input.Request.Part && !known.closed {
 		allocator.takeBack(known, input.Request.Tasks)
 		return
 	}
@@ -123,7 +123,7 @@
 
 func (allocator *Allocator) newJob(input *RoomRequested) *job {
 	request := &input.Request
-	created := &job{request: *request, from: input.From, arrivedAt: allocator.now.Add(-request.Elapsed), lastRun: request.RunsBelow}
+	created := &job{request: *request, from: input.From, arrivedAt: allocator.now.Add(-request.Elapsed), lastRun: allocator.lastRunOf(request)}
 	created.deadline = allocator.now.Add(request.Remaining)
 	for _, room := range request.Tasks {
 		created.tasks = append(created.tasks, task{room: room})
@@ -132,9 +132,6 @@
 		created.tasks = append(created.tasks, task{room: held.RoomTask})
 		created.lastRun = max(created.lastRun, held.Run)
 	}
-	if last := allocator.lastRuns.Get(request.Job); last != nil {
-		created.lastRun = max(created.lastRun, *last)
-	}
 	allocator.schedule(created)
 	allocator.jobs.Put(request.Job, created)
 	allocator.timers.Clear(timerKey{kind: timerJobForget, job: request.Job})
@@ -142,6 +139,19 @@
 	return created
 }
 
+// isRequest tells whether a request is the one that the job has, for more of its tasks.
+func (job *job) isRequest(input *RoomRequested) bool {
+	return job.from == input.From && job.request.Ask == input.Request.Ask
+}
+
+// lastRunOf is the highest number that a run of a job may have had.
+func (allocator *Allocator) lastRunOf(request *messenger.RoomRequest) identifier.RunNumber {
+	if last := allocator.lastRuns.Get(request.Job); last != nil {
+		return max(request.RunsBelow, *last)
+	}
+	return request.RunsBelow
+}
+
 // schedule works out when the job is due, and sorts its tasks: the longest starts
 // first, as the answer waits for it.
 func (allocator *Allocator) schedule(job *job) {
@@ -241,15 +251,34 @@
 
 // release ends a job that its host no longer wants.
 func (allocator *Allocator) release(from identifier.HostID, id identifier.JobID) {
-	if job := allocator.jobs.Get(id); job != nil && job.from == from {
+	job := allocator.jobs.Get(id)
+	if job == nil {
+		return
+	}
+	job.dropSuccessor(from)
+	if job.from == from {
 		allocator.close(job, "released")
 	}
 }
 
+// dropSuccessor forgets a request that waits for the end of an earlier sending, once its host
+// wants nothing more. Granted all the same, its runs would be started by nobody and granted anew
+// each time that their leases have lapsed.
+func (job *job) dropSuccessor(from identifier.HostID) {
+	if job.successor != nil && job.successor.From == from {
+		job.successor = nil
+	}
+}
+
 // loseHost ends the jobs of a host that is gone: nobody waits for them.
 func (allocator *Allocator) loseHost(host identifier.HostID) {
 	for _, id := range allocator.jobs.Keys() {
-		if job := allocator.jobs.Get(id); job != nil && job.from == host {
+		job := allocator.jobs.Get(id)
+		if job == nil {
+			continue
+		}
+		job.dropSuccessor(host)
+		if job.from == host {
 			allocator.close(job, "its host is gone")
 		}
 	}
@@ -345,12 +374,12 @@
 func (allocator *Allocator) takeStartReport(input *StartReported) {
 	key := input.Report.RunKey
 	job := allocator.jobs.Get(key.Job)
-	if job == nil {
+	if job == nil || job.from != input.From {
 		return
 	}
 	task := job.task(key.Task)
 	run := task.run
-	if run == nil || run.key != key || run.server != input.Report.Server {
+	if run == nil || run.key != key || !run.isStartedBy(&input.Report) {
 		return
 	}
 	server := allocator.servers.Get(run.server)
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -111,6 +111,7 @@
 
 // StopReturned brings the answer to a StopRun.
 type StopReturned struct {
+	Epoch   identifier.Epoch
 	Server  identifier.BackendServerID
 	Run     messenger.RunKey
 	Outcome CallOutcome
--- a/pkg/allocator/orphans.go
+++ b/pkg/allocator/orphans.go
@@ -23,13 +23,21 @@
 	server.runs[key] = orphan
 	server.used = server.used.Add(needs)
 	allocator.orphans++
+	if job := allocator.jobs.Get(key.Job); job != nil && !holds(&job.request, orphan) {
+		// Its host has asked already, and would have named it.
+		allocator.stop(orphan, "sent again")
+		return
+	}
 	due := allocator.now.Add(allocator.Settings.OrphanWait)
 	allocator.timers.Set(stopTimer(orphan), due)
 }
 
-// claimOrphan gives an orphan to the job that asked for it.
-func (allocator *Allocator) claimOrphan(orphan *run, job *job) {
-	allocator.timers.Clear(stopTimer(orphan))
+// claim gives a run, mostly an orphan, to the job that asked for it.
+func (allocator *Allocator) claim(orphan *run, job *job) {
+	if !orphan.stopping {
+		// One that is stopping is told so again until it answers.
+		allocator.timers.Clear(stopTimer(orphan))
+	}
 	if orphan.job == nil {
 		allocator.orphans--
 	}
@@ -66,13 +74,13 @@
 }
 
 // endEarlierSending lets a request wait until the orphans of its job are over: its caller has
-// sent the job again after the host of the first sending had crashed. Placed at once, a task
-// would run beside its orphan, which nobody but this lead knows.
+// sent the job again, and the host of the first sending is gone or asks no more. Placed at
+// once, a task would run beside its orphan.
 func (allocator *Allocator) endEarlierSending(input *RoomRequested, orphans []*run) {
-	earlier := &job{request: input.Request, from: input.From, lastRun: input.Request.RunsBelow}
+	earlier := &job{request: input.Request, from: input.From, lastRun: allocator.lastRunOf(&input.Request)}
 	earlier.deadline = allocator.now.Add(input.Request.Remaining)
 	for _, orphan := range orphans {
-		allocator.claimOrphan(orphan, earlier)
+		allocator.claim(orphan, earlier)
 		earlier.lastRun = max(earlier.lastRun, orphan.key.Run)
 		earlier.tasks = append(earlier.tasks, task{room: messenger.RoomTask{Task: orphan.key.Task, Needs: orphan.needs}, run: orphan})
 	}
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -8,7 +8,7 @@
 // place gives room to waiting tasks, in the order of the waiting jobs. A job behind
 // one that finds no room may still get some: its tasks may be smaller.
 func (allocator *Allocator) place() {
-	if !allocator.changed || len(allocator.waiting) == 0 {
+	if !allocator.changed || len(allocator.waiting) == 0 || allocator.overtaken {
 		allocator.changed = false
 		return
 	}
@@ -36,6 +36,9 @@
 
 // placeJob gives room to the waiting tasks of one job and tells whether all got it.
 func (allocator *Allocator) placeJob(job *job) bool {
+	if allocator.overtaken {
+		return false
+	}
 	grant := messenger.Grant{Job: job.request.Job, Epoch: allocator.epoch, Cell: allocator.Cell, Ask: job.request.Ask}
 	for index := range job.tasks {
 		task := &job.tasks[index]
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -23,6 +23,8 @@
 	// the stop time or will be refused.
 	stopAnswered bool
 	grantedAt    identifier.Moment
+	// epoch is that under which the run was granted here; zero where another lead did.
+	epoch identifier.Epoch
 	// absentAfter is from when a call's answer that doesn't list the run proves that it
 	// is over; before, its start may be under way.
 	absentAfter  identifier.Moment
@@ -45,6 +47,13 @@
 	return run.confirmed && run.grantedAt.Before(sentAt) || run.absentAfter.Before(sentAt)
 }
 
+// isStartedBy tells whether a report is on the start of the run. Runs of an earlier sending,
+// or of an earlier epoch, may have had its number, and an answer to their start may come late:
+// taken for that of this run it would settle a run that is at work.
+func (run *run) isStartedBy(report *messenger.StartReport) bool {
+	return run.server == report.Server && (run.epoch == 0 || run.epoch == report.Epoch)
+}
+
 // grant gives a task room on a server.
 func (allocator *Allocator) grant(job *job, task *task, server *server) messenger.GrantedRun {
 	job.lastRun++
@@ -52,7 +61,7 @@
 	lease := allocator.extendLease(server)
 	created := &run{
 		key: key, server: server.card.Server, needs: task.room.Needs, job: job, grantedAt: allocator.now,
-		absentAfter: server.lapsesAt(allocator.now),
+		absentAfter: server.lapsesAt(allocator.now), epoch: allocator.epoch,
 	}
 	created.expectIn(allocator.now, allocator.estimates.runTime(job.request.Queue, task.room.Declared))
 	server.runs[key] = created
@@ -117,8 +126,11 @@
 	case CallGone:
 		allocator.endLife(server, "another incarnation answers")
 	case CallFenced:
-		allocator.loseFence(server)
-		allocator.hold(server)
+		// The refusal of an earlier epoch's stop says nothing about this one.
+		if input.Epoch == allocator.epoch {
+			allocator.loseFence(server)
+			allocator.hold(server)
+		}
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopRetry))
 	case CallUnanswered:
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopRetry))
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -236,7 +236,7 @@
 	case *coordinator.CallStop:
 		stop := output.Call
 		stopped := func(outcome allocator.CallOutcome) {
-			tick(&allocator.StopReturned{Server: stop.Server, Run: stop.Run, Outcome: outcome})
+			tick(&allocator.StopReturned{Epoch: stop.Epoch, Server: stop.Server, Run: stop.Run, Outcome: outcome})
 		}
 		world.call(host, stop.Server, callTimeout, func(server *calledServer, reply func(func())) {
 			outcome := server.stop(stop)
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -16,6 +16,9 @@
 		known.waiters = append(known.waiters, input.Waiter)
 		return
 	}
+	if supervisor.revive(input) {
+		return
+	}
 	created := &job{
 		spec: input.Job, waiters: []WaiterID{input.Waiter}, arrivedAt: supervisor.now, deadline: input.Deadline,
 		tasks: make([]task, len(input.Job.Tasks)), left: len(input.Job.Tasks),
@@ -76,7 +79,11 @@
 		return
 	}
 	outcome := input.Outcome
-	if task := &job.tasks[input.Run.Task]; task.isStart(input) && !task.done {
+	task := &job.tasks[input.Run.Task]
+	if !task.isStart(input) {
+		return // Another run is at work, or will be; the lead knows what became of this one.
+	}
+	if !task.done {
 		switch {
 		case outcome == messenger.StartUnanswered && task.repeats < startRepeats:
 			task.repeats++
@@ -94,7 +101,7 @@
 			outcome = messenger.StartUnanswered
 		}
 	}
-	if part := job.tasks[input.Run.Task].part; part.lead != "" {
+	if part := task.part; part.lead != "" {
 		supervisor.emit(&ReportStart{To: part.lead, Report: messenger.StartReport{
 			RunKey: input.Run, Outcome: outcome, Epoch: input.Epoch, Cell: part.cell.Cell, Server: input.Server,
 		}})
@@ -102,9 +109,11 @@
 }
 
 // isStart tells whether an answer is to the start of the run that was granted last. The
-// number alone doesn't tell: an earlier sending of the job may have used it elsewhere.
+// number alone doesn't tell: an earlier sending of the job, or an earlier epoch of its lead, may
+// have used it.
 func (task *task) isStart(returned *StartReturned) bool {
-	return task.start != nil && task.start.Run == returned.Run && task.start.Server == returned.Server
+	start := task.start
+	return start != nil && start.Run == returned.Run && start.Server == returned.Server && start.Epoch == returned.Epoch
 }
 
 func (supervisor *Supervisor) takeDone(input *DoneArrived) {
@@ -215,6 +224,7 @@
 		supervisor.timers.Clear(silenceTimer(job, part))
 	}
 	supervisor.jobs.Remove(job.spec.Job)
+	supervisor.remember(job)
 }
 
 func deadlineTimer(id identifier.JobID) timerKey { return timerKey{kind: timerDeadline, job: id} }
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -39,9 +39,11 @@
 	Cells    int
 	Settings Settings
 
-	now   identifier.Moment
-	jobs  *tabulator.Table[identifier.JobID, job]
-	leads *tabulator.Table[messenger.CellRef, lead]
+	now  identifier.Moment
+	jobs *tabulator.Table[identifier.JobID, job]
+	// unfinished are jobs that nobody waits for any more and of which runs may be at work.
+	unfinished *tabulator.Table[identifier.JobID, job]
+	leads      *tabulator.Table[messenger.CellRef, lead]
 	// heardAt is when each lead was last heard.
 	heardAt map[identifier.HostID]identifier.Moment
 	timers  *tabulator.Timers[timerKey]
@@ -54,6 +56,7 @@
 const (
 	timerDeadline timerKind = iota
 	timerSilence
+	timerForget
 )
 
 type timerKey struct {
@@ -129,6 +132,7 @@
 		return
 	}
 	supervisor.jobs = tabulator.New[identifier.JobID, job]()
+	supervisor.unfinished = tabulator.New[identifier.JobID, job]()
 	supervisor.leads = tabulator.New[messenger.CellRef, lead]()
 	supervisor.heardAt = make(map[identifier.HostID]identifier.Moment)
 	supervisor.timers = tabulator.NewTimers[timerKey]()
@@ -159,6 +163,10 @@
 }
 
 func (supervisor *Supervisor) expire(key timerKey) {
+	if key.kind == timerForget {
+		supervisor.unfinished.Remove(key.job)
+		return
+	}
 	job := supervisor.jobs.Get(key.job)
 	if job == nil {
 		return
