Name a server's standing by what it means, and count its free spots once

Cause: a server was 'fenced' when it was fit for use, while a start or call that is 'fenced' was refused; 'gone' had come to mean 'is leaving', too. A plan counted the free spots twice, the counting being a walk over all servers. Change: confirmed and retired; takeRefusal for what a refusal tells; spots are handed on. No behaviour.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -101,7 +101,7 @@
 	for index := range job.tasks {
 		fits := false
 		allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-			if server.gone || server.card.Service != job.request.Service {
+			if server.retired || server.card.Service != job.request.Service {
 				return true
 			}
 			known = true
@@ -201,7 +201,7 @@
 func (allocator *Allocator) expectedEnds() []identifier.Moment {
 	var ends []identifier.Moment
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		if server.gone || server.silent || server.card.Draining {
+		if server.retired || server.silent || server.card.Draining {
 			return true
 		}
 		for _, run := range server.runs {
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -191,7 +191,7 @@
 	allocator.epoch = epoch
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
 		server.oldLeasesEnd = allocator.oldLeasesEnd()
-		if !server.gone {
+		if !server.retired {
 			allocator.awaitForget(server)
 		}
 		allocator.hold(server)
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -21,7 +21,7 @@
 	// A server that does not answer may carry the call out much later. A renewal
 	// would then keep its runs, which are counted as lapsed, at work.
 	slack := holdSlack
-	if !server.silent && server.fenced && len(server.runs) > 0 {
+	if !server.silent && server.confirmed && len(server.runs) > 0 {
 		call.Wait = allocator.Settings.holdWait()
 		if server.hasWantedRun() && !allocator.overtaken {
 			call.LeaseEnd = allocator.extendLease(server)
@@ -85,7 +85,7 @@
 	case CallAnswered:
 		allocator.takeRuns(server, input)
 	case CallFenced:
-		allocator.loseFence(server)
+		allocator.takeRefusal(server)
 		allocator.retryHold(server)
 		return
 	case CallGone:
@@ -127,12 +127,12 @@
 	allocator.timers.Set(lapseTimer(server.card.Server), server.lapsesAt(allocator.now))
 }
 
-// loseFence notes that a backend server has seen a lead with a higher epoch. What this
+// takeRefusal notes that a backend server has seen a lead with a higher epoch. What this
 // host knows of its runs is from before that lead's time and proves nothing any more: until
 // the server has answered under a new epoch it gets no start, and no run there is over.
-func (allocator *Allocator) loseFence(refusing *server) {
+func (allocator *Allocator) takeRefusal(refusing *server) {
 	allocator.emit(&Fenced{Epoch: allocator.epoch})
-	refusing.fenced = false
+	refusing.confirmed = false
 	allocator.overtaken = true
 	// The other lead renews leases also where this one is not heard.
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
@@ -173,8 +173,8 @@
 		allocator.timers.Clear(lapseTimer(server.card.Server))
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerBack, Server: server.card.Server})
 	}
-	if !server.fenced && !input.Partial {
-		server.fenced = true
+	if !server.confirmed && !input.Partial {
+		server.confirmed = true
 		allocator.changed = true
 		// Until this answer it listened to other leads.
 		allocator.coverOtherLeases(server)
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -401,7 +401,7 @@
 	case messenger.StartFenced:
 		// A start under an earlier lead's epoch says nothing about this one.
 		if input.Report.Epoch == allocator.epoch {
-			allocator.loseFence(server)
+			allocator.takeRefusal(server)
 			allocator.hold(server)
 		}
 	case messenger.StartNoRoom, messenger.StartUnhealthy:
--- a/pkg/allocator/planning.go
+++ b/pkg/allocator/planning.go
@@ -35,10 +35,14 @@
 		return plan{inTime: true}
 	}
 	ahead := allocator.tasksAhead(job)
-	if !tried && allocator.spots() >= ahead+count {
+	spots := 0
+	if !tried {
+		spots = allocator.spots()
+	}
+	if spots >= ahead+count {
 		return plan{inTime: true}
 	}
-	openings := allocator.openingsFor(job, count, ahead, tried)
+	openings := allocator.openingsFor(job, count, ahead, spots)
 	if len(openings) < count {
 		return plan{wait: allocator.usualWait()}
 	}
@@ -76,13 +80,9 @@
 }
 
 // openingsFor lists the room that so many tasks of a job may use, the earliest first: here
-// behind the tasks ahead, and at other cells unless one of them sent the job here. Room
-// elsewhere counts as later by what the way there costs.
-func (allocator *Allocator) openingsFor(job *job, count, ahead int, tried bool) []opening {
-	spots := 0
-	if !tried {
-		spots = allocator.spots()
-	}
+// behind the tasks ahead with so many spots free, and at other cells unless one of them sent
+// the job here. Room elsewhere counts as later by what the way there costs.
+func (allocator *Allocator) openingsFor(job *job, count, ahead, spots int) []opening {
 	here := allocator.openings(spots, ahead)
 	here = here[:min(len(here), count)]
 	openings := make([]opening, 0, len(here))
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -128,7 +128,7 @@
 	case CallFenced:
 		// The refusal of an earlier epoch's stop says nothing about this one.
 		if input.Epoch == allocator.epoch {
-			allocator.loseFence(server)
+			allocator.takeRefusal(server)
 			allocator.hold(server)
 		}
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopRetry))
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -12,14 +12,14 @@
 // server is one life of a backend server.
 type server struct {
 	card messenger.ServerCard
-	// fenced tells that it has answered whole under this lead's epoch: what runs there is
+	// confirmed tells that it has answered whole under this lead's epoch: what runs there is
 	// known, and no earlier lead can start anything.
-	fenced bool
+	confirmed bool
 	// silent tells that the last call got no answer; it gets nothing new.
 	silent bool
-	// gone tells that the life has ended, or has announced its end: it gets nothing new.
+	// retired tells that the life has ended, or has announced its end: it gets nothing new.
 	// What it still runs is over when a call proves it.
-	gone bool
+	retired bool
 	// contested tells that another life at the same address may not be over.
 	contested bool
 	// cardAt is when its last card came.
@@ -54,7 +54,7 @@
 
 // reset forgets what holds only under one lead.
 func (server *server) reset() {
-	server.fenced = false
+	server.confirmed = false
 	server.used = identifier.Resources{}
 	server.runs = make(map[messenger.RunKey]*run)
 	server.holding = false
@@ -93,18 +93,18 @@
 
 // usable tells whether the server may get a start now.
 func (server *server) usable(now identifier.Moment) bool {
-	return server.fenced && !server.silent && !server.gone && !server.card.Draining &&
+	return server.confirmed && !server.silent && !server.retired && !server.card.Draining &&
 		server.closedUntil.Due(now) && len(server.runs) < server.allowed
 }
 
 // standing names what is known of what runs on the server, for the log.
 func (server *server) standing() string {
 	switch {
-	case server.gone:
-		return "its server is gone"
+	case server.retired:
+		return "its server has ended, or says that it leaves"
 	case server.silent:
 		return "its server is silent"
-	case !server.fenced:
+	case !server.confirmed:
 		return "its server was not heard under this epoch"
 	default:
 		return "its server was heard under this epoch"
@@ -114,7 +114,7 @@
 func (server *server) free() identifier.Resources { return server.card.Capacity.Sub(server.used) }
 
 // toCall tells whether something is to be learned from the server.
-func (server *server) toCall() bool { return !server.gone || len(server.runs) > 0 }
+func (server *server) toCall() bool { return !server.retired || len(server.runs) > 0 }
 
 // hasWantedRun tells whether some job here wants a run of the server to go on. For others the
 // lease is not renewed: a run whose host is gone would go on under it for as long as stops of
@@ -142,7 +142,7 @@
 		}
 		return
 	}
-	if known.gone || card.Sequence < known.card.Sequence && !card.Gone {
+	if known.retired || card.Sequence < known.card.Sequence && !card.Gone {
 		return
 	}
 	if card.Gone {
@@ -233,7 +233,7 @@
 func (allocator *Allocator) othersAt(known *server) []*server {
 	var others []*server
 	allocator.servers.Each(func(_ identifier.BackendServerID, other *server) bool {
-		if other != known && !other.gone && other.card.Address == known.card.Address {
+		if other != known && !other.retired && other.card.Address == known.card.Address {
 			others = append(others, other)
 		}
 		return true
@@ -277,7 +277,7 @@
 
 // endLife notes that a life of a backend server has surely ended: nothing of it runs.
 func (allocator *Allocator) endLife(server *server, reason string) {
-	allocator.useNoMore(server, reason)
+	allocator.retire(server, reason)
 	allocator.stopCalling(server.card.Server)
 	allocator.endAllRuns(server, "server gone")
 }
@@ -286,7 +286,7 @@
 // answered, and until then what runs there goes on and may end well; placed elsewhere on the
 // word alone a task would run twice. So the server is asked for its runs to the last.
 func (allocator *Allocator) leave(server *server) {
-	allocator.useNoMore(server, "left")
+	allocator.retire(server, "left")
 	if server.toCall() {
 		allocator.hold(server)
 		return
@@ -294,12 +294,12 @@
 	allocator.stopCalling(server.card.Server)
 }
 
-// useNoMore keeps new starts from a backend server, and tells the other hosts.
-func (allocator *Allocator) useNoMore(server *server, reason string) {
-	if server.gone {
+// retire keeps new starts from a backend server, and tells the other hosts.
+func (allocator *Allocator) retire(server *server, reason string) {
+	if server.retired {
 		return
 	}
-	server.gone = true
+	server.retired = true
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionServerGone, Server: server.card.Server, Reason: reason, Tasks: len(server.runs),
 	})
@@ -332,12 +332,12 @@
 	if known == nil {
 		return
 	}
-	if len(known.runs) > 0 || !known.gone && !allocator.Leads() {
+	if len(known.runs) > 0 || !known.retired && !allocator.Leads() {
 		// Heartbeats go to the lead, which tells the others when a life has ended.
 		allocator.awaitForget(known)
 		return
 	}
-	if !known.gone {
+	if !known.retired {
 		allocator.decided(messenger.Decision{Kind: messenger.DecisionServerGone, Server: id, Reason: "not heard"})
 		allocator.stopCalling(id)
 	}
@@ -353,7 +353,7 @@
 		return nil
 	}
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		if !server.gone {
+		if !server.retired {
 			cards = append(cards, server.card)
 		}
 		return true
