Have remembered cells delivered with what else the keepers want

Cause: they were picked out before every other output, also on hosts that keep nothing. Change: the case stands in deliverControl.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -147,10 +147,6 @@
 		if accepted, isInForce := output.(*coordinator.ConfigInForce); isInForce {
 			daemon.memory.remember(accepted.Version)
 		}
-		if cells, isMemory := output.(*coordinator.RememberCells); isMemory {
-			daemon.cellMemory.remember(cells.Cells)
-			continue
-		}
 		if daemon.Extension != nil && daemon.Extension.Deliver(output) {
 			continue
 		}
@@ -190,6 +186,8 @@
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.ConfigInForce:
 		daemon.putInForce(output.Version)
+	case *coordinator.RememberCells:
+		daemon.cellMemory.remember(output.Cells)
 	case *coordinator.Persist:
 		daemon.keeping.persist(output.Persist)
 	case *coordinator.SaveSnapshot:
