Show the answer of TestSecondSignal's job, and the logs of a failed test's processes

Cause: the test once failed with "not started" and kept nothing that could tell why: the answer of the job's POST was thrown away, and the logs went with its folder. The assertions are the same. Conclusion: sight only; the cause is looked for next.

--- a/pkg/integration/cluster_test.go
+++ b/pkg/integration/cluster_test.go
@@ -69,6 +69,7 @@
 	cluster := &cluster{folder: clusterFolder(t)}
 	cluster.writeSettings(t)
 	cluster.makeStandIns()
+	t.Cleanup(func() { cluster.showLogs(t) })
 	t.Cleanup(cluster.end)
 	cluster.started = time.Now()
 	for _, daemon := range cluster.daemons {
--- a/pkg/integration/graceful_shutdown_test.go
+++ b/pkg/integration/graceful_shutdown_test.go
@@ -64,14 +64,10 @@
 	t.Parallel()
 	cluster := startCluster(t)
 	host := cluster.daemonsOf("binh-chanh")[1]
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_, _ = send(host, newJob("long", 1, 20*time.Second, true), patience)
-	}()
+	long := submitInBackground(host, newJob("long", 1, 20*time.Second, true))
 	eventually(t, "the long job runs", func() error {
 		if len(cluster.startsOf(t, "s-long")) == 0 {
-			return fmt.Errorf("not started")
+			return fmt.Errorf("not started; the POST: %s", long.told())
 		}
 		return nil
 	})
@@ -88,7 +84,7 @@
 	if took := time.Since(begun); took > 10*time.Second {
 		t.Errorf("the second signal took %s", took)
 	}
-	<-ended
+	<-long.ended
 	if !strings.Contains(readLog(t, host), "requests lost") {
 		t.Error("no log line says what was lost")
 	}
