--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -27,6 +28,30 @@
 	}
 }
 
+// TestKeptSeeds replays the schedules of random faults that once broke a promise.
+//
+// Symptom: tasks of a submission start a second time.
+// Sequence: two of the three entry hosts of a failure domain die, shut down or are
+// isolated within seconds of each other; the submission is sent again.
+// Causes, by what the replays show:
+//   - 43, 88: a lead that saw no other host handed a job over to another failure domain
+//     and forgot that with its cell, which it or another took anew.
+//   - 258: a deposed lead that had been cut off handed a job over that the new lead had
+//     run already.
+//   - 123: both hosts that knew a job which ran in another failure domain were lost.
+//   - 246: both hosts that knew a job were lost, and its backend server had forgotten
+//     the answer, which was acknowledged.
+//   - 169: two hosts of the same failure domain were lost.
+func TestKeptSeeds(t *testing.T) {
+	for _, seed := range []uint64{43, 88, 123, 169, 246, 258} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if violations := replayRandom(t, seed, nil); len(violations) > 0 {
+				reportShrunk(t, seed, violations[0])
+			}
+		})
+	}
+}
+
 func randomParameters(seed uint64) *generator.Parameters {
 	parameters := generator.PhucTin(seed)
 	parameters.Deployment.ExecutorsPerFailureDomain = 4
