Remember on the lead itself where it hands a job over to

A lead that sees no other host goes on without one; its own forwarder had the record of the job, but not where it went, and its dispatcher forgets the jobs with the cell. Ruled out: lost memory. Change: the lead's forwarder notes it too (JobHandedOver), and tells it with its records. No message more.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -308,10 +308,13 @@
 	}
 }
 
-// recordSpill has a second host of the failure domain remember where a job goes:
-// the caller's, which knows the job already, or else another. A host that is alone
-// goes on without.
+// recordSpill has this host and a second one of the failure domain remember where a
+// job goes: the caller's, which knows the job already, or else another. A host that is
+// alone goes on without the second.
 func (coordinator *Coordinator) recordSpill(output *dispatcher.RecordSpill) {
+	coordinator.tellForwarder(&forwarder.JobHandedOver{
+		Submission: output.Record.Submission, To: output.Record.SpilledTo,
+	})
 	living := coordinator.livingIn(coordinator.Self.FailureDomain)
 	others := func(host identifier.HostID) bool {
 		return host != coordinator.Self.Host && slices.Contains(living, host)
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -297,6 +297,7 @@
 		Cell:       messenger.CellOf(front.job.Submission, forwarder.Settings.Cells),
 		Age:        forwarder.now.Sub(front.arrivedAt),
 		Answered:   front.answer != nil,
+		SpilledTo:  front.spilledTo,
 		Remaining:  front.deadline.Remaining(forwarder.now),
 	}
 }
--- a/pkg/forwarder/entities.go
+++ b/pkg/forwarder/entities.go
@@ -38,6 +38,9 @@
 	heldBackAt identifier.Moment
 	// answerAlone tells that the answer waits for a second host to hold it.
 	answerAlone bool
+	// spilledTo is the failure domain that this host, as the lead, has handed the job
+	// over to.
+	spilledTo identifier.FailureDomain
 }
 
 // heldCopy is the second copy of a submission that another host leads.
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -183,6 +183,8 @@
 		forwarder.holdCopies(input)
 	case *CopiesHeld:
 		forwarder.recordCopiesHeld(input)
+	case *JobHandedOver:
+		forwarder.recordHandOver(input)
 	case *RecordsLearned:
 		forwarder.learnRecords(input)
 	case *JobRelayed:
--- a/pkg/forwarder/input.go
+++ b/pkg/forwarder/input.go
@@ -177,6 +177,14 @@
 	Records []messenger.CopyRecord
 }
 
+// JobHandedOver tells that this host, as the lead, hands a job over to another
+// failure domain.
+type JobHandedOver struct {
+	Submission identifier.SubmissionID
+	To         identifier.FailureDomain
+}
+
+func (*JobHandedOver) isForwarderInput()     {}
 func (*RecordsLearned) isForwarderInput()    {}
 func (*CallerSubmitted) isForwarderInput()   {}
 func (*CallerAsked) isForwarderInput()       {}
--- a/pkg/forwarder/replicas.go
+++ b/pkg/forwarder/replicas.go
@@ -241,7 +241,7 @@
 		}
 		replica := &messenger.Replica{Record: forwarder.recordOf(front), Answer: answer}
 		replica.Record.Answered = answer != nil
-		if held != nil {
+		if held != nil && held.record.SpilledTo != "" {
 			replica.Record.SpilledTo = held.record.SpilledTo
 		}
 		return replica
