Take no job from a home lead that another has replaced

Epochs fenced a deposed lead's starts at its own backend servers, not what it hands to others. Ruled out: lost memory; the job's caller host and its new lead lived all the time. Change: a hand-over carries the home lead's epoch; a lead that knows another home lead of a higher epoch drops it, and learns of a higher one from it. A lead that has not heard of the successor yet still takes the job.

--- a/pkg/dispatcher/guests.go
+++ b/pkg/dispatcher/guests.go
@@ -6,6 +6,9 @@
 // runs like a job of this one, but the answer goes to that lead.
 func (dispatcher *Dispatcher) admitGuest(input *SpillArrived) {
 	request := input.Request
+	if dispatcher.fromDeposedLead(input) {
+		return
+	}
 	cell := dispatcher.cells.Get(messenger.CellOf(request.Job.Submission, dispatcher.Settings.Cells))
 	if cell == nil {
 		// The sender asks again once it learns who leads the cell now.
@@ -33,6 +36,32 @@
 	}
 }
 
+// fromDeposedLead tells whether a job comes from a home lead that another one has
+// replaced.
+//
+// Backend servers at home refuse the starts of a deposed lead, which may be cut off and
+// not know it. Those here follow this host's epoch. If this host took the job, it would
+// run here although the new home lead has run it, or will: two starts of one task, in
+// two failure domains. Nothing is answered, as the sender can do nothing with it; it
+// loses its cell when it learns of the other lead.
+func (dispatcher *Dispatcher) fromDeposedLead(input *SpillArrived) bool {
+	job, epoch := input.Request.Job, input.Request.Epoch
+	key := remoteKey{failureDomain: job.Home(), cell: messenger.CellOf(job.Submission, dispatcher.Settings.Cells)}
+	known := dispatcher.remotes.Get(key)
+	if epoch == 0 {
+		return false
+	}
+	if known != nil && known.host != input.From && epoch < known.epoch {
+		return true
+	}
+	if known == nil || known.epoch < epoch {
+		dispatcher.recordRemoteLead(&RemoteLeadKnown{Notice: messenger.LeadNotice{
+			FailureDomain: key.failureDomain, Cell: key.cell, Host: input.From, Epoch: epoch,
+		}})
+	}
+	return false
+}
+
 // answerHomeLead answers a home lead that asks for a job again; it may be a new
 // one.
 func (dispatcher *Dispatcher) answerHomeLead(known *job, input *SpillArrived) {
--- /dev/null
+++ b/pkg/dispatcher/guests_test.go
@@ -0,0 +1,53 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher/fake"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestDeposedLeadHandsNothingOver: symptom: a task starts at home and again in another
+// failure domain. Sequence: a home lead is cut off and replaced; the new one runs a
+// job; the old one, back and not yet aware, finds the forwarded job in its connection
+// and no backend server at hand, and hands it over. Cause: epochs fenced the starts of
+// a deposed lead at its own backend servers, not what it hands to others. A lead whose
+// successor this host doesn't know yet is served.
+func TestDeposedLeadHandsNothingOver(t *testing.T) {
+	const home = identifier.FailureDomain("home")
+	for name, test := range map[string]struct {
+		from   identifier.HostID
+		epoch  identifier.Epoch
+		starts int
+	}{
+		"deposed":     {"home-0", 4, 0},
+		"known":       {"home-1", 7, 1},
+		"newer":       {"home-2", 9, 1},
+		"no epoch":    {"home-0", 0, 1},
+		"older known": {"home-1", 6, 1},
+	} {
+		lead := &dispatcher.Dispatcher{Self: "entry-0", FailureDomain: fake.Domain, Settings: dispatcher.DefaultSettings()}
+		lead.Tick(0, []dispatcher.Input{
+			&dispatcher.LeadTaken{Epoch: 2, Hosts: []identifier.HostID{"entry-0"}},
+			&dispatcher.TakeoverReplied{From: "entry-0", Reply: messenger.TakeoverReply{Epoch: 2}},
+			&dispatcher.RemoteLeadKnown{Notice: messenger.LeadNotice{FailureDomain: home, Host: "home-1", Epoch: 7}},
+			&dispatcher.ServerAnnounced{Server: "server-0", Incarnation: 1, Slots: 8},
+			&dispatcher.ServerReported{Server: "server-0", Epoch: 2},
+		})
+		job := newJob("s-1", "a", "counter", equalRuns(1, 0), nil)
+		job.MayRun = []identifier.FailureDomain{home, fake.Domain}
+		request := messenger.SpillRequest{Job: job, Mode: messenger.SpillRun, Epoch: test.epoch}
+		starts := 0
+		arrived := &dispatcher.SpillArrived{From: test.from, Request: request, Deadline: identifier.Never}
+		for _, output := range lead.Tick(1, []dispatcher.Input{arrived}) {
+			if batch, isBatch := output.(*dispatcher.ToServer); isBatch {
+				starts += len(batch.Starts)
+			}
+		}
+		if starts != test.starts {
+			t.Errorf("%s: %d starts, want %d", name, starts, test.starts)
+		}
+	}
+}
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -11,11 +11,12 @@
 
 // A job of which nothing has started may be handed whole to the lead of another
 // failure domain in its may-run. Its record stays at home: the home lead alone
-// answers it. Three rules keep the promises:
+// answers it. Four rules keep the promises:
 //   - Before the job leaves, a second host of the home remembers where it goes. A
 //     new home lead then asks there before it starts anything.
 //   - What was handed over starts at home only after a refusal that says "not run".
 //   - The lead that got it never hands it on, so nothing goes back and forth.
+//   - A lead takes nothing from a home lead that another has replaced.
 
 // spillTarget returns the lead that should get a fresh job, or nil: one whose free
 // slots take all its tasks at once, while at home it would wait for longer than the
@@ -109,6 +110,7 @@
 		Again:     job.again,
 		Age:       dispatcher.now.Sub(job.firstForwarded),
 		Mode:      mode,
+		Epoch:     dispatcher.cells.Get(job.cell).epoch,
 	}})
 }
 
--- a/pkg/messenger/spill.go
+++ b/pkg/messenger/spill.go
@@ -39,4 +39,7 @@
 	// Age is how long ago the job was forwarded for the first time.
 	Age  time.Duration `cbor:"4,keyasint,omitempty"`
 	Mode SpillMode     `cbor:"5,keyasint,omitempty"`
+	// Epoch is the epoch of the home lead that sends it; zero from hosts that run an
+	// earlier version.
+	Epoch identifier.Epoch `cbor:"6,keyasint,omitempty"`
 }
