Ask other failure domains for the jobs of a home that has lost its records

Three more things kept a lead from seeing that it misses two hosts: a host that was awaited in the takeover and died was dropped, not counted as missing; a host that had started again with an empty memory answered for what its former process knew; and a host that had started again just before the takeover was not remembered as such. Change: a lead that may miss records (two hosts dead, or lately emptied) asks the leads of the other failure domains for the jobs of its home (GuestQuery, GuestReply) and starts nothing before their replies, for at most 6 times 0.5 s; a lead that is out of reach is not waited for. What they tell is merged with the takeover's records, so such a job is asked for there. A reply has at most 50,000 records. HostReturned tells of an emptied host, TakeoverReply of those that another host saw; they count for answer retention and an hour. A lead that was asked takes nothing more from an earlier lead of that home.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -114,7 +114,8 @@
 	lived := change.Old != nil && change.Old.Living() && !restarted
 	switch host := change.New.Member.Host; {
 	case change.New.Living() && !lived:
-		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host})
+		emptied := restarted && change.Old.Status != gossiper.StatusLeft
+		coordinator.tellDispatcher(&dispatcher.HostReturned{Host: host, Emptied: emptied})
 	case !change.New.Living() && lived && !coordinator.leaver(change.New):
 		left := change.New.Status == gossiper.StatusLeft
 		coordinator.tellDispatcher(&dispatcher.HostGone{Host: host, Left: left})
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -275,6 +275,8 @@
 	Spill             *messenger.SpillRequest   `cbor:"21,keyasint,omitempty"`
 	SpillAnswer       *messenger.JobAnswer      `cbor:"22,keyasint,omitempty"`
 	SpillReceipt      identifier.SubmissionID   `cbor:"23,keyasint,omitempty"`
+	GuestQuery        *messenger.GuestQuery     `cbor:"24,keyasint,omitempty"`
+	GuestReply        *messenger.GuestReply     `cbor:"25,keyasint,omitempty"`
 	Replicas          []messenger.Replica       `cbor:"30,keyasint,omitempty"`
 	ReplicaReceipt    *messenger.ReplicaReceipt `cbor:"31,keyasint,omitempty"`
 	LookupReply       *messenger.LookupReply    `cbor:"32,keyasint,omitempty"`
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -121,6 +121,10 @@
 		coordinator.tellDispatcher(&dispatcher.SpillArrived{From: from, Request: *message.Spill, Deadline: deadline})
 	case message.SpillAnswer != nil:
 		coordinator.tellDispatcher(&dispatcher.SpillAnswered{From: from, Answer: message.SpillAnswer})
+	case message.GuestQuery != nil:
+		coordinator.tellDispatcher(&dispatcher.GuestsQueried{From: from, Query: *message.GuestQuery})
+	case message.GuestReply != nil:
+		coordinator.receiveGuests(from, message.GuestReply)
 	case message.AnswerCopy != nil:
 		coordinator.tellForwarder(&forwarder.AnswerCopyArrived{From: from, Copy: *message.AnswerCopy})
 	case message.AnswerCopyReceipt != "":
@@ -192,6 +196,14 @@
 	})
 }
 
+// receiveGuests learns which jobs of this host's home another failure domain has had.
+// The forwarder keeps the records, as those of a takeover: the next lead may ask here
+// when it has none of its own.
+func (coordinator *Coordinator) receiveGuests(from identifier.HostID, reply *messenger.GuestReply) {
+	coordinator.tellDispatcher(&dispatcher.GuestsListed{From: from, Reply: *reply})
+	coordinator.tellForwarder(&forwarder.RecordsLearned{From: from, Partner: from, Records: reply.Records})
+}
+
 // receiveForward has a job from another failure domain remembered by a neighbour
 // before it may start.
 func (coordinator *Coordinator) receiveForward(from identifier.HostID, forward *messenger.Forward) {
@@ -278,6 +290,7 @@
 	case *forwarder.HolderAnswered:
 		coordinator.tellDispatcher(&dispatcher.HolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
 	case *forwarder.ReplyTakeover:
+		output.Reply.Emptied = coordinator.dispatcher.Emptied(coordinator.now)
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
 			return
@@ -386,6 +399,10 @@
 		coordinator.outputs.toPeer(output.To, PeerMessage{SpillReceipt: output.Submission})
 	case *dispatcher.CancelSpill:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Cancel: &output.Cancel})
+	case *dispatcher.GuestsWanted:
+		coordinator.outputs.toPeer(output.To, PeerMessage{GuestQuery: &output.Query})
+	case *dispatcher.GuestsTold:
+		coordinator.outputs.toPeer(output.To, PeerMessage{GuestReply: &output.Reply})
 	case *dispatcher.EpochSeen:
 		coordinator.tellElector(elector.EpochSeen{Cell: output.Cell, Epoch: output.Epoch})
 	}
--- a/pkg/dispatcher/confirming.go
+++ b/pkg/dispatcher/confirming.go
@@ -74,11 +74,14 @@
 // without would take the submissions of that host for new.
 func (dispatcher *Dispatcher) retryTakeover(cell *cell) {
 	cell.takeoverAttempts++
-	if len(cell.awaitedHosts) == 0 || cell.takeoverAttempts >= mostTakeoverAttempts {
+	if cell.takeoverAttempts >= mostTakeoverAttempts {
 		for host := range cell.awaitedHosts {
 			cell.missingHosts[host] = true
 		}
 		clear(cell.awaitedHosts)
+	}
+	dispatcher.askGuestsAgain(cell)
+	if len(cell.awaitedHosts) == 0 && len(cell.awaitedDomains) == 0 {
 		dispatcher.finishTakeover(cell)
 		return
 	}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -108,6 +108,9 @@
 	outputs   outbox
 	// lostHosts are the hosts of the failure domain that are out of sight.
 	lostHosts map[identifier.HostID]bool
+	// emptiedUntil is until when a host of the failure domain that has lost its memory
+	// counts as lost in a takeover; this one is among them after its start.
+	emptiedUntil map[identifier.HostID]identifier.Moment
 	// remotes are the leads of other failure domains.
 	remotes *tabulator.Table[remoteKey, remote]
 	// assessor judges servers by outcomes, the events of this tick.
@@ -151,6 +154,7 @@
 	dispatcher.startedAt = now
 	dispatcher.explainer.Bound = dispatcher.Settings.ExplainedSteps
 	dispatcher.lostHosts = make(map[identifier.HostID]bool)
+	dispatcher.emptiedUntil = map[identifier.HostID]identifier.Moment{dispatcher.Self: now.Add(recopyTime)}
 	dispatcher.assessor = &assessor.Assessor{Settings: dispatcher.Settings.Health}
 	dispatcher.cells = tabulator.New[messenger.CellNumber, cell]()
 	dispatcher.servers = tabulator.New[serverKey, server]()
@@ -178,6 +182,10 @@
 		dispatcher.sendSpilled(input)
 	case *SpillArrived:
 		dispatcher.admitGuest(input)
+	case *GuestsQueried:
+		dispatcher.tellGuests(input)
+	case *GuestsListed:
+		dispatcher.recordGuests(input)
 	case *SpillAnswered:
 		dispatcher.recordSpillAnswer(input)
 	case *HolderAnswered:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -25,6 +25,14 @@
 	takeoverAttempts int
 	// missingHosts could not be asked at the takeover.
 	missingHosts map[identifier.HostID]bool
+	// emptiedHosts have lost their memory before this lead had all of it, and live.
+	emptiedHosts map[identifier.HostID]bool
+	// awaitedDomains are the failure domains that were asked for this home's jobs and
+	// have not answered; toldDomains are those that have.
+	awaitedDomains map[identifier.FailureDomain]bool
+	toldDomains    map[identifier.FailureDomain]bool
+	// guestAttempts counts how often failure domains were asked.
+	guestAttempts int
 	// recovered lists the submissions that other hosts knew at the takeover.
 	recovered map[identifier.SubmissionID]recoveredRecord
 	// orphans are the tasks that backend servers reported for submissions whose
@@ -53,7 +61,15 @@
 
 // mayMissRecords tells whether a submission may be known to missing hosts only.
 // Then nobody here can say of any submission that it did not run.
-func (cell *cell) mayMissRecords() bool { return len(cell.missingHosts) >= holdersOfRecord }
+func (cell *cell) mayMissRecords() bool {
+	lost := len(cell.missingHosts)
+	for host := range cell.emptiedHosts {
+		if !cell.missingHosts[host] {
+			lost++
+		}
+	}
+	return lost >= holdersOfRecord
+}
 
 // recoveredRecord is what another host knew of a submission at the takeover.
 type recoveredRecord struct {
@@ -223,6 +239,8 @@
 	timerRelease
 	// timerSweep forgets recovered records whose retention is over.
 	timerSweep
+	// timerEmptied ends the doubt because of hosts that have lost their memory.
+	timerEmptied
 )
 
 // timerKey names one deadline.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -29,6 +29,8 @@
 		dispatcher.releaseClaim(key.submission)
 	case timerSweep:
 		dispatcher.sweepRecovered(key.cell)
+	case timerEmptied:
+		dispatcher.endDoubt(key.cell)
 	case timerConfirm:
 		dispatcher.confirmAgain(key.submission)
 	case timerSpill:
--- a/pkg/dispatcher/guests.go
+++ b/pkg/dispatcher/guests.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "github.com/stoathitch/stoathitch/pkg/messenger"
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
 
 // admitGuest takes a job from the lead of its home in another failure domain. It
 // runs like a job of this one, but the answer goes to that lead.
@@ -47,16 +50,19 @@
 func (dispatcher *Dispatcher) fromDeposedLead(input *SpillArrived) bool {
 	job, epoch := input.Request.Job, input.Request.Epoch
 	key := remoteKey{failureDomain: job.Home(), cell: messenger.CellOf(job.Submission, dispatcher.Settings.Cells)}
+	return epoch != 0 && dispatcher.deposed(key, input.From, epoch)
+}
+
+// deposed tells whether another lead of a higher epoch than the sender's is known. A
+// sender with the highest epoch so far is known from now on.
+func (dispatcher *Dispatcher) deposed(key remoteKey, from identifier.HostID, epoch identifier.Epoch) bool {
 	known := dispatcher.remotes.Get(key)
-	if epoch == 0 {
-		return false
-	}
-	if known != nil && known.host != input.From && epoch < known.epoch {
+	if known != nil && known.host != from && epoch < known.epoch {
 		return true
 	}
 	if known == nil || known.epoch < epoch {
 		dispatcher.recordRemoteLead(&RemoteLeadKnown{Notice: messenger.LeadNotice{
-			FailureDomain: key.failureDomain, Cell: key.cell, Host: input.From, Epoch: epoch,
+			FailureDomain: key.failureDomain, Cell: key.cell, Host: from, Epoch: epoch,
 		}})
 	}
 	return false
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -63,6 +63,21 @@
 	Answer *messenger.JobAnswer
 }
 
+// GuestsQueried asks which jobs of a home this lead has had.
+type GuestsQueried struct {
+	From  identifier.HostID
+	Query messenger.GuestQuery
+}
+
+// GuestsListed brings the jobs of this home that the lead of another failure domain
+// has had.
+type GuestsListed struct {
+	From  identifier.HostID
+	Reply messenger.GuestReply
+}
+
+func (*GuestsQueried) isDispatcherInput()     {}
+func (*GuestsListed) isDispatcherInput()      {}
 func (*RemoteLeadKnown) isDispatcherInput()   {}
 func (*RemoteReconnected) isDispatcherInput() {}
 func (*LoadNoticed) isDispatcherInput()       {}
@@ -73,6 +88,9 @@
 // HostReturned tells that a host of the failure domain can be reached (again).
 type HostReturned struct {
 	Host identifier.HostID
+	// Emptied tells that it runs a new process, and that the one before has handed
+	// nothing over.
+	Emptied bool
 }
 
 // HostGone tells that a host of the failure domain can't be reached any more.
--- a/pkg/dispatcher/output.go
+++ b/pkg/dispatcher/output.go
@@ -102,6 +102,20 @@
 	Cancel messenger.Cancel
 }
 
+// GuestsWanted asks the lead of another failure domain for this home's jobs.
+type GuestsWanted struct {
+	To    identifier.HostID
+	Query messenger.GuestQuery
+}
+
+// GuestsTold tells a home lead which of its jobs this lead has had.
+type GuestsTold struct {
+	To    identifier.HostID
+	Reply messenger.GuestReply
+}
+
+func (*GuestsWanted) isDispatcherOutput()   {}
+func (*GuestsTold) isDispatcherOutput()     {}
 func (*LoadTold) isDispatcherOutput()       {}
 func (*RecordSpill) isDispatcherOutput()    {}
 func (*SpillJob) isDispatcherOutput()       {}
--- a/pkg/dispatcher/remotes.go
+++ b/pkg/dispatcher/remotes.go
@@ -75,6 +75,9 @@
 		cell.toldFree = -1
 	}
 	dispatcher.askRemote(remote)
+	if cell := dispatcher.cells.Get(remote.key.cell); cell != nil {
+		dispatcher.askGuestsOf(cell, remote)
+	}
 }
 
 func (dispatcher *Dispatcher) loseRemote(remote *remote) {
@@ -84,6 +87,10 @@
 	remote.unreachable = true
 	remote.free = 0
 	dispatcher.suspectSpilled(remote)
+	if cell := dispatcher.cells.Get(remote.key.cell); cell != nil {
+		delete(cell.awaitedDomains, remote.key.failureDomain)
+		dispatcher.finishTakeoverIfComplete(cell)
+	}
 }
 
 // askReconnected asks again after a new connection: what was under way on the old
--- a/pkg/dispatcher/returns.go
+++ b/pkg/dispatcher/returns.go
@@ -12,7 +12,13 @@
 		return
 	}
 	dispatcher.noteHost(input.Host, false)
+	if input.Emptied {
+		dispatcher.emptiedUntil[input.Host] = dispatcher.now.Add(recopyTime)
+	}
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		if input.Emptied {
+			dispatcher.noteEmptied(cell, input.Host)
+		}
 		if !cell.ready {
 			cell.awaitedHosts[input.Host] = true
 		}
@@ -22,11 +28,16 @@
 	})
 }
 
-// stopAwaitingHost goes on without a host that is gone.
+// stopAwaitingHost goes on without a host that is gone. What it has not told is
+// missing, unless it has handed that over before it left.
 func (dispatcher *Dispatcher) stopAwaitingHost(input *HostGone) {
 	dispatcher.noteHost(input.Host, !input.Left)
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		if cell.awaitedHosts[input.Host] && !input.Left {
+			cell.missingHosts[input.Host] = true
+		}
 		delete(cell.awaitedHosts, input.Host)
+		dispatcher.askGuests(cell)
 		dispatcher.finishTakeoverIfComplete(cell)
 		return true
 	})
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -23,6 +23,9 @@
 		awaitedHosts:   make(map[identifier.HostID]bool),
 		awaitedServers: make(map[identifier.BackendServerID]bool),
 		missingHosts:   make(map[identifier.HostID]bool),
+		emptiedHosts:   make(map[identifier.HostID]bool),
+		awaitedDomains: make(map[identifier.FailureDomain]bool),
+		toldDomains:    make(map[identifier.FailureDomain]bool),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(dispatcher.selection(input.Cell)),
@@ -37,6 +40,8 @@
 	for _, host := range input.Missing {
 		cell.missingHosts[host] = true
 	}
+	dispatcher.countAllEmptied(cell)
+	dispatcher.askGuests(cell)
 	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if server.cell == cell.number && server.connected {
 			dispatcher.fence(cell, server)
@@ -66,6 +71,7 @@
 	}
 	dispatcher.cells.Remove(input.Cell)
 	dispatcher.timers.Clear(timerKey{kind: timerTakeover, cell: input.Cell})
+	dispatcher.timers.Clear(timerKey{kind: timerEmptied, cell: input.Cell})
 	dispatcher.jobs.Each(func(_ identifier.SubmissionID, job *job) bool {
 		if job.cell == input.Cell {
 			dispatcher.forget(job)
@@ -90,6 +96,10 @@
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
 	dispatcher.adoptAnswers(cell, input.Reply.Records)
+	for _, host := range input.Reply.Emptied {
+		dispatcher.countEmptied(cell, host)
+	}
+	dispatcher.askGuests(cell)
 	delete(cell.awaitedHosts, input.From)
 	delete(cell.missingHosts, input.From)
 	dispatcher.finishTakeoverIfComplete(cell)
@@ -231,7 +241,7 @@
 }
 
 func (dispatcher *Dispatcher) finishTakeoverIfComplete(cell *cell) {
-	if cell.ready || len(cell.awaitedHosts) > 0 || len(cell.awaitedServers) > 0 {
+	if cell.ready || len(cell.awaitedHosts) > 0 || len(cell.awaitedServers) > 0 || len(cell.awaitedDomains) > 0 {
 		return
 	}
 	dispatcher.finishTakeover(cell)
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -90,6 +90,9 @@
 	Cell    CellNumber       `cbor:"1,keyasint"`
 	Epoch   identifier.Epoch `cbor:"2,keyasint"`
 	Records []CopyRecord     `cbor:"3,keyasint,omitempty"`
+	// Emptied are the other hosts of which the sender has lately seen that they lost
+	// their memory. A host that has just started can't know that of those beside it.
+	Emptied []identifier.HostID `cbor:"4,keyasint,omitempty"`
 }
 
 // LeadNotice tells who leads a cell.
--- a/pkg/messenger/spill.go
+++ b/pkg/messenger/spill.go
@@ -43,3 +43,20 @@
 	// earlier version.
 	Epoch identifier.Epoch `cbor:"6,keyasint,omitempty"`
 }
+
+// GuestQuery asks the lead of another failure domain which jobs of a home it has had.
+type GuestQuery struct {
+	// FailureDomain, Cell and Epoch are those of the home lead that asks.
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint"`
+	Cell          CellNumber               `cbor:"2,keyasint,omitempty"`
+	Epoch         identifier.Epoch         `cbor:"3,keyasint"`
+}
+
+// GuestReply answers a GuestQuery.
+type GuestReply struct {
+	// FailureDomain is the one that was asked, Cell and Epoch are those of the query.
+	FailureDomain identifier.FailureDomain `cbor:"1,keyasint"`
+	Cell          CellNumber               `cbor:"2,keyasint,omitempty"`
+	Epoch         identifier.Epoch         `cbor:"3,keyasint"`
+	Records       []CopyRecord             `cbor:"4,keyasint,omitempty"`
+}
