Wait for a failure domain that may have had a job, and let hosts speak for their own jobs only

The third host knew the job from a resend, not where it went, and its lead took what no backend server at home had for not started. And a host with good keys could name itself the lead of another home by a hand-over or a question, now that leads learn from these. Change: where records may be missing, a job that an earlier lead may have started is asked for at each known failure domain of its may-run that has not told its guests yet; it waits as a job that was handed over does, and ends as "nobody can tell" after the unknown-task wait (not as failed: an earlier lead may have answered it). Hand-overs, questions and lists are refused from hosts of other failure domains than they name. Not covered: a job that looks new starts while another failure domain is out of reach.

--- a/pkg/connector/speaking.go
+++ b/pkg/connector/speaking.go
@@ -75,6 +75,15 @@
 	if notice := message.Load; notice != nil && notice.FailureDomain != speaker.failureDomain {
 		return speaker.refused("tells the load of failure domain %q", notice.FailureDomain)
 	}
+	if spill := message.Spill; spill != nil && (spill.Job == nil || spill.Job.Home() != speaker.failureDomain) {
+		return speaker.refused("hands over a job of another failure domain")
+	}
+	if query := message.GuestQuery; query != nil && query.FailureDomain != speaker.failureDomain {
+		return speaker.refused("asks for the jobs of failure domain %q", query.FailureDomain)
+	}
+	if reply := message.GuestReply; reply != nil && reply.FailureDomain != speaker.failureDomain {
+		return speaker.refused("tells of jobs that failure domain %q has had", reply.FailureDomain)
+	}
 	if sync := message.IntentSync; sync != nil && sync.FailureDomain != speaker.failureDomain {
 		return speaker.refused("tells of the workers of failure domain %q", sync.FailureDomain)
 	}
--- a/pkg/connector/speaking_test.go
+++ b/pkg/connector/speaking_test.go
@@ -39,6 +39,13 @@
 		{name: "another's cell", message: coordinator.PeerMessage{LeadNotice: &messenger.LeadNotice{FailureDomain: "thu-duc"}}, refused: true},
 		{name: "own workers", message: coordinator.PeerMessage{IntentSync: &coordinator.IntentSync{FailureDomain: "tan-binh"}}},
 		{name: "another's workers", message: coordinator.PeerMessage{IntentSync: &coordinator.IntentSync{FailureDomain: "thu-duc"}}, refused: true},
+		{name: "own job", message: coordinator.PeerMessage{Spill: &messenger.SpillRequest{Job: jobOf("tan-binh", "thu-duc")}}},
+		{name: "another's job", message: coordinator.PeerMessage{Spill: &messenger.SpillRequest{Job: jobOf("thu-duc", "tan-binh")}}, refused: true},
+		{name: "no job", message: coordinator.PeerMessage{Spill: &messenger.SpillRequest{}}, refused: true},
+		{name: "own jobs elsewhere", message: coordinator.PeerMessage{GuestQuery: &messenger.GuestQuery{FailureDomain: "tan-binh"}}},
+		{name: "another's jobs", message: coordinator.PeerMessage{GuestQuery: &messenger.GuestQuery{FailureDomain: "thu-duc"}}, refused: true},
+		{name: "own guests", message: coordinator.PeerMessage{GuestReply: &messenger.GuestReply{FailureDomain: "tan-binh"}}},
+		{name: "another's guests", message: coordinator.PeerMessage{GuestReply: &messenger.GuestReply{FailureDomain: "thu-duc"}}, refused: true},
 		{name: "another's load", message: coordinator.PeerMessage{Load: &messenger.LoadNotice{FailureDomain: "thu-duc"}}, refused: true},
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -54,3 +61,6 @@
 		})
 	}
 }
+
+// jobOf returns a job that may run in some failure domains, its home first.
+func jobOf(mayRun ...identifier.FailureDomain) *messenger.Job { return &messenger.Job{MayRun: mayRun} }
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -61,8 +61,8 @@
 		return
 	}
 	if job.state == jobSpilled {
-		dispatcher.failJob(job, messenger.ReasonTaskUnknown,
-			"the job was handed to failure domain "+string(job.spilledTo)+", which is out of reach")
+		dispatcher.giveUpSpilled(job, "the job was handed to failure domain "+string(job.spilledTo)+
+			", or may have been, which is out of reach")
 		return
 	}
 	for index := range job.tasks {
--- a/pkg/dispatcher/lostguests.go
+++ b/pkg/dispatcher/lostguests.go
@@ -109,6 +109,22 @@
 	dispatcher.finishTakeoverIfComplete(cell)
 }
 
+// untoldDomain returns a failure domain that an earlier lead may have handed a job to and
+// that has not told which jobs it has had; empty where there is none. Nothing of the job
+// is started before that one tells, or the wait for unknown tasks is over.
+func (dispatcher *Dispatcher) untoldDomain(cell *cell, job *job) identifier.FailureDomain {
+	if job.guestOf != "" || !cell.mayMissRecords() {
+		return ""
+	}
+	for _, domain := range job.spec.MayRun {
+		known := dispatcher.remotes.Get(remoteKey{failureDomain: domain, cell: cell.number}) != nil
+		if known && domain != dispatcher.FailureDomain && !cell.toldDomains[domain] {
+			return domain
+		}
+	}
+	return ""
+}
+
 // noteEmptied notes that a host has lost its memory before this lead had all of it.
 // Its new process answers the takeover with nothing, and that must not pass for what
 // the old one knew.
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -37,6 +37,10 @@
 		dispatcher.askSpilled(job, recovered.record.SpilledTo)
 		return
 	}
+	if domain := dispatcher.untoldDomain(cell, job); domain != "" && found == nil && job.failure == nil && !job.hasStarted() {
+		dispatcher.askSpilled(job, domain)
+		return
+	}
 	delete(cell.orphans, job.spec.Submission)
 	dispatcher.resume(cell, job, found)
 }
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -182,13 +182,23 @@
 	case input.Answer.NotRun:
 		dispatcher.resume(cell, job, nil)
 	case input.Answer.Outcome == messenger.OutcomeRefused:
-		dispatcher.failJob(job, messenger.ReasonTaskUnknown,
-			"failure domain "+string(job.spilledTo)+" can't tell what became of the job")
+		dispatcher.giveUpSpilled(job, "failure domain "+string(job.spilledTo)+" can't tell what became of the job")
 	default:
 		dispatcher.finish(job, input.Answer)
 	}
 }
 
+// giveUpSpilled ends a job that another failure domain has or may have had, and that
+// can't be learned about. Where records may be missing, an earlier lead may have answered
+// it: a caller that had heard "complete" must not hear "failed".
+func (dispatcher *Dispatcher) giveUpSpilled(job *job, detail string) {
+	if job.spillMode == messenger.SpillAsk && dispatcher.cells.Get(job.cell).mayMissRecords() {
+		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, messenger.ReasonTaskUnknown, detail))
+		return
+	}
+	dispatcher.failJob(job, messenger.ReasonTaskUnknown, detail)
+}
+
 // stopSpilled cancels a job that was handed over.
 func (dispatcher *Dispatcher) stopSpilled(job *job) {
 	if target := dispatcher.remoteOf(job); target != nil {
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/generator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/tracer"
 )
 
@@ -41,8 +42,8 @@
 //   - 123: both hosts that knew a job which ran in another failure domain were lost.
 //   - 115: a deposed lead told its caller another answer than the new lead had given,
 //     because a host that had the new lead's confirmed the deposed one's as well.
-//   - 246: both hosts that knew a job were lost, and its backend server had forgotten
-//     the answer, which was acknowledged.
+//   - 246: as 123, while the other failure domain was cut off; and what
+//     TestAcknowledgedAnswerOutlivesBothHosts shows.
 //   - 169: two hosts of the same failure domain were lost.
 func TestKeptSeeds(t *testing.T) {
 	for _, seed := range []uint64{43, 88, 110, 115, 123, 169, 246, 258} {
@@ -54,6 +55,23 @@
 	}
 }
 
+// TestAcknowledgedAnswerOutlivesBothHosts. Symptom: a task starts a second time at home.
+// Sequence: seed 246 with two of its faults: a job ends and its answer stands at two hosts
+// of the home, so its backend server forgets it; both hosts are lost, and the job is sent
+// again. Cause: nobody is left who knows that it has run.
+func TestAcknowledgedAnswerOutlivesBothHosts(t *testing.T) {
+	var others []tracer.Event
+	for _, fault := range randomParameters(246).Faults {
+		isolated, dies := fault.Kind() == tracer.KindEntryHostIsolated, fault.Kind() == tracer.KindEntryHostDies
+		if !isolated && !dies || fault.Moment() > identifier.Moment(7*time.Second) {
+			others = append(others, fault)
+		}
+	}
+	for _, violation := range replayRandom(t, 246, others) {
+		t.Error(violation)
+	}
+}
+
 func randomParameters(seed uint64) *generator.Parameters {
 	parameters := generator.PhucTin(seed)
 	parameters.Deployment.ExecutorsPerFailureDomain = 4
