Count a full list of guests as incomplete; describe what a lead does that misses two hosts

Cause: a reply with as many records as it may have passed for complete. Change: it doesn't count as told, so jobs that an earlier lead may have started are asked for by themselves.

--- a/pkg/dispatcher/lostguests.go
+++ b/pkg/dispatcher/lostguests.go
@@ -20,7 +20,8 @@
 	// domains, TakeoverTimeout each time: as long as it waits for hosts.
 	mostGuestAttempts = mostTakeoverAttempts
 	// mostGuestsTold bounds a reply, to about 5 MB at 100 bytes a record. It is above
-	// what a cell takes from others within the answer retention at 70 jobs a second.
+	// what a cell takes from others within the answer retention at 70 jobs a second. A
+	// reply that has so many does not count as complete.
 	mostGuestsTold = 50_000
 	// recopyTime is how long after a host has lost its memory the other holders of its
 	// records may not have copied them elsewhere, because they are gone or cut off
@@ -104,7 +105,7 @@
 	for _, record := range input.Reply.Records {
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
-	cell.toldDomains[input.Reply.FailureDomain] = true
+	cell.toldDomains[input.Reply.FailureDomain] = len(input.Reply.Records) < mostGuestsTold
 	delete(cell.awaitedDomains, input.Reply.FailureDomain)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
--- /dev/null
+++ b/pkg/dispatcher/lostguests_test.go
@@ -0,0 +1,46 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher/fake"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestFullListOfGuestsIsNotComplete: symptom: a job runs at home although another failure
+// domain has it. Sequence: a lead that misses two hosts asks for the home's jobs, and the
+// reply has as many as it may; a job that an earlier lead knew is not among them. Cause
+// guarded against: a list that was cut off passes for complete. The job is asked for by
+// itself.
+func TestFullListOfGuestsIsNotComplete(t *testing.T) {
+	const away = identifier.FailureDomain("away")
+	for told, asked := range map[int]int{1: 0, 50_000: 1} {
+		reply := messenger.GuestReply{FailureDomain: away, Epoch: 2}
+		for number := range told {
+			submission := identifier.SubmissionID(fmt.Sprintf("other-%d", number))
+			reply.Records = append(reply.Records, messenger.CopyRecord{Submission: submission, SpilledTo: away})
+		}
+		job := newJob("s-1", "a", "counter", equalRuns(1, 0), nil)
+		job.MayRun = []identifier.FailureDomain{fake.Domain, away}
+		lead := &dispatcher.Dispatcher{Self: "entry-0", FailureDomain: fake.Domain, Settings: dispatcher.DefaultSettings()}
+		outputs := lead.Tick(0, []dispatcher.Input{
+			&dispatcher.RemoteLeadKnown{Notice: messenger.LeadNotice{FailureDomain: away, Host: "away-0", Epoch: 7}},
+			&dispatcher.LeadTaken{Epoch: 2, Hosts: []identifier.HostID{"entry-0"}, Missing: []identifier.HostID{"entry-1", "entry-2"}},
+			&dispatcher.TakeoverReplied{From: "entry-0", Reply: messenger.TakeoverReply{Epoch: 2}},
+			&dispatcher.GuestsListed{From: "away-0", Reply: reply},
+			&dispatcher.JobForwarded{From: "entry-0", Job: job, Deadline: identifier.Never, Again: true},
+		})
+		asks := 0
+		for _, output := range outputs {
+			if spill, isSpill := output.(*dispatcher.SpillJob); isSpill && spill.Request.Mode == messenger.SpillAsk {
+				asks++
+			}
+		}
+		if asks != asked {
+			t.Errorf("with %d told: asked %d times, want %d", told, asks, asked)
+		}
+	}
+}
