--- a/pkg/dispatcher/guests.go
+++ b/pkg/dispatcher/guests.go
@@ -1,11 +1,17 @@
 package dispatcher
 
-import "github.com/stoathitch/stoathitch/pkg/messenger"
+import (
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
 
 // admitGuest takes a job from the lead of its home in another failure domain. It
 // runs like a job of this one, but the answer goes to that lead.
 func (dispatcher *Dispatcher) admitGuest(input *SpillArrived) {
 	request := input.Request
+	if dispatcher.fromDeposedLead(input) {
+		return
+	}
 	cell := dispatcher.cells.Get(messenger.CellOf(request.Job.Submission, dispatcher.Settings.Cells))
 	if cell == nil {
 		// The sender asks again once it learns who leads the cell now.
@@ -33,6 +39,35 @@
 	}
 }
 
+// fromDeposedLead tells whether a job comes from a home lead that another one has
+// replaced.
+//
+// Backend servers at home refuse the starts of a deposed lead, which may be cut off and
+// not know it. Those here follow this host's epoch. If this host took the job, it would
+// run here although the new home lead has run it, or will: two starts of one task, in
+// two failure domains. Nothing is answered, as the sender can do nothing with it; it
+// loses its cell when it learns of the other lead.
+func (dispatcher *Dispatcher) fromDeposedLead(input *SpillArrived) bool {
+	job, epoch := input.Request.Job, input.Request.Epoch
+	key := remoteKey{failureDomain: job.Home(), cell: messenger.CellOf(job.Submission, dispatcher.Settings.Cells)}
+	return epoch != 0 && dispatcher.deposed(key, input.From, epoch)
+}
+
+// deposed tells whether another lead of a higher epoch than the sender's is known. A
+// sender with the highest epoch so far is known from now on.
+func (dispatcher *Dispatcher) deposed(key remoteKey, from identifier.HostID, epoch identifier.Epoch) bool {
+	known := dispatcher.remotes.Get(key)
+	if known != nil && known.host != from && epoch < known.epoch {
+		return true
+	}
+	if known == nil || known.epoch < epoch {
+		dispatcher.recordRemoteLead(&RemoteLeadKnown{Notice: messenger.LeadNotice{
+			FailureDomain: key.failureDomain, Cell: key.cell, Host: from, Epoch: epoch,
+		}})
+	}
+	return false
+}
+
 // answerHomeLead answers a home lead that asks for a job again; it may be a new
 // one.
 func (dispatcher *Dispatcher) answerHomeLead(known *job, input *SpillArrived) {
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -11,11 +11,12 @@
 
 // A job of which nothing has started may be handed whole to the lead of another
 // failure domain in its may-run. Its record stays at home: the home lead alone
-// answers it. Three rules keep the promises:
+// answers it. Four rules keep the promises:
 //   - Before the job leaves, a second host of the home remembers where it goes. A
 //     new home lead then asks there before it starts anything.
 //   - What was handed over starts at home only after a refusal that says "not run".
 //   - The lead that got it never hands it on, so nothing goes back and forth.
+//   - A lead takes nothing from a home lead that another has replaced.
 
 // spillTarget returns the lead that should get a fresh job, or nil: one whose free
 // slots take all its tasks at once, while at home it would wait for longer than the
@@ -109,6 +110,7 @@
 		Again:     job.again,
 		Age:       dispatcher.now.Sub(job.firstForwarded),
 		Mode:      mode,
+		Epoch:     dispatcher.cells.Get(job.cell).epoch,
 	}})
 }
 
@@ -180,13 +182,23 @@
 	case input.Answer.NotRun:
 		dispatcher.resume(cell, job, nil)
 	case input.Answer.Outcome == messenger.OutcomeRefused:
-		dispatcher.failJob(job, messenger.ReasonTaskUnknown,
-			"failure domain "+string(job.spilledTo)+" can't tell what became of the job")
+		dispatcher.giveUpSpilled(job, "failure domain "+string(job.spilledTo)+" can't tell what became of the job")
 	default:
 		dispatcher.finish(job, input.Answer)
 	}
 }
 
+// giveUpSpilled ends a job that another failure domain has or may have had, and that
+// can't be learned about. Where records may be missing, an earlier lead may have answered
+// it: a caller that had heard "complete" must not hear "failed".
+func (dispatcher *Dispatcher) giveUpSpilled(job *job, detail string) {
+	if job.spillMode == messenger.SpillAsk && dispatcher.cells.Get(job.cell).mayMissRecords() {
+		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, messenger.ReasonTaskUnknown, detail))
+		return
+	}
+	dispatcher.failJob(job, messenger.ReasonTaskUnknown, detail)
+}
+
 // stopSpilled cancels a job that was handed over.
 func (dispatcher *Dispatcher) stopSpilled(job *job) {
 	if target := dispatcher.remoteOf(job); target != nil {
