End the three ways in which a run that nobody wants, or nobody hears of, is started again

Symptom: a task runs twice at the same time (kept cases of TestJobSentAgainWhereItsRunsAreUnknown, TestRunOnAServerThatTheNewLeadDoesNotReach, TestRunUnderTheLeasesOfOthers).

Causes, from their records, and what is changed: - A former lead that was not told of its end renews leases at a server that the new lead doesn't reach, which counts leases from its own taking. Now every host tells a lead that it follows its epoch (LeadFollowed, sent after the requests that name its runs), and leases at a server which has not answered under the epoch have no end before every host that might lead has said so. A quorum lease of the lead was ruled out for now: the hosts of a failure domain come and go, and a domain that has lost its majority must go on serving. The cost of the chosen rule: where the former lead is gone for good and a server as well, its runs stay unknown until their job's time. - A lease holds for all that runs on a server. Leads in turn renewed it for other jobs, and a run that nobody wanted lived on. Now nothing is renewed while a server lists such a run that is not stopped for certain; once all hosts have named their runs the rest is stopped at once in place of after 0.4 s, so that the others' leases are renewed in time. - A lead that had stood still granted room for what waited for it before it heard of its successor. Now a host whose own deadline passed 0.6 s ago gives its cells up first and listens.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -31,6 +31,10 @@
 	// the next epoch nothing is granted and no lease renewed, as that lead waits for the leases of
 	// this one where it is not heard, and doesn't know of later ones.
 	overtaken bool
+	// othersFollow tells that no other host gives leases under an earlier epoch any more.
+	othersFollow bool
+	// runsNamed tells that every living host has named its runs: nobody wants an orphan.
+	runsNamed bool
 	servers   *tabulator.Table[identifier.BackendServerID, server]
 	jobs      *tabulator.Table[identifier.JobID, job]
 	// waiting holds the jobs with tasks that have no room, in the order of placing.
@@ -135,6 +139,10 @@
 		allocator.takeLead(input.Epoch)
 	case *LeadLost:
 		allocator.loseLead()
+	case *OthersFollow:
+		allocator.takeFollowing(input.Following)
+	case *RunsNamed:
+		allocator.stopOrphans()
 	case *CardArrived:
 		allocator.takeCard(&input.Card)
 	case *CardRecalled:
@@ -190,7 +198,7 @@
 	allocator.dropLedger()
 	allocator.epoch = epoch
 	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
-		server.oldLeasesEnd = allocator.oldLeasesEnd()
+		server.oldLeasesEnd = allocator.oldLeasesEnd(server)
 		if !server.retired {
 			allocator.awaitForget(server)
 		}
@@ -227,6 +235,8 @@
 	})
 	allocator.orphans = 0
 	allocator.overtaken = false
+	allocator.othersFollow = false
+	allocator.runsNamed = false
 }
 
 func (allocator *Allocator) emit(output Output) {
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -68,6 +68,13 @@
 		data.ScanArgs(t, "epoch", &epoch)
 		scenario.epoch = identifier.Epoch(epoch)
 		inputs = append(inputs, &allocator.LeadTaken{Epoch: identifier.Epoch(epoch)})
+		if !data.HasArg("unfollowed") {
+			inputs = append(inputs, &allocator.OthersFollow{Following: true})
+		}
+	case "follow":
+		inputs = append(inputs, &allocator.OthersFollow{Following: !data.HasArg("not")})
+	case "named":
+		inputs = append(inputs, &allocator.RunsNamed{})
 	case "lead-lost":
 		inputs = append(inputs, &allocator.LeadLost{})
 	case "card":
--- a/pkg/allocator/holds.go
+++ b/pkg/allocator/holds.go
@@ -23,7 +23,7 @@
 	slack := holdSlack
 	if !server.silent && server.confirmed && len(server.runs) > 0 {
 		call.Wait = allocator.Settings.holdWait()
-		if server.hasWantedRun() && !allocator.overtaken {
+		if server.hasWantedRun() && !server.hasUnwantedRun() && !allocator.overtaken {
 			call.LeaseEnd = allocator.extendLease(server)
 		} else {
 			// A run that its host names now has a lease from the next call only.
@@ -147,12 +147,27 @@
 // server still listened, would go on when their runs are taken for over. The log would show
 // "lease lapsed" for a run that began less than a lease before.
 func (allocator *Allocator) coverOtherLeases(server *server) {
-	server.oldLeasesEnd = allocator.oldLeasesEnd()
+	server.oldLeasesEnd = allocator.oldLeasesEnd(server)
 	if server.silent {
 		allocator.timers.Set(lapseTimer(server.card.Server), server.lapsesAt(allocator.now))
 	}
 }
 
+// takeFollowing notes whether another host may still give leases under an earlier epoch, where
+// this one is not heard.
+func (allocator *Allocator) takeFollowing(following bool) {
+	if !allocator.Leads() || allocator.othersFollow == following {
+		return
+	}
+	allocator.othersFollow = following
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		if !server.confirmed {
+			allocator.coverOtherLeases(server)
+		}
+		return true
+	})
+}
+
 // lapse ends the runs of a silent server.
 func (allocator *Allocator) lapse(id identifier.BackendServerID) {
 	server := allocator.servers.Get(id)
--- a/pkg/allocator/lives.go
+++ b/pkg/allocator/lives.go
@@ -85,7 +85,7 @@
 	}
 	created := &server{card: *card, allowed: healthSlots, cardAt: allocator.now}
 	created.reset()
-	created.oldLeasesEnd = allocator.oldLeasesEnd()
+	created.oldLeasesEnd = allocator.oldLeasesEnd(created)
 	if card.Clock > 0 {
 		created.readClock(allocator.now, card.Clock)
 	}
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -16,6 +16,13 @@
 // LeadLost tells that another host leads the failure domain.
 type LeadLost struct{}
 
+// OthersFollow tells whether every other host that might lead the cell has said that it follows
+// this lead's epoch, or can't lead any more: none of them gives leases from now on.
+type OthersFollow struct{ Following bool }
+
+// RunsNamed tells that every living host has named the runs that its jobs still have.
+type RunsNamed struct{}
+
 // CardArrived brings what a backend server says about itself.
 type CardArrived struct{ Card messenger.ServerCard }
 
@@ -119,6 +126,8 @@
 
 func (*LeadTaken) isAllocatorInput()       {}
 func (*LeadLost) isAllocatorInput()        {}
+func (*OthersFollow) isAllocatorInput()    {}
+func (*RunsNamed) isAllocatorInput()       {}
 func (*CardArrived) isAllocatorInput()     {}
 func (*CardRecalled) isAllocatorInput()    {}
 func (*RoomRequested) isAllocatorInput()   {}
--- a/pkg/allocator/orphans.go
+++ b/pkg/allocator/orphans.go
@@ -28,10 +28,34 @@
 		allocator.stop(orphan, "sent again")
 		return
 	}
+	if allocator.runsNamed {
+		allocator.stop(orphan, "no host asks for it")
+		return
+	}
 	due := allocator.now.Add(allocator.Settings.OrphanWait)
 	allocator.timers.Set(stopTimer(orphan), due)
 }
 
+// stopOrphans stops what no host has named, once all have: while a server has such a run, the
+// leases of the others there are not renewed.
+func (allocator *Allocator) stopOrphans() {
+	if !allocator.Leads() || allocator.runsNamed {
+		return
+	}
+	allocator.runsNamed = true
+	if allocator.orphans == 0 {
+		return
+	}
+	allocator.servers.Each(func(_ identifier.BackendServerID, server *server) bool {
+		for _, run := range server.runsInOrder() {
+			if run.job == nil {
+				allocator.stop(run, "no host asks for it")
+			}
+		}
+		return true
+	})
+}
+
 // claim gives a run, mostly an orphan, to the job that asked for it.
 func (allocator *Allocator) claim(orphan *run, job *job) {
 	if !orphan.stopping {
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -131,9 +131,30 @@
 	return label == "" || slices.Contains(server.card.Labels, label)
 }
 
-// oldLeasesEnd is when every lease has lapsed that another lead may have given up to
-// now, by clocks as slow as they may be.
-func (allocator *Allocator) oldLeasesEnd() identifier.Moment {
+// hasUnwantedRun tells whether the server lists a run that no job wants and that has not been
+// stopped for certain. A lease holds for all that runs on a server: renewed for other jobs it
+// would keep that run at work from one lead to the next, until a lead which has not heard the
+// server is sent the job again. The log would show a run that lapses seconds after its stop.
+func (server *server) hasUnwantedRun() bool {
+	for _, run := range server.runs {
+		if run.confirmed && (run.job == nil || run.stopping && !run.stopAnswered) {
+			return true
+		}
+	}
+	return false
+}
+
+// oldLeasesEnd is when every lease has lapsed that another lead may have given at a server up
+// to now, by clocks as slow as they may be.
+//
+// A former lead that nobody has told of its end renews for as long as it is answered, at a
+// server that has not seen this lead's epoch. So there the leases have no end before every
+// host that might lead has said that it doesn't; counted from the taking of the lead, the log
+// would show "lease lapsed" for a run that goes on.
+func (allocator *Allocator) oldLeasesEnd(server *server) identifier.Moment {
+	if !server.confirmed && !allocator.othersFollow {
+		return identifier.Never
+	}
 	return allocator.now.Add(allocator.Settings.Lease*1000/(1000-clockDriftPerMille) + lapseMargin)
 }
 
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -63,9 +63,13 @@
 	rooms      []*room
 	// remembering has the keepers remember the backend servers.
 	remembering *remembering
+	// following tells the rooms which hosts follow this one as their lead.
+	following *following
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
+	// stoodStill tells that this tick comes long after a deadline.
+	stoodStill bool
 	// aloneUnproven tells that no other host of the failure domain lives, as far as
 	// is seen here, and that no backend server was heard since.
 	aloneUnproven bool
@@ -87,7 +91,9 @@
 
 // Tick applies the inputs, lets deadlines fall due and returns what to do.
 func (coordinator *Coordinator) Tick(now identifier.Moment, inputs []Input) []Output {
+	coordinator.noteStandstill(now)
 	coordinator.prepare(now)
+	coordinator.endStandstill()
 	for _, input := range inputs {
 		coordinator.apply(input)
 	}
@@ -146,6 +152,7 @@
 	}
 	coordinator.rooms = newRooms(coordinator)
 	coordinator.remembering = newRemembering(coordinator)
+	coordinator.following = newFollowing(coordinator)
 	coordinator.gossiper = coordinator.newGossiper()
 	coordinator.elector = coordinator.newElector()
 	if !slices.Contains(coordinator.Self.Roles, gossiper.RoleEntry) {
@@ -174,6 +181,7 @@
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
 		coordinator.settleRooming()
+		coordinator.following.settle()
 		coordinator.remembering.settle()
 		coordinator.driving.settle()
 		coordinator.intentKeeping.settle()
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -103,6 +103,7 @@
 		coordinator.tellHostChanged(change, restarted)
 	}
 	coordinator.changeRoomHost(change.New, restarted)
+	coordinator.following.changed = true
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.changeKeeperReachability(change.New)
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -300,6 +300,8 @@
 	RoomNotice  *messenger.RoomNotice  `cbor:"56,keyasint,omitempty"`
 	ServerCards []messenger.ServerCard `cbor:"57,keyasint,omitempty"`
 	CellMemory  *messenger.CellMemory  `cbor:"58,keyasint,omitempty"`
+	// LeadFollowed comes after the RoomRequests that name runs.
+	LeadFollowed *messenger.LeadFollowed `cbor:"59,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -122,6 +122,7 @@
 	cell := messenger.CellRef{FailureDomain: notice.FailureDomain, Cell: notice.Cell}
 	coordinator.tellSupervisor(&supervisor.LeadKnown{Cell: cell, Host: notice.Host, Epoch: notice.Epoch})
 	coordinator.tellAllocators(&allocator.RemoteLeadKnown{Cell: cell, Host: notice.Host})
+	coordinator.following.learn(notice)
 	coordinator.outputs.add(&LeadKnown{Notice: notice})
 }
 
@@ -190,6 +191,8 @@
 		coordinator.tellAllocators(&allocator.NoticeArrived{Notice: *message.RoomNotice})
 	case message.CellMemory != nil:
 		coordinator.remembering.take(message.CellMemory)
+	case message.LeadFollowed != nil:
+		coordinator.following.take(from, message.LeadFollowed)
 	case message.ServerCards != nil:
 		for index := range message.ServerCards {
 			coordinator.takeCard(from, &message.ServerCards[index])
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -27,9 +27,11 @@
 		coordinator.tellDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
 		coordinator.shareCardsWith(input.Host)
 		coordinator.remembering.meet(input.Host)
+		coordinator.following.tellAgain(input.Host)
 	case *PeerDisconnected:
 		delete(coordinator.connected, input.Host)
 		coordinator.loseLeaver(input.Host)
+		coordinator.following.changed = true
 		coordinator.tellGossiper(gossiper.PeerConnectionClosed{Host: input.Host})
 	case *ServerEvent:
 		coordinator.hearServer(input.Event)
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -29,6 +29,8 @@
 		cell.highest = max(cell.highest, input.Epoch)
 	case Joined:
 		elector.noteJoined()
+	case StoodStill:
+		elector.startOver()
 	case Resign:
 		elector.resign()
 	}
@@ -103,6 +105,25 @@
 	})
 }
 
+// startOver gives up the cells that this host leads and listens before it takes any.
+func (elector *Elector) startOver() {
+	elector.settles = elector.now.Add(elector.SettleTime)
+	elector.cells.Each(func(key cellKey, cell *cellEntity) bool {
+		if cell.mine != 0 {
+			elector.giveUp(key.cell, cell, "")
+		}
+		return true
+	})
+}
+
+// giveUp ends this host's lead of a cell; next takes it over, if somebody does.
+func (elector *Elector) giveUp(id identifier.CellID, cell *cellEntity, next identifier.HostID) {
+	elector.emit(LeadLost{Cell: id, Epoch: cell.mine, To: next})
+	cell.mine = 0
+	cell.overtakenUntil = identifier.Never
+	cell.withdraw(elector.Self)
+}
+
 func (elector *Elector) resign() {
 	elector.resigned = true
 	elector.setLiving(elector.FailureDomain, elector.domains.Get(elector.FailureDomain).living)
@@ -145,19 +166,13 @@
 func (elector *Elector) defend(id identifier.CellID, cell *cellEntity, lead announcement) {
 	switch {
 	case elector.stepsDown():
-		elector.emit(LeadLost{Cell: id, Epoch: cell.mine})
-		cell.mine = 0
-		cell.overtakenUntil = identifier.Never
-		cell.withdraw(elector.Self)
+		elector.giveUp(id, cell, "")
 	case lead.host != elector.Self:
 		next := lead.host
 		if next == "" {
 			next = elector.first(id)
 		}
-		elector.emit(LeadLost{Cell: id, Epoch: cell.mine, To: next})
-		cell.mine = 0
-		cell.overtakenUntil = identifier.Never
-		cell.withdraw(elector.Self)
+		elector.giveUp(id, cell, next)
 	case elector.dueling(cell):
 		// Backend servers can't tell two leads of one epoch apart. The one that
 		// stays takes a higher epoch, so that the other's starts are refused.
--- a/pkg/elector/messages.go
+++ b/pkg/elector/messages.go
@@ -52,6 +52,9 @@
 // known from now on, but for what is on its way.
 type Joined struct{}
 
+// StoodStill tells that this host did nothing for so long that others may have taken its cells.
+type StoodStill struct{}
+
 // Resign makes this host give up its cells and take none any more.
 type Resign struct{}
 
@@ -62,6 +65,7 @@
 func (LeadWithdrawn) input() {}
 func (EpochSeen) input()     {}
 func (Joined) input()        {}
+func (StoodStill) input()    {}
 func (Resign) input()        {}
 
 // Output is a decision or a change of view.
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -103,6 +103,15 @@
 	Epoch         identifier.Epoch         `cbor:"4,keyasint"`
 }
 
+// LeadFollowed tells a lead that the sender follows its epoch: the sender leads the cell no more,
+// if it did, and has named the runs that its jobs have there.
+type LeadFollowed struct {
+	Cell  CellRef          `cbor:"1,keyasint"`
+	Epoch identifier.Epoch `cbor:"2,keyasint"`
+	// Incarnation is the life of the sender's host in which that holds.
+	Incarnation identifier.Incarnation `cbor:"3,keyasint,omitempty"`
+}
+
 // Cancel asks a lead to cancel a submission on behalf of its caller.
 type Cancel struct {
 	Submission identifier.SubmissionID `cbor:"1,keyasint"`
