Have backend servers remember what was acknowledged, for a lead that may miss records

Cause: what is known of a submission stands at two hosts of one failure domain. Once both hold its answer its backend servers forget it. A lead that missed both asked everybody else, of whom nobody knew, and took a resend for new. Ruled out: a third holder of each record (a message and a receipt more for each job, always); refusing all that looks new (the domain would serve nobody). Change: Lead gains may_miss_records and Report gains acknowledged, digests of 8 bytes of the submissions acknowledged within the answer retention; a backend server without them can't vouch. Leads of other failure domains ask theirs as well before they list a home's jobs, list also what their servers run that nobody asked for, and don't list while they take over. A submission known so is refused at once with answer-lost. One of which nobody knows anything after the wait for unknown tasks is refused with an answer that claims nothing, in place of "failed".

--- a/pkg/connector/hostmessages.go
+++ b/pkg/connector/hostmessages.go
@@ -38,7 +38,9 @@
 		merger.begin()
 	}
 	if batch.Lead != nil {
-		merger.last().Lead = &backendv1.Lead{Cell: uint32(batch.Lead.Cell), Epoch: uint64(batch.Lead.Epoch)}
+		merger.last().Lead = &backendv1.Lead{
+			Cell: uint32(batch.Lead.Cell), Epoch: uint64(batch.Lead.Epoch), MayMissRecords: batch.Lead.MayMissRecords,
+		}
 	}
 	merger.addStarts(batch.Starts)
 	message := merger.last()
--- a/pkg/connector/translation.go
+++ b/pkg/connector/translation.go
@@ -49,6 +49,14 @@
 	return translated
 }
 
+func digests(numbers []uint64) []messenger.SubmissionDigest {
+	translated := make([]messenger.SubmissionDigest, 0, len(numbers))
+	for _, number := range numbers {
+		translated = append(translated, messenger.SubmissionDigest(number))
+	}
+	return translated
+}
+
 // serverEvents translates one batch into inputs, in the order that the protocol
 // gives to its parts.
 func serverEvents(id identifier.BackendServerID, message *backendv1.ServerMessage) []dispatcher.Input {
@@ -60,6 +68,7 @@
 			Epoch:          identifier.Epoch(report.GetEpoch()),
 			Tasks:          taskKeys(report.GetTasks()),
 			Unacknowledged: serverAnswers(report.GetUnacknowledged()),
+			Acknowledged:   digests(report.GetAcknowledged()),
 		})
 	}
 	if refusals := message.GetRefusals(); len(refusals) > 0 {
--- a/pkg/dispatcher/confirming.go
+++ b/pkg/dispatcher/confirming.go
@@ -74,6 +74,7 @@
 // without would take the submissions of that host for new.
 func (dispatcher *Dispatcher) retryTakeover(cell *cell) {
 	cell.takeoverAttempts++
+	asked := cell.wantsAcknowledged
 	if cell.takeoverAttempts >= mostTakeoverAttempts {
 		for host := range cell.awaitedHosts {
 			cell.missingHosts[host] = true
@@ -81,7 +82,8 @@
 		clear(cell.awaitedHosts)
 	}
 	dispatcher.askGuestsAgain(cell)
-	if len(cell.awaitedHosts) == 0 && len(cell.awaitedDomains) == 0 {
+	justAsked := !asked && cell.wantsAcknowledged && len(cell.awaitedServers) > 0
+	if len(cell.awaitedHosts) == 0 && len(cell.awaitedDomains) == 0 && !justAsked {
 		dispatcher.finishTakeover(cell)
 		return
 	}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -183,7 +183,7 @@
 	case *SpillArrived:
 		dispatcher.admitGuest(input)
 	case *GuestsQueried:
-		dispatcher.tellGuests(input)
+		dispatcher.takeGuestQuery(input)
 	case *GuestsListed:
 		dispatcher.recordGuests(input)
 	case *SpillAnswered:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -31,6 +31,13 @@
 	// have not answered; toldDomains are those that have.
 	awaitedDomains map[identifier.FailureDomain]bool
 	toldDomains    map[identifier.FailureDomain]bool
+	// wantsAcknowledged tells that the backend servers were asked for what was acknowledged.
+	wantsAcknowledged bool
+	// guestQueries wait for their reports.
+	guestQueries []*GuestsQueried
+	// acknowledged are the submissions whose answers backend servers were told to forget,
+	// as far as they were asked.
+	acknowledged map[messenger.SubmissionDigest]bool
 	// guestAttempts counts how often failure domains were asked.
 	guestAttempts int
 	// recovered lists the submissions that other hosts knew at the takeover.
--- a/pkg/dispatcher/expiry.go
+++ b/pkg/dispatcher/expiry.go
@@ -68,14 +68,27 @@
 	for index := range job.tasks {
 		task := &job.tasks[index]
 		if task.state == taskUnknown && task.unknownUntil.Due(dispatcher.now) {
-			dispatcher.failJob(job, messenger.ReasonTaskUnknown,
-				"nobody can tell what became of task "+string(task.spec.Task)+" at "+string(task.server))
+			dispatcher.endUnknown(task)
 			return
 		}
 	}
 	dispatcher.awaitUnknown(job)
 }
 
+// endUnknown ends the job of a task of which nobody can tell what became. Where no backend server
+// is known to have been given it, an earlier lead may have answered the job, which this one has
+// not seen: its end claims nothing then, as a caller that had heard "complete" must not hear
+// "failed".
+func (dispatcher *Dispatcher) endUnknown(task *task) {
+	name := string(task.spec.Task)
+	if task.unplaced() {
+		dispatcher.finish(task.job, messenger.RefuseUnknown(task.job.spec.Submission, messenger.ReasonTaskUnknown,
+			"no backend server that has reported has task "+name+", and one that was lost may have had it"))
+		return
+	}
+	dispatcher.failJob(task.job, messenger.ReasonTaskUnknown, "nobody can tell what became of task "+name+" at "+string(task.server))
+}
+
 // forget drops a submission with all its deadlines.
 func (dispatcher *Dispatcher) forget(job *job) {
 	submission := job.spec.Submission
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -166,6 +166,9 @@
 	Epoch          identifier.Epoch
 	Tasks          []TaskKey
 	Unacknowledged []ServerAnswer
+	// Acknowledged are the submissions of which an answer was acknowledged there within the
+	// answer retention, for a lead that asked for them.
+	Acknowledged []messenger.SubmissionDigest
 }
 
 // ServerHeartbeat tells that a backend server lives and how many slots are busy.
--- a/pkg/dispatcher/lostguests.go
+++ b/pkg/dispatcher/lostguests.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -23,6 +26,9 @@
 	// what a cell takes from others within the answer retention at 70 jobs a second. A
 	// reply that has so many does not count as complete.
 	mostGuestsTold = 50_000
+	// mostAcknowledgedTold bounds a reply as well, to 4.5 MB at 9 bytes each: what 12 backend
+	// servers acknowledge within the answer retention at 70 starts a second each.
+	mostAcknowledgedTold = 500_000
 	// recopyTime is how long after a host has lost its memory the other holders of its
 	// records may not have copied them elsewhere, because they are gone or cut off
 	// themselves: a loss takes 1.4 s to be noticed, and the batches of the copying some
@@ -30,8 +36,10 @@
 	recopyTime = 10 * time.Second
 )
 
-// askGuests asks all reachable leads of other failure domains that have not told yet.
+// askGuests asks all reachable leads of other failure domains that have not told yet, and the
+// backend servers.
 func (dispatcher *Dispatcher) askGuests(cell *cell) {
+	dispatcher.askAcknowledged(cell)
 	dispatcher.remotes.Each(func(key remoteKey, remote *remote) bool {
 		if key.cell == cell.number {
 			dispatcher.askGuestsOf(cell, remote)
@@ -66,15 +74,32 @@
 	dispatcher.outputs.add(&GuestsWanted{To: remote.host, Query: query})
 }
 
-// tellGuests lists the jobs of a home that this host has had as a lead. It takes
-// nothing more from an earlier lead of that home: the list would be incomplete.
-func (dispatcher *Dispatcher) tellGuests(input *GuestsQueried) {
+// takeGuestQuery answers the lead of a home that misses records, once the backend servers here
+// have told what was acknowledged: an earlier lead of this cell may have had jobs of that home,
+// and is lost as well. A lead that asks again, since some server doesn't report, is answered
+// with what is known. While the cell is taken over nobody here knows enough; it asks again.
+func (dispatcher *Dispatcher) takeGuestQuery(input *GuestsQueried) {
 	query := input.Query
 	cell := dispatcher.cells.Get(query.Cell)
 	key := remoteKey{failureDomain: query.FailureDomain, cell: query.Cell}
-	if cell == nil || dispatcher.deposed(key, input.From, query.Epoch) {
+	if cell == nil || !cell.ready || dispatcher.deposed(key, input.From, query.Epoch) {
+		return
+	}
+	again := slices.ContainsFunc(cell.guestQueries, func(waiting *GuestsQueried) bool { return *waiting == *input })
+	if !cell.wantsAcknowledged {
+		dispatcher.wantAcknowledged(cell)
+	}
+	if len(cell.awaitedServers) > 0 && !again {
+		cell.guestQueries = append(cell.guestQueries, input)
 		return
 	}
+	dispatcher.tellGuests(cell, input)
+}
+
+// tellGuests lists the jobs of a home that this host has had as a lead. It takes
+// nothing more from an earlier lead of that home: the list would be incomplete.
+func (dispatcher *Dispatcher) tellGuests(cell *cell, input *GuestsQueried) {
+	query := input.Query
 	reply := messenger.GuestReply{FailureDomain: dispatcher.FailureDomain, Cell: query.Cell, Epoch: query.Epoch}
 	dispatcher.jobs.Each(func(_ identifier.SubmissionID, job *job) bool {
 		if job.guestOf != "" && job.cell == query.Cell && job.spec.Home() == query.FailureDomain {
@@ -82,9 +107,26 @@
 		}
 		return len(reply.Records) < mostGuestsTold
 	})
+	reply.Records = append(reply.Records, dispatcher.orphanRecords(cell)...)
+	reply.Acknowledged = slices.Sorted(maps.Keys(cell.acknowledged))
+	reply.Acknowledged = reply.Acknowledged[:min(len(reply.Acknowledged), mostAcknowledgedTold)]
 	dispatcher.outputs.add(&GuestsTold{To: input.From, Reply: reply})
 }
 
+// orphanRecords lists the submissions of which backend servers here have tasks that no job of
+// this lead asked for. An earlier lead of this cell may have taken them from the home; that it
+// knew of them is lost with it. Those of other homes are never asked for there.
+func (dispatcher *Dispatcher) orphanRecords(cell *cell) []messenger.CopyRecord {
+	var records []messenger.CopyRecord
+	for submission := range cell.orphans {
+		records = append(records, messenger.CopyRecord{Submission: submission, Cell: cell.number, SpilledTo: dispatcher.FailureDomain})
+	}
+	slices.SortFunc(records, func(first, second messenger.CopyRecord) int {
+		return cmp.Compare(first.Submission, second.Submission)
+	})
+	return records
+}
+
 func (dispatcher *Dispatcher) guestRecord(job *job) messenger.CopyRecord {
 	return messenger.CopyRecord{
 		Submission: job.spec.Submission,
@@ -105,7 +147,11 @@
 	for _, record := range input.Reply.Records {
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
-	cell.toldDomains[input.Reply.FailureDomain] = len(input.Reply.Records) < mostGuestsTold
+	for _, digest := range input.Reply.Acknowledged {
+		cell.acknowledged[digest] = true
+	}
+	complete := len(input.Reply.Records) < mostGuestsTold && len(input.Reply.Acknowledged) < mostAcknowledgedTold
+	cell.toldDomains[input.Reply.FailureDomain] = complete
 	delete(cell.awaitedDomains, input.Reply.FailureDomain)
 	dispatcher.finishTakeoverIfComplete(cell)
 }
@@ -165,6 +211,11 @@
 
 func (dispatcher *Dispatcher) countEmptied(cell *cell, host identifier.HostID) {
 	cell.emptiedHosts[host] = true
+	dispatcher.doubtUntilForgotten(cell)
+}
+
+// doubtUntilForgotten sets when nothing that lost hosts knew would be remembered any more.
+func (dispatcher *Dispatcher) doubtUntilForgotten(cell *cell) {
 	end := dispatcher.now.Add(dispatcher.Settings.AnswerRetention).Add(longestJob)
 	dispatcher.timers.Set(timerKey{kind: timerEmptied, cell: cell.number}, end)
 }
@@ -177,4 +228,5 @@
 		return
 	}
 	clear(cell.emptiedHosts)
+	clear(cell.acknowledged)
 }
--- a/pkg/dispatcher/output.go
+++ b/pkg/dispatcher/output.go
@@ -21,6 +21,8 @@
 type Lead struct {
 	Cell  messenger.CellNumber
 	Epoch identifier.Epoch
+	// MayMissRecords asks for the submissions whose answers were acknowledged.
+	MayMissRecords bool
 }
 
 // Start asks a backend server to run a task.
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -21,6 +21,9 @@
 		dispatcher.askHolder(recovered, job)
 		return
 	}
+	if dispatcher.endAcknowledged(cell, job) {
+		return
+	}
 	if known && recovered.knownSince < job.firstForwarded {
 		job.firstForwarded = recovered.knownSince
 	}
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -142,8 +142,7 @@
 	dispatcher.timers.Set(server.timer(timerServerForget), forgetAt)
 	dispatcher.suspectTasks(server)
 	if cell := dispatcher.cells.Get(server.cell); cell != nil {
-		delete(cell.awaitedServers, server.id)
-		dispatcher.finishTakeoverIfComplete(cell)
+		dispatcher.endWait(cell, server)
 	}
 }
 
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -26,6 +26,7 @@
 		emptiedHosts:   make(map[identifier.HostID]bool),
 		awaitedDomains: make(map[identifier.FailureDomain]bool),
 		toldDomains:    make(map[identifier.FailureDomain]bool),
+		acknowledged:   make(map[messenger.SubmissionDigest]bool),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(dispatcher.selection(input.Cell)),
@@ -59,7 +60,9 @@
 func (dispatcher *Dispatcher) fence(cell *cell, server *server) {
 	server.fenced = false
 	cell.free.remove(server)
-	dispatcher.outputs.toServer(cell.number, server.id).Lead = &Lead{Cell: cell.number, Epoch: cell.epoch}
+	dispatcher.outputs.toServer(cell.number, server.id).Lead = &Lead{
+		Cell: cell.number, Epoch: cell.epoch, MayMissRecords: cell.wantsAcknowledged || cell.mayMissRecords(),
+	}
 }
 
 // loseLead forgets a cell that another host leads now. The hosts that wait for
@@ -154,14 +157,16 @@
 	// under way when a start was sent, and says nothing of tasks that it lacks.
 	asked := !server.fenced
 	server.fenced = true
+	for _, digest := range input.Acknowledged {
+		cell.acknowledged[digest] = true
+	}
 	dispatcher.reconcile(cell, server, input.Tasks, input.Unacknowledged)
 	if asked {
 		dispatcher.returnAbsent(cell, server, input)
 	}
 	cell.free.update(server)
 	dispatcher.placeUnplaced(cell)
-	delete(cell.awaitedServers, server.id)
-	dispatcher.finishTakeoverIfComplete(cell)
+	dispatcher.endWait(cell, server)
 }
 
 // reconcile takes over what a report tells of running and ended tasks.
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -57,9 +57,12 @@
 	tasks       map[taskKey]*runningTask
 	finished    map[taskKey]*finishedTask
 	cancelled   map[taskKey]time.Time
-	links       map[string]*link
-	leaving     bool
-	running     sync.WaitGroup
+	// acknowledged holds until when the submissions are remembered of which answers were
+	// acknowledged.
+	acknowledged map[acknowledgedKey]time.Time
+	links        map[string]*link
+	leaving      bool
+	running      sync.WaitGroup
 	// worker is nil without Resources.
 	worker *worker
 }
@@ -106,6 +109,7 @@
 	executor.tasks = make(map[taskKey]*runningTask)
 	executor.finished = make(map[taskKey]*finishedTask)
 	executor.cancelled = make(map[taskKey]time.Time)
+	executor.acknowledged = make(map[acknowledgedKey]time.Time)
 	executor.links = make(map[string]*link)
 	executor.worker = newWorker(executor)
 }
@@ -166,6 +170,7 @@
 			delete(executor.cancelled, key)
 		}
 	}
+	executor.forgetAcknowledged(now)
 }
 
 // Leave tells the entry hosts that the server takes no new start.
--- a/pkg/executor/tasks.go
+++ b/pkg/executor/tasks.go
@@ -60,6 +60,9 @@
 			report.Unacknowledged = append(report.Unacknowledged, finished.answer)
 		}
 	}
+	if lead.GetMayMissRecords() {
+		report.Acknowledged = executor.acknowledgedOf(cell)
+	}
 	link.queue(&backendv1.ServerMessage{Report: report})
 }
 
@@ -117,10 +120,6 @@
 	executor.cancelled[key] = time.Now().Add(answerRetention)
 }
 
-func (executor *Executor) acknowledge(received *backendv1.AnswerReceived) {
-	delete(executor.finished, taskKey{submission: received.GetSubmission(), task: received.GetTask()})
-}
-
 // work sleeps for the task's run time and answers with an echo.
 func (executor *Executor) work(ctx context.Context, key taskKey, start *backendv1.Start) {
 	defer executor.running.Done()
--- a/pkg/messenger/spill.go
+++ b/pkg/messenger/spill.go
@@ -59,4 +59,7 @@
 	Cell          CellNumber               `cbor:"2,keyasint,omitempty"`
 	Epoch         identifier.Epoch         `cbor:"3,keyasint"`
 	Records       []CopyRecord             `cbor:"4,keyasint,omitempty"`
+	// Acknowledged are submissions, of any home, whose answers were acknowledged to backend
+	// servers of the cell that was asked.
+	Acknowledged []SubmissionDigest `cbor:"5,keyasint,omitempty"`
 }
--- a/pkg/replayer/controlsize.go
+++ b/pkg/replayer/controlsize.go
@@ -6,6 +6,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 )
 
@@ -23,7 +24,9 @@
 	if lead == nil {
 		return 0
 	}
-	return proto.Size(&backendv1.HostMessage{Lead: &backendv1.Lead{Cell: uint32(lead.Cell), Epoch: uint64(lead.Epoch)}})
+	return proto.Size(&backendv1.HostMessage{Lead: &backendv1.Lead{
+		Cell: uint32(lead.Cell), Epoch: uint64(lead.Epoch), MayMissRecords: lead.MayMissRecords,
+	}})
 }
 
 // serverControlSize returns the bytes of what a backend server sends beside
@@ -37,7 +40,7 @@
 	case *dispatcher.ServerReported:
 		return proto.Size(&backendv1.ServerMessage{Report: &backendv1.Report{
 			Cell: uint32(input.Cell), Epoch: uint64(input.Epoch),
-			Tasks: taskStates(input.Tasks), Unacknowledged: answers(input.Unacknowledged),
+			Tasks: taskStates(input.Tasks), Unacknowledged: answers(input.Unacknowledged), Acknowledged: digests(input.Acknowledged),
 		}})
 	case *dispatcher.ServerAnnounced:
 		return proto.Size(&backendv1.ServerMessage{Announce: &backendv1.Announce{
@@ -57,6 +60,14 @@
 	return states
 }
 
+func digests(acknowledged []messenger.SubmissionDigest) []uint64 {
+	var numbers []uint64
+	for _, digest := range acknowledged {
+		numbers = append(numbers, uint64(digest))
+	}
+	return numbers
+}
+
 func answers(kept []dispatcher.ServerAnswer) []*backendv1.Answer {
 	var messages []*backendv1.Answer
 	for _, answer := range kept {
--- a/pkg/replayer/fakebackend/server.go
+++ b/pkg/replayer/fakebackend/server.go
@@ -44,15 +44,17 @@
 	FailsEveryTask bool
 	Slowdown       float64
 
-	leaving   bool
-	dead      bool
-	links     []identifier.HostID
-	cells     map[messenger.CellNumber]*cell
-	tasks     map[dispatcher.TaskKey]*task
-	cancelled map[dispatcher.TaskKey]bool
-	outgoing  map[identifier.HostID][]dispatcher.Input
-	busy      identifier.Slots
-	started   int
+	leaving bool
+	dead    bool
+	links   []identifier.HostID
+	cells   map[messenger.CellNumber]*cell
+	tasks   map[dispatcher.TaskKey]*task
+	// acknowledged holds the submissions of which answers were acknowledged, and their cells.
+	acknowledged map[identifier.SubmissionID]messenger.CellNumber
+	cancelled    map[dispatcher.TaskKey]bool
+	outgoing     map[identifier.HostID][]dispatcher.Input
+	busy         identifier.Slots
+	started      int
 }
 
 // cell is who leads a cell as far as the server has seen.
@@ -84,6 +86,7 @@
 func (server *Server) Run() {
 	server.cells = make(map[messenger.CellNumber]*cell)
 	server.tasks = make(map[dispatcher.TaskKey]*task)
+	server.acknowledged = make(map[identifier.SubmissionID]messenger.CellNumber)
 	server.cancelled = make(map[dispatcher.TaskKey]bool)
 	server.outgoing = make(map[identifier.HostID][]dispatcher.Input)
 	server.beat()
@@ -151,7 +154,7 @@
 func (server *Server) Receive(host identifier.HostID, batch *dispatcher.ToServer) {
 	if batch.Lead != nil {
 		server.raise(host, batch.Lead.Cell, batch.Lead.Epoch)
-		server.report(host, batch.Lead.Cell)
+		server.report(host, batch.Lead)
 	}
 	var refusals []dispatcher.ServerRefusal
 	var answers []dispatcher.ServerAnswer
@@ -173,6 +176,7 @@
 	}
 	for _, key := range batch.Received {
 		if known := server.tasks[key]; known != nil && known.answer != nil {
+			server.acknowledged[key.Submission] = known.cell
 			delete(server.tasks, key)
 		}
 	}
@@ -195,12 +199,29 @@
 	}
 }
 
-func (server *Server) report(host identifier.HostID, number messenger.CellNumber) {
+func (server *Server) report(host identifier.HostID, lead *dispatcher.Lead) {
+	number := lead.Cell
 	reported := &dispatcher.ServerReported{Server: server.ID, Cell: number, Epoch: server.cells[number].epoch}
 	reported.Tasks, reported.Unacknowledged = server.state(func(task *task) bool { return task.cell == number })
+	if lead.MayMissRecords {
+		reported.Acknowledged = server.acknowledgedOf(number)
+	}
 	server.queue(host, reported)
 }
 
+// acknowledgedOf lists the submissions of a cell of which answers were acknowledged. A trace is
+// shorter than they are remembered.
+func (server *Server) acknowledgedOf(number messenger.CellNumber) []messenger.SubmissionDigest {
+	var digests []messenger.SubmissionDigest
+	for submission, cell := range server.acknowledged {
+		if cell == number {
+			digests = append(digests, messenger.DigestOf(submission))
+		}
+	}
+	slices.Sort(digests)
+	return digests
+}
+
 // state lists tasks in the order of their starts.
 func (server *Server) state(wanted func(*task) bool) ([]dispatcher.TaskKey, []dispatcher.ServerAnswer) {
 	var keys []dispatcher.TaskKey
