Let the word of the living hosts tell whether a young cluster has started a job

Symptom: a job of a cluster that has just begun ends as unknown after ten seconds though no host died (TestTrialIsWhole once, beside load; six cases of TestYoungClusterKeepsItsJobs). Cause: a lead that stood still before it started the job is replaced; the next one is younger than 3 s, so some backend server may be unseen, and the backend servers are younger than 1 s when the job comes, so each may have had an earlier process. Both stay so for good. Ruled out: shorter margins (the moments are estimates of what other hosts told); holding jobs back at a start (every start would pay). Change: the reply to a takeover also says which backend servers the host has seen, for how long its process has run, and which records it has timed itself. With all hosts that may have led heard, and all their servers reported, an unreported task has not been started, and is. Late replies settle what waits. Open: that this was the cause of the two tests' single failures is not shown.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -293,6 +293,7 @@
 		coordinator.tellDispatcher(&dispatcher.HolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
 	case *forwarder.ReplyTakeover:
 		output.Reply.Emptied = coordinator.dispatcher.Emptied(coordinator.now)
+		coordinator.dispatcher.Vouch(&output.Reply)
 		if output.To == self {
 			coordinator.tellDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
 			return
--- a/pkg/dispatcher/admission.go
+++ b/pkg/dispatcher/admission.go
@@ -49,6 +49,7 @@
 		task.spec = &input.Job.Tasks[index]
 		created.byID[task.spec.Task] = task
 	}
+	created.forwardedAfter = created.firstForwarded.Add(-transitAllowance)
 	created.orderTasks()
 	dispatcher.timers.Set(timerKey{kind: timerJobDeadline, submission: input.Job.Submission}, input.Deadline)
 	return created
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -21,6 +21,10 @@
 	// awaitedHosts and awaitedServers have not yet answered the takeover.
 	awaitedHosts   map[identifier.HostID]bool
 	awaitedServers map[identifier.BackendServerID]bool
+	// takenAt is when the takeover began.
+	takenAt identifier.Moment
+	// vouchers are the hosts that have told which backend servers they have seen.
+	vouchers map[identifier.HostID]voucher
 	// takeoverAttempts counts how often hosts were asked.
 	takeoverAttempts int
 	// missingHosts could not be asked at the takeover.
@@ -82,8 +86,10 @@
 type recoveredRecord struct {
 	holder identifier.HostID
 	record messenger.CopyRecord
-	// knownSince is the record's moment on this host's clock.
+	// knownSince is the record's moment on this host's clock, knownAfter one that is surely
+	// not later.
 	knownSince identifier.Moment
+	knownAfter identifier.Moment
 	keptUntil  identifier.Moment
 }
 
@@ -156,6 +162,8 @@
 	// firstForwarded is when the job was first forwarded to any lead, on this
 	// host's clock.
 	firstForwarded identifier.Moment
+	// forwardedAfter is surely not later than that: what others tell of it was under way.
+	forwardedAfter identifier.Moment
 	// again tells that an earlier lead may have started tasks of the job.
 	again bool
 	// claimed tells that the claim of a not-repeatable job is granted.
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -27,6 +27,9 @@
 	if known && recovered.knownSince < job.firstForwarded {
 		job.firstForwarded = recovered.knownSince
 	}
+	if known {
+		job.forwardedAfter = recovered.boundOf(job)
+	}
 	mayHaveStarted := known || job.again || job.hasStarted() || found != nil
 	if !mayHaveStarted && job.failure == nil {
 		dispatcher.beginFresh(cell, job)
@@ -102,7 +105,7 @@
 			return
 		}
 	}
-	if dispatcher.unaccountedSince(cell, task.job.firstForwarded) {
+	if dispatcher.unaccounted(cell, task.job) {
 		dispatcher.markUnknown(task)
 	}
 }
@@ -125,22 +128,25 @@
 	}
 }
 
-// unaccountedSince tells whether a backend server may have been given a task of a
-// job that was first forwarded at since, without this host having its report.
+// unaccounted tells whether a backend server may have been given a task of a job that was
+// forwarded before, without this host having its report.
 //
 // The streams of this host tell nothing about those of an earlier lead: a server
 // that is lost here may have been connected there. It can be ruled out only if
 // it was leaving already. And a server whose process started after the job was
 // forwarded has reported nothing of what the process before it ran. Last, a host
-// that has just started may not yet have seen every server that an earlier lead had.
-func (dispatcher *Dispatcher) unaccountedSince(cell *cell, since identifier.Moment) bool {
-	unaccounted := since < dispatcher.startedAt.Add(dispatcher.Settings.ServerDiscovery)
+// that has just started may not yet have seen every server that an earlier lead had;
+// then every host that may have led must have told which ones it has seen.
+func (dispatcher *Dispatcher) unaccounted(cell *cell, job *job) bool {
+	since := job.firstForwarded
+	young := since < dispatcher.startedAt.Add(dispatcher.Settings.ServerDiscovery)
+	unaccounted := young && !dispatcher.serversVouched(cell, job.forwardedAfter)
 	dispatcher.servers.Each(func(_ serverKey, server *server) bool {
 		if unaccounted || server.cell != cell.number {
 			return !unaccounted
 		}
 		hadLeft := server.leftAt.Add(transitAllowance) < since
-		restarted := server.startedAt.Add(transitAllowance) >= since
+		restarted := server.startedAt >= job.forwardedAfter
 		if restarted || (!server.fenced && !hadLeft) {
 			unaccounted = true
 		}
@@ -171,7 +177,7 @@
 	jobs := cell.unplaced
 	cell.unplaced = nil
 	for _, job := range jobs {
-		if job.hasUnplaced() && !dispatcher.unaccountedSince(cell, job.firstForwarded) {
+		if job.hasUnplaced() && !dispatcher.unaccounted(cell, job) {
 			dispatcher.queueUnplaced(cell, job)
 		}
 		dispatcher.keepUnplaced(cell, job)
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -27,6 +27,8 @@
 		awaitedDomains: make(map[identifier.FailureDomain]bool),
 		toldDomains:    make(map[identifier.FailureDomain]bool),
 		acknowledged:   make(map[messenger.SubmissionDigest]bool),
+		takenAt:        dispatcher.now,
+		vouchers:       make(map[identifier.HostID]voucher),
 		recovered:      make(map[identifier.SubmissionID]recoveredRecord),
 		orphans:        make(map[identifier.SubmissionID]*orphan),
 		free:           newFreeSlots(dispatcher.selection(input.Cell)),
@@ -103,15 +105,18 @@
 		dispatcher.countEmptied(cell, host)
 	}
 	dispatcher.askGuests(cell)
+	dispatcher.noteVoucher(cell, input)
 	delete(cell.awaitedHosts, input.From)
 	delete(cell.missingHosts, input.From)
 	dispatcher.finishTakeoverIfComplete(cell)
+	dispatcher.placeUnplaced(cell)
 }
 
 // mergeRecord keeps the record that knows most: one with the answer goes before
 // one without, the older before the younger.
 func (dispatcher *Dispatcher) mergeRecord(cell *cell, holder identifier.HostID, record messenger.CopyRecord) {
 	knownSince := dispatcher.now.Add(-record.Age)
+	knownAfter := dispatcher.knownAfter(cell, &record)
 	known, found := cell.recovered[record.Submission]
 	if found && record.SpilledTo == "" {
 		record.SpilledTo = known.record.SpilledTo
@@ -122,10 +127,14 @@
 	if found && knownSince > known.knownSince {
 		knownSince = known.knownSince
 	}
+	if found {
+		knownAfter = identifier.Earlier(knownAfter, known.knownAfter)
+	}
 	nearer := recoveredRecord{holder: holder, record: record}
 	betterHolder := nearer.keptBySelf(dispatcher.Self) || record.Answered && record.AnswerAt == "" && known.record.AnswerAt != ""
 	if found && known.record.Answered && !betterHolder {
 		known.knownSince = knownSince
+		known.knownAfter = knownAfter
 		cell.recovered[record.Submission] = known
 		return
 	}
@@ -133,7 +142,7 @@
 		holder = record.AnswerAt
 	}
 	cell.recovered[record.Submission] = recoveredRecord{
-		holder: holder, record: record, knownSince: knownSince, keptUntil: dispatcher.retentionOf(record),
+		holder: holder, record: record, knownSince: knownSince, knownAfter: knownAfter, keptUntil: dispatcher.retentionOf(record),
 	}
 	dispatcher.sweepLater(cell)
 }
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -269,7 +269,9 @@
 	wanted := cellKey{failureDomain: forwarder.FailureDomain, cell: input.Query.Cell}
 	forwarder.fronts.Each(func(_ identifier.SubmissionID, front *front) bool {
 		if front.forwardedBefore && front.firstEpoch != input.Query.Epoch && forwarder.cellOf(front.job) == wanted {
-			reply.Records = append(reply.Records, forwarder.recordOf(front))
+			record := forwarder.recordOf(front)
+			record.FirstHand = true
+			reply.Records = append(reply.Records, record)
 		}
 		return true
 	})
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -59,6 +59,9 @@
 	SpilledTo identifier.FailureDomain `cbor:"9,keyasint,omitempty"`
 	// Remaining is the time until the job's deadline; nil when there is none.
 	Remaining *time.Duration `cbor:"10,keyasint,omitempty"`
+	// FirstHand tells, in the reply to a takeover, that the sender is the caller's host, which
+	// has timed Age itself.
+	FirstHand bool `cbor:"11,keyasint,omitempty"`
 }
 
 // AnswerCopy asks a second host to hold an answer.
@@ -93,6 +96,10 @@
 	// Emptied are the other hosts of which the sender has lately seen that they lost
 	// their memory. A host that has just started can't know that of those beside it.
 	Emptied []identifier.HostID `cbor:"4,keyasint,omitempty"`
+	// Uptime is for how long the sender's process has decided; zero tells nothing.
+	Uptime time.Duration `cbor:"5,keyasint,omitempty"`
+	// Servers are the backend servers that the process has seen.
+	Servers []identifier.BackendServerID `cbor:"6,keyasint,omitempty"`
 }
 
 // LeadNotice tells who leads a cell.
