Have three hosts vouch before a job of a young cluster counts as not started

A lone host that had just started vouched for itself, while two hosts that knew the submission were lost before its process began. Now three living hosts must have spoken, none of them lately emptied.

--- a/pkg/dispatcher/vouching.go
+++ b/pkg/dispatcher/vouching.go
@@ -55,12 +55,22 @@
 			return false
 		}
 	}
+	return len(cell.vouchers) >= leastVouchers && !dispatcher.othersEmptied(cell)
+}
+
+// leastVouchers is how many hosts of a failure domain must have spoken, this one among them. Two
+// hold the record of each submission. With fewer living, both may have been lost before this
+// process began, and the submission may have come sooner than its caller's present host tells.
+const leastVouchers = holdersOfRecord + 1
+
+// othersEmptied tells whether another host has lately lost its memory, as some host has seen.
+func (dispatcher *Dispatcher) othersEmptied(cell *cell) bool {
 	for host := range cell.emptiedHosts {
-		if _, vouched := cell.vouchers[host]; !vouched {
-			return false
+		if host != dispatcher.Self {
+			return true
 		}
 	}
-	return len(cell.vouchers) > 0
+	return false
 }
 
 func (dispatcher *Dispatcher) hasAll(cell *cell, servers []identifier.BackendServerID) bool {
