Replay the new kept cases alone, and say what they are worth

The two tests of kept cases drew 100 more cases each, as the tests beside them do; under the race detector that is some 30 s each of the slowest package.

--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -182,6 +183,7 @@
 //	10.485898925s called-1-1 RUNS job-25/3 run 6 epoch 11219761635
 //	10.523137359s called-3-1 ENDS job-25/3 run 5 lapsed
 func TestRunOnAServerThatTheNewLeadDoesNotReach(t *testing.T) {
+	keptCasesOnly(t)
 	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{}) })
 }
 
@@ -198,5 +200,22 @@
 //	10.94s called-1-42 RUNS job-11/1 run 2 epoch 7868913877
 //	11.002s called-3-1 ENDS job-11/1 run 6 lapsed
 func TestRunUnderTheLeasesOfOthers(t *testing.T) {
+	keptCasesOnly(t)
 	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{resends: true}) })
 }
+
+// keptCasesOnly has a test replay what is kept for it in testdata/rapid, and one case more. The
+// tests of all harsh faults draw the others.
+func keptCasesOnly(t *testing.T) {
+	t.Helper()
+	checks := flag.Lookup("rapid.checks")
+	former := checks.Value.String()
+	if err := flag.Set(checks.Name, "1"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := flag.Set(checks.Name, former); err != nil {
+			t.Error(err)
+		}
+	})
+}
