Count what a reader has taken before a drain calls a connection quiet

Cause: between its two looks, at unread bytes and at unanswered ones, the drain misses what a reader has taken and not noted. Ruled out: looking twice, as a reader may be held up for longer than that; a lock around the reading, as it would bypass what wraps a connection. Change: the system's count of received bytes is compared with what the reader has noted.

--- a/pkg/listener/listener.go
+++ b/pkg/listener/listener.go
@@ -54,6 +54,8 @@
 	once     sync.Once
 	// unanswered tells that bytes were read after the last that was written.
 	unanswered atomic.Bool
+	// taken counts the bytes of which Read has told; unanswered is set before.
+	taken atomic.Uint64
 }
 
 // Read notes that the other side waits for something.
@@ -61,6 +63,7 @@
 	length, err := connection.Conn.Read(content)
 	if length > 0 {
 		connection.unanswered.Store(true)
+		connection.taken.Add(uint64(length))
 	}
 	return length, err
 }
--- a/pkg/listener/server.go
+++ b/pkg/listener/server.go
@@ -140,6 +140,10 @@
 }
 
 // quiet tells whether nothing has arrived on a connection that is still to be answered.
+//
+// What a reader has taken from the operating system and not noted yet counts as arrived, too. A
+// drain that asked for unread bytes alone would close the connection just then; its caller would
+// see it end without an answer.
 func quiet(open net.Conn) bool {
 	if secured, encrypted := open.(*tls.Conn); encrypted {
 		open = secured.NetConn()
@@ -148,25 +152,28 @@
 	if !ours {
 		return true
 	}
-	return !bounded.unanswered.Load() && !bytesWait(bounded.Conn)
+	taken := bounded.taken.Load()
+	return received(bounded.Conn) <= taken && !bounded.unanswered.Load()
 }
 
-// bytesWait tells whether the operating system holds bytes of a connection that were
-// not read yet.
-func bytesWait(open net.Conn) bool {
+// received tells how many bytes have arrived on a connection, read or not. The end of what the
+// other side sends counts as one.
+func received(open net.Conn) uint64 {
 	source, readable := open.(syscall.Conn)
 	if !readable {
-		return false
+		return 0
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false // It is closed already.
+		return 0 // It is closed already.
 	}
-	waiting := 0
+	var info *unix.TCPInfo
+	var failed error
 	look := func(descriptor uintptr) {
-		var first [1]byte
-		// An error means that there is nothing to read, or nobody to answer.
-		waiting, _, _ = unix.Recvfrom(int(descriptor), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		info, failed = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}
+	if raw.Control(look) != nil || failed != nil {
+		return 0 // It is closed, or no connection of TCP.
 	}
-	return raw.Control(look) == nil && waiting > 0
+	return info.Bytes_received
 }
