Keep evacuations in the register of the configuration

Cause: an operator's order to evacuate a failure domain had no place in the agreed state. Ruled out: a register of its own beside the configuration. It would need its own spread, its own memory on disk, and a host could come to know one without the other. Conclusion: no start of an old data directory changes; it reads as one without orders.

--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -49,7 +49,8 @@
 	Revision identifier.ConfigRevision `cbor:"6,keyasint,omitempty"`
 }
 
-// Version is one accepted configuration.
+// Version is one accepted configuration, with the evacuations that are in force. It has no
+// document where a failure domain was evacuated before the first configuration.
 type Version struct {
 	Version  identifier.ConfigVersion `cbor:"1,keyasint" json:"version"`
 	Operator string                   `cbor:"2,keyasint" json:"operator"`
@@ -58,6 +59,9 @@
 	Document []byte                   `cbor:"5,keyasint" json:"-"`
 	// Revision is the outside source's number of the document, if it has one.
 	Revision identifier.ConfigRevision `cbor:"6,keyasint,omitempty" json:"revision,omitempty"`
+	// Evacuations are those of the failure domains that an order has ever named, in the
+	// order of their names.
+	Evacuations []EvacuationState `cbor:"7,keyasint,omitempty" json:"evacuations,omitempty"`
 }
 
 // Result is the answer to a change.
@@ -114,31 +118,42 @@
 }
 
 func (register *Register) decide(change *Change) Result {
-	newest := register.Newest()
 	if verdict, rejected := register.rejection(change); rejected {
-		return Result{
-			Request: change.Request, Verdict: verdict,
-			Newest: newest.Version, Winner: newest.Operator, WonAt: newest.At,
-		}
-	}
-	accepted := Version{
-		Version:  newest.Version + 1,
-		Operator: change.Operator,
-		Request:  change.Request,
-		At:       change.At,
-		Document: change.Document,
-		Revision: change.Revision,
+		return register.rejected(change.Request, verdict)
 	}
+	newest := register.Newest()
+	return register.accept(Version{
+		Version:     newest.Version + 1,
+		Operator:    change.Operator,
+		Request:     change.Request,
+		At:          change.At,
+		Document:    change.Document,
+		Revision:    change.Revision,
+		Evacuations: newest.Evacuations,
+	})
+}
+
+// accept makes a version the newest one.
+func (register *Register) accept(accepted Version) Result {
 	register.versions = append(register.versions, accepted)
 	if excess := len(register.versions) - register.HistoryBound; excess > 0 {
 		register.versions = slices.Delete(register.versions, 0, excess)
 	}
 	return Result{
-		Request: change.Request, Verdict: VerdictAccepted,
+		Request: accepted.Request, Verdict: VerdictAccepted,
 		Newest: accepted.Version, Winner: accepted.Operator, WonAt: accepted.At,
 	}
 }
 
+// rejected answers a request that changes nothing.
+func (register *Register) rejected(request identifier.RequestID, verdict Verdict) Result {
+	newest := register.Newest()
+	return Result{
+		Request: request, Verdict: verdict,
+		Newest: newest.Version, Winner: newest.Operator, WonAt: newest.At,
+	}
+}
+
 // rejection tells why a change does not become the newest version, if it doesn't.
 func (register *Register) rejection(change *Change) (Verdict, bool) {
 	newest := register.Newest()
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -14,6 +14,8 @@
 	Claims *claimer.Command   `cbor:"1,keyasint,omitempty"`
 	Change *configurer.Change `cbor:"2,keyasint,omitempty"`
 	Intent *planner.Command   `cbor:"3,keyasint,omitempty"`
+	// Evacuation is answered like a Change.
+	Evacuation *configurer.Evacuation `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is what applying a command returned; the field of the command's kind is
--- a/pkg/keeper/machine.go
+++ b/pkg/keeper/machine.go
@@ -61,6 +61,9 @@
 	case command.Change != nil:
 		outcome := machine.configuration.Apply(command.Change)
 		return Result{Change: &outcome}
+	case command.Evacuation != nil:
+		outcome := machine.configuration.ApplyEvacuation(command.Evacuation)
+		return Result{Change: &outcome}
 	case command.Intent != nil:
 		result := machine.intents.Apply(index, *command.Intent)
 		return Result{Intent: &result}
