Start nothing in an evacuated failure domain, and move what waits there

Cause: no decision knew of evacuations. Change: messenger.Evacuated is asked by all that begin work: the lead that grants, the host that starts, the starter that carries an order, the lead of the streams, the driver of intents. What waits moves in the same tick to where the plan finds room; a job that was handed over goes back to its host, which asks elsewhere; a grant that crosses the order is withheld and told as such. What nothing else can run is refused at once. Also: a lead that has placed nothing yet told of no room, so after a start of all hosts no evacuated failure domain could send anything there (found by the stand-in's TestEvacuation; TestNoticeBeforeTheFirstJob fails without the change). Ruled out: callers' hosts that ask other failure domains at once. A resend would meet a lead that knows nothing of the runs of the sending before. No start after the order (bound of the test: two hops).

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -16,6 +16,10 @@
 		return
 	}
 	allocator.giveAgain(job)
+	if allocator.evacuated() {
+		allocator.admitEvacuated(job)
+		return
+	}
 	if reason, never := allocator.neverFits(job); never {
 		allocator.turnAway(job, messenger.ReasonNeverRunnable, reason, 0)
 		return
@@ -189,13 +193,13 @@
 	})
 }
 
-// spots is how many tasks of the usual size could start now.
+// spots is how many tasks of the usual size could start now. Before the first task nobody knows
+// their size, and each server counts as room for one.
 func (allocator *Allocator) spots() int {
-	usual := allocator.estimates.usualNeeds()
 	spots := 0
 	allocator.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
-		if server.usable(allocator.now) {
-			spots += usual.CountIn(server.free())
+		if allocator.usable(server) {
+			spots += allocator.estimates.spotsIn(server.free())
 		}
 		return true
 	})
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -38,8 +38,10 @@
 	othersFollow bool
 	// runsNamed tells that every living host has named its runs: nobody wants an orphan.
 	runsNamed bool
-	servers   *tabulator.Table[identifier.ServerIncarnation, server]
-	jobs      *tabulator.Table[identifier.JobID, job]
+	// evacuations are the failure domains where nothing is started.
+	evacuations messenger.Evacuated
+	servers     *tabulator.Table[identifier.ServerIncarnation, server]
+	jobs        *tabulator.Table[identifier.JobID, job]
 	// waiting holds the jobs with tasks that have no room, in the order of placing.
 	waiting []*job
 	// waitingTasks counts their tasks without room.
@@ -150,6 +152,8 @@
 		allocator.takeFollowing(input.Following)
 	case *RunsNamed:
 		allocator.stopOrphans()
+	case *EvacuationsKnown:
+		allocator.takeEvacuations(input)
 	case *CardArrived:
 		allocator.takeCard(&input.Card)
 	case *CardRecalled:
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -100,6 +100,8 @@
 		var spots int
 		data.ScanArgs(t, "spots", &spots)
 		inputs = append(inputs, &allocator.NoticeArrived{Notice: messenger.RoomNotice{From: geel, Spots: spots}})
+	case "evacuate":
+		inputs = append(inputs, &allocator.EvacuationsKnown{Evacuated: domainsNamed(scanStrings(t, data, "domains"))})
 	case "wait":
 		return scenario.wait()
 	default:
--- a/pkg/allocator/estimates.go
+++ b/pkg/allocator/estimates.go
@@ -91,3 +91,12 @@
 func (estimates *estimates) usualNeeds() identifier.Resources {
 	return identifier.Resources{MilliCPU: identifier.MilliCPU(estimates.milliCPU), Memory: identifier.Bytes(estimates.memory)}
 }
+
+// spotsIn is how many tasks of the usual size room is for.
+func (estimates *estimates) spotsIn(room identifier.Resources) int {
+	usual := estimates.usualNeeds()
+	if usual == (identifier.Resources{}) {
+		return 1
+	}
+	return usual.CountIn(room)
+}
--- /dev/null
+++ b/pkg/allocator/evacuating_test.go
@@ -0,0 +1,98 @@
+package allocator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/allocator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// TestEvacuation guards against starts in an evacuated failure domain, and against jobs that are
+// lost when they move to another one.
+func TestEvacuation(t *testing.T) { playScenarios(t, "testdata/evacuations") }
+
+func domainsNamed(names []string) messenger.Evacuated {
+	var domains messenger.Evacuated
+	for _, name := range names {
+		domains = append(domains, identifier.FailureDomain(name))
+	}
+	return domains
+}
+
+// evacuation is an evacuation of the first of three failure domains, and its end.
+type evacuation struct {
+	at, until time.Duration
+	// spread is how much later the other leads hear of it.
+	spread time.Duration
+}
+
+func (load *load) plan(planned evacuation) {
+	for _, change := range []struct {
+		at        time.Duration
+		evacuated messenger.Evacuated
+	}{
+		{planned.at, messenger.Evacuated{domainOf(0)}},
+		{planned.until, nil},
+	} {
+		for lead := range load.leads {
+			delay := change.at
+			if lead > 0 {
+				delay += planned.spread
+			}
+			load.tell(lead, delay, &allocator.EvacuationsKnown{Evacuated: change.evacuated})
+		}
+	}
+}
+
+// TestEvacuationUnderLoad replays the users' mix while one of three failure domains is evacuated
+// for ten seconds: its callers are served by the others, and nothing starts in it.
+func TestEvacuationUnderLoad(t *testing.T) {
+	const perJob = 0.244*8*0.06 + 0.044*4*0.9 + 0.712*2*0.2
+	for _, want := range []struct {
+		servers int
+		share   float64
+		worth   float64
+	}{
+		{48, 0.6, 0.97}, {48, 0.8, 0.93}, {48, 0.95, 0.82}, {180, 0.8, 0.95},
+	} {
+		load := newLoadOf(3, want.servers/3)
+		load.plan(evacuation{at: 5 * time.Second, until: 15 * time.Second, spread: 10 * time.Millisecond})
+		lastStart := identifier.Never
+		load.at(0, 14900*time.Millisecond, func() []allocator.Input {
+			lastStart = load.lastStarts[0]
+			return nil
+		})
+		inUse := -1.0
+		load.at(0, 16*time.Second, func() []allocator.Input {
+			inUse = load.roomInUseAt(0) / max(load.roomInUseAt(1), load.roomInUseAt(2))
+			return nil
+		})
+		load.play(want.share*float64(want.servers)*2/3*2.25/perJob, 18*time.Second)
+		late := time.Duration(lastStart) - 5*time.Second
+		t.Logf("%d servers at %.2f: worth %.3f, %d of %d turned away, last start %v after the order, room in use beside the others 1 s after its end %.2f",
+			want.servers, want.share, load.worth(), load.turnedAway, load.jobs, late, inUse)
+		if late > 2*hop {
+			t.Errorf("%d servers at %.2f: a run starts %v after the order", want.servers, want.share, late)
+		}
+		if load.worth() < want.worth {
+			t.Errorf("%d servers at %.2f earn %.3f, want at least %.3f", want.servers, want.share, load.worth(), want.worth)
+		}
+		if open := len(load.open); open > 0 {
+			t.Errorf("%d servers at %.2f: %d jobs have no end", want.servers, want.share, open)
+		}
+	}
+}
+
+// roomInUseAt is the share of the processors of one failure domain that runs have.
+func (load *load) roomInUseAt(lead int) float64 {
+	runs, servers := 0, 0
+	for _, server := range load.servers {
+		if server.lead == lead {
+			servers++
+			runs += len(server.running)
+		}
+	}
+	return float64(runs) / float64(servers)
+}
--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -38,6 +38,8 @@
 	crashing crashing
 	// restarting is nil where lives of servers have ids of their own.
 	restarting *restarting
+	// lastStarts are when a run last started in each failure domain.
+	lastStarts map[int]identifier.Moment
 }
 
 type loadJob struct {
@@ -134,7 +136,7 @@
 		servers: make(map[identifier.ServerIncarnation]*loadServer),
 		random:  rand.New(rand.NewPCG(1, 2)),
 		inTime:  make(map[identifier.QueueName]int), late: make(map[identifier.QueueName]int), arrived: make(map[identifier.QueueName]int),
-		open: make(map[identifier.JobID]*loadJob),
+		open: make(map[identifier.JobID]*loadJob), lastStarts: make(map[int]identifier.Moment),
 	}
 	for lead := range leads {
 		created.leads = append(created.leads, &allocator.Allocator{FailureDomain: domainOf(lead), Settings: allocator.DefaultSettings()})
@@ -204,6 +206,7 @@
 				}
 				load.restarting.noteStart(server, load.now)
 				server.running[key] = true
+				load.lastStarts[server.lead] = load.now
 				if job.crashes && key.Task == 0 {
 					load.startCrashing(server, key)
 					return nil
@@ -282,16 +285,22 @@
 		load.turnedAway++
 		delete(load.open, answer.Job)
 	case answer.Kind == messenger.RoomAnswerAskOther:
-		request := job.request
-		request.HandedOver, request.Part = true, true
-		request.Elapsed = load.now.Sub(job.arrivedAt)
-		request.Tasks = nil
-		for _, index := range answer.Tasks {
-			request.Tasks = append(request.Tasks, job.request.Tasks[index])
-		}
-		other := load.leadNamed(identifier.HostID(answer.Other.FailureDomain))
-		load.tell(other, 2*between, &allocator.RoomRequested{From: "host-b", Request: request})
+		load.askOther(job, answer, load.leadNamed(identifier.HostID(answer.Other.FailureDomain)))
+	case answer.Kind == messenger.RoomAnswerEvacuated:
+		load.askOther(job, answer, len(load.leads)-1)
+	}
+}
+
+// askOther has the lead at a place asked for some tasks of a job.
+func (load *load) askOther(job *loadJob, answer *messenger.RoomAnswer, lead int) {
+	request := job.request
+	request.HandedOver, request.Part = true, true
+	request.Elapsed = load.now.Sub(job.arrivedAt)
+	request.Tasks = nil
+	for _, index := range answer.Tasks {
+		request.Tasks = append(request.Tasks, job.request.Tasks[index])
 	}
+	load.tell(lead, 2*between, &allocator.RoomRequested{From: "host-b", Request: request})
 }
 
 // runTime returns how long a run takes on a server, and whether it ever ends.
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -20,6 +20,9 @@
 // this lead's epoch, or can't lead any more: none of them gives leases from now on.
 type OthersFollow struct{ Following bool }
 
+// EvacuationsKnown tells in which failure domains nothing is started from now on.
+type EvacuationsKnown struct{ Evacuated messenger.Evacuated }
+
 // RunsNamed tells that every living host has named the runs that its jobs still have.
 type RunsNamed struct{}
 
@@ -126,20 +129,21 @@
 	Outcome CallOutcome
 }
 
-func (*LeadTaken) isAllocatorInput()       {}
-func (*LeadLost) isAllocatorInput()        {}
-func (*OthersFollow) isAllocatorInput()    {}
-func (*RunsNamed) isAllocatorInput()       {}
-func (*CardArrived) isAllocatorInput()     {}
-func (*CardRecalled) isAllocatorInput()    {}
-func (*RoomRequested) isAllocatorInput()   {}
-func (*RoomReleased) isAllocatorInput()    {}
-func (*StartReported) isAllocatorInput()   {}
-func (*HostGone) isAllocatorInput()        {}
-func (*RemoteLeadKnown) isAllocatorInput() {}
-func (*NoticeArrived) isAllocatorInput()   {}
-func (*HoldReturned) isAllocatorInput()    {}
-func (*StopReturned) isAllocatorInput()    {}
+func (*LeadTaken) isAllocatorInput()        {}
+func (*LeadLost) isAllocatorInput()         {}
+func (*OthersFollow) isAllocatorInput()     {}
+func (*EvacuationsKnown) isAllocatorInput() {}
+func (*RunsNamed) isAllocatorInput()        {}
+func (*CardArrived) isAllocatorInput()      {}
+func (*CardRecalled) isAllocatorInput()     {}
+func (*RoomRequested) isAllocatorInput()    {}
+func (*RoomReleased) isAllocatorInput()     {}
+func (*StartReported) isAllocatorInput()    {}
+func (*HostGone) isAllocatorInput()         {}
+func (*RemoteLeadKnown) isAllocatorInput()  {}
+func (*NoticeArrived) isAllocatorInput()    {}
+func (*HoldReturned) isAllocatorInput()     {}
+func (*StopReturned) isAllocatorInput()     {}
 
 // Output is what the owner of the allocator carries out.
 type Output interface{ isAllocatorOutput() }
--- a/pkg/allocator/notices.go
+++ b/pkg/allocator/notices.go
@@ -17,6 +17,13 @@
 	openings []identifier.Moment
 }
 
+// useOpening notes that the earliest opening is taken.
+func (remote *remote) useOpening() {
+	if len(remote.openings) > 0 {
+		remote.openings = remote.openings[1:]
+	}
+}
+
 func (allocator *Allocator) learnRemoteLead(input *RemoteLeadKnown) {
 	if input.Cell == allocator.ref() {
 		return
@@ -42,6 +49,10 @@
 		return
 	}
 	known.heard = allocator.now
+	if allocator.evacuated() {
+		// What waits here may move there now.
+		allocator.changed = true
+	}
 	known.openings = make([]identifier.Moment, 0, notice.Spots+len(notice.Openings))
 	for range notice.Spots {
 		known.openings = append(known.openings, allocator.now)
--- a/pkg/allocator/notices_test.go
+++ b/pkg/allocator/notices_test.go
@@ -39,3 +39,19 @@
 		t.Errorf("told %+v, want one opening at the longest time that a notice holds", told)
 	}
 }
+
+// TestNoticeBeforeTheFirstJob guards against a failure domain that tells of no room because it has
+// never placed a task: after a start of all hosts no other one would send it any.
+func TestNoticeBeforeTheFirstJob(t *testing.T) {
+	load := newLoadOf(2, 4)
+	load.play(0.001, time.Second)
+	told := 0
+	for _, output := range load.leads[1].Tick(load.now.Add(time.Second), nil) {
+		if notice, isNotice := output.(*allocator.TellNotice); isNotice {
+			told = notice.Notice.Spots
+		}
+	}
+	if told == 0 {
+		t.Error("no room is told of, though no server has anything to do")
+	}
+}
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -13,6 +13,10 @@
 		return
 	}
 	allocator.changed = false
+	if allocator.evacuated() {
+		allocator.moveOn()
+		return
+	}
 	// Placing changes the list.
 	waiting := append([]*job(nil), allocator.waiting...)
 	misses := 0
@@ -111,7 +115,7 @@
 }
 
 func (allocator *Allocator) mayRun(job *job, task *task, server *server) bool {
-	if !server.usable(allocator.now) || server.card.Service != job.request.Service || !task.room.Needs.Fits(server.free()) {
+	if !allocator.usable(server) || server.card.Service != job.request.Service || !task.room.Needs.Fits(server.free()) {
 		return false
 	}
 	if server.suspects > 0 && task.account.Suspect() {
--- a/pkg/allocator/planning.go
+++ b/pkg/allocator/planning.go
@@ -31,7 +31,7 @@
 // this order. Room that is free here counts unless it was tried in vain.
 func (allocator *Allocator) plan(job *job, tasks []*task, tried bool) plan {
 	count := len(tasks)
-	if count == 0 || allocator.estimates.milliCPU == 0 {
+	if count == 0 || allocator.estimates.milliCPU == 0 && !allocator.evacuated() {
 		return plan{inTime: true}
 	}
 	ahead := allocator.tasksAhead(job)
@@ -91,6 +91,9 @@
 	}
 	if !job.request.HandedOver {
 		openings = append(openings, allocator.openingsElsewhere(count)...)
+		if len(openings) < count && allocator.evacuated() {
+			openings = append(openings, allocator.unheardElsewhere(job, count)...)
+		}
 		slices.SortStableFunc(openings, func(first, second opening) int { return cmp.Compare(first.at, second.at) })
 	}
 	return openings
@@ -99,6 +102,9 @@
 // openings lists when room for one more task each should come free here, the earliest
 // first, behind a number of tasks, with so many spots free.
 func (allocator *Allocator) openings(spots, ahead int) []identifier.Moment {
+	if allocator.evacuated() {
+		return nil
+	}
 	openings := make([]identifier.Moment, 0, 2*allocator.servers.Len())
 	for range max(spots-ahead, 0) {
 		openings = append(openings, allocator.now)
@@ -113,7 +119,7 @@
 func (allocator *Allocator) openingsElsewhere(most int) []opening {
 	var openings []opening
 	allocator.remotes.Each(func(cell messenger.CellRef, remote *remote) bool {
-		if remote.host == "" || allocator.now.Sub(remote.heard) > allocator.Settings.NoticeAge {
+		if remote.host == "" || allocator.evacuations.Has(cell.FailureDomain) || !allocator.heardLately(remote) {
 			return true
 		}
 		way := allocator.Settings.WayElsewhere
--- a/pkg/allocator/sharing.go
+++ b/pkg/allocator/sharing.go
@@ -33,7 +33,7 @@
 	}
 	tasks := job.pending()
 	plan := allocator.plan(job, tasks, true)
-	if len(plan.openings) == 0 || !job.granted && !plan.startsElsewhereNow(allocator) {
+	if len(plan.openings) == 0 || !job.granted && !allocator.evacuated() && !plan.startsElsewhereNow(allocator) {
 		return
 	}
 	var shares []share
@@ -47,7 +47,7 @@
 			shares = append(shares, share{cell: opening.cell})
 		}
 		shares[position].tasks = append(shares[position].tasks, tasks[index].room.Task)
-		opening.remote.openings = opening.remote.openings[1:]
+		opening.remote.useOpening()
 	}
 	for _, share := range shares {
 		allocator.give(job, share)
@@ -75,16 +75,12 @@
 // give takes tasks off a job and sends its host to another cell for them.
 func (allocator *Allocator) give(job *job, given share) {
 	job.given = append(job.given, given)
-	for index := range job.tasks {
-		if slices.Contains(given.tasks, job.tasks[index].room.Task) {
-			allocator.unqueueTask(job, &job.tasks[index])
-		}
-	}
-	job.tasks = slices.DeleteFunc(job.tasks, func(task task) bool { return slices.Contains(given.tasks, task.room.Task) })
+	accounts := job.accountsOf(given.tasks)
+	allocator.takeOff(job, given.tasks)
 	// Its siblings start there, and the job's answer waits for those that wait here.
 	allocator.markGranted(job)
 	allocator.answerJob(job, messenger.RoomAnswer{
-		Job: job.request.Job, Kind: messenger.RoomAnswerAskOther, Other: given.cell, Tasks: given.tasks,
+		Job: job.request.Job, Kind: messenger.RoomAnswerAskOther, Other: given.cell, Tasks: given.tasks, Accounts: accounts,
 	})
 	allocator.decided(messenger.Decision{
 		Kind: messenger.DecisionHandedOver, Job: job.request.Job, Host: allocator.leadAt(given.cell),
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/planner"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
@@ -71,6 +72,8 @@
 	// keeperLeader is the keeper believed to lead.
 	keeperLeader identifier.HostID
 	nextNonce    keeper.Nonce
+	// enforced are the evacuations that all that start work were told of.
+	enforced messenger.Evacuated
 	// stoodStill tells that this tick comes long after a deadline.
 	stoodStill bool
 	// aloneUnproven tells that no other host of the failure domain lives, as far as
--- a/pkg/coordinator/driving.go
+++ b/pkg/coordinator/driving.go
@@ -250,6 +250,7 @@
 	}
 	driving.driver = planner.NewDriver(placer.DefaultScoredSample(), coordinator.Self.FailureDomain, driving.epoch, settings.Lease, quietUntil)
 	driving.driver.Settings = settings.Driver
+	driving.followEvacuations(coordinator.evacuated())
 	driving.assigned = tabulator.New[identifier.IntentName, struct{}]()
 	driving.batches = tabulator.New[identifier.WorkerID, ToWorker]()
 	driving.ends = newHeldEnds()
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -237,6 +237,7 @@
 		coordinator.publish(configRecordKey, strconv.FormatUint(uint64(version.Version), recordNumberBase))
 		coordinator.enforceLimits(version.Document)
 		coordinator.enforceQuotas(version.Document)
+		coordinator.enforceEvacuations()
 		coordinator.outputs.add(&ConfigInForce{Version: version})
 	}
 }
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -18,8 +18,10 @@
 	Draining      bool                     `json:"draining"`
 	Unanswered    int                      `json:"unanswered"`
 	ConfigVersion identifier.ConfigVersion `json:"config-version"`
-	Hosts         []HostStatus             `json:"hosts"`
-	Cells         []CellStatus             `json:"cells"`
+	// Evacuated are the failure domains where nothing is started, as far as known here.
+	Evacuated messenger.Evacuated `json:"evacuated,omitempty"`
+	Hosts     []HostStatus        `json:"hosts"`
+	Cells     []CellStatus        `json:"cells"`
 	// Servers are the backend servers that have announced themselves here.
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
 	// Work counts the work of the cells that this host leads.
@@ -63,6 +65,7 @@
 		Draining:      coordinator.draining,
 		Unanswered:    coordinator.forwarder.Unanswered(),
 		ConfigVersion: coordinator.follower.Version(),
+		Evacuated:     coordinator.evacuated(),
 		Roles:         coordinator.Self.Roles,
 		Callers:       coordinator.Self.Addresses.Callers,
 		Servers:       coordinator.dispatcher.Servers(),
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -54,6 +54,10 @@
 }
 
 func (dispatcher *Dispatcher) assignCell(cell *cell) {
+	if dispatcher.evacuated() {
+		dispatcher.clearQueue(cell)
+		return
+	}
 	if cell.queue.Tasks() > 0 && dispatcher.emptyForLong(cell) {
 		dispatcher.refuseQueued(cell)
 	}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -113,6 +113,8 @@
 	emptiedUntil map[identifier.HostID]identifier.Moment
 	// remotes are the leads of other failure domains.
 	remotes *tabulator.Table[remoteKey, remote]
+	// evacuations are the failure domains where nothing is started.
+	evacuations messenger.Evacuated
 	// assessor judges servers by outcomes, the events of this tick.
 	assessor *assessor.Assessor
 	outcomes []assessor.Input
@@ -214,6 +216,8 @@
 		dispatcher.decideClaim(input)
 	case *LimitsConfigured:
 		dispatcher.configureLimits(input)
+	case *EvacuationsKnown:
+		dispatcher.takeEvacuations(input)
 	case *ServerAnnounced:
 		dispatcher.announceServer(input)
 	case *ServerReported:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -144,11 +144,13 @@
 	// refusedFull tells that the server refused for want of a slot; nothing more
 	// is sent until it next answers or sends a heartbeat.
 	refusedFull bool
+	// evacuated tells that nothing is started in the server's failure domain.
+	evacuated bool
 }
 
 // usable tells whether tasks may be started on the server now.
 func (server *server) usable() bool {
-	return server.connected && server.fenced && !server.silent && !server.leaving && !server.refusedFull
+	return server.serving() && !server.refusedFull
 }
 
 func (server *server) timer(kind timerKind) timerKey {
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -146,6 +146,11 @@
 	HolderHome identifier.FailureDomain
 }
 
+// EvacuationsKnown tells in which failure domains nothing is started from now on.
+type EvacuationsKnown struct{ Evacuated messenger.Evacuated }
+
+func (*EvacuationsKnown) isDispatcherInput() {}
+
 // ServerAnnounced tells that a backend server has opened a stream. Tasks and
 // Unacknowledged are complete: what is absent was not started there.
 type ServerAnnounced struct {
--- a/pkg/dispatcher/overload.go
+++ b/pkg/dispatcher/overload.go
@@ -66,12 +66,18 @@
 }
 
 func (dispatcher *Dispatcher) noServerDetail() string {
+	if dispatcher.evacuated() {
+		return "failure domain " + string(dispatcher.FailureDomain) + " is evacuated"
+	}
 	return "no backend server of failure domain " + string(dispatcher.FailureDomain) + " takes tasks now"
 }
 
 // emptyForLong tells whether no backend server of the cell has been usable for
 // longer than jobs wait for one.
 func (dispatcher *Dispatcher) emptyForLong(cell *cell) bool {
+	if dispatcher.evacuated() {
+		return true
+	}
 	if dispatcher.capacity(cell) > 0 {
 		return false
 	}
@@ -209,7 +215,7 @@
 
 // serving tells whether the server takes tasks whenever it has a free slot.
 func (server *server) serving() bool {
-	return server.connected && server.fenced && !server.silent && !server.leaving
+	return server.connected && server.fenced && !server.silent && !server.leaving && !server.evacuated
 }
 
 // noteCapacity has the capacities counted again after what may change them.
--- a/pkg/dispatcher/servers.go
+++ b/pkg/dispatcher/servers.go
@@ -25,6 +25,8 @@
 			allowed: input.Slots,
 			leftAt:  identifier.Never,
 			running: make(map[TaskKey]*task),
+
+			evacuated: dispatcher.evacuated(),
 		}
 		dispatcher.servers.Put(key, known)
 	}
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -33,7 +33,7 @@
 	var best *remote
 	for _, domain := range job.spec.MayRun {
 		candidate := dispatcher.remotes.Get(remoteKey{failureDomain: domain, cell: cell.number})
-		if domain == dispatcher.FailureDomain || candidate == nil || candidate.unreachable {
+		if domain == dispatcher.FailureDomain || candidate == nil || candidate.unreachable || dispatcher.evacuations.Has(domain) {
 			continue
 		}
 		if int(candidate.free) >= needed && (best == nil || candidate.free > best.free) {
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -120,6 +120,14 @@
 	Ask   AskNumber `cbor:"9,keyasint,omitempty"`
 	// Tasks are those for which Other is to be asked; the rest stays here. None means all.
 	Tasks []TaskIndex `cbor:"8,keyasint,omitempty"`
+	// Accounts are those of Tasks that were started before.
+	Accounts []TaskAccount `cbor:"10,keyasint,omitempty"`
+}
+
+// TaskAccount is what is known of earlier runs of one task.
+type TaskAccount struct {
+	Task    TaskIndex        `cbor:"1,keyasint,omitempty"`
+	Account budgeter.Account `cbor:"2,keyasint"`
 }
 
 // CellRef names a cell among all failure domains.
@@ -152,6 +160,9 @@
 	RoomAnswerFailed
 	// RoomAnswerNotLed means that the host does not lead.
 	RoomAnswerNotLed
+	// RoomAnswerEvacuated means that nothing starts in the lead's failure domain: room for
+	// Tasks is to be asked for elsewhere.
+	RoomAnswerEvacuated
 )
 
 // StartOutcome is what became of the call that starts a run.
@@ -178,6 +189,8 @@
 	StartServerGone
 	// StartUnanswered means that nobody knows whether the run is there.
 	StartUnanswered
+	// StartWithheld means that the call was not made, as the failure domain is evacuated.
+	StartWithheld
 )
 
 // StartReport tells a lead of a start that was not accepted.
--- a/pkg/messenger/room_enumer.go
+++ b/pkg/messenger/room_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RoomAnswerKindName = "waitingturned-awayask-otherfailednot-led"
+const _RoomAnswerKindName = "waitingturned-awayask-otherfailednot-ledevacuated"
 
-var _RoomAnswerKindIndex = [...]uint8{0, 7, 18, 27, 33, 40}
+var _RoomAnswerKindIndex = [...]uint8{0, 7, 18, 27, 33, 40, 49}
 
-const _RoomAnswerKindLowerName = "waitingturned-awayask-otherfailednot-led"
+const _RoomAnswerKindLowerName = "waitingturned-awayask-otherfailednot-ledevacuated"
 
 func (i RoomAnswerKind) String() string {
 	if i < 0 || i >= RoomAnswerKind(len(_RoomAnswerKindIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[RoomAnswerAskOther-(2)]
 	_ = x[RoomAnswerFailed-(3)]
 	_ = x[RoomAnswerNotLed-(4)]
+	_ = x[RoomAnswerEvacuated-(5)]
 }
 
-var _RoomAnswerKindValues = []RoomAnswerKind{RoomAnswerWaiting, RoomAnswerTurnedAway, RoomAnswerAskOther, RoomAnswerFailed, RoomAnswerNotLed}
+var _RoomAnswerKindValues = []RoomAnswerKind{RoomAnswerWaiting, RoomAnswerTurnedAway, RoomAnswerAskOther, RoomAnswerFailed, RoomAnswerNotLed, RoomAnswerEvacuated}
 
 var _RoomAnswerKindNameToValueMap = map[string]RoomAnswerKind{
 	_RoomAnswerKindName[0:7]:   RoomAnswerWaiting,
@@ -39,6 +40,7 @@
 	_RoomAnswerKindName[18:27]: RoomAnswerAskOther,
 	_RoomAnswerKindName[27:33]: RoomAnswerFailed,
 	_RoomAnswerKindName[33:40]: RoomAnswerNotLed,
+	_RoomAnswerKindName[40:49]: RoomAnswerEvacuated,
 }
 
 var _RoomAnswerKindLowerNameToValueMap = map[string]RoomAnswerKind{
@@ -47,6 +49,7 @@
 	_RoomAnswerKindLowerName[18:27]: RoomAnswerAskOther,
 	_RoomAnswerKindLowerName[27:33]: RoomAnswerFailed,
 	_RoomAnswerKindLowerName[33:40]: RoomAnswerNotLed,
+	_RoomAnswerKindLowerName[40:49]: RoomAnswerEvacuated,
 }
 
 var _RoomAnswerKindNames = []string{
@@ -55,6 +58,7 @@
 	_RoomAnswerKindName[18:27],
 	_RoomAnswerKindName[27:33],
 	_RoomAnswerKindName[33:40],
+	_RoomAnswerKindName[40:49],
 }
 
 // RoomAnswerKindString retrieves an enum value from the enum constants string name.
@@ -104,11 +108,11 @@
 	return err
 }
 
-const _StartOutcomeName = "acceptedno-roomstale-runlease-overfencedunhealthyinvalidserver-goneunanswered"
+const _StartOutcomeName = "acceptedno-roomstale-runlease-overfencedunhealthyinvalidserver-goneunansweredwithheld"
 
-var _StartOutcomeIndex = [...]uint8{0, 8, 15, 24, 34, 40, 49, 56, 67, 77}
+var _StartOutcomeIndex = [...]uint8{0, 8, 15, 24, 34, 40, 49, 56, 67, 77, 85}
 
-const _StartOutcomeLowerName = "acceptedno-roomstale-runlease-overfencedunhealthyinvalidserver-goneunanswered"
+const _StartOutcomeLowerName = "acceptedno-roomstale-runlease-overfencedunhealthyinvalidserver-goneunansweredwithheld"
 
 func (i StartOutcome) String() string {
 	if i < 0 || i >= StartOutcome(len(_StartOutcomeIndex)-1) {
@@ -130,9 +134,10 @@
 	_ = x[StartInvalid-(6)]
 	_ = x[StartServerGone-(7)]
 	_ = x[StartUnanswered-(8)]
+	_ = x[StartWithheld-(9)]
 }
 
-var _StartOutcomeValues = []StartOutcome{StartAccepted, StartNoRoom, StartStaleRun, StartLeaseOver, StartFenced, StartUnhealthy, StartInvalid, StartServerGone, StartUnanswered}
+var _StartOutcomeValues = []StartOutcome{StartAccepted, StartNoRoom, StartStaleRun, StartLeaseOver, StartFenced, StartUnhealthy, StartInvalid, StartServerGone, StartUnanswered, StartWithheld}
 
 var _StartOutcomeNameToValueMap = map[string]StartOutcome{
 	_StartOutcomeName[0:8]:   StartAccepted,
@@ -144,6 +149,7 @@
 	_StartOutcomeName[49:56]: StartInvalid,
 	_StartOutcomeName[56:67]: StartServerGone,
 	_StartOutcomeName[67:77]: StartUnanswered,
+	_StartOutcomeName[77:85]: StartWithheld,
 }
 
 var _StartOutcomeLowerNameToValueMap = map[string]StartOutcome{
@@ -156,6 +162,7 @@
 	_StartOutcomeLowerName[49:56]: StartInvalid,
 	_StartOutcomeLowerName[56:67]: StartServerGone,
 	_StartOutcomeLowerName[67:77]: StartUnanswered,
+	_StartOutcomeLowerName[77:85]: StartWithheld,
 }
 
 var _StartOutcomeNames = []string{
@@ -168,6 +175,7 @@
 	_StartOutcomeName[49:56],
 	_StartOutcomeName[56:67],
 	_StartOutcomeName[67:77],
+	_StartOutcomeName[77:85],
 }
 
 // StartOutcomeString retrieves an enum value from the enum constants string name.
--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -73,6 +73,8 @@
 	sweepAt identifier.Moment
 	flushAt identifier.Moment
 	quiet   bool
+	// evacuated tells that nothing is started in the failure domain.
+	evacuated bool
 	// changed tells that something may be placed that could not be before; placeAt
 	// is when that is tried next.
 	changed  bool
@@ -148,7 +150,7 @@
 	if driver.sweepAt.Due(now) {
 		driver.sweep(now)
 	}
-	if !driver.quiet && driver.changed && driver.placeAt.Due(now) {
+	if !driver.quiet && !driver.evacuated && driver.changed && driver.placeAt.Due(now) {
 		driver.changed = false
 		driver.placeAt = now.Add(driver.Settings.PlaceInterval)
 		driver.refill(now)
@@ -169,7 +171,7 @@
 	}
 	if driver.quiet {
 		next = identifier.Earlier(next, driver.Granter.QuietUntil)
-	} else if driver.changed {
+	} else if driver.changed && !driver.evacuated {
 		next = identifier.Earlier(next, driver.placeAt)
 	}
 	return next
@@ -203,6 +205,8 @@
 		driver.intentEnded(now, input.Name)
 	case ClaimApplied:
 		driver.claimApplied(input)
+	case EvacuationChanged:
+		driver.evacuated = input.Evacuated
 	case QuotasChanged:
 		for _, changed := range input.Quotas {
 			driver.Placer.SetQuota(changed.Team, changed.Quota)
--- a/pkg/planner/message.go
+++ b/pkg/planner/message.go
@@ -76,6 +76,12 @@
 	Cancelling bool
 }
 
+// EvacuationChanged says whether nothing may start on the workers of the failure domain. What
+// is assigned waits meanwhile.
+type EvacuationChanged struct{ Evacuated bool }
+
+func (EvacuationChanged) isInput() {}
+
 // IntentEnded says that the log has ended an intent. What still runs is stopped.
 type IntentEnded struct{ Name identifier.IntentName }
 
--- a/pkg/starter/messages.go
+++ b/pkg/starter/messages.go
@@ -42,18 +42,22 @@
 	Connected bool
 }
 
+// EvacuationsKnown tells in which failure domains nothing is started from now on.
+type EvacuationsKnown struct{ Evacuated messenger.Evacuated }
+
 // BoundsKnown tells how many connections a server of each service takes.
 type BoundsKnown struct {
 	Connections map[identifier.ServiceName]int
 }
 
-func (*RunWanted) isStarterInput()     {}
-func (*OrderArrived) isStarterInput()  {}
-func (*CallReturned) isStarterInput()  {}
-func (*ResultArrived) isStarterInput() {}
-func (*HostsChanged) isStarterInput()  {}
-func (*PeerChanged) isStarterInput()   {}
-func (*BoundsKnown) isStarterInput()   {}
+func (*RunWanted) isStarterInput()        {}
+func (*OrderArrived) isStarterInput()     {}
+func (*CallReturned) isStarterInput()     {}
+func (*ResultArrived) isStarterInput()    {}
+func (*HostsChanged) isStarterInput()     {}
+func (*PeerChanged) isStarterInput()      {}
+func (*EvacuationsKnown) isStarterInput() {}
+func (*BoundsKnown) isStarterInput()      {}
 
 // Output is what the owner of the starter carries out.
 type Output interface{ isStarterOutput() }
--- a/pkg/starter/starter.go
+++ b/pkg/starter/starter.go
@@ -62,10 +62,12 @@
 	// bounds are the connections that a server of each service takes.
 	bounds map[identifier.ServiceName]int
 	// sets keeps the starters of the servers until hosts or bounds change.
-	sets    map[identifier.BackendServerID][]identifier.HostID
-	orders  *tabulator.Table[orderKey, order]
-	timers  *tabulator.Timers[orderKey]
-	outputs []Output
+	sets map[identifier.BackendServerID][]identifier.HostID
+	// evacuations are the failure domains where nothing is started.
+	evacuations messenger.Evacuated
+	orders      *tabulator.Table[orderKey, order]
+	timers      *tabulator.Timers[orderKey]
+	outputs     []Output
 }
 
 // orderKey names a start that was ordered.
@@ -126,6 +128,8 @@
 		clear(starter.sets)
 	case *PeerChanged:
 		starter.changePeer(input)
+	case *EvacuationsKnown:
+		starter.evacuations = input.Evacuated
 	case *BoundsKnown:
 		starter.bounds = input.Connections
 		clear(starter.sets)
@@ -148,8 +152,14 @@
 	}})
 }
 
-// call has this host make a call for a host.
+// call has this host make a call for a host, unless the server's failure domain is evacuated.
 func (starter *Starter) call(start *supervisor.StartRun, caller identifier.HostID) {
+	if starter.evacuations.Has(start.FailureDomain) {
+		starter.returnCall(&CallReturned{For: caller, Returned: supervisor.StartReturned{
+			Run: start.Run, Server: start.Server, Epoch: start.Epoch, Outcome: messenger.StartWithheld,
+		}})
+		return
+	}
 	starter.emit(&CallServer{Start: start, For: caller, Connections: starter.connectionsTo(start)})
 }
 
--- a/pkg/starter/starter_test.go
+++ b/pkg/starter/starter_test.go
@@ -200,3 +200,27 @@
 		t.Errorf("told %+v", outputs[0])
 	}
 }
+
+// TestEvacuationWithholdsStarts guards against a start in an evacuated failure domain that another
+// host has ordered before it heard of the order, or that was granted to this one.
+func TestEvacuationWithholdsStarts(t *testing.T) {
+	hosts := hostsOf(2)
+	starter := ready(hosts[0], hosts)
+	starter.Tick(1, []Input{&EvacuationsKnown{Evacuated: messenger.Evacuated{domain}}})
+	outputs := starter.Tick(2, []Input{
+		&RunWanted{Start: startOn(1, 1)},
+		&OrderArrived{From: hosts[1], Order: messenger.StartOrder{RunKey: messenger.RunKey{Job: "job", Run: 2}, Server: "server-1", Epoch: 7}},
+	})
+	done, isDone := outputs[0].(*StartDone)
+	if !isDone || done.Returned.Outcome != messenger.StartWithheld {
+		t.Errorf("the own start gives %+v", outputs[0])
+	}
+	result, isResult := outputs[1].(*SendResult)
+	if !isResult || result.To != hosts[1] || result.Result.Outcome != messenger.StartWithheld {
+		t.Errorf("the ordered start gives %+v", outputs[1])
+	}
+	starter.Tick(3, []Input{&EvacuationsKnown{}})
+	if _, called := starter.Tick(4, []Input{&RunWanted{Start: startOn(1, 3)}})[0].(*CallServer); !called {
+		t.Error("nothing is started once the evacuation was taken back")
+	}
+}
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -48,6 +48,10 @@
 		return
 	}
 	part.heard = true
+	if supervisor.evacuations.Has(part.cell.FailureDomain) {
+		supervisor.withhold(job, part, &input.Grant)
+		return
+	}
 	part.granted = true
 	for _, run := range input.Grant.Runs {
 		if int(run.Task) >= len(job.tasks) || job.tasks[run.Task].done || job.tasks[run.Task].part != part {
@@ -65,6 +69,18 @@
 	}
 }
 
+// withhold starts nothing of a grant, and tells the lead so: it granted before it heard that its
+// failure domain is evacuated.
+func (supervisor *Supervisor) withhold(job *job, part *part, grant *messenger.Grant) {
+	for _, run := range grant.Runs {
+		job.lastRun = max(job.lastRun, run.Run)
+		supervisor.emit(&ReportStart{To: part.lead, Report: messenger.StartReport{
+			RunKey: messenger.RunKey{Job: grant.Job, Task: run.Task, Run: run.Run}, Outcome: messenger.StartWithheld,
+			Epoch: cmp.Or(run.Fence, grant.Epoch), Cell: part.cell.Cell, Server: run.Server,
+		}})
+	}
+}
+
 // startRepeats is how often a start without an answer is made again. Three calls of
 // 150 ms take less than half of the lease under which a run may start.
 const startRepeats = 2
@@ -87,7 +103,7 @@
 	}
 	if !task.done {
 		switch {
-		case outcome == messenger.StartUnanswered && task.start.Repeats < startRepeats:
+		case outcome == messenger.StartUnanswered && task.start.Repeats < startRepeats && !supervisor.evacuations.Has(task.start.FailureDomain):
 			repeated := *task.start
 			repeated.Repeats++
 			task.start = &repeated
@@ -148,6 +164,8 @@
 		supervisor.askOther(job, part, answer)
 	case messenger.RoomAnswerFailed:
 		supervisor.end(job, JobEnded{Outcome: OutcomeFailed, Reason: answer.Reason, Detail: answer.Detail})
+	case messenger.RoomAnswerEvacuated:
+		supervisor.leaveEvacuated(job, part, answer)
 	case messenger.RoomAnswerNotLed:
 		part.heard = false
 		if !supervisor.askElsewhere(job, part) {
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -82,17 +82,21 @@
 	Outcome messenger.StartOutcome
 }
 
+// EvacuationsKnown tells in which failure domains nothing is started from now on.
+type EvacuationsKnown struct{ Evacuated messenger.Evacuated }
+
 // HostEnds tells that this host ends in a moment, whatever still runs.
 type HostEnds struct{}
 
-func (*HostEnds) isSupervisorInput()      {}
-func (*JobArrived) isSupervisorInput()    {}
-func (*CallerLeft) isSupervisorInput()    {}
-func (*LeadKnown) isSupervisorInput()     {}
-func (*GrantArrived) isSupervisorInput()  {}
-func (*AnswerArrived) isSupervisorInput() {}
-func (*DoneArrived) isSupervisorInput()   {}
-func (*StartReturned) isSupervisorInput() {}
+func (*EvacuationsKnown) isSupervisorInput() {}
+func (*HostEnds) isSupervisorInput()         {}
+func (*JobArrived) isSupervisorInput()       {}
+func (*CallerLeft) isSupervisorInput()       {}
+func (*LeadKnown) isSupervisorInput()        {}
+func (*GrantArrived) isSupervisorInput()     {}
+func (*AnswerArrived) isSupervisorInput()    {}
+func (*DoneArrived) isSupervisorInput()      {}
+func (*StartReturned) isSupervisorInput()    {}
 
 // Output is what the owner of the supervisor carries out.
 type Output interface{ isSupervisorOutput() }
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -50,7 +50,7 @@
 
 // granted tells whether a start of some run of the job may have gone out.
 func (job *job) granted() bool {
-	return slices.ContainsFunc(job.parts, func(part *part) bool { return part.granted })
+	return job.begun || slices.ContainsFunc(job.parts, func(part *part) bool { return part.granted })
 }
 
 // asksAt tells whether another part is asked for at a cell. A lead that is asked twice for
@@ -130,7 +130,7 @@
 	}
 	var found messenger.CellRef
 	supervisor.leads.Each(func(cell messenger.CellRef, lead *lead) bool {
-		if lead.host != "" && !part.tried[cell] && !job.asksAt(cell, part) {
+		if lead.host != "" && !part.tried[cell] && !job.asksAt(cell, part) && !supervisor.evacuations.Has(cell.FailureDomain) {
 			if found.FailureDomain == "" || cell.FailureDomain == supervisor.FailureDomain {
 				found = cell
 			}
@@ -188,23 +188,82 @@
 // askOther follows a lead that sends a part, or some of its tasks, to another cell.
 func (supervisor *Supervisor) askOther(job *job, part *part, answer *messenger.RoomAnswer) {
 	lead := supervisor.leadOf(answer.Other)
-	if lead == "" || job.asksAt(answer.Other, part) {
+	if lead == "" {
 		supervisor.refuse(job, messenger.ReasonNoBackendServer, "the lead that has room is gone", answer.RetryAfter)
 		return
 	}
 	if len(answer.Tasks) > 0 {
-		part = supervisor.splitOff(job, part, answer.Tasks)
+		part = supervisor.splitOff(job, part, answer)
+	}
+	if there := job.partAsking(answer.Other, part); there != nil {
+		supervisor.join(job, part, there)
+		return
 	}
 	supervisor.ask(job, part, lead, answer.Other)
 }
 
-// splitOff makes a part of its own of some tasks. A part that has none left is dropped:
-// its lead keeps nothing of it.
-func (supervisor *Supervisor) splitOff(job *job, from *part, tasks []messenger.TaskIndex) *part {
+// partAsking returns the other part that is asked for at a cell, or nil.
+func (job *job) partAsking(cell messenger.CellRef, but *part) *part {
+	for _, part := range job.parts {
+		if part != but && part.lead != "" && part.cell == cell {
+			return part
+		}
+	}
+	return nil
+}
+
+// leaveEvacuated asks elsewhere for the tasks that a lead sends back because nothing starts in its
+// failure domain.
+func (supervisor *Supervisor) leaveEvacuated(job *job, part *part, answer *messenger.RoomAnswer) {
+	moved := supervisor.splitOff(job, part, answer)
+	moved.tried[part.cell] = true
+	home := supervisor.homeOf(job)
+	if !supervisor.evacuations.Has(home.FailureDomain) && supervisor.giveBack(job, moved) {
+		return
+	}
+	if supervisor.askElsewhere(job, moved) || supervisor.joinAny(job, moved) {
+		return
+	}
+	supervisor.refuse(job, messenger.ReasonNoBackendServer, "every failure domain that is in reach is evacuated", supervisor.Settings.RetryAfter)
+}
+
+// joinAny has the tasks of a part wait with those of another one that is not evacuated.
+func (supervisor *Supervisor) joinAny(job *job, moved *part) bool {
+	for _, part := range job.parts {
+		if part != moved && part.lead != "" && !supervisor.evacuations.Has(part.cell.FailureDomain) {
+			supervisor.join(job, moved, part)
+			return true
+		}
+	}
+	return false
+}
+
+// join has the lead of another part take the tasks of a part in, as one request for both.
+func (supervisor *Supervisor) join(job *job, moved, to *part) {
+	request := supervisor.requestFor(job, moved, to.cell)
+	request.Ask = to.ask
+	supervisor.emit(&AskRoom{To: to.lead, Request: request})
+	for index := range job.tasks {
+		if task := &job.tasks[index]; task.part == moved {
+			task.part = to
+		}
+	}
+	supervisor.dropPart(job, moved)
+}
+
+// splitOff makes a part of its own of the tasks that a lead gives away: it has no runs of them
+// any more. A part that has none left is dropped: its lead keeps nothing of it.
+func (supervisor *Supervisor) splitOff(job *job, from *part, answer *messenger.RoomAnswer) *part {
 	created := job.addPart()
-	for _, index := range tasks {
+	for _, index := range answer.Tasks {
 		if int(index) < len(job.tasks) && job.tasks[index].part == from {
 			job.tasks[index].part = created
+			job.tasks[index].start = nil
+		}
+	}
+	for _, known := range answer.Accounts {
+		if int(known.Task) < len(job.tasks) {
+			job.spec.Tasks[known.Task].Account.Merge(known.Account)
 		}
 	}
 	if !slices.ContainsFunc(job.tasks, func(task task) bool { return task.part == from }) {
@@ -252,19 +311,12 @@
 		supervisor.ask(job, part, lead, home)
 		return true
 	}
-	request := supervisor.requestFor(job, part, home)
-	request.Ask = atHome.ask
-	supervisor.emit(&AskRoom{To: lead, Request: request})
-	for index := range job.tasks {
-		if task := &job.tasks[index]; task.part == part {
-			task.part = atHome
-		}
-	}
-	supervisor.dropPart(job, part)
+	supervisor.join(job, part, atHome)
 	return true
 }
 
 func (supervisor *Supervisor) dropPart(job *job, dropped *part) {
+	job.begun = job.begun || dropped.granted
 	supervisor.timers.Clear(silenceTimer(job, dropped))
 	job.parts = slices.DeleteFunc(job.parts, func(part *part) bool { return part == dropped })
 }
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -46,8 +46,10 @@
 	leads      *tabulator.Table[messenger.CellRef, lead]
 	// heardAt is when each lead was last heard.
 	heardAt map[identifier.HostID]identifier.Moment
-	timers  *tabulator.Timers[timerKey]
-	outputs []Output
+	// evacuations are the failure domains where nothing is started.
+	evacuations messenger.Evacuated
+	timers      *tabulator.Timers[timerKey]
+	outputs     []Output
 }
 
 // timerKind tells what a timer is for.
@@ -85,6 +87,8 @@
 	lastPart partNumber
 	lastRun  identifier.RunNumber
 	lastAsk  messenger.AskNumber
+	// begun tells that a start may have gone out in a part that is no more.
+	begun bool
 }
 
 // task is one task of a job.
@@ -143,6 +147,8 @@
 		supervisor.arrive(input)
 	case *CallerLeft:
 		supervisor.callerLeft(input)
+	case *EvacuationsKnown:
+		supervisor.evacuations = input.Evacuated
 	case *HostEnds:
 		supervisor.endAll()
 	case *LeadKnown:
