Take orders to evacuate and to readmit a failure domain

An order is based on the newest version that a quorum knows when it is taken up, so a copy that was held up changes nothing once its opposite was accepted. Unknown failure domains and bodies are refused.

--- a/pkg/assembler/inforce.go
+++ b/pkg/assembler/inforce.go
@@ -35,6 +35,9 @@
 // wrong all the same was accepted by a host of another release: this host goes on
 // with what it has, and the line is how one notices.
 func (daemon *Daemon) putInForce(version configurer.Version) {
+	if len(version.Document) == 0 {
+		return
+	}
 	name := fmt.Sprintf("version-%d", version.Version)
 	effective, err := withConfiguration(daemon.Settings, name, version.Document)
 	if err != nil {
--- a/pkg/assembler/operations.go
+++ b/pkg/assembler/operations.go
@@ -36,6 +36,7 @@
 	router.HandleFunc("/v1/config", operations.showConfig).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", operations.changeConfig).Methods(http.MethodPost)
 	router.HandleFunc("/v1/config/history", operations.configHistory).Methods(http.MethodGet)
+	router.HandleFunc("/v1/evacuations", operations.orderEvacuation).Methods(http.MethodPost)
 	operations.registerIntents(router)
 }
 
@@ -90,11 +91,13 @@
 		Request: body.Request, Expected: body.Expected, Operator: operatorOf(request.Context(), body.Operator),
 		Document: body.Document, At: time.Now().UTC().Format(time.RFC3339),
 	}
-	output := operations.await(request.Context(), func(waiter uint64) coordinator.Input {
-		return &coordinator.OperatorRequest{Waiter: waiter, Command: keeper.Command{Change: change}}
-	})
-	if answer, answered := output.(*coordinator.OperatorAnswer); answered {
-		writeChangeResult(writer, answer)
+	result := operations.petition(request.Context(), &coordinator.OperatorRequest{Command: keeper.Command{Change: change}})
+	switch {
+	case request.Context().Err() != nil:
+	case result == nil:
+		writeChangeResult(writer, nil)
+	default:
+		writeChangeResult(writer, result.Change)
 	}
 }
 
@@ -120,8 +123,9 @@
 	return &body, nil
 }
 
-func writeChangeResult(writer http.ResponseWriter, answer *coordinator.OperatorAnswer) {
-	if !answer.Applied || answer.Result.Change == nil {
+// writeChangeResult writes what became of a change; nil means that no quorum answered.
+func writeChangeResult(writer http.ResponseWriter, result *configurer.Result) {
+	if result == nil {
 		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{
 			Error:  "no-quorum",
 			Detail: "no quorum of the keepers answered; nobody knows whether the change was accepted: send it again with the same request id",
@@ -129,10 +133,10 @@
 		return
 	}
 	status := http.StatusOK
-	if answer.Result.Change.Verdict == configurer.VerdictConflict {
+	if result.Verdict == configurer.VerdictConflict {
 		status = http.StatusConflict
 	}
-	writeJSON(writer, status, answer.Result.Change)
+	writeJSON(writer, status, result)
 }
 
 func (operations *operations) configHistory(writer http.ResponseWriter, request *http.Request) {
--- a/pkg/commander/commander.go
+++ b/pkg/commander/commander.go
@@ -80,6 +80,7 @@
 	addIntentCommands(parser.Command, common)
 	addStatusCommands(parser.Command, common)
 	addConfigCommands(parser.Command, common)
+	addEvacuationCommands(parser.Command, common)
 	addCommand(parser.Command, "load", "Send a load of jobs in an open loop",
 		"Sends jobs to running hosts at their scheduled moments, whatever became of earlier ones, and measures each response from its moment. Exit code 1 when a job has no whole answer or none is complete; failed and refused jobs are answers.",
 		&loadCommand{commonOptions: common})
--- a/pkg/commander/config.go
+++ b/pkg/commander/config.go
@@ -54,7 +54,11 @@
 	if version.Version.Version == 0 {
 		return "# no version yet: each host has its own settings"
 	}
-	return "# version " + number(version.Version.Version) + " by " + version.Operator + " at " + version.At
+	title := "# version " + number(version.Version.Version) + " by " + version.Operator + " at " + version.At
+	for _, domain := range version.Evacuated() {
+		title += "\n# evacuated: " + string(domain)
+	}
+	return title
 }
 
 // configHistoryCommand lists the kept versions.
--- a/pkg/commander/configset.go
+++ b/pkg/commander/configset.go
@@ -16,12 +16,17 @@
 // changeTimeout is longer than a host waits for the keepers.
 const changeTimeout = 10 * time.Second
 
+// requestOptions name a request to the keepers and who sends it.
+type requestOptions struct {
+	Request  string `long:"request" value-name:"ID" description:"the request id that makes a resend harmless (default: a random one, which is printed)"`
+	Operator string `long:"operator" value-name:"NAME" description:"who asks (default: the user)"`
+}
+
 // configSetCommand proposes a configuration.
 type configSetCommand struct {
 	remoteOptions
+	requestOptions
 	Expected  uint64 `long:"expected" required:"yes" value-name:"VERSION" description:"the newest version that you have seen; 0 when there is none"`
-	Request   string `long:"request" value-name:"ID" description:"the request id that makes a resend harmless (default: a random one, which is printed)"`
-	Operator  string `long:"operator" value-name:"NAME" description:"who asks (default: the user)"`
 	Arguments struct {
 		File string `positional-arg-name:"FILE" default:"-" description:"the document; - or nothing reads the standard input"`
 	} `positional-args:"yes"`
@@ -58,25 +63,25 @@
 	return command.Arguments.File
 }
 
-func (command *configSetCommand) fillDefaults() {
-	if command.Request == "" {
-		command.Request = rand.Text()
+func (options *requestOptions) fillDefaults() {
+	if options.Request == "" {
+		options.Request = rand.Text()
 	}
-	if command.Operator != "" {
+	if options.Operator != "" {
 		return
 	}
-	command.Operator = "unknown"
+	options.Operator = "unknown"
 	if current, err := user.Current(); err == nil && current.Username != "" {
-		command.Operator = current.Username
+		options.Operator = current.Username
 	}
 }
 
 // unanswered tells how to find out whether the change was accepted after all.
-func (command *configSetCommand) unanswered(err error) error {
+func (options *requestOptions) unanswered(err error) error {
 	failure := remoteFailure(err)
 	var exit *exitError
 	if errors.As(failure, &exit) && exit.code == ExitFailure {
-		return failed("%v\nthe change may have been accepted; find out by sending it again with --request %s", err, command.Request)
+		return failed("%v\nthe change may have been accepted; find out by sending it again with --request %s", err, options.Request)
 	}
 	return failure
 }
--- a/pkg/commander/hosts.go
+++ b/pkg/commander/hosts.go
@@ -43,6 +43,9 @@
 	if status.Draining {
 		return "draining"
 	}
+	if status.Evacuated.Has(status.FailureDomain) {
+		return "serving, evacuated"
+	}
 	return "serving"
 }
 
--- a/pkg/requester/operations.go
+++ b/pkg/requester/operations.go
@@ -58,8 +58,18 @@
 
 // ChangeConfig proposes a configuration. A conflict is a result and no error.
 func (requester *Requester) ChangeConfig(ctx context.Context, change *assembler.ChangeBody) (*configurer.Result, error) {
-	call := &call{method: http.MethodPost, path: "/v1/config"}
-	content, err := json.Marshal(change)
+	return requester.change(ctx, "/v1/config", change)
+}
+
+// OrderEvacuation orders an evacuation, or takes it back. A conflict is a result and no error.
+func (requester *Requester) OrderEvacuation(ctx context.Context, order *assembler.EvacuationBody) (*configurer.Result, error) {
+	return requester.change(ctx, "/v1/evacuations", order)
+}
+
+// change sends what the keepers are to agree on.
+func (requester *Requester) change(ctx context.Context, path string, body any) (*configurer.Result, error) {
+	call := &call{method: http.MethodPost, path: path}
+	content, err := json.Marshal(body)
 	if err != nil {
 		return nil, call.failed(ErrorKindWrongRequest, eris.Wrap(err, "encode the change"))
 	}
