--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -37,7 +37,9 @@
 	// trouble is the share of calls, of 100, that go wrong.
 	trouble int
 	// harsh is nil where only whole hosts, servers and calls fail.
-	harsh   *harshFaults
+	harsh *harshFaults
+	// orders is nil where no failure domain is evacuated.
+	orders  *orders
 	running map[string]identifier.ServerIncarnation
 	refused map[identifier.JobID]bool
 	begun   map[identifier.JobID]bool
@@ -359,6 +361,7 @@
 	if world.refused[start.Run.Job] && !world.resent[start.Run.Job] {
 		world.problems = append(world.problems, fmt.Sprintf("%s starts after its job was refused as not run", task))
 	}
+	world.orders.check(server, task)
 	world.running[task] = server.card.Server
 	world.begun[start.Run.Job] = true
 	run := &calledRun{key: start.Run}
--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -53,10 +53,14 @@
 	network := newNetworkWith(domains, hosts, settings)
 	servers := rapid.IntRange(3, 5).Draw(draw, "servers") * len(domains)
 	world, harsh := newHarshWorld(network, draw, servers, kinds)
+	orders := newOrders(world, false)
 	network.advance(2 * time.Second)
 	world.trouble = rapid.IntRange(0, 15).Draw(draw, "trouble")
 	for step := range rapid.IntRange(20, 80).Draw(draw, "steps") {
 		harsh.step(step)
+		if kinds.evacuations && world.chance("order", 9) == 0 {
+			orders.step()
+		}
 		network.advance(time.Duration(rapid.IntRange(1, 150).Draw(draw, "pause")) * time.Millisecond)
 		if len(world.problems) > 0 {
 			break
--- a/pkg/coordinator/harshworld_test.go
+++ b/pkg/coordinator/harshworld_test.go
@@ -39,6 +39,8 @@
 	lateCards bool
 	// sameIDs tells that the lives at one address have one id, and tell when they began.
 	sameIDs bool
+	// evacuations tells that failure domains are evacuated and readmitted.
+	evacuations bool
 }
 
 // cutKey names the way between a host and what stands at a backend server's address.
