--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -252,3 +252,11 @@
 // TestSeedOfAShutdownWithARequest guards against a planned shutdown that ends on a caller without an
 // answer.
 func TestSeedOfAShutdownWithARequest(t *testing.T) { expectKept(t, 31203498) }
+
+// TestSeedOfARunInAnotherFailureDomain guards against a second start at home of a task that runs in
+// another failure domain, after the home's hosts were lost or alone.
+func TestSeedOfARunInAnotherFailureDomain(t *testing.T) { expectKept(t, 32208263) }
+
+// TestSeedOfAResendAfterARefusal guards against the start of a refused submission whose refusal only
+// hosts knew that are lost.
+func TestSeedOfAResendAfterARefusal(t *testing.T) { expectKept(t, 32208451) }
