Try what waits behind tasks that fit nowhere

Cause: a search for room ended after eight waiting jobs that fit nowhere. Tasks fill half of most servers and vary by a fifth, so gaps stay that smaller tasks further behind fit. Load: more work than room, tasks that fill half or a third of a server. Change: what is larger than the largest gap is passed over without a search, and doesn't count.

--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -21,7 +21,9 @@
 	events  loadEvents
 	servers map[identifier.ServerIncarnation]*loadServer
 	random  *rand.Rand
-	next    int
+	// kinds are the kinds of the jobs.
+	kinds []kind
+	next  int
 	// counts of what became of jobs and runs.
 	jobs, turnedAway, done int
 	inTime, late           map[identifier.QueueName]int
@@ -105,7 +107,7 @@
 	work  time.Duration
 }
 
-var kinds = []kind{
+var usualKinds = []kind{
 	{"quick", 0.244, 8, 60 * time.Millisecond},
 	{"large", 0.044, 4, 900 * time.Millisecond},
 	{"lookup", 0.712, 2, 200 * time.Millisecond},
@@ -133,6 +135,7 @@
 // newLoadOf makes failure domains with so many servers each.
 func newLoadOf(leads, servers int) *load {
 	created := &load{
+		kinds:   usualKinds,
 		servers: make(map[identifier.ServerIncarnation]*loadServer),
 		random:  rand.New(rand.NewPCG(1, 2)),
 		inTime:  make(map[identifier.QueueName]int), late: make(map[identifier.QueueName]int), arrived: make(map[identifier.QueueName]int),
@@ -371,8 +374,8 @@
 // and declared times off by two fifths.
 func (load *load) arrive() []allocator.Input {
 	drawn := load.random.Float64()
-	chosen := kinds[0]
-	for _, kind := range kinds {
+	chosen := load.kinds[0]
+	for _, kind := range load.kinds {
 		chosen = kind
 		if drawn < kind.share {
 			break
@@ -508,7 +511,7 @@
 // worth is the share of what users could have got that they did get.
 func (load *load) worth() float64 {
 	earned, owed := 0.0, 0.0
-	for _, kind := range kinds {
+	for _, kind := range load.kinds {
 		earned += worthOf[kind.queue] * (float64(load.inTime[kind.queue]) + 0.2*float64(load.late[kind.queue]))
 		owed += worthOf[kind.queue] * float64(load.arrived[kind.queue])
 	}
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -20,7 +20,11 @@
 	// Placing changes the list.
 	waiting := append([]*job(nil), allocator.waiting...)
 	misses := 0
+	largest := allocator.largestGap()
 	for _, job := range waiting {
+		if !job.mayFit(largest) {
+			continue
+		}
 		waited := !job.granted
 		if !allocator.placeJob(job) {
 			misses++
@@ -31,7 +35,30 @@
 		if misses == placeMisses {
 			return
 		}
+		largest = allocator.largestGap()
+	}
+}
+
+// largestGap is at least as much as any usable server has free.
+func (allocator *Allocator) largestGap() identifier.Resources {
+	var largest identifier.Resources
+	allocator.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
+		if allocator.usable(server) {
+			largest = largest.Max(server.free())
+		}
+		return true
+	})
+	return largest
+}
+
+// mayFit tells whether some task of the job that waits is small enough for a gap.
+func (job *job) mayFit(gap identifier.Resources) bool {
+	for index := range job.tasks {
+		if task := &job.tasks[index]; task.queued && task.room.Needs.Fits(gap) {
+			return true
+		}
 	}
+	return false
 }
 
 // placeMisses is how many waiting jobs may find no room before a search ends. Tasks
