--- a/deploy/days_test.go
+++ b/deploy/days_test.go
@@ -29,8 +29,14 @@
 	Zero    float64
 	Goal    struct{ Floor float64 }
 	Labels  []string
-	Plan    []entry
-	Faults  []entry
+	// Closing is the final fault; a day without one has no kind.
+	Closing struct {
+		Kind  string
+		How   string
+		DownS float64 `toml:"down_s"`
+	}
+	Plan   []entry
+	Faults []entry
 }
 
 // entry is one piece of planned work or one fault.
@@ -52,7 +58,7 @@
 
 // plannedKinds are the kinds of planned work.
 var plannedKinds = []string{
-	"bad_config", "big_config", "config_change", "config_race", "config_storm", "hup",
+	"bad_config", "big_config", "config_change", "config_race", "config_storm", "evacuate", "hup",
 	"release", "roll_term", "scale_in", "scale_out", "seed_turnover",
 }
 
