--- a/pkg/allocator/evacuating.go
+++ b/pkg/allocator/evacuating.go
@@ -35,6 +35,9 @@
 	for index := range job.tasks {
 		allocator.queueTask(job, &job.tasks[index])
 	}
+	if job.held() {
+		allocator.answerJob(job, messenger.RoomAnswer{Job: job.request.Job, Kind: messenger.RoomAnswerWaiting})
+	}
 	allocator.moveJob(job)
 }
 
@@ -47,6 +50,7 @@
 
 func (allocator *Allocator) moveJob(job *job) {
 	switch {
+	case job.queued == 0:
 	case job.request.HandedOver:
 		allocator.sendBack(job)
 	case job.granted || allocator.plan(job, job.pending(), true).inTime:
--- a/pkg/allocator/evacuating_test.go
+++ b/pkg/allocator/evacuating_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/allocator"
+	"github.com/stoathitch/stoathitch/pkg/budgeter"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -96,3 +97,20 @@
 	}
 	return float64(runs) / float64(servers)
 }
+
+// TestEvacuationOfATaskThatIsHeldBack guards against a task under which servers crash and that other
+// failure domains are asked for, as nothing of its job waits for room.
+func TestEvacuationOfATaskThatIsHeldBack(t *testing.T) {
+	lead := &allocator.Allocator{FailureDomain: "leuven", Settings: allocator.DefaultSettings()}
+	lead.Tick(0, []allocator.Input{&allocator.LeadTaken{Epoch: 7}, &allocator.EvacuationsKnown{Evacuated: messenger.Evacuated{"leuven"}}})
+	task := messenger.RoomTask{Needs: identifier.Resources{MilliCPU: 1000}, Declared: time.Second, Account: budgeter.Account{Crashes: 3}}
+	outputs := lead.Tick(1, []allocator.Input{&allocator.RoomRequested{From: "host-b", Request: messenger.RoomRequest{
+		Job: "j", Service: "desk", Queue: "quick", Attempts: 3, Stretch: 1.6, Remaining: time.Hour, HandedOver: true, Tasks: []messenger.RoomTask{task},
+	}}})
+	if len(outputs) != 1 {
+		t.Fatalf("got %d outputs, want one answer", len(outputs))
+	}
+	if answer, isAnswer := outputs[0].(*allocator.AnswerRoom); !isAnswer || answer.Answer.Kind != messenger.RoomAnswerWaiting {
+		t.Errorf("got %+v, want that the job waits", outputs[0])
+	}
+}
