Test each place that begins work against evacuations

The driver of intents, the lead of streams, and what a lead tells of its room; the other places had theirs.

--- a/pkg/allocator/evacuating_test.go
+++ b/pkg/allocator/evacuating_test.go
@@ -114,3 +114,25 @@
 		t.Errorf("got %+v, want that the job waits", outputs[0])
 	}
 }
+
+// TestEvacuationTellsOfNoRoom guards against other leads that send jobs to an evacuated failure domain.
+func TestEvacuationTellsOfNoRoom(t *testing.T) {
+	load := newLoadOf(2, 4)
+	load.play(20, time.Second)
+	for _, want := range []struct {
+		evacuated messenger.Evacuated
+		room      bool
+	}{{nil, true}, {messenger.Evacuated{domainOf(0)}, false}, {nil, true}} {
+		load.now = load.now.Add(2 * time.Second)
+		load.leads[0].Tick(load.now, []allocator.Input{&allocator.EvacuationsKnown{Evacuated: want.evacuated}})
+		var told *messenger.RoomNotice
+		for _, output := range load.leads[0].Tick(load.now.Add(time.Second), nil) {
+			if notice, isNotice := output.(*allocator.TellNotice); isNotice {
+				told = &notice.Notice
+			}
+		}
+		if told == nil || (told.Spots > 0) != want.room || len(told.Openings) > 0 && !want.room {
+			t.Errorf("evacuated %v: told %+v", want.evacuated, told)
+		}
+	}
+}
--- a/pkg/planner/driver_test.go
+++ b/pkg/planner/driver_test.go
@@ -132,6 +132,10 @@
 		quota := placer.Quota{Limit: scanNeed(t, data)}
 		data.MaybeScanArgs(t, "tasks", &quota.TasksInFlight)
 		script.inbox = append(script.inbox, QuotasChanged{Quotas: []TeamQuota{{Team: "t", Quota: quota}}})
+	case "evacuate":
+		script.inbox = append(script.inbox, EvacuationChanged{Evacuated: true})
+	case "readmit":
+		script.inbox = append(script.inbox, EvacuationChanged{})
 	case "step":
 		times := 1
 		data.MaybeScanArgs(t, "times", &times)
