--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -173,9 +173,7 @@
 // slackWeight is how much the time that a job can spare counts against the time since it
 // arrived. With 1, the job that must start first goes first; with 2, jobs of short tasks
 // pass those that can spare more, which is better for both as long as not everything can
-// be in time: summed over loads of 0.75 to 1.3 of the room, users' worth rose from 3.960
-// to 4.022 of 5 with 16 backend servers and from 4.468 to 4.563 with 88. Weights of 3 to
-// 8 gave up to 0.04 more, but kept half of the long jobs out at 1.3.
+// be in time. Higher weights keep the long jobs out.
 const slackWeight = 2
 
 // queueTask lets a task wait for room.
--- a/pkg/allocator/overdue.go
+++ b/pkg/allocator/overdue.go
@@ -9,10 +9,7 @@
 
 // A run that goes on for far longer than expected tells about its server before it ends.
 // A server that lets runs hang, or is slow, would else look good until the time of their
-// jobs is over, and draw more work meanwhile. With two of 16 servers that let two runs in
-// five hang users get 0.977 of what they could have in place of 0.972, with two that take
-// eight times as long 0.971 in place of 0.966, with five that lose three answers in ten
-// 0.861 in place of 0.842 (TestWorthWithBadServers).
+// jobs is over, and draw more work meanwhile.
 const (
 	// slowAfter is after how many times its expected time a run counts against its server.
 	// Estimates are off by two fifths, so that hardly a run of a sound server gets there.
--- a/pkg/allocator/planning.go
+++ b/pkg/allocator/planning.go
@@ -62,10 +62,8 @@
 }
 
 // latenessRisked is the part of a job's time by which it may be late, as predicted, and
-// still be let in. Predictions rest on declared times that are off by two fifths, and
-// jobs that were turned away at a quarter of lateness would mostly have been in time:
-// summed over loads of 0.75 to 1.3 of the room, users' worth rose from 3.896 to 3.960 of
-// 5 with 16 backend servers and stayed at 4.47 with 88 (TestWorthUnderLoad).
+// still be let in. Predictions rest on declared times that are off by two fifths, and most
+// jobs of which a little lateness is predicted are in time.
 const latenessRisked = 4
 
 // tasksAhead counts the tasks without room of jobs that come before a job.
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -258,9 +258,7 @@
 }
 
 // judgeRun hands the outcome of a run to the judge of the servers. After a lost answer an
-// end is learned late and the server looks slow: that is as its users see it. Where only
-// what was learned at once was counted, users got 0.771 in place of 0.861 of what they
-// could have with five of 16 servers whose answers were lost three times in ten.
+// end is learned late and the server looks slow: that is as its users see it.
 func (allocator *Allocator) judgeRun(ended *run, job *job, failed bool, ran time.Duration) {
 	allocator.judged = append(allocator.judged, &assessor.TaskEnded{
 		Server: judgedAs(ended.server), Origin: assessor.Origin{Team: identifier.TeamID(job.request.Queue)}, Failed: failed, RunTime: ran,
--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -45,7 +45,6 @@
 // half of the lease for a renewal that is delayed or repeated.
 func (settings *Settings) holdWait() time.Duration { return settings.Lease / holdsPerLease }
 
-// Defaults that have no other source than the reasons given here.
 const (
 	defaultLease    = time.Second
 	defaultStopTime = 50 * time.Millisecond
@@ -73,11 +72,7 @@
 	ejectAfter = 2.5
 	// slowEjectAfter is the base 2 logarithm of how much longer than others a server may
 	// take, over about its last five runs, as slownessDecay weighs them. Within a queue
-	// run times differ by two fifths, by which that mean is off by 0.3. With a decay of
-	// 0.05 and ejection from 3 a server that took four times as long was never ejected:
-	// with two such of 16 users got 0.859 of what they could have, with eight times as
-	// long 0.882; now 0.961 and 0.966, and 0.994 as before with none
-	// (TestWorthWithBadServers).
+	// run times differ by two fifths, by which that mean is off by 0.3.
 	slowEjectAfter = 1.2
 	slownessDecay  = 0.3
 	// ratioLimit keeps a single run, whose start may have been late, from ejecting a
--- a/pkg/allocator/sharing.go
+++ b/pkg/allocator/sharing.go
@@ -20,13 +20,7 @@
 // four times as much. It shows as refusals of the widest jobs in calm seconds.
 //
 // A job is shared once its first task starts. While nothing of it has begun it can still
-// be turned away; shared before, jobs that became late went on, and at 1.1 of the room
-// users got 0.62 in place of 0.73 of what they could have.
-//
-// Users' worth over five days of a deployment with four failure domains of 12 servers each,
-// three seeds a day: 0.782 where a job went whole to a cell with room for all of it or
-// stayed, 0.812 with shares of the room that is free at once, 0.824 with these
-// (TestWideJobsAreShared replays the load).
+// be turned away; shared before, jobs that become late would go on.
 func (allocator *Allocator) shareOut(job *job) {
 	if job.request.HandedOver || job.queued == 0 || allocator.remotes.Len() == 0 {
 		return
--- a/pkg/configurer/evacuation.go
+++ b/pkg/configurer/evacuation.go
@@ -73,13 +73,7 @@
 // ApplyEvacuation carries out an order and returns its result. It makes a new version with
 // the document of the one before, so that hosts learn of it as they do of a configuration.
 func (register *Register) ApplyEvacuation(order *Evacuation) Result {
-	register.prepare()
-	if known := register.results.Get(order.Request); known != nil {
-		return *known
-	}
-	result := register.decideEvacuation(order)
-	register.remember(result)
-	return result
+	return register.once(order.Request, func() Result { return register.decideEvacuation(order) })
 }
 
 func (register *Register) decideEvacuation(order *Evacuation) Result {
--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -91,11 +91,16 @@
 // Apply carries out one change and returns its result. A request that was
 // answered before gets that answer again and changes nothing.
 func (register *Register) Apply(change *Change) Result {
+	return register.once(change.Request, func() Result { return register.decide(change) })
+}
+
+// once decides on a request, unless it was decided on before.
+func (register *Register) once(request identifier.RequestID, decide func() Result) Result {
 	register.prepare()
-	if known := register.results.Get(change.Request); known != nil {
+	if known := register.results.Get(request); known != nil {
 		return *known
 	}
-	result := register.decide(change)
+	result := decide()
 	register.remember(result)
 	return result
 }
--- a/pkg/coordinator/remembering.go
+++ b/pkg/coordinator/remembering.go
@@ -24,10 +24,6 @@
 // first. It shows as refusals for one to two heartbeats while servers stand idle. With
 // what the keepers remember a lead calls all servers at once, under an epoch that they
 // accept.
-//
-// Measured as the users' worth over five days of a deployment with 9 entry hosts, 4
-// keepers and 48 backend servers, each of which ends with the loss of all power or the
-// death of all processes, three seeds each: 0.771 without, 0.780 with it.
 type remembering struct {
 	coordinator *Coordinator
 	// cells is what a keeper remembers.
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -277,8 +277,7 @@
 // says nothing for seconds, while the caller waits for tenths of one.
 //
 // A lead that is only slow is waited for. If its jobs went to the other leads as well,
-// one busy lead would become four: in a burst of 1.2 times the usual load 5,269 of 6,506
-// jobs were turned away with most of the room free.
+// one busy lead would become four, and most jobs be turned away with room free.
 func (supervisor *Supervisor) leadSilent(job *job, part *part) {
 	if part.heard || part.granted {
 		return
