--- a/pkg/coordinator/evacuating_test.go
+++ b/pkg/coordinator/evacuating_test.go
@@ -104,3 +104,59 @@
 func TestEvacuationUnderHarshFaultsAndResends(t *testing.T) {
 	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{evacuations: true, resends: true}) })
 }
+
+// evacuatingMachine evacuates failure domains of servers that open a stream, too.
+type evacuatingMachine struct {
+	machine
+	version configurer.Version
+	// since is from when nothing may start in the failure domains that are evacuated.
+	since map[identifier.FailureDomain]identifier.Moment
+}
+
+// Order evacuates a failure domain, or takes that back, at some host.
+func (machine *evacuatingMachine) Order(t *rapid.T) {
+	host := machine.drawHost(t)
+	if host.coordinator == nil {
+		t.Skip("the host is down")
+	}
+	domain := rapid.SampledFrom(machine.domains).Draw(t, "domain")
+	_, evacuated := machine.since[domain]
+	machine.order(host, domain, !evacuated)
+}
+
+func (machine *evacuatingMachine) order(host *fakeHost, domain identifier.FailureDomain, evacuated bool) {
+	delete(machine.since, domain)
+	if evacuated {
+		machine.since[domain] = machine.network.now.Add(evacuationKnown)
+	}
+	machine.version.Version++
+	machine.version.Evacuations = nil
+	for _, known := range machine.domains {
+		_, evacuated := machine.since[known]
+		machine.version.Evacuations = append(machine.version.Evacuations, configurer.EvacuationState{FailureDomain: known, Evacuated: evacuated})
+	}
+	machine.network.tick(host, &coordinator.ConfigRemembered{Version: machine.version})
+}
+
+// mayStart tells whether a start in a failure domain is allowed: while hosts are disturbed, and
+// shortly after, some may not have heard.
+func (machine *evacuatingMachine) mayStart(domain identifier.FailureDomain) bool {
+	since, evacuated := machine.since[domain]
+	return !evacuated || machine.network.now < max(since, machine.calmAt.Add(evacuationKnown))
+}
+
+// TestEvacuationOfStreamsUnderFaults guards against starts in an evacuated failure domain, and against
+// broken promises to callers, while servers, connections and one host at a time fail.
+func TestEvacuationOfStreamsUnderFaults(t *testing.T) {
+	bound(t, "60")
+	domains := []identifier.FailureDomain{"leuven", "roeselare"}
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &evacuatingMachine{
+			machine: machine{network: newNetwork(domains, 3, 2, 2), domains: domains},
+			since:   make(map[identifier.FailureDomain]identifier.Moment),
+		}
+		machine.network.mayStart = machine.mayStart
+		t.Repeat(rapid.StateMachineActions(machine))
+		machine.heal(t)
+	})
+}
--- a/pkg/coordinator/fakeserver_test.go
+++ b/pkg/coordinator/fakeserver_test.go
@@ -171,6 +171,9 @@
 	}
 	server.tasks[start.TaskKey] = start.Cell
 	server.network.oracle.begun(start.TaskKey, server.id)
+	if allowed := server.network.mayStart; allowed != nil && !allowed(server.domain) {
+		server.network.oracle.breach("%v starts on %s, whose failure domain is evacuated", start.TaskKey, server.id)
+	}
 	runTime, _ := time.ParseDuration(string(start.Payload))
 	if server.failing {
 		runTime = time.Millisecond
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -40,6 +40,8 @@
 	called *calledWorld
 	// cost counts messages between hosts unless it is nil.
 	cost *cost
+	// mayStart tells whether a start in a failure domain is allowed now; nil allows all.
+	mayStart func(domain identifier.FailureDomain) bool
 }
 
 // connection counts its breaks, so that messages of an older one are dropped.
