--- a/pkg/coordinator/evacuating_test.go
+++ b/pkg/coordinator/evacuating_test.go
@@ -113,7 +113,8 @@
 	since map[identifier.FailureDomain]identifier.Moment
 }
 
-// Order evacuates a failure domain, or takes that back, at some host.
+// Order evacuates a failure domain, or takes that back, at some host, and sends a job once all hosts
+// that are not disturbed know.
 func (machine *evacuatingMachine) Order(t *rapid.T) {
 	host := machine.drawHost(t)
 	if host.coordinator == nil {
@@ -122,6 +123,8 @@
 	domain := rapid.SampledFrom(machine.domains).Draw(t, "domain")
 	_, evacuated := machine.since[domain]
 	machine.order(host, domain, !evacuated)
+	machine.network.advance(evacuationKnown + time.Millisecond)
+	machine.Submit(t)
 }
 
 func (machine *evacuatingMachine) order(host *fakeHost, domain identifier.FailureDomain, evacuated bool) {
