--- a/pkg/coordinator/evacuating_test.go
+++ b/pkg/coordinator/evacuating_test.go
@@ -113,21 +113,21 @@
 	since map[identifier.FailureDomain]identifier.Moment
 }
 
-// Order evacuates a failure domain, or takes that back, at some host, and sends a job once all hosts
-// that are not disturbed know.
+// Order evacuates a failure domain, or takes that back, at two hosts as after a quorum of keepers, and
+// sends a job once all hosts that are not disturbed know.
 func (machine *evacuatingMachine) Order(t *rapid.T) {
-	host := machine.drawHost(t)
-	if host.coordinator == nil {
-		t.Skip("the host is down")
+	first, second := machine.drawHost(t), machine.drawHost(t)
+	if first.coordinator == nil || second.coordinator == nil || first == second {
+		t.Skip("two hosts are wanted")
 	}
 	domain := rapid.SampledFrom(machine.domains).Draw(t, "domain")
 	_, evacuated := machine.since[domain]
-	machine.order(host, domain, !evacuated)
+	machine.order([]*fakeHost{first, second}, domain, !evacuated)
 	machine.network.advance(evacuationKnown + time.Millisecond)
 	machine.Submit(t)
 }
 
-func (machine *evacuatingMachine) order(host *fakeHost, domain identifier.FailureDomain, evacuated bool) {
+func (machine *evacuatingMachine) order(hosts []*fakeHost, domain identifier.FailureDomain, evacuated bool) {
 	delete(machine.since, domain)
 	if evacuated {
 		machine.since[domain] = machine.network.now.Add(evacuationKnown)
@@ -138,7 +138,9 @@
 		_, evacuated := machine.since[known]
 		machine.version.Evacuations = append(machine.version.Evacuations, configurer.EvacuationState{FailureDomain: known, Evacuated: evacuated})
 	}
-	machine.network.tick(host, &coordinator.ConfigRemembered{Version: machine.version})
+	for _, host := range hosts {
+		machine.network.tick(host, &coordinator.ConfigRemembered{Version: machine.version})
+	}
 }
 
 // mayStart tells whether a start in a failure domain is allowed: while hosts are disturbed, and
