Ask the keepers, and who is asked at a cell, each in one place

Cause: the adapter's petition stood again in the assembler's operations; the supervisor's asksAt and partAsking were one question. Change: Daemon.Petition serves both, in place of Await, which nobody else used; asksAt rests on partAsking. Behaviour as before.

--- a/pkg/assembler/extension.go
+++ b/pkg/assembler/extension.go
@@ -5,6 +5,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/measurer"
 )
 
@@ -26,10 +27,9 @@
 	return daemon.runner.Post(ctx, input)
 }
 
-// Await posts an input for a new waiter and returns the output that answers it, or
-// nil once ctx is done.
-func (daemon *Daemon) Await(ctx context.Context, input func(waiter uint64) coordinator.Input) coordinator.Output {
-	return daemon.operations.await(ctx, input)
+// Petition asks the keepers and returns their result, or nil without one.
+func (daemon *Daemon) Petition(ctx context.Context, asked *coordinator.OperatorRequest) *keeper.Result {
+	return daemon.operations.petition(ctx, asked)
 }
 
 // Measurer returns what counts the jobs of this host.
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -56,7 +56,7 @@
 // asksAt tells whether another part is asked for at a cell. A lead that is asked twice for
 // a job takes the second request for the job sent again.
 func (job *job) asksAt(cell messenger.CellRef, but *part) bool {
-	return slices.ContainsFunc(job.parts, func(part *part) bool { return part != but && part.lead != "" && part.cell == cell })
+	return job.partAsking(cell, but) != nil
 }
 
 // answered returns the part that a lead answers for, or nil where it answers an earlier
