Grant a job elsewhere only once its home's hosts don't know it

What callers saw: a job that was sent again ran each task twice at once, while nothing was lost.

Cause: a host that doesn't hear the lead of a job's home cell for 40 ms asks another cell, whose lead knows nothing of the first sending and grants. Evidence: the log of the placed test has "asked" to two leads 40 ms apart and "granted" by the second, while the first sending has no "answered" line.

Ruled out: a lead that forgets its runs (it has them all the while), a release that was lost (none was sent).

Change: a cell gives a job room that its home has not sent there only once every other host of the home has told that it knows no run of it, and none was lost within the last lease (pkg/inquirer, pure). A host whose request is denied waits for the home's lead and claims nothing to its caller. Where a cleared job goes is told to the home, which sends a third sending there. A new lead vouches for what it shares out once all hosts have named their runs.

Tried and replaced, each failing TestResendBesideADisturbance: the home's lead may stay silent; each host notes where a job goes with the inquiry; a new lead vouches at once; only living hosts count.

Ten fuzz tests of called servers, 600 cases each: passed.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -160,6 +160,8 @@
 		allocator.recallCard(&input.Card)
 	case *RoomRequested:
 		allocator.request(input)
+	case *JobGoesElsewhere:
+		allocator.noteShare(input)
 	case *RoomReleased:
 		allocator.release(input.From, input.Job)
 	case *StartReported:
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -39,6 +39,14 @@
 	Request messenger.RoomRequest
 }
 
+// JobGoesElsewhere tells that another cell is about to give room to tasks of a job that this cell
+// is the home of, and doesn't know.
+type JobGoesElsewhere struct {
+	Job   identifier.JobID
+	Cell  messenger.CellRef
+	Tasks []messenger.TaskIndex
+}
+
 // RoomReleased tells that a host wants no more room for a job: what runs is stopped.
 type RoomReleased struct {
 	From identifier.HostID
@@ -137,6 +145,7 @@
 func (*CardArrived) isAllocatorInput()      {}
 func (*CardRecalled) isAllocatorInput()     {}
 func (*RoomRequested) isAllocatorInput()    {}
+func (*JobGoesElsewhere) isAllocatorInput() {}
 func (*RoomReleased) isAllocatorInput()     {}
 func (*StartReported) isAllocatorInput()    {}
 func (*HostGone) isAllocatorInput()         {}
--- a/pkg/allocator/orphans.go
+++ b/pkg/allocator/orphans.go
@@ -86,6 +86,11 @@
 	return orphans
 }
 
+// isOrphaned tells whether a job has runs that no job here asked for.
+func (allocator *Allocator) isOrphaned(id identifier.JobID) bool {
+	return len(allocator.orphansOf(&messenger.RoomRequest{Job: id})) > 0
+}
+
 // holds tells whether a request names a run.
 func holds(request *messenger.RoomRequest, run *run) bool {
 	return slices.ContainsFunc(request.Held, func(held messenger.HeldRun) bool {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/planner"
@@ -64,7 +65,9 @@
 	supervisor *supervisor.Supervisor
 	// starter decides which host makes the calls that start their runs.
 	starter *starter.Starter
-	rooms   []*room
+	// inquirer holds requests for room that no lead has vouched for.
+	inquirer *inquirer.Inquirer
+	rooms    []*room
 	// remembering has the keepers remember the backend servers.
 	remembering *remembering
 	// following tells the rooms which hosts follow this one as their lead.
@@ -90,6 +93,7 @@
 	toFollower   []configurer.Input
 	toSupervisor []supervisor.Input
 	toStarter    []starter.Input
+	toInquirer   []inquirer.Input
 	outputs      outbox
 	draining     bool
 	// connected are the hosts to which a connection stands.
@@ -132,6 +136,7 @@
 	next = identifier.Earlier(next, coordinator.remembering.dueAt)
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
 	next = identifier.Earlier(next, coordinator.starter.NextDeadline())
+	next = identifier.Earlier(next, coordinator.inquirer.NextDeadline())
 	for _, room := range coordinator.rooms {
 		next = identifier.Earlier(next, room.allocator.NextDeadline())
 	}
@@ -165,6 +170,7 @@
 		Cells:         coordinator.cells(),
 		Settings:      coordinator.Settings.Supervisor,
 	}
+	coordinator.inquirer = &inquirer.Inquirer{Settings: coordinator.Settings.Inquirer}
 	coordinator.rooms = newRooms(coordinator)
 	coordinator.remembering = newRemembering(coordinator)
 	coordinator.following = newFollowing(coordinator)
@@ -208,7 +214,7 @@
 	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
-		len(coordinator.toSupervisor) > 0 || len(coordinator.toStarter) > 0 || coordinator.roomsUnsettled() ||
+		len(coordinator.toSupervisor) > 0 || len(coordinator.toStarter) > 0 || len(coordinator.toInquirer) > 0 || coordinator.roomsUnsettled() ||
 		len(coordinator.toFollower) > 0 || len(coordinator.driving.inputs) > 0
 }
 
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -12,6 +12,7 @@
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 )
@@ -106,6 +107,9 @@
 		coordinator.tellHostChanged(change, restarted)
 	}
 	coordinator.changeRoomHost(change.New, restarted)
+	if change.Old != nil && change.Old.Living() && (restarted || change.New.Status == gossiper.StatusDead) {
+		coordinator.tellInquirer(&inquirer.HostLost{Host: member.Host, FailureDomain: member.FailureDomain})
+	}
 	coordinator.following.changed = true
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.changeKeeperReachability(change.New)
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -312,9 +312,12 @@
 	ServerCards []messenger.ServerCard `cbor:"57,keyasint,omitempty"`
 	CellMemory  *messenger.CellMemory  `cbor:"58,keyasint,omitempty"`
 	// LeadFollowed comes after the RoomRequests that name runs.
-	LeadFollowed *messenger.LeadFollowed `cbor:"59,keyasint,omitempty"`
-	StartOrder   *messenger.StartOrder   `cbor:"60,keyasint,omitempty"`
-	StartResult  *messenger.StartResult  `cbor:"61,keyasint,omitempty"`
+	LeadFollowed    *messenger.LeadFollowed    `cbor:"59,keyasint,omitempty"`
+	StartOrder      *messenger.StartOrder      `cbor:"60,keyasint,omitempty"`
+	StartResult     *messenger.StartResult     `cbor:"61,keyasint,omitempty"`
+	JobInquiry      *messenger.JobInquiry      `cbor:"62,keyasint,omitempty"`
+	JobInquiryReply *messenger.JobInquiryReply `cbor:"63,keyasint,omitempty"`
+	JobElsewhere    *messenger.JobElsewhere    `cbor:"64,keyasint,omitempty"`
 }
 
 // outbox gathers the outputs of one tick, with one batch for each peer.
--- a/pkg/coordinator/rooming.go
+++ b/pkg/coordinator/rooming.go
@@ -7,6 +7,7 @@
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
@@ -167,6 +168,7 @@
 	now := coordinator.now
 	tickPart(now, coordinator.supervisor, &coordinator.toSupervisor, coordinator.routeSupervisorOutput)
 	tickPart(now, coordinator.starter, &coordinator.toStarter, coordinator.routeStarterOutput)
+	tickPart(now, coordinator.inquirer, &coordinator.toInquirer, coordinator.routeInquirerOutput)
 	for cell, room := range coordinator.rooms {
 		tickPart(now, room.allocator, &room.inputs, func(output allocator.Output) {
 			coordinator.routeAllocatorOutput(messenger.CellNumber(cell), output)
@@ -178,9 +180,9 @@
 func (coordinator *Coordinator) applyRoomMessage(from identifier.HostID, message *PeerMessage) bool {
 	switch {
 	case message.RoomRequest != nil:
-		coordinator.tellAllocator(message.RoomRequest.Cell, &allocator.RoomRequested{From: from, Request: *message.RoomRequest})
+		coordinator.requestRoom(from, message.RoomRequest)
 	case message.RoomRelease != nil:
-		coordinator.tellAllocator(message.RoomRelease.Cell, &allocator.RoomReleased{From: from, Job: message.RoomRelease.Job})
+		coordinator.releaseRoom(from, message.RoomRelease)
 	case message.StartReport != nil:
 		coordinator.tellAllocator(message.StartReport.Cell, &allocator.StartReported{From: from, Report: *message.StartReport})
 	case message.Grant != nil:
@@ -197,6 +199,12 @@
 		coordinator.tellStarter(&starter.OrderArrived{From: from, Order: *message.StartOrder})
 	case message.StartResult != nil:
 		coordinator.tellStarter(&starter.ResultArrived{From: from, Result: *message.StartResult})
+	case message.JobInquiry != nil:
+		coordinator.takeInquiry(from, message.JobInquiry)
+	case message.JobInquiryReply != nil:
+		coordinator.tellInquirer(&inquirer.ReplyArrived{From: from, Reply: *message.JobInquiryReply})
+	case message.JobElsewhere != nil:
+		coordinator.noteElsewhere(from, message.JobElsewhere)
 	case message.LeadFollowed != nil:
 		coordinator.following.take(from, message.LeadFollowed)
 	case message.ServerCards != nil:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -10,6 +10,7 @@
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
@@ -26,6 +27,7 @@
 	Intents       IntentSettings
 	Supervisor    supervisor.Settings
 	Starter       starter.Settings
+	Inquirer      inquirer.Settings
 	Allocator     allocator.Settings
 	// LeadSettle is how long a starting host waits to hear of a living lead
 	// before it takes a cell, so that it does not duel with that lead.
@@ -57,6 +59,7 @@
 		Intents:       DefaultIntentSettings(),
 		Supervisor:    supervisor.DefaultSettings(),
 		Starter:       starter.DefaultSettings(),
+		Inquirer:      inquirer.DefaultSettings(),
 		Allocator:     allocator.DefaultSettings(),
 		LeadSettle:    elector.DefaultSettleTime,
 	}
--- a/pkg/messenger/decision.go
+++ b/pkg/messenger/decision.go
@@ -42,6 +42,9 @@
 	DecisionGivenUp
 	// DecisionCallerLeft means that the caller no longer waits.
 	DecisionCallerLeft
+	// DecisionInquired means that other hosts were asked whether they know a job, before it
+	// got room in a cell that its home's lead has not sent it to.
+	DecisionInquired
 	// DecisionServerJoined means that a backend server can be used.
 	DecisionServerJoined
 	// DecisionServerLost means that a backend server doesn't answer.
--- a/pkg/messenger/decision_enumer.go
+++ b/pkg/messenger/decision_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
 
-var _DecisionKindIndex = [...]uint8{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 134, 145, 156, 169, 180, 193, 206, 227, 242}
+var _DecisionKindIndex = [...]uint8{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 129, 142, 153, 164, 177, 188, 201, 214, 235, 250}
 
-const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -38,18 +38,19 @@
 	_ = x[DecisionAnswered-(11)]
 	_ = x[DecisionGivenUp-(12)]
 	_ = x[DecisionCallerLeft-(13)]
-	_ = x[DecisionServerJoined-(14)]
-	_ = x[DecisionServerLost-(15)]
-	_ = x[DecisionServerBack-(16)]
-	_ = x[DecisionServerLeaves-(17)]
-	_ = x[DecisionServerGone-(18)]
-	_ = x[DecisionServerJudged-(19)]
-	_ = x[DecisionCrashedUnder-(20)]
-	_ = x[DecisionHeartbeatPassedOver-(21)]
-	_ = x[DecisionEndPassedOver-(22)]
+	_ = x[DecisionInquired-(14)]
+	_ = x[DecisionServerJoined-(15)]
+	_ = x[DecisionServerLost-(16)]
+	_ = x[DecisionServerBack-(17)]
+	_ = x[DecisionServerLeaves-(18)]
+	_ = x[DecisionServerGone-(19)]
+	_ = x[DecisionServerJudged-(20)]
+	_ = x[DecisionCrashedUnder-(21)]
+	_ = x[DecisionHeartbeatPassedOver-(22)]
+	_ = x[DecisionEndPassedOver-(23)]
 }
 
-var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
+var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionInquired, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:7]:     DecisionArrived,
@@ -66,15 +67,16 @@
 	_DecisionKindName[94:102]:  DecisionAnswered,
 	_DecisionKindName[102:110]: DecisionGivenUp,
 	_DecisionKindName[110:121]: DecisionCallerLeft,
-	_DecisionKindName[121:134]: DecisionServerJoined,
-	_DecisionKindName[134:145]: DecisionServerLost,
-	_DecisionKindName[145:156]: DecisionServerBack,
-	_DecisionKindName[156:169]: DecisionServerLeaves,
-	_DecisionKindName[169:180]: DecisionServerGone,
-	_DecisionKindName[180:193]: DecisionServerJudged,
-	_DecisionKindName[193:206]: DecisionCrashedUnder,
-	_DecisionKindName[206:227]: DecisionHeartbeatPassedOver,
-	_DecisionKindName[227:242]: DecisionEndPassedOver,
+	_DecisionKindName[121:129]: DecisionInquired,
+	_DecisionKindName[129:142]: DecisionServerJoined,
+	_DecisionKindName[142:153]: DecisionServerLost,
+	_DecisionKindName[153:164]: DecisionServerBack,
+	_DecisionKindName[164:177]: DecisionServerLeaves,
+	_DecisionKindName[177:188]: DecisionServerGone,
+	_DecisionKindName[188:201]: DecisionServerJudged,
+	_DecisionKindName[201:214]: DecisionCrashedUnder,
+	_DecisionKindName[214:235]: DecisionHeartbeatPassedOver,
+	_DecisionKindName[235:250]: DecisionEndPassedOver,
 }
 
 var _DecisionKindLowerNameToValueMap = map[string]DecisionKind{
@@ -92,15 +94,16 @@
 	_DecisionKindLowerName[94:102]:  DecisionAnswered,
 	_DecisionKindLowerName[102:110]: DecisionGivenUp,
 	_DecisionKindLowerName[110:121]: DecisionCallerLeft,
-	_DecisionKindLowerName[121:134]: DecisionServerJoined,
-	_DecisionKindLowerName[134:145]: DecisionServerLost,
-	_DecisionKindLowerName[145:156]: DecisionServerBack,
-	_DecisionKindLowerName[156:169]: DecisionServerLeaves,
-	_DecisionKindLowerName[169:180]: DecisionServerGone,
-	_DecisionKindLowerName[180:193]: DecisionServerJudged,
-	_DecisionKindLowerName[193:206]: DecisionCrashedUnder,
-	_DecisionKindLowerName[206:227]: DecisionHeartbeatPassedOver,
-	_DecisionKindLowerName[227:242]: DecisionEndPassedOver,
+	_DecisionKindLowerName[121:129]: DecisionInquired,
+	_DecisionKindLowerName[129:142]: DecisionServerJoined,
+	_DecisionKindLowerName[142:153]: DecisionServerLost,
+	_DecisionKindLowerName[153:164]: DecisionServerBack,
+	_DecisionKindLowerName[164:177]: DecisionServerLeaves,
+	_DecisionKindLowerName[177:188]: DecisionServerGone,
+	_DecisionKindLowerName[188:201]: DecisionServerJudged,
+	_DecisionKindLowerName[201:214]: DecisionCrashedUnder,
+	_DecisionKindLowerName[214:235]: DecisionHeartbeatPassedOver,
+	_DecisionKindLowerName[235:250]: DecisionEndPassedOver,
 }
 
 var _DecisionKindNames = []string{
@@ -118,15 +121,16 @@
 	_DecisionKindName[94:102],
 	_DecisionKindName[102:110],
 	_DecisionKindName[110:121],
-	_DecisionKindName[121:134],
-	_DecisionKindName[134:145],
-	_DecisionKindName[145:156],
-	_DecisionKindName[156:169],
-	_DecisionKindName[169:180],
-	_DecisionKindName[180:193],
-	_DecisionKindName[193:206],
-	_DecisionKindName[206:227],
-	_DecisionKindName[227:242],
+	_DecisionKindName[121:129],
+	_DecisionKindName[129:142],
+	_DecisionKindName[142:153],
+	_DecisionKindName[153:164],
+	_DecisionKindName[164:177],
+	_DecisionKindName[177:188],
+	_DecisionKindName[188:201],
+	_DecisionKindName[201:214],
+	_DecisionKindName[214:235],
+	_DecisionKindName[235:250],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -52,6 +52,9 @@
 	// Ask numbers the requests of a host for one job. Grants and answers repeat it: what
 	// comes late for an earlier request to the same lead says nothing about this one.
 	Ask AskNumber `cbor:"19,keyasint,omitempty"`
+	// Unvouched tells that no lead which knows the job has sent it to this cell, so that an
+	// earlier sending of it may have runs elsewhere.
+	Unvouched bool `cbor:"20,keyasint,omitempty"`
 	// Part tells that other tasks of the job have been given room by other leads: these
 	// are taken in whatever they wait for, as the job's answer waits for them.
 	Part bool `cbor:"18,keyasint,omitempty"`
@@ -122,6 +125,8 @@
 	Tasks []TaskIndex `cbor:"8,keyasint,omitempty"`
 	// Accounts are those of Tasks that were started before.
 	Accounts []TaskAccount `cbor:"10,keyasint,omitempty"`
+	// Unvouched tells that the lead which answers may not know all runs of the job yet.
+	Unvouched bool `cbor:"11,keyasint,omitempty"`
 }
 
 // TaskAccount is what is known of earlier runs of one task.
@@ -136,6 +141,33 @@
 	Cell          CellNumber               `cbor:"2,keyasint,omitempty"`
 }
 
+// JobInquiry asks a host of a job's home whether it knows the job, on behalf of a cell whose
+// lead may give it room.
+type JobInquiry struct {
+	Job identifier.JobID `cbor:"1,keyasint"`
+	// Cell is that of the lead which asks.
+	Cell CellNumber `cbor:"2,keyasint,omitempty"`
+	// Host is that which wants the room.
+	Host identifier.HostID `cbor:"3,keyasint"`
+}
+
+// JobInquiryReply answers a JobInquiry.
+type JobInquiryReply struct {
+	Job  identifier.JobID `cbor:"1,keyasint"`
+	Cell CellNumber       `cbor:"2,keyasint,omitempty"`
+	// Known tells that a run of the job may be at work, or may still be granted, by another
+	// cell than the one that asks.
+	Known bool `cbor:"3,keyasint,omitempty"`
+}
+
+// JobElsewhere tells a host of a job's home that another cell gives room to tasks of the job.
+type JobElsewhere struct {
+	Job identifier.JobID `cbor:"1,keyasint"`
+	// Cell is that of the lead which tells.
+	Cell  CellNumber  `cbor:"2,keyasint,omitempty"`
+	Tasks []TaskIndex `cbor:"3,keyasint,omitempty"`
+}
+
 // RoomRelease tells a lead that a job needs no more room.
 type RoomRelease struct {
 	Job  identifier.JobID `cbor:"1,keyasint"`
@@ -163,6 +195,9 @@
 	// RoomAnswerEvacuated means that nothing starts in the lead's failure domain: room for
 	// Tasks is to be asked for elsewhere.
 	RoomAnswerEvacuated
+	// RoomAnswerKnownElsewhere means that an earlier sending of the job may have runs
+	// elsewhere: only the lead of its home may go on with it.
+	RoomAnswerKnownElsewhere
 )
 
 // StartOutcome is what became of the call that starts a run.
--- a/pkg/messenger/room_enumer.go
+++ b/pkg/messenger/room_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RoomAnswerKindName = "waitingturned-awayask-otherfailednot-ledevacuated"
+const _RoomAnswerKindName = "waitingturned-awayask-otherfailednot-ledevacuatedknown-elsewhere"
 
-var _RoomAnswerKindIndex = [...]uint8{0, 7, 18, 27, 33, 40, 49}
+var _RoomAnswerKindIndex = [...]uint8{0, 7, 18, 27, 33, 40, 49, 64}
 
-const _RoomAnswerKindLowerName = "waitingturned-awayask-otherfailednot-ledevacuated"
+const _RoomAnswerKindLowerName = "waitingturned-awayask-otherfailednot-ledevacuatedknown-elsewhere"
 
 func (i RoomAnswerKind) String() string {
 	if i < 0 || i >= RoomAnswerKind(len(_RoomAnswerKindIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[RoomAnswerFailed-(3)]
 	_ = x[RoomAnswerNotLed-(4)]
 	_ = x[RoomAnswerEvacuated-(5)]
+	_ = x[RoomAnswerKnownElsewhere-(6)]
 }
 
-var _RoomAnswerKindValues = []RoomAnswerKind{RoomAnswerWaiting, RoomAnswerTurnedAway, RoomAnswerAskOther, RoomAnswerFailed, RoomAnswerNotLed, RoomAnswerEvacuated}
+var _RoomAnswerKindValues = []RoomAnswerKind{RoomAnswerWaiting, RoomAnswerTurnedAway, RoomAnswerAskOther, RoomAnswerFailed, RoomAnswerNotLed, RoomAnswerEvacuated, RoomAnswerKnownElsewhere}
 
 var _RoomAnswerKindNameToValueMap = map[string]RoomAnswerKind{
 	_RoomAnswerKindName[0:7]:   RoomAnswerWaiting,
@@ -41,6 +42,7 @@
 	_RoomAnswerKindName[27:33]: RoomAnswerFailed,
 	_RoomAnswerKindName[33:40]: RoomAnswerNotLed,
 	_RoomAnswerKindName[40:49]: RoomAnswerEvacuated,
+	_RoomAnswerKindName[49:64]: RoomAnswerKnownElsewhere,
 }
 
 var _RoomAnswerKindLowerNameToValueMap = map[string]RoomAnswerKind{
@@ -50,6 +52,7 @@
 	_RoomAnswerKindLowerName[27:33]: RoomAnswerFailed,
 	_RoomAnswerKindLowerName[33:40]: RoomAnswerNotLed,
 	_RoomAnswerKindLowerName[40:49]: RoomAnswerEvacuated,
+	_RoomAnswerKindLowerName[49:64]: RoomAnswerKnownElsewhere,
 }
 
 var _RoomAnswerKindNames = []string{
@@ -59,6 +62,7 @@
 	_RoomAnswerKindName[27:33],
 	_RoomAnswerKindName[33:40],
 	_RoomAnswerKindName[40:49],
+	_RoomAnswerKindName[49:64],
 }
 
 // RoomAnswerKindString retrieves an enum value from the enum constants string name.
--- a/pkg/supervisor/again.go
+++ b/pkg/supervisor/again.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -62,4 +63,21 @@
 	}
 }
 
+// MayRun tells whether a run of a job may be at work for this host, or may still be granted to it
+// by another cell than the given one.
+func (supervisor *Supervisor) MayRun(id identifier.JobID, but messenger.CellRef) bool {
+	if supervisor.jobs == nil {
+		return false
+	}
+	if supervisor.unfinished.Get(id) != nil {
+		return true
+	}
+	job := supervisor.jobs.Get(id)
+	if job == nil {
+		return false
+	}
+	asksAnother := func(part *part) bool { return part.lead != "" && part.cell != but }
+	return job.granted() || slices.ContainsFunc(job.parts, asksAnother)
+}
+
 func forgetTimer(id identifier.JobID) timerKey { return timerKey{kind: timerForget, job: id} }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -171,6 +171,8 @@
 		if !supervisor.askElsewhere(job, part) {
 			part.lead = ""
 		}
+	case messenger.RoomAnswerKnownElsewhere:
+		supervisor.awaitHome(job, part)
 	}
 }
 
@@ -187,11 +189,11 @@
 	}
 }
 
-// refuse tells a job's callers that it has not run, or, where a run of it may have
-// started, that its time was given up.
+// refuse tells a job's callers that it has not run, or, where a run of it or of an earlier
+// sending may have started, that its time was given up.
 func (supervisor *Supervisor) refuse(job *job, reason messenger.Reason, detail string, retryAfter time.Duration) {
 	outcome := OutcomeRefused
-	if job.granted() {
+	if job.granted() || job.sentBefore {
 		outcome = OutcomeGivenUp
 	}
 	supervisor.end(job, JobEnded{Outcome: outcome, Reason: reason, Detail: detail, RetryAfter: retryAfter})
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -31,6 +31,10 @@
 	granted bool
 	// tried are the cells whose leads were asked.
 	tried map[messenger.CellRef]bool
+	// vouched is the cell that a lead which knows the job has sent the part to.
+	vouched messenger.CellRef
+	// awaitsHome tells that only the lead of the job's home may go on with the part.
+	awaitsHome bool
 }
 
 func (job *job) addPart() *part {
@@ -109,6 +113,25 @@
 	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.leadWait(job)))
 }
 
+// awaitHome waits for the lead of the job's home, as another host knows an earlier sending of
+// the job. Given room elsewhere, its tasks would run beside those of that sending.
+func (supervisor *Supervisor) awaitHome(job *job, part *part) {
+	part.lead = ""
+	part.heard = false
+	part.awaitsHome = true
+	job.sentBefore = true
+	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.HomeRetry))
+}
+
+// askHomeAgain asks for a part that waits for its home as if it were new.
+func (supervisor *Supervisor) askHomeAgain(job *job, part *part) {
+	part.awaitsHome = false
+	part.tried = make(map[messenger.CellRef]bool)
+	if !supervisor.giveBack(job, part) && !supervisor.askElsewhere(job, part) {
+		supervisor.awaitHome(job, part)
+	}
+}
+
 // leadWait is how long a job waits for somebody to lead: as long as it can still be in
 // time. A lost lead is replaced in about a second, all leads after a start of all hosts in
 // some 0.1 s; a caller that is told to come back in a second has lost more than that.
@@ -125,10 +148,19 @@
 // A part with runs stays with its cell: another lead doesn't know the order of epochs at
 // the servers that have them, and would fence their own lead off.
 func (supervisor *Supervisor) askElsewhere(job *job, part *part) bool {
-	if part.granted {
-		return false
+	other, found := supervisor.otherCell(job, part)
+	if found {
+		supervisor.ask(job, part, supervisor.leadOf(other), other)
 	}
+	return found
+}
+
+// otherCell returns the cell that is asked next for a part, and false where there is none.
+func (supervisor *Supervisor) otherCell(job *job, part *part) (messenger.CellRef, bool) {
 	var found messenger.CellRef
+	if part.granted {
+		return found, false
+	}
 	supervisor.leads.Each(func(cell messenger.CellRef, lead *lead) bool {
 		if lead.host != "" && !part.tried[cell] && !job.asksAt(cell, part) && !supervisor.evacuations.Has(cell.FailureDomain) {
 			if found.FailureDomain == "" || cell.FailureDomain == supervisor.FailureDomain {
@@ -137,11 +169,7 @@
 		}
 		return true
 	})
-	if found.FailureDomain == "" {
-		return false
-	}
-	supervisor.ask(job, part, supervisor.leadOf(found), found)
-	return true
+	return found, found.FailureDomain != ""
 }
 
 // ask sends a lead a request for all that a part still needs.
@@ -153,6 +181,7 @@
 	part.silentFrom = supervisor.now
 	job.lastAsk++
 	part.ask = job.lastAsk
+	part.awaitsHome = false
 	request := supervisor.requestFor(job, part, cell)
 	supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.LeadSilence))
 	supervisor.emit(&AskRoom{To: lead, Request: request})
@@ -169,6 +198,7 @@
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
 		Remaining: job.deadline.Sub(supervisor.now), HandedOver: cell != supervisor.homeOf(job) || len(part.tried) > 1, Part: len(job.parts) > 1,
 		RunsBelow: job.lastRun, Ask: part.ask,
+		Unvouched: cell != supervisor.homeOf(job) && cell != part.vouched && !part.granted,
 	}
 	for index := range job.tasks {
 		task := &job.tasks[index]
@@ -199,6 +229,9 @@
 		supervisor.join(job, part, there)
 		return
 	}
+	if !answer.Unvouched {
+		part.vouched = answer.Other
+	}
 	supervisor.ask(job, part, lead, answer.Other)
 }
 
@@ -221,7 +254,12 @@
 	if !supervisor.evacuations.Has(home.FailureDomain) && supervisor.giveBack(job, moved) {
 		return
 	}
-	if supervisor.askElsewhere(job, moved) || supervisor.joinAny(job, moved) {
+	if other, found := supervisor.otherCell(job, moved); found {
+		moved.vouched = other
+		supervisor.ask(job, moved, supervisor.leadOf(other), other)
+		return
+	}
+	if supervisor.joinAny(job, moved) {
 		return
 	}
 	supervisor.refuse(job, messenger.ReasonNoBackendServer, "every failure domain that is in reach is evacuated", supervisor.Settings.RetryAfter)
@@ -282,6 +320,10 @@
 	if part.heard || part.granted {
 		return
 	}
+	if part.awaitsHome {
+		supervisor.askHomeAgain(job, part)
+		return
+	}
 	if heardAt := supervisor.heardAt[part.lead]; part.lead != "" && part.silentFrom.Before(heardAt) {
 		part.silentFrom = supervisor.now
 		supervisor.timers.Set(silenceTimer(job, part), supervisor.now.Add(supervisor.Settings.LeadSilence))
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -21,6 +21,8 @@
 	LeadSilence time.Duration
 	// LeadWait is how long a job waits for somebody to lead its failure domain, at least.
 	LeadWait time.Duration
+	// HomeRetry is when the home of a job is asked again that only its lead may go on with.
+	HomeRetry time.Duration
 	// RetryAfter is when a job that found no lead is worth another try: a lost lead is
 	// replaced in little more than a second.
 	RetryAfter time.Duration
@@ -28,7 +30,7 @@
 
 // DefaultSettings returns the settings that the daemon starts from.
 func DefaultSettings() Settings {
-	return Settings{LeadSilence: 40 * time.Millisecond, LeadWait: 60 * time.Millisecond, RetryAfter: time.Second}
+	return Settings{LeadSilence: 40 * time.Millisecond, LeadWait: 60 * time.Millisecond, HomeRetry: 100 * time.Millisecond, RetryAfter: time.Second}
 }
 
 // Supervisor holds the jobs of this host's callers. Set the exported fields before
@@ -89,6 +91,8 @@
 	lastAsk  messenger.AskNumber
 	// begun tells that a start may have gone out in a part that is no more.
 	begun bool
+	// sentBefore tells that an earlier sending of the job may have begun.
+	sentBefore bool
 }
 
 // task is one task of a job.
