Start nothing beside a run that no host has named

What callers saw: a task ran on two backend servers at once, after all hosts of a failure domain had crashed and the job was sent again to another one.

Cause: a start renews the leases of all that runs on its server. The new lead withheld renewals by hold while the server had a run that no host had named, but went on starting other jobs there. The kept case of TestRunUnderTheLeasesOfNewStarts shows it: the run is listed at 8.50 s, other starts follow, the stop comes at 8.90 s, and the resend runs elsewhere from 9.08 s while the run ends at 9.14 s.

Ruled out: the holds, which carry no lease in that time.

Change: a server with such a run gets no start until the run is over or named; room that comes free by that is given to what waits.

Evidence: the scenario start-beside-an-unwanted-run fails without the change (a grant at 330 ms), passes with it. The kept case passes as well, which says less, as a case draws its faults in another order on changed code.

--- a/pkg/allocator/orphans.go
+++ b/pkg/allocator/orphans.go
@@ -66,6 +66,7 @@
 		allocator.orphans--
 	}
 	orphan.job = job
+	allocator.changed = true
 }
 
 // orphansOf lists the orphans of a job that a request doesn't name, one for each task.
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -131,6 +131,7 @@
 	switch input.Outcome {
 	case CallAnswered:
 		run.stopAnswered = true
+		allocator.changed = true
 		allocator.timers.Set(stopTimer(run), allocator.now.Add(allocator.Settings.StopTime+stopMargin))
 	case CallGone:
 		allocator.endLife(server, "another incarnation answers")
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -107,10 +107,11 @@
 // server takes to end what has lapsed.
 const lapseMargin = 60 * time.Millisecond
 
-// usable tells whether the server may get a start now.
+// usable tells whether the server may get a start now. A start renews the leases of all that runs
+// there, as a hold does.
 func (server *server) usable(now identifier.Moment) bool {
 	return server.confirmed && !server.silent && !server.retired && !server.card.Draining && !server.doubled &&
-		server.closedUntil.Due(now) && len(server.runs) < server.allowed
+		server.closedUntil.Due(now) && len(server.runs) < server.allowed && !server.hasUnwantedRun()
 }
 
 // standing names what is known of what runs on the server, for the log.
