Claim "not run" only where the leads that were asked know it

What callers saw: 503, "not accepted and never runs", for a job whose earlier sending had begun.

Cause: a host judged by its own sending alone. The lead that holds a task back, or that waits for the end of an earlier sending, answered "waiting" without a word of that; a host that no lead had answered knew nothing at all.

Change: a lead tells with each answer that runs of an earlier sending were granted, and a host refuses as not run only if no start may have gone out, no lead told so, and each lead that it asked has answered. Else the caller hears "given up" (504 on the users' platform), which claims nothing. Looked at: deadline passed, no lead, lead silent, lead gone, host shuts down, turned away, evacuated everywhere.

A lead that has just taken over doesn't know of sendings before it.

--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -26,6 +26,8 @@
 	// deadline is when the caller no longer waits.
 	deadline identifier.Moment
 	lastRun  identifier.RunNumber
+	// begunBefore tells that runs of an earlier sending were granted.
+	begunBefore bool
 	// queued counts the tasks that have neither room nor an end.
 	queued int
 	// granted tells that some run of the job may have started.
@@ -105,7 +107,9 @@
 	earlier.successor = input
 	allocator.close(earlier, "sent again")
 	if earlier.successor == input {
-		allocator.answer(input.From, messenger.RoomAnswer{Job: input.Request.Job, Kind: messenger.RoomAnswerWaiting, Ask: input.Request.Ask})
+		allocator.answer(input.From, messenger.RoomAnswer{
+			Job: input.Request.Job, Kind: messenger.RoomAnswerWaiting, Ask: input.Request.Ask, Begun: earlier.lastRun > 0,
+		})
 	}
 }
 
@@ -126,6 +130,7 @@
 func (allocator *Allocator) newJob(input *RoomRequested) *job {
 	request := &input.Request
 	created := &job{request: *request, from: input.From, arrivedAt: allocator.now.Add(-request.Elapsed), lastRun: allocator.lastRunOf(request)}
+	created.begunBefore = created.lastRun > 0
 	created.deadline = allocator.now.Add(request.Remaining)
 	for _, room := range request.Tasks {
 		created.tasks = append(created.tasks, task{room: room, account: allocator.accountOf(request.Job, room)})
@@ -252,6 +257,7 @@
 // answerJob answers the host of a job.
 func (allocator *Allocator) answerJob(job *job, answer messenger.RoomAnswer) {
 	answer.Ask = job.request.Ask
+	answer.Begun = job.begunBefore
 	allocator.answer(job.from, answer)
 }
 
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -125,6 +125,8 @@
 	Tasks []TaskIndex `cbor:"8,keyasint,omitempty"`
 	// Accounts are those of Tasks that were started before.
 	Accounts []TaskAccount `cbor:"10,keyasint,omitempty"`
+	// Begun tells that runs of an earlier sending of the job were granted.
+	Begun bool `cbor:"12,keyasint,omitempty"`
 	// Unvouched tells that the lead which answers may not know all runs of the job yet.
 	Unvouched bool `cbor:"11,keyasint,omitempty"`
 }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -156,6 +156,7 @@
 		return
 	}
 	part.heard = true
+	job.sentBefore = job.sentBefore || answer.Begun
 	switch answer.Kind {
 	case messenger.RoomAnswerWaiting:
 	case messenger.RoomAnswerTurnedAway:
@@ -189,11 +190,11 @@
 	}
 }
 
-// refuse tells a job's callers that it has not run, or, where a run of it or of an earlier
-// sending may have started, that its time was given up.
+// refuse tells a job's callers that it has not run, or, where that isn't known, that its time was
+// given up.
 func (supervisor *Supervisor) refuse(job *job, reason messenger.Reason, detail string, retryAfter time.Duration) {
 	outcome := OutcomeRefused
-	if job.granted() || job.sentBefore {
+	if !job.knownNotToRun() {
 		outcome = OutcomeGivenUp
 	}
 	supervisor.end(job, JobEnded{Outcome: outcome, Reason: reason, Detail: detail, RetryAfter: retryAfter})
--- a/pkg/supervisor/parts.go
+++ b/pkg/supervisor/parts.go
@@ -57,6 +57,13 @@
 	return job.begun || slices.ContainsFunc(job.parts, func(part *part) bool { return part.granted })
 }
 
+// knownNotToRun tells whether no run of the job may have started, under this sending or an earlier
+// one. Only the leads that were asked know of earlier ones.
+func (job *job) knownNotToRun() bool {
+	unheard := func(part *part) bool { return !part.heard }
+	return !job.granted() && !job.sentBefore && !slices.ContainsFunc(job.parts, unheard)
+}
+
 // asksAt tells whether another part is asked for at a cell. A lead that is asked twice for
 // a job takes the second request for the job sent again.
 func (job *job) asksAt(cell messenger.CellRef, but *part) bool {
@@ -293,6 +300,7 @@
 // any more. A part that has none left is dropped: its lead keeps nothing of it.
 func (supervisor *Supervisor) splitOff(job *job, from *part, answer *messenger.RoomAnswer) *part {
 	created := job.addPart()
+	created.heard = true
 	for _, index := range answer.Tasks {
 		if int(index) < len(job.tasks) && job.tasks[index].part == from {
 			job.tasks[index].part = created
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -83,7 +83,7 @@
 		}
 		inputs = append(inputs, &supervisor.AnswerArrived{From: from, Answer: messenger.RoomAnswer{
 			Job: id, Kind: kind, Other: messenger.CellRef{FailureDomain: identifier.FailureDomain(scanString(t, data, "other"))},
-			Tasks: scanTasks(t, data), Ask: scenario.ask(data, from, id),
+			Tasks: scanTasks(t, data), Ask: scenario.ask(data, from, id), Begun: data.HasArg("begun"),
 		}})
 	case "done":
 		inputs = append(inputs, &supervisor.DoneArrived{From: from, Done: messenger.TaskDone{RunKey: key}})
