Known red: a host that wakes starts what ran elsewhere; two postmortems

Traced: the host was suspended together with its clock, which docs/incidents/run-that-nobody-wanted.md lists as not noticed, and its caller had sent the job to another failure domain.

--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -256,3 +256,10 @@
 	keptCasesOnly(t)
 	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{resends: true}) })
 }
+
+// TestWokenHostStartsWhatRanElsewhere guards against a host that is suspended together with its clock, and
+// on waking starts a job that its caller has meanwhile sent to another failure domain.
+func TestWokenHostStartsWhatRanElsewhere(t *testing.T) {
+	keptCasesOnly(t)
+	rapid.Check(t, func(draw *rapid.T) { playHarshly(draw, harshKinds{resends: true, sameIDs: true}) })
+}
