Let a shutdown wait for cancellations and questions

What callers saw: a host that was shut down as planned closed the connection of a caller that waited.

Cause: the drain counted submissions only. A cancellation of a submission that another host has is a question to its lead.

Change: Unanswered counts questions with waiters; the end of a drain answers them, without a claim.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -271,7 +271,7 @@
 	}
 }
 
-// Unanswered returns how many submissions of this host's callers have no answer.
+// Unanswered returns how many requests of this host's callers have no answer.
 func (coordinator *Coordinator) Unanswered() int {
 	if coordinator.forwarder == nil {
 		return 0
--- a/pkg/forwarder/ending_test.go
+++ b/pkg/forwarder/ending_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// TestShutdownWaitsForCancellations guards against a planned shutdown that ends on a caller who waits
+// for the answer to a cancellation.
+func TestShutdownWaitsForCancellations(t *testing.T) {
+	tested := &forwarder.Forwarder{Self: "entry-0", FailureDomain: "thu-duc", Settings: forwarder.DefaultSettings()}
+	tested.Tick(0, []forwarder.Input{
+		&forwarder.HostsChanged{Living: []identifier.HostID{"entry-0", "entry-1"}},
+		&forwarder.LeadKnown{Notice: messenger.LeadNotice{FailureDomain: "thu-duc", Host: "entry-1", Epoch: 1}},
+		&forwarder.CallerCancelled{Waiter: 1, Caller: "garage-7", Submission: "s-elsewhere"},
+	})
+	if tested.Unanswered() != 1 {
+		t.Errorf("%d requests are without an answer, want the cancellation", tested.Unanswered())
+	}
+	told := 0
+	for _, output := range tested.Tick(1, []forwarder.Input{&forwarder.HostEnds{}}) {
+		if answer, isAnswer := output.(*forwarder.AnswerCaller); isAnswer && answer.Waiter == 1 && answer.Answer.ClaimsNothing() {
+			told++
+		}
+	}
+	if told != 1 || tested.Unanswered() != 0 {
+		t.Errorf("told %d times, %d left without an answer", told, tested.Unanswered())
+	}
+}
+
 func submitted(submission identifier.SubmissionID, waiter forwarder.WaiterID) *forwarder.CallerSubmitted {
 	job := &messenger.Job{
 		Submission: submission, Job: identifier.JobID(submission), Caller: "garage-7", Repeatable: true,
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -115,7 +115,8 @@
 	return forwarder.timers.Next()
 }
 
-// Unanswered returns how many submissions of this host's callers have no answer.
+// Unanswered returns how many submissions, questions and cancellations of this host's callers have
+// no answer.
 func (forwarder *Forwarder) Unanswered() int {
 	if forwarder.fronts == nil {
 		return 0
@@ -127,6 +128,12 @@
 		}
 		return true
 	})
+	forwarder.questions.Each(func(_ messenger.QuestionNumber, question *question) bool {
+		if len(question.waiters) > 0 {
+			count++
+		}
+		return true
+	})
 	return count
 }
 
--- a/pkg/forwarder/questions.go
+++ b/pkg/forwarder/questions.go
@@ -248,6 +248,16 @@
 	return silent
 }
 
+// endQuestions answers all questions when this host must end.
+func (forwarder *Forwarder) endQuestions() {
+	for _, number := range forwarder.questions.Keys() {
+		question := forwarder.questions.Get(number)
+		refusal := messenger.RefuseUnknown(question.submission, messenger.ReasonShuttingDown, "this host ends; ask another one")
+		refusal.RetryAfter = askElsewhere
+		forwarder.endQuestion(question, refusal)
+	}
+}
+
 func (forwarder *Forwarder) endQuestion(question *question, answer *messenger.JobAnswer) {
 	forwarder.questions.Remove(question.number)
 	forwarder.timers.Clear(timerKey{kind: timerQuestion, question: question.number})
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -297,6 +297,7 @@
 		forwarder.answerHere(front, refusal)
 		return true
 	})
+	forwarder.endQuestions()
 }
 
 func (forwarder *Forwarder) answerHere(front *front, answer *messenger.JobAnswer) {
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -260,3 +260,7 @@
 // TestSeedOfAResendAfterARefusal guards against the start of a refused submission whose refusal only
 // hosts knew that are lost.
 func TestSeedOfAResendAfterARefusal(t *testing.T) { expectKept(t, 32208451) }
+
+// TestSeedOfAnswersThatDiffer guards against callers of one submission that are told different answers by
+// hosts that were isolated, one of them "not run".
+func TestSeedOfAnswersThatDiffer(t *testing.T) { expectKept(t, 33300169) }
