Match replies with the sending that was inquired about

Found on reading the change: two sendings of a job that reach one lead within a millisecond share an inquiry's key. A reply about the first one, which leaves out what its own host has running, counted for the second, which could then be cleared beside the first. Replies name the host that wants the room (scenario sent-again, which with the former code takes c's reply). Silence and losses last a lease and a margin for slow clocks and slow ends.

--- a/pkg/coordinator/inquiring.go
+++ b/pkg/coordinator/inquiring.go
@@ -53,7 +53,9 @@
 // takeInquiry tells the lead of another cell whether this host knows a job.
 func (coordinator *Coordinator) takeInquiry(from identifier.HostID, inquiry *messenger.JobInquiry) {
 	asking := messenger.CellRef{FailureDomain: coordinator.domainOf(from), Cell: inquiry.Cell}
-	reply := messenger.JobInquiryReply{Job: inquiry.Job, Cell: inquiry.Cell, Known: coordinator.knowsJob(inquiry, asking)}
+	reply := messenger.JobInquiryReply{
+		Job: inquiry.Job, Cell: inquiry.Cell, Host: inquiry.Host, Known: coordinator.knowsJob(inquiry, asking),
+	}
 	coordinator.send(from, PeerMessage{JobInquiryReply: &reply})
 }
 
--- a/pkg/inquirer/inquirer.go
+++ b/pkg/inquirer/inquirer.go
@@ -151,7 +151,7 @@
 	var found identifier.HostID
 	for host, loss := range inquirer.lost {
 		switch {
-		case loss.at.Add(inquirer.Settings.Lease).Due(inquirer.now):
+		case loss.at.Add(inquirer.lapseTime()).Due(inquirer.now):
 			delete(inquirer.lost, host)
 		case loss.domain == domain:
 			found = max(found, host)
@@ -171,7 +171,7 @@
 	delete(inquirer.silences, input.From)
 	key := inquiryKey{job: input.Reply.Job, cell: input.Reply.Cell}
 	known := inquirer.inquiries.Get(key)
-	if known == nil {
+	if known == nil || known.request.From != input.Reply.Host {
 		return
 	}
 	if input.Reply.Known {
@@ -193,10 +193,16 @@
 // it has been silent for a lease, another host that knows of them renews them, or they are over.
 func (inquirer *Inquirer) mayHaveRuns(host identifier.HostID) bool {
 	silence, silent := inquirer.silences[host]
-	lease := inquirer.Settings.Lease
-	return !silent || silence.until.Before(silence.since.Add(lease)) || silence.until.Add(lease).Due(inquirer.now)
+	lapse := inquirer.lapseTime()
+	return !silent || silence.until.Before(silence.since.Add(lapse)) || silence.until.Add(lapse).Due(inquirer.now)
 }
 
+// lapseTime is how long a run goes on at most that nobody renews.
+func (inquirer *Inquirer) lapseTime() time.Duration { return inquirer.Settings.Lease + lapseMargin }
+
+// lapseMargin is for clocks that run slow, and for the time that a server takes to end a run.
+const lapseMargin = 80 * time.Millisecond
+
 // expire ends an inquiry to which some hosts have not replied.
 func (inquirer *Inquirer) expire(key inquiryKey) {
 	known := inquirer.inquiries.Get(key)
@@ -217,7 +223,7 @@
 // for a lease may have been well meanwhile.
 func (inquirer *Inquirer) noteSilence(host identifier.HostID, asked identifier.Moment) {
 	known, silent := inquirer.silences[host]
-	if !silent || known.until.Add(inquirer.Settings.Lease).Due(inquirer.now) {
+	if !silent || known.until.Add(inquirer.lapseTime()).Due(inquirer.now) {
 		known.since = asked
 	}
 	known.until = asked.Add(inquirer.Settings.ReplyWait)
--- a/pkg/inquirer/inquirer_test.go
+++ b/pkg/inquirer/inquirer_test.go
@@ -42,7 +42,7 @@
 		}
 		return []inquirer.Input{requested}
 	case "reply":
-		reply := messenger.JobInquiryReply{Job: job, Known: data.HasArg("known")}
+		reply := messenger.JobInquiryReply{Job: job, Host: identifier.HostID(scan(t, data, "for")), Known: data.HasArg("known")}
 		return []inquirer.Input{&inquirer.ReplyArrived{From: host, Reply: reply}}
 	case "release":
 		return []inquirer.Input{&inquirer.RoomReleased{From: host, Job: job}}
--- a/pkg/messenger/room.go
+++ b/pkg/messenger/room.go
@@ -160,6 +160,8 @@
 	// Known tells that a run of the job may be at work, or may still be granted, by another
 	// cell than the one that asks.
 	Known bool `cbor:"3,keyasint,omitempty"`
+	// Host is that of the inquiry. Hosts don't count what they know of its own sending.
+	Host identifier.HostID `cbor:"4,keyasint"`
 }
 
 // JobElsewhere tells a host of a job's home that another cell gives room to tasks of the job.
