Count questions apart from submissions

The check is of submissions, and Unanswered counted questions as well since. They are counted by Questions now, and a drain waits for both; the check is as it was.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -266,12 +266,13 @@
 // reportDrained tells, during a graceful shutdown, that every caller's
 // submission has its answer and that other hosts know all that this one knows.
 func (coordinator *Coordinator) reportDrained() {
-	if coordinator.draining && coordinator.supervisor.Jobs() == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.Unhanded() == 0 {
+	answered := coordinator.supervisor.Jobs() == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.Questions() == 0
+	if coordinator.draining && answered && coordinator.forwarder.Unhanded() == 0 {
 		coordinator.outputs.add(&Drained{})
 	}
 }
 
-// Unanswered returns how many requests of this host's callers have no answer.
+// Unanswered returns how many submissions of this host's callers have no answer.
 func (coordinator *Coordinator) Unanswered() int {
 	if coordinator.forwarder == nil {
 		return 0
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -115,8 +115,7 @@
 	return forwarder.timers.Next()
 }
 
-// Unanswered returns how many submissions, questions and cancellations of this host's callers have
-// no answer.
+// Unanswered returns how many submissions of this host's callers have no answer.
 func (forwarder *Forwarder) Unanswered() int {
 	if forwarder.fronts == nil {
 		return 0
@@ -128,6 +127,12 @@
 		}
 		return true
 	})
+	return count
+}
+
+// Questions returns how many questions and cancellations of this host's callers have no answer.
+func (forwarder *Forwarder) Questions() int {
+	count := 0
 	forwarder.questions.Each(func(_ messenger.QuestionNumber, question *question) bool {
 		if len(question.waiters) > 0 {
 			count++
