Remember submissions by digests beyond the two hosts of their record

Cause: a lead that misses both holders asks those who may know; where they are lost or cut off as well, it takes what nobody knows for new.

A lead that finds a digest and no record starts nothing and refuses with answer-lost; a lead that may miss records asks all live hosts first.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -184,6 +184,8 @@
 		go daemon.saveFounders(output.Members)
 	case *coordinator.KeeperHalted:
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
+	case *coordinator.DigestsFull:
+		daemon.Log.Error("digests of submissions dropped", "failure-domain", output.Home, "digests", output.Digests)
 	case *coordinator.ConfigInForce:
 		daemon.applyConfig(output.Version)
 	case *coordinator.StoreCells:
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/digester"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
@@ -64,7 +65,9 @@
 	// starter decides which host makes the calls that start runs.
 	starter *starter.Starter
 	// inquirer holds capacity requests for jobs that no lead has referred to the cell.
-	inquirer   *inquirer.Inquirer
+	inquirer *inquirer.Inquirer
+	// digester replicates the digests of submissions.
+	digester   *digester.Digester
 	allocators []*cellAllocator
 	// cellPersister has the keepers store the backend servers of each cell.
 	cellPersister *cellPersister
@@ -92,6 +95,7 @@
 	toSupervisor []supervisor.Input
 	toStarter    []starter.Input
 	toInquirer   []inquirer.Input
+	toDigester   []digester.Input
 	outputs      outbox
 	draining     bool
 	// connected are the hosts with an open connection to this one.
@@ -135,6 +139,7 @@
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
 	next = identifier.Earlier(next, coordinator.starter.NextDeadline())
 	next = identifier.Earlier(next, coordinator.inquirer.NextDeadline())
+	next = identifier.Earlier(next, coordinator.digester.NextDeadline())
 	for _, cellAllocator := range coordinator.allocators {
 		next = identifier.Earlier(next, cellAllocator.allocator.NextDeadline())
 	}
@@ -149,10 +154,12 @@
 	if coordinator.dispatcher != nil {
 		return
 	}
+	coordinator.digester = newDigester(coordinator)
 	coordinator.dispatcher = &dispatcher.Dispatcher{
 		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
 		Settings:      coordinator.Settings.Dispatcher,
+		Digests:       coordinator.digester,
 	}
 	coordinator.forwarder = &forwarder.Forwarder{
 		Self:          coordinator.Self.Host,
@@ -212,7 +219,7 @@
 	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
-		len(coordinator.toSupervisor) > 0 || len(coordinator.toStarter) > 0 || len(coordinator.toInquirer) > 0 || coordinator.allocatorsHavePendingInputs() ||
+		len(coordinator.toSupervisor) > 0 || len(coordinator.toStarter) > 0 || len(coordinator.toInquirer) > 0 || len(coordinator.toDigester) > 0 || coordinator.allocatorsHavePendingInputs() ||
 		len(coordinator.toFollower) > 0 || len(coordinator.intentDriver.inputs) > 0
 }
 
@@ -234,6 +241,7 @@
 func (coordinator *Coordinator) settleDispatch() {
 	now := coordinator.now
 	tickComponent(now, coordinator.forwarder, &coordinator.toForwarder, coordinator.routeForwarderOutput)
+	tickComponent(now, coordinator.digester, &coordinator.toDigester, coordinator.routeDigesterOutput)
 	tickComponent(now, coordinator.dispatcher, &coordinator.toDispatcher, coordinator.routeDispatcherOutput)
 }
 
--- /dev/null
+++ b/pkg/coordinator/digests.go
@@ -0,0 +1,80 @@
+package coordinator
+
+import (
+	"slices"
+
+	"github.com/stoathitch/stoathitch/pkg/digester"
+	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+func newDigester(coordinator *Coordinator) *digester.Digester {
+	settings := coordinator.Settings.Digester
+	settings.Retention = coordinator.Settings.Dispatcher.AnswerRetention
+	return &digester.Digester{
+		Self: coordinator.Self.Host, FailureDomain: coordinator.Self.FailureDomain, Settings: settings,
+		HasPeers: len(coordinator.Seeds) > 0,
+	}
+}
+
+func (coordinator *Coordinator) notifyDigester(input digester.Input) {
+	coordinator.toDigester = append(coordinator.toDigester, input)
+}
+
+// notifyDigesterOfHosts reports which other hosts are live.
+func (coordinator *Coordinator) notifyDigesterOfHosts() {
+	var hosts []digester.Host
+	for _, state := range coordinator.gossiper.Members() {
+		member := state.Member
+		if state.Living() && member.Host != coordinator.Self.Host {
+			hosts = append(hosts, digester.Host{
+				ID: member.Host, FailureDomain: member.FailureDomain, Incarnation: member.Incarnation,
+			})
+		}
+	}
+	slices.SortFunc(hosts, digester.CompareHosts)
+	coordinator.notifyDigester(&digester.HostsChanged{Hosts: hosts})
+}
+
+// applyDigestMessage applies a message about digests. Digests of a home come from its own hosts, or
+// as a reply to a query from that home.
+func (coordinator *Coordinator) applyDigestMessage(from identifier.HostID, message *PeerMessage) {
+	switch {
+	case message.DigestBatch != nil && coordinator.isIn(from, message.DigestBatch.Home):
+		coordinator.notifyDigester(&digester.BatchArrived{Batch: *message.DigestBatch})
+	case message.DigestQuery != nil && coordinator.isIn(from, message.DigestQuery.Home):
+		coordinator.notifyDigester(&digester.QueryArrived{From: from, Query: *message.DigestQuery})
+	case message.DigestReply != nil && message.DigestReply.Home == coordinator.Self.FailureDomain:
+		coordinator.notifyDigester(&digester.ReplyArrived{From: from, Batch: *message.DigestReply})
+	}
+}
+
+// isIn reports whether a host belongs to a failure domain.
+func (coordinator *Coordinator) isIn(host identifier.HostID, domain identifier.FailureDomain) bool {
+	state, known := coordinator.gossiper.State(host)
+	return known && state.Member.FailureDomain == domain
+}
+
+func (coordinator *Coordinator) routeDigesterOutput(output digester.Output) {
+	switch output := output.(type) {
+	case *digester.SendBatch:
+		coordinator.outputs.toPeer(output.To, PeerMessage{DigestBatch: &output.Batch})
+	case *digester.SendQuery:
+		coordinator.outputs.toPeer(output.To, PeerMessage{DigestQuery: &output.Query})
+	case *digester.SendReply:
+		coordinator.outputs.toPeer(output.To, PeerMessage{DigestReply: &output.Batch})
+	case *digester.Collected:
+		coordinator.notifyDispatcher(&dispatcher.DigestsCollected{})
+	case *digester.CapacityReached:
+		coordinator.outputs.add(&DigestsFull{Home: output.Home, Digests: output.Digests})
+	}
+}
+
+// DigestsFull reports that this host stores the maximum number of digests of a home, and drops
+// further ones.
+type DigestsFull struct {
+	Home    identifier.FailureDomain
+	Digests int
+}
+
+func (*DigestsFull) isCoordinatorOutput() {}
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/digester"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
@@ -110,6 +111,7 @@
 	if change.Old != nil && change.Old.Living() && (restarted || change.New.Status == gossiper.StatusDead) {
 		coordinator.notifyInquirer(&inquirer.HostLost{Host: member.Host, FailureDomain: member.FailureDomain})
 	}
+	coordinator.notifyDigesterOfHosts()
 	coordinator.followerTracker.changed = true
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.updateKeeperReachability(change.New)
@@ -326,6 +328,7 @@
 	coordinator.notifyDispatcher(&dispatcher.LeadTaken{
 		Cell: taken.Cell, Epoch: taken.Epoch, Hosts: hosts, Missing: coordinator.missingHosts(),
 	})
+	coordinator.notifyDigester(&digester.LeadTaken{Cell: taken.Cell})
 	coordinator.intentDriver.handleLeadTaken(taken.Cell)
 	coordinator.handleAllocatorLeadTaken(taken)
 	notice := messenger.LeadNotice{
@@ -341,6 +344,7 @@
 
 func (coordinator *Coordinator) handleLeadLost(lost elector.LeadLost) {
 	coordinator.notifyDispatcher(&dispatcher.LeadLost{Cell: lost.Cell})
+	coordinator.notifyDigester(&digester.LeadLost{Cell: lost.Cell})
 	coordinator.intentDriver.handleLeadLost(lost.Cell)
 	coordinator.handleAllocatorLeadLost(lost)
 	coordinator.publish(leadRecordKey(lost.Cell), "")
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -287,6 +287,9 @@
 	Replicas          []messenger.Replica       `cbor:"30,keyasint,omitempty"`
 	ReplicaReceipt    *messenger.ReplicaReceipt `cbor:"31,keyasint,omitempty"`
 	LookupReply       *messenger.LookupReply    `cbor:"32,keyasint,omitempty"`
+	DigestBatch       *messenger.DigestBatch    `cbor:"33,keyasint,omitempty"`
+	DigestQuery       *messenger.DigestQuery    `cbor:"34,keyasint,omitempty"`
+	DigestReply       *messenger.DigestBatch    `cbor:"35,keyasint,omitempty"`
 	// Membership, keepers and configuration.
 	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
 	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/digester"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
@@ -26,6 +27,7 @@
 		coordinator.notifyGossiper(gossiper.PeerConnected{Host: input.Host})
 		coordinator.notifyForwarder(&forwarder.LeadReconnected{Host: input.Host})
 		coordinator.notifyDispatcher(&dispatcher.RemoteReconnected{Host: input.Host})
+		coordinator.notifyDigester(&digester.Reconnected{Host: input.Host})
 		coordinator.notifyStarter(&starter.PeerConnectionChanged{Host: input.Host, Connected: true})
 		coordinator.sendReportsTo(input.Host)
 		coordinator.cellPersister.exchangeWith(input.Host)
@@ -159,6 +161,8 @@
 		coordinator.notifyDispatcher(&dispatcher.LookupArrived{From: from, Lookup: *message.Lookup})
 	case message.Cancel != nil:
 		coordinator.notifyDispatcher(&dispatcher.CancelArrived{From: from, Cancel: *message.Cancel})
+	case message.DigestBatch != nil, message.DigestQuery != nil, message.DigestReply != nil:
+		coordinator.applyDigestMessage(from, message)
 	default:
 		coordinator.applyControlMessage(from, message)
 	}
@@ -400,6 +404,10 @@
 			return
 		}
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
+	case *dispatcher.RecordDigest:
+		coordinator.notifyDigester(&digester.SubmissionRecorded{Submission: output.Submission, Kind: output.Kind})
+	case *dispatcher.DigestsWanted:
+		coordinator.notifyDigester(&digester.RecordsDoubted{})
 	case *dispatcher.AnnounceLoad:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Load: &output.Notice})
 	case *dispatcher.RecordSpill:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -6,6 +6,7 @@
 	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/claimer"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
+	"github.com/stoathitch/stoathitch/pkg/digester"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
@@ -28,6 +29,7 @@
 	Supervisor    supervisor.Settings
 	Starter       starter.Settings
 	Inquirer      inquirer.Settings
+	Digester      digester.Settings
 	Allocator     allocator.Settings
 	// LeadSettleTime is how long a starting host waits for an announcement of a living lead before
 	// it takes a cell, so that it doesn't compete with that lead.
@@ -59,6 +61,7 @@
 		Supervisor:     supervisor.DefaultSettings(),
 		Starter:        starter.DefaultSettings(),
 		Inquirer:       inquirer.DefaultSettings(),
+		Digester:       digester.DefaultSettings(),
 		Allocator:      allocator.DefaultSettings(),
 		LeadSettleTime: elector.DefaultSettleTime,
 	}
--- /dev/null
+++ b/pkg/digester/receivers.go
@@ -0,0 +1,200 @@
+package digester
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// maxWitnesses is the number of hosts in other failure domains that store a home's digests. They
+// are in different failure domains where there are as many, so that one of them remains when the
+// failure domain that runs a spilled job is cut off together with the loss of the home.
+const maxWitnesses = 2
+
+// receiver is a host to which this one sends the digests of its home.
+type receiver struct {
+	incarnation identifier.Incarnation
+	joinedAt    identifier.Moment
+	// pending are the digests to send, in this order.
+	pending []entry
+	// nextBatchAt is the earliest time of the next batch.
+	nextBatchAt identifier.Moment
+}
+
+// handleHostsChanged recomputes which hosts receive the digests. A new one gets all digests.
+func (digester *Digester) handleHostsChanged(hosts []Host) {
+	digester.hosts = hosts
+	wanted := make(map[identifier.HostID]Host)
+	for _, host := range digester.receiversAmong(hosts) {
+		wanted[host.ID] = host
+	}
+	for _, id := range digester.receivers.Keys() {
+		if _, remains := wanted[id]; !remains {
+			digester.removeReceiver(id)
+		}
+	}
+	for _, host := range hosts {
+		if _, isReceiver := wanted[host.ID]; isReceiver {
+			digester.addReceiver(host)
+		}
+	}
+	digester.updateQueries()
+}
+
+// receiversAmong returns the hosts of the own failure domain and the witnesses.
+func (digester *Digester) receiversAmong(hosts []Host) []Host {
+	var own, remote []Host
+	for _, host := range hosts {
+		if host.FailureDomain == digester.FailureDomain {
+			own = append(own, host)
+		} else {
+			remote = append(remote, host)
+		}
+	}
+	return append(own, digester.witnessesAmong(remote)...)
+}
+
+// witnessesAmong picks the witnesses by rendezvous hashing: all hosts of the home pick the same
+// ones, and one is replaced only when it is lost or a host with a higher weight joins.
+func (digester *Digester) witnessesAmong(remote []Host) []Host {
+	slices.SortFunc(remote, func(first, second Host) int {
+		return cmp.Or(cmp.Compare(digester.weight(second), digester.weight(first)), cmp.Compare(first.ID, second.ID))
+	})
+	if len(remote) == 0 {
+		return nil
+	}
+	witnesses := remote[:1:1]
+	for _, host := range remote[1:] {
+		if len(witnesses) < maxWitnesses && host.FailureDomain != witnesses[0].FailureDomain {
+			witnesses = append(witnesses, host)
+		}
+	}
+	if len(witnesses) < maxWitnesses && len(remote) > 1 {
+		witnesses = append(witnesses, remote[1])
+	}
+	return witnesses
+}
+
+func (digester *Digester) weight(host Host) uint64 {
+	return xxhash.Sum64String(string(digester.FailureDomain) + "/" + string(host.ID))
+}
+
+func (digester *Digester) addReceiver(host Host) {
+	known := digester.receivers.Get(host.ID)
+	if known != nil && known.incarnation == host.Incarnation {
+		return
+	}
+	created := &receiver{incarnation: host.Incarnation, joinedAt: digester.now}
+	digester.receivers.Put(host.ID, created)
+	if digester.leads() {
+		digester.sendSince(created, oldestMoment)
+	}
+}
+
+func (digester *Digester) removeReceiver(host identifier.HostID) {
+	digester.receivers.Remove(host)
+	digester.timers.Clear(timerKey{kind: timerBatch, host: host})
+}
+
+// oldestMoment is earlier than any moment at which a kept digest was recorded.
+const oldestMoment identifier.Moment = -1 << 62
+
+// handleLeadTaken makes a new lead send again what its predecessor may not have sent. A receiver
+// that has joined lately may lack all digests.
+func (digester *Digester) handleLeadTaken(cell messenger.CellNumber) {
+	digester.restartQueries()
+	took := !digester.leads()
+	digester.ledCells[cell] = true
+	if !took {
+		return
+	}
+	recent := digester.now.Add(-resentAge)
+	digester.receivers.Each(func(_ identifier.HostID, receiver *receiver) bool {
+		since := recent
+		if receiver.joinedAt > recent {
+			since = oldestMoment
+		}
+		digester.sendSince(receiver, since)
+		return true
+	})
+}
+
+func (digester *Digester) handleLeadLost(cell messenger.CellNumber) {
+	delete(digester.ledCells, cell)
+	if digester.leads() {
+		return
+	}
+	digester.endDoubt()
+	digester.receivers.Each(func(_ identifier.HostID, receiver *receiver) bool {
+		receiver.pending = nil
+		return true
+	})
+}
+
+// leads reports whether this host leads a cell.
+func (digester *Digester) leads() bool { return len(digester.ledCells) > 0 }
+
+// handleReconnected sends again what may have been lost with the previous connection.
+func (digester *Digester) handleReconnected(host identifier.HostID) {
+	if known := digester.receivers.Get(host); known != nil && digester.leads() {
+		digester.sendSince(known, digester.now.Add(-resentAge))
+	}
+}
+
+// sendSince queues the digests that were recorded since a moment, or shortly before it.
+func (digester *Digester) sendSince(receiver *receiver, since identifier.Moment) {
+	set := digester.sets[digester.FailureDomain]
+	if set == nil {
+		return
+	}
+	for _, generation := range set.since(since) {
+		for _, digest := range generation.digests {
+			receiver.pending = append(receiver.pending, entry{
+				digest: digest, kind: generation.kind, recordedAt: generation.startsAt,
+			})
+		}
+	}
+}
+
+// sendDue sends the batches that are due and schedules the others.
+func (digester *Digester) sendDue() {
+	digester.receivers.Each(func(host identifier.HostID, receiver *receiver) bool {
+		if len(receiver.pending) > 0 && receiver.nextBatchAt.Due(digester.now) {
+			digester.sendBatch(host, receiver)
+		}
+		if len(receiver.pending) > 0 {
+			digester.timers.Set(timerKey{kind: timerBatch, host: host}, receiver.nextBatchAt)
+		}
+		return true
+	})
+}
+
+func (digester *Digester) sendBatch(host identifier.HostID, receiver *receiver) {
+	count := min(len(receiver.pending), digester.Settings.BatchDigests)
+	batch := messenger.DigestBatch{Home: digester.FailureDomain, Groups: digester.groupsOf(receiver.pending[:count])}
+	receiver.pending = receiver.pending[count:]
+	receiver.nextBatchAt = digester.now.Add(digester.Settings.BatchInterval)
+	digester.emit(&SendBatch{To: host, Batch: batch})
+}
+
+// groupsOf groups consecutive digests of one kind that were recorded within the same generation.
+func (digester *Digester) groupsOf(entries []entry) []messenger.DigestGroup {
+	var groups []messenger.DigestGroup
+	var last generationKey
+	set := digester.sets[digester.FailureDomain]
+	for _, next := range entries {
+		key := generationKey{number: set.numberOf(next.recordedAt), kind: next.kind}
+		if len(groups) == 0 || key != last {
+			groups = append(groups, messenger.DigestGroup{Kind: next.kind})
+		}
+		last = key
+		group := &groups[len(groups)-1]
+		group.Age = max(group.Age, digester.now.Sub(next.recordedAt))
+		group.Digests = append(group.Digests, next.digest)
+	}
+	return groups
+}
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -205,10 +205,11 @@
 	}
 	job.state = jobFinished
 	job.finishedAt = dispatcher.now
-	if cell != nil && cell.mayMissRecords() {
+	if cell != nil && cell.mayMissRecords() || dispatcher.isAlone() {
 		answer.NotRun = false
 	}
 	job.answer = answer
+	dispatcher.recordDigest(job, digestKindOf(answer))
 	submission := job.spec.Submission
 	dispatcher.recordJobStep(explainer.KindEnded, submission, describeAnswer(answer))
 	dispatcher.timers.Clear(timerKey{kind: timerJobDeadline, submission: submission})
--- a/pkg/dispatcher/assignment.go
+++ b/pkg/dispatcher/assignment.go
@@ -73,6 +73,7 @@
 func (dispatcher *Dispatcher) start(cell *cell, server *server, task *task) {
 	task.state = taskStarted
 	task.server = server.id
+	dispatcher.recordDigest(task.job, messenger.DigestStarted)
 	dispatcher.recordStart(cell, task)
 	dispatcher.recordTaskStep(explainer.KindStarted, task, "")
 	key := task.key()
--- /dev/null
+++ b/pkg/dispatcher/digests.go
@@ -0,0 +1,109 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// A lead records the digest of each submission of its home that it starts, spills or answers. The
+// digests reach hosts that hold no record of the submission, after the fact. A lead that finds a
+// digest without a record starts nothing of the submission: the hosts that knew it are lost, and its
+// tasks may have run.
+
+// recordDigest records that a submission of this home must not be started as a new one.
+func (dispatcher *Dispatcher) recordDigest(job *job, kind messenger.DigestKind) {
+	if job.homeLead != "" || job.digest >= kind {
+		return
+	}
+	job.digest = kind
+	dispatcher.outputs.add(&RecordDigest{Submission: job.spec.Submission, Kind: kind})
+}
+
+// digestKindOf returns the kind of the digest that a job needs once it has an answer.
+func digestKindOf(answer *messenger.JobAnswer) messenger.DigestKind {
+	switch {
+	case answer.NotRun:
+		return messenger.DigestRefused
+	case answer.ClaimsNothing():
+		return messenger.DigestNone
+	default:
+		return messenger.DigestStarted
+	}
+}
+
+// recordRecoveredDigest records the digest of a submission that an earlier lead may not have sent
+// to all hosts before it was lost.
+func (dispatcher *Dispatcher) recordRecoveredDigest(record messenger.CopyRecord) {
+	settled := record.Answered || record.SpilledTo != ""
+	if settled && record.Age < maxUnsentDigestAge {
+		dispatcher.outputs.add(&RecordDigest{Submission: record.Submission, Kind: messenger.DigestStarted})
+	}
+}
+
+// maxUnsentDigestAge is the age up to which an earlier lead may not have sent a digest.
+const maxUnsentDigestAge = 10 * time.Second
+
+// endDigested ends a job whose digest says that it must not be started: one that was refused as not
+// run, and one that looks new but was started. The refusal claims nothing about the job, since its
+// first answer, which the caller may have, still holds.
+func (dispatcher *Dispatcher) endDigested(job *job, looksNew bool) bool {
+	kind := dispatcher.digestOf(job)
+	if kind == messenger.DigestNone || kind == messenger.DigestStarted && !looksNew {
+		return false
+	}
+	dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, messenger.ReasonAnswerLost,
+		"an earlier submission was started or answered, but no live host has its record"))
+	return true
+}
+
+func (dispatcher *Dispatcher) digestOf(job *job) messenger.DigestKind {
+	if dispatcher.Digests == nil || job.homeLead != "" {
+		return messenger.DigestNone
+	}
+	return dispatcher.Digests.KindOf(job.spec.Submission)
+}
+
+// isAlone reports whether a refusal would be lost with this host. Its resend would then be started,
+// so the refusal must not say "not run".
+func (dispatcher *Dispatcher) isAlone() bool {
+	return dispatcher.Digests != nil && dispatcher.Digests.Alone()
+}
+
+// requestDigestsIfNeeded requests the digests that other hosts have once this lead may miss records.
+// A takeover waits for them.
+func (dispatcher *Dispatcher) requestDigestsIfNeeded(cell *cell) {
+	if cell.digestsRequested || !cell.mayMissRecords() {
+		return
+	}
+	cell.digestsRequested = true
+	cell.awaitsDigests = !cell.ready
+	dispatcher.outputs.add(&DigestsWanted{})
+}
+
+// handleDigestsCollected ends the wait of the takeovers for digests.
+func (dispatcher *Dispatcher) handleDigestsCollected() {
+	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
+		cell.awaitsDigests = false
+		dispatcher.finishTakeoverIfComplete(cell)
+		return true
+	})
+}
+
+// DigestsCollected reports that all live hosts have been queried for digests.
+type DigestsCollected struct{}
+
+func (*DigestsCollected) isDispatcherInput() {}
+
+// RecordDigest records that a submission of this home has been started, spilled or answered.
+type RecordDigest struct {
+	Submission identifier.SubmissionID
+	Kind       messenger.DigestKind
+}
+
+// DigestsWanted requests the digests of this home from all live hosts. DigestsCollected follows.
+type DigestsWanted struct{}
+
+func (*RecordDigest) isDispatcherOutput()  {}
+func (*DigestsWanted) isDispatcherOutput() {}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -97,6 +97,9 @@
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
+	// Digests are the submissions of this home that leads have started, spilled or answered. If nil,
+	// there are none.
+	Digests Digests
 
 	now identifier.Moment
 	// startedAt is the time of the first tick of this host's process.
@@ -126,6 +129,13 @@
 	classes    map[identifier.ClassName]ClassLimits
 }
 
+// Digests looks up the digests of submissions, which outlive the hosts that hold their records.
+type Digests interface {
+	KindOf(submission identifier.SubmissionID) messenger.DigestKind
+	// Alone reports whether no other host will have the digests of this one.
+	Alone() bool
+}
+
 // Tick applies the inputs in order, handles deadlines that are due, assigns queued tasks to free
 // slots and returns the messages to send.
 func (dispatcher *Dispatcher) Tick(now identifier.Moment, inputs []Input) []Output {
@@ -188,6 +198,8 @@
 		dispatcher.handleGuestQuery(input)
 	case *GuestsListed:
 		dispatcher.recordGuests(input)
+	case *DigestsCollected:
+		dispatcher.handleDigestsCollected()
 	case *SpillAnswered:
 		dispatcher.recordSpillAnswer(input)
 	case *ClaimHolderAnswered:
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -37,6 +37,10 @@
 	// replied; repliedDomains are those that have. The value is false where the list was cut off.
 	awaitedDomains map[identifier.FailureDomain]bool
 	repliedDomains map[identifier.FailureDomain]bool
+	// awaitsDigests is set while other hosts are queried for the digests of this home;
+	// digestsRequested once they have been.
+	awaitsDigests    bool
+	digestsRequested bool
 	// acknowledgedRequested is set once the backend servers were asked which submissions they have
 	// acknowledged answers for.
 	acknowledgedRequested bool
@@ -174,6 +178,8 @@
 	forwardedAfter identifier.Moment
 	// mayHaveEarlierStarts is set when an earlier lead may have started tasks of the job.
 	mayHaveEarlierStarts bool
+	// digest is the kind of digest that is recorded for the submission.
+	digest messenger.DigestKind
 	// claimed is set once the claim of a not-repeatable job is granted.
 	claimed bool
 	// releasable is set when the job was refused and none of its tasks has started or will start
--- a/pkg/dispatcher/guestqueries.go
+++ b/pkg/dispatcher/guestqueries.go
@@ -39,6 +39,7 @@
 // the backend servers.
 func (dispatcher *Dispatcher) queryGuests(cell *cell) {
 	dispatcher.requestAcknowledgedIfNeeded(cell)
+	dispatcher.requestDigestsIfNeeded(cell)
 	dispatcher.remotes.Each(func(key remoteKey, remote *remote) bool {
 		if key.cell == cell.number {
 			dispatcher.queryGuestsOf(cell, remote)
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -31,6 +31,9 @@
 		job.forwardedAfter = recovered.forwardedAfter(job)
 	}
 	mayHaveStarted := known || job.mayHaveEarlierStarts || job.hasStarted() || unmatched != nil
+	if !job.hasStarted() && unmatched == nil && dispatcher.endDigested(job, !mayHaveStarted) {
+		return
+	}
 	if !mayHaveStarted && job.failure == nil {
 		dispatcher.beginFresh(cell, job)
 		return
--- a/pkg/dispatcher/spilling.go
+++ b/pkg/dispatcher/spilling.go
@@ -83,6 +83,7 @@
 		job := dispatcher.jobs.Get(submission)
 		if job != nil && job.state == jobSpilling {
 			job.state = jobSpilled
+			dispatcher.recordDigest(job, messenger.DigestStarted)
 			dispatcher.sendSpill(job, messenger.SpillRun)
 			job.mayHaveEarlierStarts = true
 		}
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -114,6 +114,7 @@
 // mergeRecord keeps the most informative record of a submission: one with the answer wins over one
 // without, an older one over a newer one.
 func (dispatcher *Dispatcher) mergeRecord(cell *cell, holder identifier.HostID, record messenger.CopyRecord) {
+	dispatcher.recordRecoveredDigest(record)
 	knownSince := dispatcher.now.Add(-record.Age)
 	knownAfter := dispatcher.knownAfter(cell, &record)
 	known, found := cell.recovered[record.Submission]
@@ -256,7 +257,8 @@
 }
 
 func (dispatcher *Dispatcher) finishTakeoverIfComplete(cell *cell) {
-	if cell.ready || len(cell.awaitedHosts) > 0 || len(cell.awaitedServers) > 0 || len(cell.awaitedDomains) > 0 {
+	awaitsHosts := len(cell.awaitedHosts) > 0 || len(cell.awaitedDomains) > 0 || cell.awaitsDigests
+	if cell.ready || awaitsHosts || len(cell.awaitedServers) > 0 {
 		return
 	}
 	dispatcher.finishTakeover(cell)
