--- a/pkg/digester/digester.go
+++ b/pkg/digester/digester.go
@@ -199,7 +199,7 @@
 func (digester *Digester) scheduleExpiry() {
 	if !digester.expiryScheduled {
 		digester.expiryScheduled = true
-		digester.timers.Set(timerKey{kind: timerExpiry}, digester.now.Add(digester.Settings.Retention/generations))
+		digester.timers.Set(timerKey{kind: timerExpiry}, nextGenerationAt(digester.now, digester.Settings.Retention))
 	}
 }
 
--- a/pkg/digester/set.go
+++ b/pkg/digester/set.go
@@ -64,6 +64,13 @@
 
 func (set *digestSet) count() int { return len(set.kinds) }
 
+// nextGenerationAt returns when the generation after that of a moment begins, which is when the
+// oldest one is over.
+func nextGenerationAt(moment identifier.Moment, retention time.Duration) identifier.Moment {
+	length := identifier.Moment(retention / generations)
+	return (moment/length + 1) * length
+}
+
 // numberOf returns the number of the generation of a moment.
 func (set *digestSet) numberOf(moment identifier.Moment) int64 {
 	return int64(moment) / int64(set.retention/generations)
