Wait for no digests where the dispatcher has none

Cause: TestAcknowledgedSubmissionIsNotStartedAgain and TestFullListOfGuestsIsNotComplete drive the dispatcher alone, and the takeover waited for a reply that nobody gives. Change: without a set of digests nothing is requested.

--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -74,7 +74,7 @@
 // requestDigestsIfNeeded requests the digests that other hosts have once this lead may miss records.
 // A takeover waits for them.
 func (dispatcher *Dispatcher) requestDigestsIfNeeded(cell *cell) {
-	if cell.digestsRequested || !cell.mayMissRecords() {
+	if dispatcher.Digests == nil || cell.digestsRequested || !cell.mayMissRecords() {
 		return
 	}
 	cell.digestsRequested = true
