Keep refusals and failures from being forgotten

Cause: two hosts know of a refusal, and nobody else can tell, as nothing ran. Often the resend had been forwarded once before, so it didn't look new.

Change: the digest of a refused or failed submission is of the kind "ended": nothing is started of it, no answer is assembled. A host with peers in its failure domain of which none is live doesn't say "not run".

--- a/pkg/coordinator/digests.go
+++ b/pkg/coordinator/digests.go
@@ -13,7 +13,7 @@
 	settings.Retention = coordinator.Settings.Dispatcher.AnswerRetention
 	return &digester.Digester{
 		Self: coordinator.Self.Host, FailureDomain: coordinator.Self.FailureDomain, Settings: settings,
-		HasPeers: len(coordinator.Seeds) > 0,
+		HasPeers: coordinator.seedsOfOwnDomain() > 0,
 	}
 }
 
--- a/pkg/digester/digester.go
+++ b/pkg/digester/digester.go
@@ -9,6 +9,7 @@
 package digester
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -39,8 +40,8 @@
 		BatchInterval: 10 * time.Millisecond,
 		BatchDigests:  2_000,
 		MaxDigests:    1_000_000,
-		QueryInterval: 500 * time.Millisecond,
-		QueryAttempts: 6,
+		QueryInterval: time.Second,
+		QueryAttempts: 3,
 	}
 }
 
@@ -54,7 +55,7 @@
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
-	// HasPeers reports whether the settings name other hosts.
+	// HasPeers reports whether the settings name other hosts of the failure domain.
 	HasPeers bool
 
 	now  identifier.Moment
@@ -106,9 +107,13 @@
 	return set.kindOf(messenger.DigestOf(submission))
 }
 
-// Alone reports whether this host has peers but none of them is live, so that what it records is
-// lost with it.
-func (digester *Digester) Alone() bool { return digester.HasPeers && digester.receivers.Len() == 0 }
+// Alone reports whether this host has peers in its failure domain but none of them is live. What it
+// answers may be lost with it before a witness has the digest.
+func (digester *Digester) Alone() bool {
+	return digester.HasPeers && !slices.ContainsFunc(digester.hosts, func(host Host) bool {
+		return host.FailureDomain == digester.FailureDomain
+	})
+}
 
 func (digester *Digester) prepare(now identifier.Moment) {
 	digester.now = now
--- a/pkg/digester/digester_test.go
+++ b/pkg/digester/digester_test.go
@@ -107,8 +107,8 @@
 }
 
 func kindOf(t *testing.T, data *datadriven.TestData) messenger.DigestKind {
-	if data.HasArg("refused") {
-		return messenger.DigestRefused
+	if data.HasArg("ended") {
+		return messenger.DigestEnded
 	}
 	return messenger.DigestStarted
 }
--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -24,8 +24,8 @@
 // digestKindOf returns the kind of the digest that a job needs once it has an answer.
 func digestKindOf(answer *messenger.JobAnswer) messenger.DigestKind {
 	switch {
-	case answer.NotRun:
-		return messenger.DigestRefused
+	case answer.NotRun, answer.Outcome == messenger.OutcomeFailed:
+		return messenger.DigestEnded
 	case answer.ClaimsNothing():
 		return messenger.DigestNone
 	default:
@@ -45,9 +45,9 @@
 // maxUnsentDigestAge is the age up to which an earlier lead may not have sent a digest.
 const maxUnsentDigestAge = 10 * time.Second
 
-// endDigested ends a job whose digest says that it must not be started: one that was refused as not
-// run, and one that looks new but was started. The refusal claims nothing about the job, since its
-// first answer, which the caller may have, still holds.
+// endDigested ends a job whose digest says that it has ended, and one that looks new but was started.
+// The refusal claims nothing about the job, since its first answer, which the caller may have, still
+// holds.
 func (dispatcher *Dispatcher) endDigested(job *job, looksNew bool) bool {
 	kind := dispatcher.digestOf(job)
 	if kind == messenger.DigestNone || kind == messenger.DigestStarted && !looksNew {
@@ -65,8 +65,8 @@
 	return dispatcher.Digests.KindOf(job.spec.Submission)
 }
 
-// isAlone reports whether a refusal would be lost with this host. Its resend would then be started,
-// so the refusal must not say "not run".
+// isAlone reports whether a refusal may be lost with this host. Its resend would then be started, so
+// the refusal must not say "not run".
 func (dispatcher *Dispatcher) isAlone() bool {
 	return dispatcher.Digests != nil && dispatcher.Digests.Alone()
 }
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -132,7 +132,7 @@
 // Digests looks up the digests of submissions, which outlive the hosts that hold their records.
 type Digests interface {
 	KindOf(submission identifier.SubmissionID) messenger.DigestKind
-	// Alone reports whether no other host will have the digests of this one.
+	// Alone reports whether the other hosts of the failure domain are lost.
 	Alone() bool
 }
 
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -31,7 +31,9 @@
 		job.forwardedAfter = recovered.forwardedAfter(job)
 	}
 	mayHaveStarted := known || job.mayHaveEarlierStarts || job.hasStarted() || unmatched != nil
-	if !job.hasStarted() && unmatched == nil && dispatcher.endDigested(job, !mayHaveStarted) {
+	spilled := known && recovered.record.SpilledTo != ""
+	nothingReported := unmatched == nil && !job.hasStarted()
+	if dispatcher.endDigested(job, !mayHaveStarted) {
 		return
 	}
 	if !mayHaveStarted && job.failure == nil {
@@ -42,11 +44,11 @@
 		dispatcher.claimAgain(job)
 		return
 	}
-	if known && recovered.record.SpilledTo != "" && unmatched == nil && job.failure == nil && !job.hasStarted() {
+	if spilled && nothingReported && job.failure == nil {
 		dispatcher.querySpilled(job, recovered.record.SpilledTo)
 		return
 	}
-	if domain := dispatcher.domainWithoutReply(cell, job); domain != "" && unmatched == nil && job.failure == nil && !job.hasStarted() {
+	if domain := dispatcher.domainWithoutReply(cell, job); domain != "" && nothingReported && job.failure == nil {
 		dispatcher.querySpilled(job, domain)
 		return
 	}
--- a/pkg/messenger/digest.go
+++ b/pkg/messenger/digest.go
@@ -29,10 +29,11 @@
 const (
 	// DigestNone means that there is no digest.
 	DigestNone DigestKind = iota
-	// DigestStarted means that a lead has started, spilled or answered the submission.
+	// DigestStarted means that a lead has started, spilled or completed the submission.
 	DigestStarted
-	// DigestRefused means that a lead has refused the submission as not run.
-	DigestRefused
+	// DigestEnded means that a lead has refused the submission as not run, or failed it. No answer
+	// may be assembled from what backend servers have of it.
+	DigestEnded
 )
 
 // DigestGroup lists digests of one kind and about the same age.
--- a/pkg/messenger/digest_enumer.go
+++ b/pkg/messenger/digest_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DigestKindName = "nonestartedrefused"
+const _DigestKindName = "nonestartedended"
 
-var _DigestKindIndex = [...]uint8{0, 4, 11, 18}
+var _DigestKindIndex = [...]uint8{0, 4, 11, 16}
 
-const _DigestKindLowerName = "nonestartedrefused"
+const _DigestKindLowerName = "nonestartedended"
 
 func (i DigestKind) String() string {
 	if i < 0 || i >= DigestKind(len(_DigestKindIndex)-1) {
@@ -26,27 +26,27 @@
 	var x [1]struct{}
 	_ = x[DigestNone-(0)]
 	_ = x[DigestStarted-(1)]
-	_ = x[DigestRefused-(2)]
+	_ = x[DigestEnded-(2)]
 }
 
-var _DigestKindValues = []DigestKind{DigestNone, DigestStarted, DigestRefused}
+var _DigestKindValues = []DigestKind{DigestNone, DigestStarted, DigestEnded}
 
 var _DigestKindNameToValueMap = map[string]DigestKind{
 	_DigestKindName[0:4]:   DigestNone,
 	_DigestKindName[4:11]:  DigestStarted,
-	_DigestKindName[11:18]: DigestRefused,
+	_DigestKindName[11:16]: DigestEnded,
 }
 
 var _DigestKindLowerNameToValueMap = map[string]DigestKind{
 	_DigestKindLowerName[0:4]:   DigestNone,
 	_DigestKindLowerName[4:11]:  DigestStarted,
-	_DigestKindLowerName[11:18]: DigestRefused,
+	_DigestKindLowerName[11:16]: DigestEnded,
 }
 
 var _DigestKindNames = []string{
 	_DigestKindName[0:4],
 	_DigestKindName[4:11],
-	_DigestKindName[11:18],
+	_DigestKindName[11:16],
 }
 
 // DigestKindString retrieves an enum value from the enum constants string name.
