--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -186,6 +186,8 @@
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.DigestsFull:
 		daemon.Log.Error("digests of submissions dropped", "failure-domain", output.Home, "digests", output.Digests)
+	case *coordinator.DigestsRejected:
+		daemon.Log.Warn("digests of another failure domain ignored", "host", output.From)
 	case *coordinator.ConfigInForce:
 		daemon.applyConfig(output.Version)
 	case *coordinator.StoreCells:
--- a/pkg/coordinator/digests.go
+++ b/pkg/coordinator/digests.go
@@ -37,22 +37,26 @@
 }
 
 // applyDigestMessage applies a message about digests. Digests of a home come from its own hosts, or
-// as a reply to a query from that home.
+// as a reply to a query from that home. Other ones are rejected: they would make this host refuse
+// submissions that are new.
 func (coordinator *Coordinator) applyDigestMessage(from identifier.HostID, message *PeerMessage) {
+	own := coordinator.Self.FailureDomain
 	switch {
-	case message.DigestBatch != nil && coordinator.isIn(from, message.DigestBatch.Home):
-		coordinator.notifyDigester(&digester.BatchArrived{Batch: *message.DigestBatch})
-	case message.DigestQuery != nil && coordinator.isIn(from, message.DigestQuery.Home):
-		coordinator.notifyDigester(&digester.QueryArrived{From: from, Query: *message.DigestQuery})
-	case message.DigestReply != nil && message.DigestReply.Home == coordinator.Self.FailureDomain:
+	case message.DigestReply != nil && message.DigestReply.Home == own:
 		coordinator.notifyDigester(&digester.ReplyArrived{From: from, Batch: *message.DigestReply})
+	case message.DigestQuery != nil && coordinator.mayBeIn(from, message.DigestQuery.Home):
+		coordinator.notifyDigester(&digester.QueryArrived{From: from, Query: *message.DigestQuery})
+	case message.DigestBatch != nil && coordinator.mayBeIn(from, message.DigestBatch.Home):
+		coordinator.notifyDigester(&digester.BatchArrived{Batch: *message.DigestBatch})
+	default:
+		coordinator.outputs.add(&DigestsRejected{From: from})
 	}
 }
 
-// isIn reports whether a host belongs to a failure domain.
-func (coordinator *Coordinator) isIn(host identifier.HostID, domain identifier.FailureDomain) bool {
+// mayBeIn reports whether a host belongs to a failure domain, or is not known yet.
+func (coordinator *Coordinator) mayBeIn(host identifier.HostID, domain identifier.FailureDomain) bool {
 	state, known := coordinator.gossiper.State(host)
-	return known && state.Member.FailureDomain == domain
+	return !known || state.Member.FailureDomain == domain
 }
 
 func (coordinator *Coordinator) routeDigesterOutput(output digester.Output) {
@@ -77,4 +81,10 @@
 	Digests int
 }
 
-func (*DigestsFull) isCoordinatorOutput() {}
+// DigestsRejected reports a message about digests of another failure domain than its sender's.
+type DigestsRejected struct {
+	From identifier.HostID
+}
+
+func (*DigestsFull) isCoordinatorOutput()     {}
+func (*DigestsRejected) isCoordinatorOutput() {}
