Query digests where two hosts may lack state, even if no loss was seen

Cause: after all hosts of a home were killed in turn, 100 ms apart, each is younger than the process whose restart it should report.

Change: a reply to a takeover tells whether its sender has lately started or was isolated. Two such hosts make the lead query digests; they put no refusal in doubt, as a young cluster has them, too.

--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -303,6 +303,7 @@
 		coordinator.notifyDispatcher(&dispatcher.ClaimHolderAnswered{Claimant: output.Claimant, Answer: output.Answer})
 	case *forwarder.ReplyTakeover:
 		output.Reply.HostsWithoutState = coordinator.dispatcher.HostsWithoutState(coordinator.now)
+		output.Reply.MayLackState = coordinator.dispatcher.MayLackState(coordinator.now)
 		coordinator.dispatcher.AddSeenServers(&output.Reply)
 		if output.To == self {
 			coordinator.notifyDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -71,10 +71,10 @@
 	return dispatcher.Digests != nil && dispatcher.Digests.Alone()
 }
 
-// requestDigestsIfNeeded requests the digests that other hosts have once this lead may miss records.
-// A takeover waits for them.
+// requestDigestsIfNeeded requests the digests that other hosts have once this lead may lack some. A
+// takeover waits for them.
 func (dispatcher *Dispatcher) requestDigestsIfNeeded(cell *cell) {
-	if dispatcher.Digests == nil || cell.digestsRequested || !cell.mayMissRecords() {
+	if dispatcher.Digests == nil || cell.digestsRequested || !cell.mayMissDigests() {
 		return
 	}
 	cell.digestsRequested = true
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -33,6 +34,9 @@
 	// hostsWithoutState are live hosts that restarted without state before this lead had received
 	// all of that state.
 	hostsWithoutState map[identifier.HostID]bool
+	// lackingState are live hosts that, by their own reply, may not have received the state of the
+	// others yet.
+	lackingState map[identifier.HostID]bool
 	// awaitedDomains are the failure domains that were queried for this home's jobs and have not
 	// replied; repliedDomains are those that have. The value is false where the list was cut off.
 	awaitedDomains map[identifier.FailureDomain]bool
@@ -80,13 +84,28 @@
 // mayMissRecords reports whether a submission may be known to missing hosts only. In that case no
 // host here can say of any submission that it did not run.
 func (cell *cell) mayMissRecords() bool {
-	lost := len(cell.missingHosts)
-	for host := range cell.hostsWithoutState {
-		if !cell.missingHosts[host] {
-			lost++
+	return countDistinct(cell.missingHosts, cell.hostsWithoutState) >= holdersOfRecord
+}
+
+// mayMissDigests reports whether a submission may be known to no host of the failure domain, either
+// by its record or by its digest. A host that has started recently doesn't prove that another process
+// ran before it, so this alone puts no refusal in doubt.
+func (cell *cell) mayMissDigests() bool {
+	return countDistinct(cell.missingHosts, cell.hostsWithoutState, cell.lackingState) >= holdersOfRecord
+}
+
+// countDistinct returns how many hosts are in any of the sets.
+func countDistinct(sets ...map[identifier.HostID]bool) int {
+	count := 0
+	for index, set := range sets {
+		for host := range set {
+			inEarlierSet := slices.ContainsFunc(sets[:index], func(earlier map[identifier.HostID]bool) bool { return earlier[host] })
+			if !inEarlierSet {
+				count++
+			}
 		}
 	}
-	return lost >= holdersOfRecord
+	return count
 }
 
 // recoveredRecord is what another host knew of a submission at the takeover.
--- a/pkg/dispatcher/guestqueries.go
+++ b/pkg/dispatcher/guestqueries.go
@@ -198,6 +198,13 @@
 	return sortedHosts(recent)
 }
 
+// MayLackState reports whether this host may not have received the state of the others yet, since
+// it has just started or was isolated.
+func (dispatcher *Dispatcher) MayLackState(now identifier.Moment) bool {
+	until, started := dispatcher.withoutStateUntil[dispatcher.Self]
+	return started && !until.Due(now)
+}
+
 // countHostsWithoutState counts the hosts that restarted without state shortly before a takeover.
 // They are live and reply, but know nothing of the records that they shared with a missing host.
 func (dispatcher *Dispatcher) countHostsWithoutState(cell *cell) {
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -23,6 +23,7 @@
 		awaitedServers:    make(map[identifier.BackendServerID]bool),
 		missingHosts:      make(map[identifier.HostID]bool),
 		hostsWithoutState: make(map[identifier.HostID]bool),
+		lackingState:      make(map[identifier.HostID]bool),
 		awaitedDomains:    make(map[identifier.FailureDomain]bool),
 		repliedDomains:    make(map[identifier.FailureDomain]bool),
 		acknowledged:      make(map[messenger.SubmissionDigest]bool),
@@ -103,6 +104,9 @@
 	for _, host := range input.Reply.HostsWithoutState {
 		dispatcher.countHostWithoutState(cell, host)
 	}
+	if input.Reply.MayLackState {
+		cell.lackingState[input.From] = true
+	}
 	dispatcher.queryGuests(cell)
 	dispatcher.recordSeenServers(cell, input)
 	delete(cell.awaitedHosts, input.From)
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -100,6 +100,9 @@
 	Uptime time.Duration `cbor:"5,keyasint,omitempty"`
 	// Servers are the backend servers that the sender's process has seen.
 	Servers []identifier.BackendServerID `cbor:"6,keyasint,omitempty"`
+	// MayLackState reports whether the sender may not have received the state of the other hosts yet,
+	// since it has just started or was isolated.
+	MayLackState bool `cbor:"7,keyasint,omitempty"`
 }
 
 // LeadNotice reports which host leads a cell.
