Let the last host of a home claim no failure that may change

Cause: the last host of the home answered and died 1.9 ms later, before a witness had the digest; the next lead completed the job from what backend servers had. Change: such a host says "failed" only where a task failed; else its refusal claims nothing.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -158,6 +158,11 @@
 		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason, detail))
 		return
 	}
+	if dispatcher.isAlone() && reason != messenger.ReasonTaskFailed {
+		// If this host is lost, the next lead may complete the job from what backend servers have.
+		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason, detail))
+		return
+	}
 	dispatcher.finish(job, &messenger.JobAnswer{
 		Submission: job.spec.Submission,
 		Outcome:    messenger.OutcomeFailed,
--- a/pkg/dispatcher/digests_test.go
+++ b/pkg/dispatcher/digests_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// TestLoneHostDoesNotClaimFailure guards against the answer "complete" to a resend after "failed": the
+// only host that knew of the failure was lost, and the next lead completed the job.
+func TestLoneHostDoesNotClaimFailure(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		lead, _ := newDigestLead(digests{alone: alone})
+		job := forwardOf("s-1", false)
+		lead.Tick(identifier.Moment(time.Minute), []dispatcher.Input{job})
+		cancel := messenger.Cancel{Submission: "s-1", Caller: job.Job.Caller}
+		answers := answersIn(lead.Tick(identifier.Moment(time.Minute), []dispatcher.Input{
+			&dispatcher.CancelArrived{From: "entry-0", Cancel: cancel},
+		}))
+		if len(answers) != 1 || answers[0].ClaimsNothing() != alone {
+			t.Errorf("alone %v: answered %+v", alone, answers)
+		}
+	}
+}
+
 // TestLeadInDoubtAwaitsDigests guards against a second run: a lead that misses two hosts started a
 // submission before another host sent its digest.
 func TestLeadInDoubtAwaitsDigests(t *testing.T) {
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -265,3 +265,7 @@
 // TestSeedOfAnswersThatDiffer guards against different answers to one submission from hosts that were
 // isolated, one of them "not run".
 func TestSeedOfAnswersThatDiffer(t *testing.T) { expectNoViolations(t, 33300169) }
+
+// TestSeedOfAFailureThatALoneHostKnew guards against the answer "complete" to a resend after the answer
+// "failed" of the last host of a home, which was lost 2 ms later.
+func TestSeedOfAFailureThatALoneHostKnew(t *testing.T) { expectNoViolations(t, 58600375) }
