Bound what is sent to a host that lacks digests

New submissions go first, older digests in what is left of a batch. A connection that breaks again and again replaces an unfinished backlog instead of adding to it.

--- a/pkg/digester/digester.go
+++ b/pkg/digester/digester.go
@@ -38,7 +38,7 @@
 	return Settings{
 		Retention:     10 * time.Minute,
 		BatchInterval: 10 * time.Millisecond,
-		BatchDigests:  2_000,
+		BatchDigests:  250,
 		MaxDigests:    1_000_000,
 		QueryInterval: time.Second,
 		QueryAttempts: 3,
--- a/pkg/digester/receivers.go
+++ b/pkg/digester/receivers.go
@@ -19,8 +19,12 @@
 type receiver struct {
 	incarnation identifier.Incarnation
 	joinedAt    identifier.Moment
-	// pending are the digests to send, in this order.
+	// pending are the digests that were recorded since the last batch. backlog are older ones that the
+	// host may lack; they are sent in what is left of each batch.
 	pending []entry
+	backlog []entry
+	// backlogSince is the earliest time at which the digests of the backlog were recorded.
+	backlogSince identifier.Moment
 	// nextBatchAt is the earliest time of the next batch.
 	nextBatchAt identifier.Moment
 }
@@ -131,6 +135,7 @@
 	digester.endDoubt()
 	digester.receivers.Each(func(_ identifier.HostID, receiver *receiver) bool {
 		receiver.pending = nil
+		receiver.backlog = nil
 		return true
 	})
 }
@@ -145,15 +150,21 @@
 	}
 }
 
-// sendSince queues the digests that were recorded since a moment, or shortly before it.
+// sendSince queues the digests that were recorded since a moment, or shortly before it. It replaces
+// an unfinished backlog, so that a connection that breaks again and again doesn't make it grow.
 func (digester *Digester) sendSince(receiver *receiver, since identifier.Moment) {
+	if len(receiver.backlog) > 0 {
+		since = identifier.Earlier(since, receiver.backlogSince)
+	}
+	receiver.backlogSince = since
+	receiver.backlog = nil
 	set := digester.sets[digester.FailureDomain]
 	if set == nil {
 		return
 	}
 	for _, generation := range set.since(since) {
 		for _, digest := range generation.digests {
-			receiver.pending = append(receiver.pending, entry{
+			receiver.backlog = append(receiver.backlog, entry{
 				digest: digest, kind: generation.kind, recordedAt: generation.startsAt,
 			})
 		}
@@ -163,24 +174,37 @@
 // sendDue sends the batches that are due and schedules the others.
 func (digester *Digester) sendDue() {
 	digester.receivers.Each(func(host identifier.HostID, receiver *receiver) bool {
-		if len(receiver.pending) > 0 && receiver.nextBatchAt.Due(digester.now) {
+		if receiver.hasDigests() && receiver.nextBatchAt.Due(digester.now) {
 			digester.sendBatch(host, receiver)
 		}
-		if len(receiver.pending) > 0 {
+		if receiver.hasDigests() {
 			digester.timers.Set(timerKey{kind: timerBatch, host: host}, receiver.nextBatchAt)
 		}
 		return true
 	})
 }
 
+// hasDigests reports whether there is anything to send.
+func (receiver *receiver) hasDigests() bool {
+	return len(receiver.pending) > 0 || len(receiver.backlog) > 0
+}
+
 func (digester *Digester) sendBatch(host identifier.HostID, receiver *receiver) {
-	count := min(len(receiver.pending), digester.Settings.BatchDigests)
-	batch := messenger.DigestBatch{Home: digester.FailureDomain, Groups: digester.groupsOf(receiver.pending[:count])}
-	receiver.pending = receiver.pending[count:]
+	entries := takeFirst(&receiver.pending, digester.Settings.BatchDigests)
+	entries = append(entries, takeFirst(&receiver.backlog, digester.Settings.BatchDigests-len(entries))...)
 	receiver.nextBatchAt = digester.now.Add(digester.Settings.BatchInterval)
+	batch := messenger.DigestBatch{Home: digester.FailureDomain, Groups: digester.groupsOf(entries)}
 	digester.emit(&SendBatch{To: host, Batch: batch})
 }
 
+// takeFirst removes up to count entries from the front of a queue.
+func takeFirst(queue *[]entry, count int) []entry {
+	count = min(count, len(*queue))
+	taken := (*queue)[:count:count]
+	*queue = (*queue)[count:]
+	return taken
+}
+
 // groupsOf groups consecutive digests of one kind that were recorded within the same generation.
 func (digester *Digester) groupsOf(entries []entry) []messenger.DigestGroup {
 	var groups []messenger.DigestGroup
