--- a/pkg/coordinator/forgotten_test.go
+++ b/pkg/coordinator/forgotten_test.go
@@ -458,6 +458,22 @@
 	}
 }
 
+// TestNewJobRunsAfterLosses guards against the refusal of a new job by a lead that may miss records.
+func TestNewJobRunsAfterLosses(t *testing.T) {
+	for _, loss := range slices.Concat(losses, refusalLosses) {
+		t.Run(loss.name, func(t *testing.T) {
+			home := newHome(coordinator.DefaultSettings())
+			home.submit(home.second, newJob("earlier", "team", 2, 20*time.Millisecond), time.Minute)
+			home.advance(200 * time.Millisecond)
+			loss.lose(home)
+			home.advance(noticed)
+			job := newJob("job", "team", 2, 20*time.Millisecond)
+			home.resend(t, home.third, job)
+			home.expectAnswer(t, job, messenger.OutcomeComplete, messenger.ReasonNone)
+		})
+	}
+}
+
 // loseAllBesideAnEmptyHost isolates the lead, restarts the second host without state and has the
 // third, which was isolated, rejoin it.
 func (home *home) loseAllBesideAnEmptyHost() {
--- a/pkg/digester/digester.go
+++ b/pkg/digester/digester.go
@@ -39,7 +39,7 @@
 		Retention:     10 * time.Minute,
 		BatchInterval: 10 * time.Millisecond,
 		BatchDigests:  250,
-		MaxDigests:    1_000_000,
+		MaxDigests:    500_000,
 		QueryInterval: time.Second,
 		QueryAttempts: 3,
 	}
