End the wait for a second holder with the answer that it is for

Cause: a lead without neighbours that answers a submission waits for a second host to hold the answer. When the caller resent a submission that had been refused without a claim, the answer was dropped, but not the wait. The next host that joined was asked to hold an answer that was nil. In a process the host that reads this message ends.

Change: the wait and its timer end wherever the answer is dropped or replaced. A host ignores a copy without an answer.

--- a/pkg/forwarder/answers.go
+++ b/pkg/forwarder/answers.go
@@ -142,6 +142,13 @@
 	forwarder.timers.Set(timerKey{kind: timerSecondHolder, submission: localSubmission.job.Submission}, due)
 }
 
+// stopAwaitingSecondHolder ends the wait of awaitSecondHolder. It must end with the answer that it
+// is for: a copy without an answer would crash the host that is to hold it.
+func (forwarder *Forwarder) stopAwaitingSecondHolder(localSubmission *localSubmission) {
+	localSubmission.awaitsSecondHolder = false
+	forwarder.timers.Clear(timerKey{kind: timerSecondHolder, submission: localSubmission.job.Submission})
+}
+
 // confirmWithoutSecondHolder confirms the answer without a second host once the wait is over.
 func (forwarder *Forwarder) confirmWithoutSecondHolder(submission identifier.SubmissionID) {
 	localSubmission := forwarder.localSubmissions.Get(submission)
@@ -159,10 +166,9 @@
 	if second == "" {
 		return
 	}
-	forwarder.localSubmissions.Each(func(submission identifier.SubmissionID, localSubmission *localSubmission) bool {
+	forwarder.localSubmissions.Each(func(_ identifier.SubmissionID, localSubmission *localSubmission) bool {
 		if localSubmission.awaitsSecondHolder {
-			localSubmission.awaitsSecondHolder = false
-			forwarder.timers.Clear(timerKey{kind: timerSecondHolder, submission: submission})
+			forwarder.stopAwaitingSecondHolder(localSubmission)
 			forwarder.emit(&StoreAnswerCopy{To: second, Copy: messenger.AnswerCopy{Answer: localSubmission.answer}})
 		}
 		return true
@@ -181,6 +187,7 @@
 // another host already holds.
 func (forwarder *Forwarder) replaceWithheldAnswer(input *AnswerArrived, localSubmission *localSubmission) {
 	localSubmission.answer = input.Answer
+	forwarder.stopAwaitingSecondHolder(localSubmission)
 	forwarder.confirmAnswer(input.From, localSubmission)
 	forwarder.releaseWithheldAnswer(input.Answer.Submission)
 }
@@ -188,6 +195,7 @@
 func (forwarder *Forwarder) withdrawAnswer(localSubmission *localSubmission) {
 	localSubmission.answer = nil
 	localSubmission.answerWithheld = false
+	forwarder.stopAwaitingSecondHolder(localSubmission)
 	submission := localSubmission.job.Submission
 	forwarder.timers.Clear(timerKey{kind: timerCopyWait, submission: submission})
 	forwarder.timers.Clear(timerKey{kind: timerExpireSubmission, submission: submission})
--- a/pkg/forwarder/copies.go
+++ b/pkg/forwarder/copies.go
@@ -213,6 +213,10 @@
 
 // storeAnswerCopy stores the second copy of an answer.
 func (forwarder *Forwarder) storeAnswerCopy(input *AnswerCopyArrived) {
+	if input.Copy.Answer == nil {
+		// Another host's faulty message must not end this process.
+		return
+	}
 	submission := input.Copy.Answer.Submission
 	cell := messenger.CellOf(submission, forwarder.Settings.Cells)
 	if input.Copy.Epoch > 0 && forwarder.refuseStaleLead(input.From, cell, input.Copy.Epoch) {
--- a/pkg/forwarder/submissions.go
+++ b/pkg/forwarder/submissions.go
@@ -34,6 +34,7 @@
 // home may be reachable again.
 func (forwarder *Forwarder) retryUnknown(known *localSubmission, input *CallerSubmitted) {
 	known.answer = nil
+	forwarder.stopAwaitingSecondHolder(known)
 	known.job = input.Job
 	known.deadline = input.Deadline
 	known.forwardedTo = ""
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -265,3 +265,7 @@
 // TestSeedOfAnswersThatDiffer guards against different answers to one submission from hosts that were
 // isolated, one of them "not run".
 func TestSeedOfAnswersThatDiffer(t *testing.T) { expectNoViolations(t, 33300169) }
+
+// TestSeedOfACopyWithoutAnAnswer guards against a host that crashes on a copy without an answer: the
+// last host of a failure domain drops an answer, and then another host joins.
+func TestSeedOfACopyWithoutAnAnswer(t *testing.T) { expectNoViolations(t, 58200065) }
