Count the last host of a failure domain as cut off when nobody responds

Cause: the isolated host was the last one of its home and still led. Whether a host is cut off was decided when the membership changed only: one response of a backend server after the last neighbour was lost counted for good, and where the neighbours had left, nothing was checked. So the dispatcher failed its jobs while the host was alone (task-unknown at 16.500 s, no-backend-server at 14.000 s, deadline-passed at 12.424 s), or at its return those that had waited on its connections (13.3432 s), and the forwarder, without a second host, told it at once. A check at the return alone would not do: three of the four decisions precede it by 0.2 to 2.2 s.

Change: a lead that is the last host counts as cut off, and gives its cells up, when neither a backend server nor any host has responded for 2 s. When it hears of others it waits for the announcements of other leads and counts as one that may have missed records.

Left: what the host decides in the first 2 s.

--- a/pkg/coordinator/isolation.go
+++ b/pkg/coordinator/isolation.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"slices"
+
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
@@ -37,6 +39,7 @@
 // Whether such a host responds again or its connection closes, this host may have missed what the
 // others learned meanwhile, like a host that restarted without state.
 func (coordinator *Coordinator) handleIsolationEnd(inputs []Input) {
+	coordinator.handleContact(inputs)
 	if len(coordinator.deadButConnected) == 0 {
 		return
 	}
@@ -53,6 +56,34 @@
 	}
 }
 
+// handleContact makes the last host of its failure domain count as one that may have missed records
+// when it hears of others again. Hosts that it had seen leave may have started meanwhile.
+func (coordinator *Coordinator) handleContact(inputs []Input) {
+	if !coordinator.elector.IsLastHost() {
+		return
+	}
+	if coordinator.elector.LostContact() && slices.ContainsFunc(inputs, isContact) {
+		coordinator.notifyDispatcher(&dispatcher.IsolationEnded{})
+	}
+	if slices.ContainsFunc(inputs, isPeerBatch) {
+		coordinator.notifyElector(elector.HostResponded{})
+	}
+}
+
+// isContact reports whether an input comes from another host or from a backend server.
+func isContact(input Input) bool {
+	switch input.(type) {
+	case *PeerConnected, *ServerEvent, *AllocatorEvent, *ServerReportAnnounced:
+		return true
+	}
+	return isPeerBatch(input)
+}
+
+func isPeerBatch(input Input) bool {
+	_, isBatch := input.(*PeerBatchArrived)
+	return isBatch
+}
+
 // respondedAgain reports whether inputs contain a message of a host in deadButConnected, and
 // whether they close the connection to one.
 func (coordinator *Coordinator) respondedAgain(inputs []Input) (responded, closed bool) {
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -16,6 +16,8 @@
 		}
 	case ServerResponded:
 		elector.recordServerResponse()
+	case HostResponded:
+		elector.recordResponse()
 	case HostRestarted:
 		elector.dropAnnouncements(input.FailureDomain, input.Host)
 	case LeadSeen:
@@ -199,6 +201,9 @@
 }
 
 func (elector *Elector) acquireLead(id identifier.CellID, cell *cellEntity) {
+	if !elector.leadsAnyCell() {
+		elector.extendContact()
+	}
 	cell.ownEpoch = elector.nextEpoch(cell.highestEpoch)
 	cell.retakeAt = identifier.Never
 	cell.announce(announcement{elector.Self, cell.ownEpoch})
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -94,6 +94,7 @@
 	for _, input := range inputs {
 		elector.handleInput(input)
 	}
+	elector.detectContactLoss()
 	if elector.settlesAt.Due(now) {
 		elector.settlesAt = identifier.Never
 	}
@@ -116,6 +117,9 @@
 	if elector.isCutOff() && !elector.mustStepDown() {
 		next = min(next, elector.isolation.stepsDownAt)
 	}
+	if elector.mayLoseContact() {
+		next = min(next, elector.isolation.contactUntil)
+	}
 	elector.cells.Each(func(_ cellKey, cell *cellEntity) bool {
 		next = min(next, cell.retakeAt)
 		return true
--- a/pkg/elector/elector_test.go
+++ b/pkg/elector/elector_test.go
@@ -67,6 +67,8 @@
 		return HostsChanged{FailureDomain: domain, Living: []identifier.HostID{"b"}, MissingHosts: 2}
 	case "server-heard":
 		return ServerResponded{}
+	case "host-heard":
+		return HostResponded{}
 	case "restarted":
 		return HostRestarted{FailureDomain: domain, Host: identifier.HostID(words[2])}
 	case "lead-seen":
--- a/pkg/elector/isolation.go
+++ b/pkg/elector/isolation.go
@@ -27,6 +27,10 @@
 // them, and its answers to callers, that jobs failed or did not run, could be untrue. It waits
 // for two heartbeats first: if the last living host stepped down before a backend server could
 // respond, it would forget what it alone knows of its jobs.
+//
+// The last living host may be cut off later, when no change of the membership tells so. It counts
+// as cut off once no backend server and no other host has responded for as long. The membership
+// takes several seconds to declare the hosts of other failure domains dead.
 type isolation struct {
 	// alone reports whether other hosts are known and none of them lives.
 	alone bool
@@ -34,6 +38,14 @@
 	serverResponded bool
 	// stepsDownAt is when a lead gives up its cells unless a backend server responds.
 	stepsDownAt identifier.Moment
+	// last reports whether no other host of the own failure domain lives, whether the others were
+	// lost or have left.
+	last bool
+	// contactUntil is when the last host counts as cut off unless a backend server or another host
+	// responds.
+	contactUntil identifier.Moment
+	// lostContact reports whether the last host is cut off, by contactUntil.
+	lostContact bool
 }
 
 // stepDownWait covers two heartbeats of backend servers.
@@ -41,19 +53,88 @@
 
 // recordHosts records whether any other host of the own failure domain lives.
 func (elector *Elector) recordHosts(others, missing int) {
+	elector.recordLastHost(others == 0 && (missing > 0 || elector.OtherHosts > 0))
 	alone := others == 0 && missing > 0
 	if alone == elector.isolation.alone {
 		return
 	}
 	wasCutOff := elector.isolation.alone && !elector.isolation.serverResponded
-	elector.isolation = isolation{alone: alone, stepsDownAt: elector.now.Add(stepDownWait)}
+	elector.isolation.alone = alone
+	elector.isolation.serverResponded = false
+	elector.isolation.stepsDownAt = elector.now.Add(stepDownWait)
 	if wasCutOff {
 		elector.settlesAt = elector.now.Add(elector.SettleTime)
 	}
 }
 
+// recordLastHost records whether this host is the last one of its failure domain.
+func (elector *Elector) recordLastHost(last bool) {
+	if last == elector.isolation.last {
+		return
+	}
+	elector.isolation.last = last
+	elector.extendContact()
+	if !last {
+		elector.endContactLoss()
+	}
+}
+
+func (elector *Elector) extendContact() {
+	elector.isolation.contactUntil = elector.now.Add(stepDownWait)
+}
+
+// detectContactLoss makes the last host of its failure domain count as cut off when neither backend
+// servers nor hosts respond. Others may have started meanwhile that it doesn't see, and its answers
+// to callers could differ from theirs.
+func (elector *Elector) detectContactLoss() {
+	if !elector.mayLoseContact() || !elector.isolation.contactUntil.Due(elector.now) {
+		return
+	}
+	elector.isolation.lostContact = true
+	elector.isolation.serverResponded = false
+	elector.isolation.stepsDownAt = elector.now
+}
+
+// mayLoseContact reports whether this host is a lead that only responses can prove not to be cut
+// off. Backend servers of a cell that it doesn't lead send few heartbeats.
+func (elector *Elector) mayLoseContact() bool {
+	return elector.isolation.last && !elector.isolation.lostContact && elector.leadsAnyCell()
+}
+
+// recordResponse records that a backend server or another host has responded.
+func (elector *Elector) recordResponse() {
+	elector.extendContact()
+	elector.endContactLoss()
+}
+
+// endContactLoss makes this host wait for the announcements of other leads before it acquires a
+// cell.
+func (elector *Elector) endContactLoss() {
+	if !elector.isolation.lostContact {
+		return
+	}
+	elector.isolation.lostContact = false
+	elector.settlesAt = elector.now.Add(elector.SettleTime)
+}
+
+// LostContact reports whether this host, as the last one of its failure domain, counts as cut off.
+func (elector *Elector) LostContact() bool { return elector.isolation.lostContact }
+
+// IsLastHost reports whether no other host of the own failure domain lives.
+func (elector *Elector) IsLastHost() bool { return elector.isolation.last }
+
+func (elector *Elector) leadsAnyCell() bool {
+	leads := false
+	elector.cells.Each(func(_ cellKey, cell *cellEntity) bool {
+		leads = cell.ownEpoch != 0
+		return !leads
+	})
+	return leads
+}
+
 // recordServerResponse records that a backend server has responded.
 func (elector *Elector) recordServerResponse() {
+	elector.recordResponse()
 	if !elector.isolation.alone || elector.isolation.serverResponded {
 		return
 	}
@@ -75,7 +156,7 @@
 
 // isCutOff reports whether this host may be cut off from all others.
 func (elector *Elector) isCutOff() bool {
-	return elector.isolation.alone && !elector.isolation.serverResponded
+	return elector.isolation.lostContact || elector.isolation.alone && !elector.isolation.serverResponded
 }
 
 // mustStepDown reports whether a lead has been cut off for longer than stepDownWait.
--- a/pkg/elector/messages.go
+++ b/pkg/elector/messages.go
@@ -17,6 +17,10 @@
 // ServerResponded reports that a backend server of the own failure domain has responded.
 type ServerResponded struct{}
 
+// HostResponded reports that a message of another host of any failure domain has arrived. It is only
+// needed while IsLastHost.
+type HostResponded struct{}
+
 // HostRestarted reports that a host runs a new process, which leads none of the cells that the
 // old one announced.
 type HostRestarted struct {
@@ -61,6 +65,7 @@
 
 func (HostsChanged) input()    {}
 func (ServerResponded) input() {}
+func (HostResponded) input()   {}
 func (HostRestarted) input()   {}
 func (LeadSeen) input()        {}
 func (LeadWithdrawn) input()   {}
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -269,3 +269,8 @@
 // TestSeedOfACopyWithoutAnAnswer guards against a host that crashes on a copy without an answer: the
 // last host of a failure domain drops an answer, and then another host joins.
 func TestSeedOfACopyWithoutAnAnswer(t *testing.T) { expectNoViolations(t, 58200065) }
+
+// TestSeedOfALastHostThatIsCutOff guards against the answer "failed" to one request of a submission
+// after another was answered "complete": the last living host of a failure domain is isolated, and
+// one that was isolated before has rejoined.
+func TestSeedOfALastHostThatIsCutOff(t *testing.T) { expectNoViolations(t, 58400018) }
