--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -269,3 +269,12 @@
 // TestSeedOfAFailureThatALoneHostKnew guards against the answer "complete" to a resend after the answer
 // "failed" of the last host of a home, which was lost 2 ms later.
 func TestSeedOfAFailureThatALoneHostKnew(t *testing.T) { expectNoViolations(t, 58600375) }
+
+// TestSeedOfACopyWithoutAnAnswer guards against a host that crashes on a copy without an answer: the
+// last host of a failure domain drops an answer, and then another host joins.
+func TestSeedOfACopyWithoutAnAnswer(t *testing.T) { expectNoViolations(t, 58200065) }
+
+// TestSeedOfALastHostThatIsCutOff guards against the answer "failed" to one request of a submission
+// after another was answered "complete": the last living host of a failure domain is isolated, and
+// one that was isolated before has rejoined.
+func TestSeedOfALastHostThatIsCutOff(t *testing.T) { expectNoViolations(t, 58400018) }
