--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -159,6 +159,7 @@
 		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
 		Settings:      coordinator.Settings.Dispatcher,
+		HasPeers:      coordinator.seedsOfOwnDomain() > 0,
 		Digests:       coordinator.digester,
 	}
 	coordinator.forwarder = &forwarder.Forwarder{
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -407,8 +407,8 @@
 		coordinator.outputs.toPeer(output.To, PeerMessage{TakeoverQuery: &output.Query})
 	case *dispatcher.RecordDigest:
 		coordinator.notifyDigester(&digester.SubmissionRecorded{Submission: output.Submission, Kind: output.Kind})
-	case *dispatcher.DigestsWanted:
-		coordinator.notifyDigester(&digester.RecordsDoubted{})
+	case *dispatcher.DigestsRequested:
+		coordinator.notifyDigester(&digester.DigestsRequested{})
 	case *dispatcher.AnnounceLoad:
 		coordinator.outputs.toPeer(output.To, PeerMessage{Load: &output.Notice})
 	case *dispatcher.RecordSpill:
--- a/pkg/digester/digester.go
+++ b/pkg/digester/digester.go
@@ -27,10 +27,8 @@
 	BatchDigests int
 	// MaxDigests bounds the digests of one home. Beyond it new ones are dropped.
 	MaxDigests int
-	// QueryInterval is the time between two queries to a host that doesn't reply.
-	QueryInterval time.Duration
-	// QueryAttempts bounds the queries to one host.
-	QueryAttempts int
+	// QueryTimeout is how long a takeover waits for the reply of a host.
+	QueryTimeout time.Duration
 }
 
 // DefaultSettings returns the daemon's default settings.
@@ -38,15 +36,13 @@
 	return Settings{
 		Retention:     10 * time.Minute,
 		BatchInterval: 10 * time.Millisecond,
-		BatchDigests:  250,
+		BatchDigests:  100,
 		MaxDigests:    500_000,
-		QueryInterval: time.Second,
-		QueryAttempts: 3,
+		QueryTimeout:  3 * time.Second,
 	}
 }
 
-// resentAge is the age up to which digests are sent again to a host whose connection was
-// interrupted, or whose lead was replaced.
+// resentAge is the age up to which digests are sent again by a new lead.
 const resentAge = 10 * time.Second
 
 // Digester stores the digests of the own failure domain and, as a witness, those of others. Set the
@@ -69,11 +65,11 @@
 	receivers *tabulator.Table[identifier.HostID, receiver]
 	// collecting reports whether a takeover waits for the replies of pending hosts.
 	collecting bool
-	// inDoubt reports whether this host leads a cell and may miss records.
-	inDoubt bool
-	queries *tabulator.Table[identifier.HostID, query]
-	timers  *tabulator.Timers[timerKey]
-	outputs []Output
+	// requested reports whether this host leads a cell and may lack digests.
+	requested bool
+	queries   *tabulator.Table[identifier.HostID, query]
+	timers    *tabulator.Timers[timerKey]
+	outputs   []Output
 }
 
 // Tick applies the inputs, handles the deadlines that are due and returns the outputs for its owner
@@ -107,9 +103,9 @@
 	return set.kindOf(messenger.DigestOf(submission))
 }
 
-// Alone reports whether this host has peers in its failure domain but none of them is live. What it
-// answers may be lost with it before a witness has the digest.
-func (digester *Digester) Alone() bool {
+// IsLastHost reports whether this host has peers in its failure domain but none of them is live. What
+// it answers may be lost with it before a witness has the digest.
+func (digester *Digester) IsLastHost() bool {
 	return digester.HasPeers && !slices.ContainsFunc(digester.hosts, func(host Host) bool {
 		return host.FailureDomain == digester.FailureDomain
 	})
@@ -145,8 +141,8 @@
 		digester.reply(input)
 	case *ReplyArrived:
 		digester.handleReply(input)
-	case *RecordsDoubted:
-		digester.handleDoubt()
+	case *DigestsRequested:
+		digester.handleRequest()
 	}
 }
 
--- a/pkg/digester/digester_test.go
+++ b/pkg/digester/digester_test.go
@@ -30,7 +30,7 @@
 			lines := describe(tested.Tick(identifier.Moment(at), inputsOf(t, data)))
 			if data.Cmd == "look-up" {
 				submission := identifier.SubmissionID(scan(t, data, "submission"))
-				lines = append(lines, fmt.Sprintf("%s: %s, alone %v", submission, tested.KindOf(submission), tested.Alone()))
+				lines = append(lines, fmt.Sprintf("%s: %s, last host %v", submission, tested.KindOf(submission), tested.IsLastHost()))
 			}
 			if len(lines) == 0 {
 				return "nothing"
@@ -59,8 +59,8 @@
 		return []digester.Input{&digester.QueryArrived{From: host, Query: messenger.DigestQuery{Home: home}}}
 	case "reply":
 		return []digester.Input{&digester.ReplyArrived{From: host, Batch: batchOf(t, data)}}
-	case "doubt":
-		return []digester.Input{&digester.RecordsDoubted{}}
+	case "request":
+		return []digester.Input{&digester.DigestsRequested{}}
 	case "reconnect":
 		return []digester.Input{&digester.Reconnected{Host: host}}
 	case "wait", "look-up":
--- a/pkg/digester/input.go
+++ b/pkg/digester/input.go
@@ -62,8 +62,8 @@
 	Batch messenger.DigestBatch
 }
 
-// RecordsDoubted reports that this host leads a cell and may miss records. Collected follows.
-type RecordsDoubted struct{}
+// DigestsRequested reports that this host leads a cell and may lack digests. Collected follows.
+type DigestsRequested struct{}
 
 func (*SubmissionRecorded) isDigesterInput() {}
 func (*HostsChanged) isDigesterInput()       {}
@@ -73,7 +73,7 @@
 func (*BatchArrived) isDigesterInput()       {}
 func (*QueryArrived) isDigesterInput()       {}
 func (*ReplyArrived) isDigesterInput()       {}
-func (*RecordsDoubted) isDigesterInput()     {}
+func (*DigestsRequested) isDigesterInput()   {}
 
 // CompareHosts orders hosts by id.
 func CompareHosts(first, second Host) int { return cmp.Compare(first.ID, second.ID) }
--- a/pkg/digester/queries.go
+++ b/pkg/digester/queries.go
@@ -5,26 +5,26 @@
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
-// A lead that may miss records queries all live hosts, since it doesn't know which of them were
+// A lead that may lack digests queries all live hosts, since it doesn't know which of them were
 // witnesses of the leads before it.
 
 // query is a query to one host.
 type query struct {
-	attempts int
-	// ended is set once the host has replied, or is not waited for any more.
+	replied bool
+	// ended is set once the host is not waited for any more.
 	ended bool
 }
 
-// handleDoubt queries the hosts that have not been queried since this host took the lead.
-func (digester *Digester) handleDoubt() {
-	digester.inDoubt = true
+// handleRequest queries the hosts that have not been queried since this host took the lead.
+func (digester *Digester) handleRequest() {
+	digester.requested = true
 	digester.collecting = true
 	digester.updateQueries()
 }
 
-// endDoubt forgets the queries of a lead that this host has lost.
-func (digester *Digester) endDoubt() {
-	digester.inDoubt = false
+// endRequest forgets the queries of a lead that this host has lost.
+func (digester *Digester) endRequest() {
+	digester.requested = false
 	digester.collecting = false
 	digester.restartQueries()
 }
@@ -39,7 +39,7 @@
 
 // updateQueries queries hosts that have joined, and stops waiting for those that are gone.
 func (digester *Digester) updateQueries() {
-	if !digester.inDoubt {
+	if !digester.requested {
 		return
 	}
 	live := make(map[identifier.HostID]bool, len(digester.hosts))
@@ -63,17 +63,26 @@
 	digester.timers.Clear(timerKey{kind: timerQuery, host: host})
 }
 
-// sendQuery queries a host, again if it has not replied in time.
+// sendQuery queries a host and waits for its reply for QueryTimeout.
 func (digester *Digester) sendQuery(host identifier.HostID) {
-	sent := digester.queries.Get(host)
-	if sent.attempts >= digester.Settings.QueryAttempts {
+	digester.emit(&SendQuery{To: host, Query: messenger.DigestQuery{Home: digester.FailureDomain}})
+	digester.timers.Set(timerKey{kind: timerQuery, host: host}, digester.now.Add(digester.Settings.QueryTimeout))
+}
+
+// endQuery stops waiting for a host. A reply that arrives later is still stored.
+func (digester *Digester) endQuery(host identifier.HostID) {
+	digester.timers.Clear(timerKey{kind: timerQuery, host: host})
+	if sent := digester.queries.Get(host); sent != nil {
 		sent.ended = true
 		digester.finishIfCollected()
-		return
 	}
-	sent.attempts++
-	digester.emit(&SendQuery{To: host, Query: messenger.DigestQuery{Home: digester.FailureDomain}})
-	digester.timers.Set(timerKey{kind: timerQuery, host: host}, digester.now.Add(digester.Settings.QueryInterval))
+}
+
+// retryQuery queries a host again whose query or reply may have been lost with a connection.
+func (digester *Digester) retryQuery(host identifier.HostID) {
+	if sent := digester.queries.Get(host); sent != nil && !sent.replied {
+		digester.sendQuery(host)
+	}
 }
 
 // reply lists all digests of a home, none if this host was no witness of it.
@@ -91,10 +100,9 @@
 func (digester *Digester) handleReply(input *ReplyArrived) {
 	digester.store(&input.Batch)
 	if sent := digester.queries.Get(input.From); sent != nil {
-		sent.ended = true
-		digester.timers.Clear(timerKey{kind: timerQuery, host: input.From})
-		digester.finishIfCollected()
+		sent.replied = true
 	}
+	digester.endQuery(input.From)
 }
 
 // finishIfCollected reports once that no reply is waited for any more.
@@ -131,7 +139,7 @@
 	case timerExpiry:
 		digester.expireSets()
 	case timerQuery:
-		digester.sendQuery(key.host)
+		digester.endQuery(key.host)
 	case timerBatch:
 		// The tick that this timer causes sends the batch.
 	}
--- a/pkg/digester/receivers.go
+++ b/pkg/digester/receivers.go
@@ -19,10 +19,12 @@
 type receiver struct {
 	incarnation identifier.Incarnation
 	joinedAt    identifier.Moment
-	// pending are the digests that were recorded since the last batch. backlog are older ones that the
-	// host may lack; they are sent in what is left of each batch.
+	// pending are the digests that were recorded since the last batch.
 	pending []entry
-	backlog []entry
+	// backlog are generations of older digests that the host may lack. They are sent in what is left of
+	// each batch, from the digest with the number backlogNext of the first one.
+	backlog     []*generation
+	backlogNext int
 	// backlogSince is the earliest time at which the digests of the backlog were recorded.
 	backlogSince identifier.Moment
 	// nextBatchAt is the earliest time of the next batch.
@@ -127,15 +129,18 @@
 	})
 }
 
+// handleLeadLost sends what is pending at once, as this host sends nothing later.
 func (digester *Digester) handleLeadLost(cell messenger.CellNumber) {
 	delete(digester.ledCells, cell)
 	if digester.leads() {
 		return
 	}
-	digester.endDoubt()
-	digester.receivers.Each(func(_ identifier.HostID, receiver *receiver) bool {
-		receiver.pending = nil
+	digester.endRequest()
+	digester.receivers.Each(func(host identifier.HostID, receiver *receiver) bool {
 		receiver.backlog = nil
+		for len(receiver.pending) > 0 {
+			digester.sendBatch(host, receiver)
+		}
 		return true
 	})
 }
@@ -143,31 +148,26 @@
 // leads reports whether this host leads a cell.
 func (digester *Digester) leads() bool { return len(digester.ledCells) > 0 }
 
-// handleReconnected sends again what may have been lost with the previous connection.
+// handleReconnected sends again what may have been lost with the previous connection, which may have
+// been down for long.
 func (digester *Digester) handleReconnected(host identifier.HostID) {
+	digester.retryQuery(host)
 	if known := digester.receivers.Get(host); known != nil && digester.leads() {
-		digester.sendSince(known, digester.now.Add(-resentAge))
+		digester.sendSince(known, oldestMoment)
 	}
 }
 
 // sendSince queues the digests that were recorded since a moment, or shortly before it. It replaces
-// an unfinished backlog, so that a connection that breaks again and again doesn't make it grow.
+// an unfinished backlog.
 func (digester *Digester) sendSince(receiver *receiver, since identifier.Moment) {
 	if len(receiver.backlog) > 0 {
 		since = identifier.Earlier(since, receiver.backlogSince)
 	}
 	receiver.backlogSince = since
 	receiver.backlog = nil
-	set := digester.sets[digester.FailureDomain]
-	if set == nil {
-		return
-	}
-	for _, generation := range set.since(since) {
-		for _, digest := range generation.digests {
-			receiver.backlog = append(receiver.backlog, entry{
-				digest: digest, kind: generation.kind, recordedAt: generation.startsAt,
-			})
-		}
+	receiver.backlogNext = 0
+	if set := digester.sets[digester.FailureDomain]; set != nil {
+		receiver.backlog = set.since(since)
 	}
 }
 
@@ -190,18 +190,34 @@
 }
 
 func (digester *Digester) sendBatch(host identifier.HostID, receiver *receiver) {
-	entries := takeFirst(&receiver.pending, digester.Settings.BatchDigests)
-	entries = append(entries, takeFirst(&receiver.backlog, digester.Settings.BatchDigests-len(entries))...)
+	entries := receiver.takePending(digester.Settings.BatchDigests)
+	entries = append(entries, receiver.takeBacklog(digester.Settings.BatchDigests-len(entries))...)
 	receiver.nextBatchAt = digester.now.Add(digester.Settings.BatchInterval)
 	batch := messenger.DigestBatch{Home: digester.FailureDomain, Groups: digester.groupsOf(entries)}
 	digester.emit(&SendBatch{To: host, Batch: batch})
 }
 
-// takeFirst removes up to count entries from the front of a queue.
-func takeFirst(queue *[]entry, count int) []entry {
-	count = min(count, len(*queue))
-	taken := (*queue)[:count:count]
-	*queue = (*queue)[count:]
+// takePending removes up to count of the pending digests.
+func (receiver *receiver) takePending(count int) []entry {
+	count = min(count, len(receiver.pending))
+	taken := receiver.pending[:count:count]
+	receiver.pending = receiver.pending[count:]
+	return taken
+}
+
+// takeBacklog returns up to count digests of the backlog and moves on behind them.
+func (receiver *receiver) takeBacklog(count int) []entry {
+	var taken []entry
+	for len(taken) < count && len(receiver.backlog) > 0 {
+		first := receiver.backlog[0]
+		if receiver.backlogNext >= len(first.digests) {
+			receiver.backlog = receiver.backlog[1:]
+			receiver.backlogNext = 0
+			continue
+		}
+		taken = append(taken, entry{digest: first.digests[receiver.backlogNext], kind: first.kind, recordedAt: first.startsAt})
+		receiver.backlogNext++
+	}
 	return taken
 }
 
--- a/pkg/digester/set.go
+++ b/pkg/digester/set.go
@@ -67,13 +67,23 @@
 // nextGenerationAt returns when the generation after that of a moment begins, which is when the
 // oldest one is over.
 func nextGenerationAt(moment identifier.Moment, retention time.Duration) identifier.Moment {
-	length := identifier.Moment(retention / generations)
-	return (moment/length + 1) * length
+	length := retention / generations
+	return identifier.Moment((floorDivide(moment, length) + 1) * int64(length))
+}
+
+// floorDivide rounds towards negative infinity: what was recorded before this host started has a
+// negative moment.
+func floorDivide(moment identifier.Moment, length time.Duration) int64 {
+	quotient := int64(moment) / int64(length)
+	if moment < 0 && int64(moment)%int64(length) != 0 {
+		quotient--
+	}
+	return quotient
 }
 
 // numberOf returns the number of the generation of a moment.
 func (set *digestSet) numberOf(moment identifier.Moment) int64 {
-	return int64(moment) / int64(set.retention/generations)
+	return floorDivide(moment, set.retention/generations)
 }
 
 // expired reports whether digests recorded at a moment are not kept any more.
--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -158,7 +158,7 @@
 		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason, detail))
 		return
 	}
-	if dispatcher.isAlone() && reason != messenger.ReasonTaskFailed {
+	if dispatcher.isLastHost() && reason != messenger.ReasonTaskFailed {
 		// If this host is lost, the next lead may complete the job from what backend servers have.
 		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason, detail))
 		return
@@ -210,7 +210,7 @@
 	}
 	job.state = jobFinished
 	job.finishedAt = dispatcher.now
-	if cell != nil && cell.mayMissRecords() || dispatcher.isAlone() {
+	if cell != nil && cell.mayMissRecords() || dispatcher.isLastHost() {
 		answer.NotRun = false
 	}
 	job.answer = answer
--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -45,19 +45,37 @@
 // maxUnsentDigestAge is the age up to which an earlier lead may not have sent a digest.
 const maxUnsentDigestAge = 10 * time.Second
 
-// endDigested ends a job whose digest says that it has ended, and one that looks new but was started.
-// The refusal claims nothing about the job, since its first answer, which the caller may have, still
-// holds.
-func (dispatcher *Dispatcher) endDigested(job *job, looksNew bool) bool {
-	kind := dispatcher.digestOf(job)
-	if kind == messenger.DigestNone || kind == messenger.DigestStarted && !looksNew {
+// endDigested ends a job whose digest says that it must not be started. A job that somebody knows is
+// ended only if the hosts that hold its answer may be lost; without that doubt, one of them replies
+// sooner or later. The refusal claims nothing about the job, since its first answer, which the caller
+// may have, still holds.
+func (dispatcher *Dispatcher) endDigested(cell *cell, job *job, trace recoveredTrace) bool {
+	switch dispatcher.digestOf(job) {
+	case messenger.DigestNone:
 		return false
+	case messenger.DigestStarted:
+		if !trace.looksNew && (!cell.mayMissRecords() || trace.located) {
+			return false
+		}
+	case messenger.DigestEnded:
+		if !trace.looksNew && !cell.mayMissRecords() {
+			return false
+		}
 	}
 	dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, messenger.ReasonAnswerLost,
 		"an earlier submission was started or answered, but no live host has its record"))
 	return true
 }
 
+// recoveredTrace is what a takeover has found of a job without an answer.
+type recoveredTrace struct {
+	// looksNew reports whether nobody knows the job.
+	looksNew bool
+	// located reports whether a backend server has tasks of the job, or another failure domain may
+	// have it.
+	located bool
+}
+
 func (dispatcher *Dispatcher) digestOf(job *job) messenger.DigestKind {
 	if dispatcher.Digests == nil || job.homeLead != "" {
 		return messenger.DigestNone
@@ -65,21 +83,29 @@
 	return dispatcher.Digests.KindOf(job.spec.Submission)
 }
 
-// isAlone reports whether a refusal may be lost with this host. Its resend would then be started, so
+// isLastHost reports whether a refusal may be lost with this host. Its resend would then be started, so
 // the refusal must not say "not run".
-func (dispatcher *Dispatcher) isAlone() bool {
-	return dispatcher.Digests != nil && dispatcher.Digests.Alone()
+func (dispatcher *Dispatcher) isLastHost() bool {
+	return dispatcher.Digests != nil && dispatcher.Digests.IsLastHost()
 }
 
 // requestDigestsIfNeeded requests the digests that other hosts have once this lead may lack some. A
 // takeover waits for them.
 func (dispatcher *Dispatcher) requestDigestsIfNeeded(cell *cell) {
-	if dispatcher.Digests == nil || cell.digestsRequested || !cell.mayMissDigests() {
+	if dispatcher.Digests == nil || cell.digestsRequested || !cell.mayMissDigests(dispatcher.holders()) {
 		return
 	}
 	cell.digestsRequested = true
 	cell.awaitsDigests = !cell.ready
-	dispatcher.outputs.add(&DigestsWanted{})
+	dispatcher.outputs.add(&DigestsRequested{})
+}
+
+// holders returns how many hosts hold a record.
+func (dispatcher *Dispatcher) holders() int {
+	if dispatcher.HasPeers {
+		return holdersOfRecord
+	}
+	return 1
 }
 
 // handleDigestsCollected ends the wait of the takeovers for digests.
@@ -102,8 +128,8 @@
 	Kind       messenger.DigestKind
 }
 
-// DigestsWanted requests the digests of this home from all live hosts. DigestsCollected follows.
-type DigestsWanted struct{}
+// DigestsRequested requests the digests of this home from all live hosts. DigestsCollected follows.
+type DigestsRequested struct{}
 
-func (*RecordDigest) isDispatcherOutput()  {}
-func (*DigestsWanted) isDispatcherOutput() {}
+func (*RecordDigest) isDispatcherOutput()     {}
+func (*DigestsRequested) isDispatcherOutput() {}
--- a/pkg/dispatcher/digests_test.go
+++ b/pkg/dispatcher/digests_test.go
@@ -12,15 +12,15 @@
 
 // digests is a fixed set of digests.
 type digests struct {
-	kinds map[identifier.SubmissionID]messenger.DigestKind
-	alone bool
+	kinds    map[identifier.SubmissionID]messenger.DigestKind
+	lastHost bool
 }
 
 func (digests digests) KindOf(submission identifier.SubmissionID) messenger.DigestKind {
 	return digests.kinds[submission]
 }
 
-func (digests digests) Alone() bool { return digests.alone }
+func (digests digests) IsLastHost() bool { return digests.lastHost }
 
 // newDigestLead returns the lead of a cell with one backend server, and its first outputs.
 func newDigestLead(known digests, missing ...identifier.HostID) (*dispatcher.Dispatcher, []dispatcher.Output) {
@@ -107,7 +107,7 @@
 // the only host that knew it.
 func TestLoneHostDoesNotClaimNotRun(t *testing.T) {
 	for _, alone := range []bool{false, true} {
-		lead, _ := newDigestLead(digests{alone: alone})
+		lead, _ := newDigestLead(digests{lastHost: alone})
 		late := forwardOf("s-late", false)
 		late.Deadline = identifier.Moment(time.Minute)
 		answers := answersIn(lead.Tick(identifier.Moment(time.Minute), []dispatcher.Input{late}))
@@ -121,7 +121,7 @@
 // only host that knew of the failure was lost, and the next lead completed the job.
 func TestLoneHostDoesNotClaimFailure(t *testing.T) {
 	for _, alone := range []bool{false, true} {
-		lead, _ := newDigestLead(digests{alone: alone})
+		lead, _ := newDigestLead(digests{lastHost: alone})
 		job := forwardOf("s-1", false)
 		lead.Tick(identifier.Moment(time.Minute), []dispatcher.Input{job})
 		cancel := messenger.Cancel{Submission: "s-1", Caller: job.Job.Caller}
@@ -140,7 +140,7 @@
 	lead, outputs := newDigestLead(digests{}, "entry-1", "entry-2")
 	wanted := false
 	for _, output := range outputs {
-		_, isWanted := output.(*dispatcher.DigestsWanted)
+		_, isWanted := output.(*dispatcher.DigestsRequested)
 		wanted = wanted || isWanted
 	}
 	if !wanted {
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -97,6 +97,8 @@
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
 	Settings      Settings
+	// HasPeers reports whether the settings name other hosts of the failure domain.
+	HasPeers bool
 	// Digests are the submissions of this home that leads have started, spilled or answered. If nil,
 	// there are none.
 	Digests Digests
@@ -132,8 +134,8 @@
 // Digests looks up the digests of submissions, which outlive the hosts that hold their records.
 type Digests interface {
 	KindOf(submission identifier.SubmissionID) messenger.DigestKind
-	// Alone reports whether the other hosts of the failure domain are lost.
-	Alone() bool
+	// IsLastHost reports whether the other hosts of the failure domain are lost.
+	IsLastHost() bool
 }
 
 // Tick applies the inputs in order, handles deadlines that are due, assigns queued tasks to free
--- a/pkg/dispatcher/entities.go
+++ b/pkg/dispatcher/entities.go
@@ -90,8 +90,8 @@
 // mayMissDigests reports whether a submission may be known to no host of the failure domain, either
 // by its record or by its digest. A host that has started recently doesn't prove that another process
 // ran before it, so this alone puts no refusal in doubt.
-func (cell *cell) mayMissDigests() bool {
-	return countDistinct(cell.missingHosts, cell.hostsWithoutState, cell.lackingState) >= holdersOfRecord
+func (cell *cell) mayMissDigests(holders int) bool {
+	return countDistinct(cell.missingHosts, cell.hostsWithoutState, cell.lackingState) >= holders
 }
 
 // countDistinct returns how many hosts are in any of the sets.
