Claim nothing of a job that no backend server has reported

Cause: the host that refused is isolated; one that has started empty gets the resend, and its tasks wait for reports of backend servers. At the deadline, or when the caller cancelled, failJob took tasks that no server had for started ones.

Change: such a job ends with a refusal that claims nothing, as it does when the wait for the reports ends; only a task that failed marks it failed.

--- a/pkg/dispatcher/answers.go
+++ b/pkg/dispatcher/answers.go
@@ -152,9 +152,7 @@
 		dispatcher.finish(job, messenger.Refuse(job.spec.Submission, reason, detail))
 		return
 	}
-	if cell := dispatcher.cells.Get(job.cell); cell != nil && cell.mayMissRecords() && !job.hasStarted() {
-		// An earlier lead may have answered it: a caller that has received "complete" must not
-		// receive "failed".
+	if dispatcher.mayHaveBeenAnswered(job, reason) {
 		dispatcher.finish(job, messenger.RefuseUnknown(job.spec.Submission, reason, detail))
 		return
 	}
@@ -166,6 +164,18 @@
 	})
 }
 
+// mayHaveBeenAnswered reports whether an earlier lead may have answered a job otherwise, unknown to
+// this one: a caller that has received "complete" or "not run" must not receive "failed". A task that
+// no backend server has reported may have ended long ago, or may never have started. A job of which
+// a task failed has failed under any lead.
+func (dispatcher *Dispatcher) mayHaveBeenAnswered(job *job, reason messenger.Reason) bool {
+	if job.hasUnlocated() {
+		return reason != messenger.ReasonTaskFailed
+	}
+	cell := dispatcher.cells.Get(job.cell)
+	return cell != nil && cell.mayMissRecords() && !job.hasStarted()
+}
+
 // mayHaveStarted reports whether any task was started by this lead or may have been started by an
 // earlier one. A start that was refused did not happen.
 func (job *job) mayHaveStarted() bool {
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -172,11 +172,17 @@
 			return left.Moment() == fault.Moment() && left.Kind() == fault.Kind()
 		})
 	})
+	return replayParameters(t, parameters)
+}
+
+// replayParameters replays the schedule of the parameters and returns the violations.
+func replayParameters(t *testing.T, parameters *generator.Parameters) []string {
+	t.Helper()
 	trace, err := generator.Generate(parameters)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := (&Replayer{Trace: trace, Seed: seed}).Run()
+	result, err := (&Replayer{Trace: trace, Seed: parameters.Seed}).Run()
 	if err != nil {
 		t.Fatal(err)
 	}
