--- a/pkg/digester/bench_test.go
+++ b/pkg/digester/bench_test.go
@@ -17,7 +17,7 @@
 const (
 	// benchmarkRate is the number of submissions a second of one failure domain.
 	benchmarkRate = 430
-	// benchmarkRetained is the number of digests in a full reply.
+	// benchmarkRetained is the number of digests that fill a digester.
 	benchmarkRetained = 250_000
 )
 
@@ -44,7 +44,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		tested := newFilled(b)
+		tested := newFilled(b, benchmarkRetained)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		heap += after.HeapAlloc - before.HeapAlloc
@@ -132,50 +132,98 @@
 	}
 }
 
-// BenchmarkFullReply reports the processor time from a query to the storage of a reply of 250,000 digests,
-// without the network.
+// BenchmarkFullReply reports the processor time from a query to the storage of the reply, without
+// the network: at the replier, at a lead that stores its first reply, and at one that gets the same
+// digests from the next host.
 func BenchmarkFullReply(b *testing.B) {
-	replier := newFilled(b)
-	var replying, storing time.Duration
-	size := 0
-	b.ResetTimer()
+	for _, count := range []int{129_000, benchmarkRetained} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			replier := newFilled(b, count)
+			now := timeOf(count)
+			var replying, storing, storingAgain time.Duration
+			size := 0
+			b.ResetTimer()
+			for range b.N {
+				started := processorTime(b)
+				query := messenger.DigestQuery{Home: "leuven"}
+				outputs := replier.Tick(now, []digester.Input{&digester.QueryArrived{From: "leuven-1", Query: query}})
+				reply, isReply := outputs[0].(*digester.SendReply)
+				if !isReply {
+					b.Fatalf("replied with %T", outputs[0])
+				}
+				encoded := encode(b, &reply.Batch)
+				size = len(encoded)
+				replied := processorTime(b)
+				receiver := newDigester()
+				receiver.Tick(now, []digester.Input{&digester.ReplyArrived{From: "leuven-2", Batch: decode(b, encoded)}})
+				stored := processorTime(b)
+				receiver.Tick(now, []digester.Input{&digester.ReplyArrived{From: "leuven-3", Batch: decode(b, encoded)}})
+				replying += replied - started
+				storing += stored - replied
+				storingAgain += processorTime(b) - stored
+			}
+			reportMilliseconds(b, replying, "reply-cpu-ms")
+			reportMilliseconds(b, storing, "store-cpu-ms")
+			reportMilliseconds(b, storingAgain, "store-again-cpu-ms")
+			b.ReportMetric(float64(size), "B/reply")
+		})
+	}
+}
+
+// BenchmarkCatchUp reports what a lead sends to a host that joins, with 129,000 digests, and for how
+// long at its batch interval.
+func BenchmarkCatchUp(b *testing.B) {
+	const count = 129_000
+	var cpu time.Duration
+	batches, bytes := 0, 0
 	for range b.N {
-		start := processorTime(b)
-		query := messenger.DigestQuery{Home: "leuven"}
-		outputs := replier.Tick(retention, []digester.Input{&digester.QueryArrived{From: "leuven-1", Query: query}})
-		reply, isReply := outputs[0].(*digester.SendReply)
-		if !isReply {
-			b.Fatalf("replied with %T", outputs[0])
+		lead := newFilled(b, count)
+		now := timeOf(count)
+		lead.Tick(now, []digester.Input{&digester.LeadTaken{}})
+		joined := []digester.Host{{ID: "leuven-1", FailureDomain: "leuven", Incarnation: 1}}
+		started := processorTime(b)
+		outputs := lead.Tick(now, []digester.Input{&digester.HostsChanged{Hosts: joined}})
+		for len(outputs) > 0 {
+			for _, output := range outputs {
+				if sent, isBatch := output.(*digester.SendBatch); isBatch {
+					batches++
+					bytes += len(encode(b, &sent.Batch))
+				}
+			}
+			now = now.Add(lead.Settings.BatchInterval)
+			outputs = lead.Tick(now, nil)
 		}
-		encoded := encode(b, &reply.Batch)
-		size = len(encoded)
-		replied := processorTime(b)
-		receiver := newDigester()
-		receiver.Tick(retention, []digester.Input{&digester.ReplyArrived{From: "leuven-2", Batch: decode(b, encoded)}})
-		replying += replied - start
-		storing += processorTime(b) - replied
+		cpu += processorTime(b) - started
 	}
-	b.ReportMetric(replying.Seconds()*1000/float64(b.N), "reply-cpu-ms")
-	b.ReportMetric(storing.Seconds()*1000/float64(b.N), "store-cpu-ms")
-	b.ReportMetric(float64(size), "B/reply")
+	reportMilliseconds(b, cpu, "cpu-ms")
+	b.ReportMetric(float64(batches)/float64(b.N), "batches")
+	b.ReportMetric(float64(bytes)/float64(b.N), "B")
 }
 
-// retention is the time in which benchmarkRetained submissions arrive.
-const retention = identifier.Moment(benchmarkRetained * time.Second / benchmarkRate)
+func reportMilliseconds(b *testing.B, total time.Duration, unit string) {
+	b.ReportMetric(total.Seconds()*1000/float64(b.N), unit)
+}
+
+// timeOf returns the time in which a number of submissions arrive.
+func timeOf(submissions int) identifier.Moment {
+	return identifier.Moment(submissions) * identifier.Moment(time.Second) / benchmarkRate
+}
 
 func newDigester() *digester.Digester {
 	return &digester.Digester{Self: "leuven-0", FailureDomain: "leuven", Settings: digester.DefaultSettings(), HasPeers: true}
 }
 
-// newFilled returns a digester that has received benchmarkRetained digests over the retention.
-func newFilled(b *testing.B) *digester.Digester {
-	const batches = int(retention / identifier.Moment(10*time.Millisecond))
+// newFilled returns a digester that has received digests at benchmarkRate in batches of 10 ms.
+func newFilled(b *testing.B, digests int) *digester.Digester {
+	const interval = identifier.Moment(10 * time.Millisecond)
+	batches := int(timeOf(digests) / interval)
 	tested := newDigester()
 	for index := range batches {
-		first, end := benchmarkRetained*index/batches, benchmarkRetained*(index+1)/batches
-		batch := newBatch(first, end-first)
-		now := identifier.Moment(index) * identifier.Moment(10*time.Millisecond)
-		tested.Tick(now, []digester.Input{&digester.BatchArrived{Batch: batch}})
+		first, end := digests*index/batches, digests*(index+1)/batches
+		tested.Tick(identifier.Moment(index)*interval, []digester.Input{&digester.BatchArrived{Batch: newBatch(first, end-first)}})
+	}
+	if kind := tested.KindOf(submission(digests - 1)); kind != messenger.DigestStarted {
+		b.Fatalf("the last of %d digests is %v", digests, kind)
 	}
 	return tested
 }
