Read what waits before a job starts on the host that leads its home

What callers saw: a task ran on two backend servers at once. A lead was suspended together with its clock; its caller left and submitted the job to another failure domain. On resuming the lead read the job, granted itself capacity and started it, and read that the caller had left afterwards.

Cause: on the host that leads the job's home cell, request, grant and start happen in the tick in which the job arrives; other inputs that waited with it come in later ticks. The lease and the epoch don't help at a server that has restarted under its id: the lease is counted by the former process's clock and the new lead has not reached the server.

Change: such a host holds a job until the next tick and drops it if its caller leaves meanwhile. Other hosts need a round trip to the lead anyway.

Tests: TestWokenLeadSkipsJobsOfCallersThatLeft failed before (both tasks run twice) and passes 200 of 200. The seven harsh fuzzers with 300 cases each: all pass before and after.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -61,6 +61,8 @@
 	// supervisor and allocators serve jobs that need not be remembered, on backend servers that are
 	// called.
 	supervisor *supervisor.Supervisor
+	// arrivals holds the jobs of this tick until the next one.
+	arrivals arrivals
 	// starter decides which host makes the calls that start runs.
 	starter *starter.Starter
 	// inquirer holds capacity requests for jobs that no lead has referred to the cell.
@@ -110,6 +112,7 @@
 	for _, input := range inputs {
 		coordinator.apply(input)
 	}
+	coordinator.releaseDueArrivals()
 	coordinator.operatorRequests.expire()
 	coordinator.settle()
 	coordinator.reportDrained()
@@ -132,6 +135,7 @@
 	next = identifier.Earlier(next, coordinator.intentPlanner.nextDeadline())
 	next = identifier.Earlier(next, coordinator.keeperMembership.dueAt)
 	next = identifier.Earlier(next, coordinator.cellPersister.dueAt)
+	next = identifier.Earlier(next, coordinator.arrivals.nextDeadline())
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
 	next = identifier.Earlier(next, coordinator.starter.NextDeadline())
 	next = identifier.Earlier(next, coordinator.inquirer.NextDeadline())
@@ -263,7 +267,7 @@
 // reportDrained emits Drained during a graceful shutdown once every caller's submission is answered
 // and other hosts have all records of this one.
 func (coordinator *Coordinator) reportDrained() {
-	answered := coordinator.supervisor.Jobs() == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.WaitingLookups() == 0
+	answered := coordinator.supervisor.Jobs()+len(coordinator.arrivals.jobs) == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.WaitingLookups() == 0
 	if coordinator.draining && answered && coordinator.forwarder.UnreplicatedRecords() == 0 {
 		coordinator.outputs.add(&Drained{})
 	}
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -44,7 +44,7 @@
 	case *StartEvent:
 		coordinator.notifyStarter(input.Event)
 	case *SupervisorEvent:
-		coordinator.notifySupervisor(input.Event)
+		coordinator.handleSupervisorEvent(input.Event)
 	case *AllocatorEvent:
 		coordinator.handleCallResult(input.Event)
 	case *ServerReportAnnounced:
--- a/pkg/coordinator/suspension_test.go
+++ b/pkg/coordinator/suspension_test.go
@@ -43,3 +43,36 @@
 		t.Log(strings.Join(world.history, "\n"))
 	}
 }
+
+// TestWokenLeadSkipsJobsOfCallersThatLeft guards against a task that runs twice at the same time. A
+// lead was suspended together with its clock while a caller submitted a job to it, left, and
+// submitted the job in another failure domain. On resuming, the lead granted itself capacity for the
+// job at a server that had restarted meanwhile, before it was notified that the caller had left:
+//
+//	11.253s leuven-host-0 starts job-16/3 run 4 on called-6
+//	11.253s leuven-host-0 caller-left job-16
+//	11.2535s called-6 RUNS job-16/3 run 4
+//	11.268s called-9 RUNS job-16/3 run 4
+func TestWokenLeadSkipsJobsOfCallersThatLeft(t *testing.T) {
+	network := newNetwork(bothDomains, 1, 0, 0)
+	world, harsh := newHarshWorld(network, nil, 2, harshKinds{resends: true, sameIDs: true})
+	network.advance(2200 * time.Millisecond)
+	lead, other := network.hosts[0], network.hosts[1]
+	suspended := 2 * time.Second
+	harsh.freeze(lead, suspended, true)
+	harsh.endIncarnation(harsh.serverAt(0), false, 300*time.Millisecond, 2)
+	network.advance(100 * time.Millisecond)
+	harsh.submit(lead, "job", 2)
+	network.advance(100 * time.Millisecond)
+	harsh.resubmit("job", other, suspended-resubmitAfter-300*time.Millisecond)
+	network.advance(5 * time.Second)
+	for _, problem := range world.problems {
+		t.Error(problem)
+	}
+	if !world.started["job"] {
+		t.Error("the job did not start")
+	}
+	if t.Failed() {
+		t.Log(strings.Join(world.history, "\n"))
+	}
+}
