List a late start that reaches a server's next incarnation

What callers saw: a task ran on two backend servers at once. No host was suspended and no caller of the job had left.

Order: a start without an answer is repeated after 150 ms, runs and fails; the lead frees the task. The server starts again under its id and forgets the run; the first call, 0.4 s under way, starts it there; the lead places the task on another server 0.1 s later. Not fixed: the lead isn't told that a call of that run is still under way. Whether it had an answer of the new incarnation before it placed the task has not been traced.

--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -267,3 +267,18 @@
 	regressionCasesOnly(t)
 	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, sameIDs: true}) })
 }
+
+// TestLateStartReachesTheNextIncarnation guards against a task that runs twice at the same time. A
+// start has no answer and is repeated; the repeated call runs the task, which fails. The server then
+// starts again under its id, and the first call, still in flight, starts the run there, while the
+// lead places the task elsewhere:
+//
+//	7.304251s called-1 1048577 RUNS job-6/1 run 2
+//	7.3265s   leuven-host-0 run-over job-6/1 run 2 failed
+//	7.523s    called-1 1048577 ends
+//	7.554001s called-1 1048591 RUNS job-6/1 run 2
+//	7.6615s   called-2 1048577 RUNS job-6/1 run 4
+func TestLateStartReachesTheNextIncarnation(t *testing.T) {
+	regressionCasesOnly(t)
+	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, sameIDs: true}) })
+}
