Withhold what was granted to a host while it was suspended

What callers saw: a task ran twice at once on one backend server. The caller's host was paused for 1.2 s; its server started again twice under its id meanwhile, and the lead granted the task again. On resuming the host started run 1 and then run 2; the server, which the lead had not reached, remembered neither a run nor an epoch.

It had noticed the pause, as its clock went on, and gave up its cells only.

Change: for 50 ms after a noticed suspension the supervisor withholds what is granted to it, as it does in an evacuated failure domain; the lead places the tasks anew.

TestResumedHostStartsNoOldGrants failed before and passes 200 of 200.

--- a/pkg/coordinator/suspension.go
+++ b/pkg/coordinator/suspension.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // detectSuspension detects that this host was suspended: one of its deadlines passed long ago.
@@ -29,5 +30,6 @@
 		return
 	}
 	coordinator.notifyElector(elector.ProcessStalled{})
+	coordinator.notifySupervisor(&supervisor.HostResumed{})
 	coordinator.settleMembership()
 }
--- a/pkg/coordinator/suspension_test.go
+++ b/pkg/coordinator/suspension_test.go
@@ -76,3 +76,37 @@
 		t.Log(strings.Join(world.history, "\n"))
 	}
 }
+
+// TestResumedHostStartsNoOldGrants guards against a task that runs twice at the same time. A host was
+// paused while the backend server of its caller's job started again twice under its id, and the lead
+// granted the task again each time. On resuming, the host started each granted run in turn, at the
+// one server, which the lead had not reached:
+//
+//	9.12s    geel-host-0 starts job-20/0 run 1 on called-3 1048577
+//	9.12s    geel-host-0 starts job-20/0 run 2 on called-3 1048540
+//	9.12025s called-3 1048623 RUNS job-20/0 run 1
+//	9.27025s called-3 1048623 RUNS job-20/0 run 2
+func TestResumedHostStartsNoOldGrants(t *testing.T) {
+	network := newNetwork([]identifier.FailureDomain{"leuven"}, 2, 0, 0)
+	world, harsh := newHarshWorld(network, nil, 1, harshKinds{resends: true, sameIDs: true})
+	network.advance(2200 * time.Millisecond)
+	lead := network.leadOf("leuven")
+	caller := network.others(lead)[0]
+	harsh.submit(caller, "job", 1)
+	harsh.freeze(caller, time.Second, false)
+	network.advance(300 * time.Millisecond)
+	harsh.endIncarnation(harsh.serverAt(0), true, 10*time.Millisecond, 2)
+	network.advance(600 * time.Millisecond)
+	harsh.cutOff([]*fakeHost{lead}, 0, 300*time.Millisecond, true, true, true)
+	harsh.endIncarnation(harsh.serverAt(0), false, 10*time.Millisecond, 3)
+	network.advance(5 * time.Second)
+	for _, problem := range world.problems {
+		t.Error(problem)
+	}
+	if !world.started["job"] {
+		t.Error("the job did not start")
+	}
+	if t.Failed() {
+		t.Log(strings.Join(world.history, "\n"))
+	}
+}
--- a/pkg/messenger/capacity.go
+++ b/pkg/messenger/capacity.go
@@ -231,7 +231,8 @@
 	StartServerGone
 	// StartUnanswered means that it is unknown whether the backend server has the run.
 	StartUnanswered
-	// StartWithheld means that the call wasn't made, since the failure domain is evacuated.
+	// StartWithheld means that the call wasn't made, since the failure domain is evacuated or the
+	// host was suspended when the run was granted.
 	StartWithheld
 )
 
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -47,7 +47,7 @@
 		return
 	}
 	group.answered = true
-	if supervisor.evacuations.Has(group.cell.FailureDomain) {
+	if supervisor.evacuations.Has(group.cell.FailureDomain) || supervisor.now.Before(supervisor.backlogEndsAt) {
 		supervisor.withhold(job, group, &input.Grant)
 		return
 	}
@@ -68,8 +68,12 @@
 	}
 }
 
-// withhold starts none of the granted runs and reports this to the lead, which granted them before
-// it learned that its failure domain is evacuated.
+// backlogTime is how long after a suspension of this host grants may arrive that were sent before.
+const backlogTime = 50 * time.Millisecond
+
+// withhold starts none of the granted runs and reports this to the lead. The lead granted them
+// before it learned that its failure domain is evacuated, or while this host was suspended: a later
+// grant may have replaced them, and a server that has restarted since refuses neither.
 func (supervisor *Supervisor) withhold(job *job, group *group, grant *messenger.Grant) {
 	for _, run := range grant.Runs {
 		job.lastRun = max(job.lastRun, run.Run)
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -85,11 +85,16 @@
 // EvacuationsChanged reports the failure domains in which no run may be started from now on.
 type EvacuationsChanged struct{ Evacuated messenger.EvacuatedDomains }
 
+// HostResumed reports that this host was suspended, and that messages sent to it meanwhile may still
+// arrive.
+type HostResumed struct{}
+
 // ShutdownStarted reports that this host is about to shut down, whether or not jobs are still
 // running.
 type ShutdownStarted struct{}
 
 func (*EvacuationsChanged) isSupervisorInput() {}
+func (*HostResumed) isSupervisorInput()        {}
 func (*ShutdownStarted) isSupervisorInput()    {}
 func (*JobArrived) isSupervisorInput()         {}
 func (*CallerLeft) isSupervisorInput()         {}
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -50,8 +50,10 @@
 	lastResponseAt map[identifier.HostID]identifier.Moment
 	// evacuations holds the failure domains in which no run is started.
 	evacuations messenger.EvacuatedDomains
-	timers      *tabulator.Timers[timerKey]
-	outputs     []Output
+	// backlogEndsAt is when grants that were sent while this host was suspended have arrived.
+	backlogEndsAt identifier.Moment
+	timers        *tabulator.Timers[timerKey]
+	outputs       []Output
 }
 
 // timerKind is the purpose of a timer.
@@ -154,6 +156,8 @@
 		supervisor.handleCallerLeft(input)
 	case *EvacuationsChanged:
 		supervisor.evacuations = input.Evacuated
+	case *HostResumed:
+		supervisor.backlogEndsAt = supervisor.now.Add(backlogTime)
 	case *ShutdownStarted:
 		supervisor.endAll()
 	case *LeadChanged:
