--- a/pkg/coordinator/forgotten_test.go
+++ b/pkg/coordinator/forgotten_test.go
@@ -328,6 +328,21 @@
 	}
 }
 
+// runAtHome has a job complete at home and its answer acknowledged, and returns the backend server
+// that ran it.
+func (home *home) runAtHome(t *testing.T) (*messenger.Job, *fakeServer) {
+	t.Helper()
+	job := newJob("job", "team", 1, 20*time.Millisecond)
+	home.submit(home.second, job, time.Minute)
+	home.advance(200 * time.Millisecond)
+	home.expectAnswer(t, job, messenger.OutcomeComplete, messenger.ReasonNone)
+	server := home.serversOf(job)[0]
+	if len(server.unacknowledged()) > 0 {
+		t.Fatal("the answer was not acknowledged")
+	}
+	return job, server
+}
+
 // TestForgottenRunAtHome guards against a second start of a job whose answer was acknowledged, after
 // the backend servers that ran it and both hosts that know it are lost.
 func TestForgottenRunAtHome(t *testing.T) {
@@ -339,14 +354,7 @@
 			}
 			t.Run(name, func(t *testing.T) {
 				home := newHome(coordinator.DefaultSettings())
-				job := newJob("job", "team", 1, 20*time.Millisecond)
-				home.submit(home.second, job, time.Minute)
-				home.advance(200 * time.Millisecond)
-				home.expectAnswer(t, job, messenger.OutcomeComplete, messenger.ReasonNone)
-				server := home.serversOf(job)[0]
-				if len(server.unacknowledged()) > 0 {
-					t.Fatal("the answer was not acknowledged")
-				}
+				job, server := home.runAtHome(t)
 				server.crash()
 				if returns {
 					home.advance(100 * time.Millisecond)
--- a/pkg/coordinator/forgottenresend_test.go
+++ b/pkg/coordinator/forgottenresend_test.go
@@ -12,14 +12,7 @@
 // runAndForget has a job complete at home, and its backend server restart without memory.
 func (home *home) runAndForget(t *testing.T) *messenger.Job {
 	t.Helper()
-	job := newJob("job", "team", 1, 20*time.Millisecond)
-	home.submit(home.second, job, time.Minute)
-	home.advance(200 * time.Millisecond)
-	home.expectAnswer(t, job, messenger.OutcomeComplete, messenger.ReasonNone)
-	server := home.serversOf(job)[0]
-	if len(server.unacknowledged()) > 0 {
-		t.Fatal("the answer was not acknowledged")
-	}
+	job, server := home.runAtHome(t)
 	server.crash()
 	home.advance(100 * time.Millisecond)
 	server.boot()
--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -49,16 +49,16 @@
 // ended only if the hosts that hold its answer may be lost; without that doubt, one of them replies
 // sooner or later. The refusal claims nothing about the job, since its first answer, which the caller
 // may have, still holds.
-func (dispatcher *Dispatcher) endDigested(cell *cell, job *job, trace recoveredTrace) bool {
+func (dispatcher *Dispatcher) endDigested(cell *cell, job *job, findings takeoverFindings) bool {
 	switch dispatcher.digestOf(job) {
 	case messenger.DigestNone:
 		return false
 	case messenger.DigestStarted:
-		if !trace.looksNew && (!cell.mayMissRecords() || trace.located) {
+		if !findings.looksNew && (!cell.mayMissRecords() || findings.located) {
 			return false
 		}
 	case messenger.DigestEnded:
-		if !trace.looksNew && !cell.mayMissRecords() {
+		if !findings.looksNew && !cell.mayMissRecords() {
 			return false
 		}
 	}
@@ -67,8 +67,8 @@
 	return true
 }
 
-// recoveredTrace is what a takeover has found of a job without an answer.
-type recoveredTrace struct {
+// takeoverFindings are what a takeover has found about a job without an answer.
+type takeoverFindings struct {
 	// looksNew reports whether nobody knows the job.
 	looksNew bool
 	// located reports whether a backend server has tasks of the job, or another failure domain may
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -33,8 +33,8 @@
 	mayHaveStarted := known || job.mayHaveEarlierStarts || job.hasStarted() || unmatched != nil
 	spilled := known && recovered.record.SpilledTo != ""
 	nothingReported := unmatched == nil && !job.hasStarted()
-	trace := recoveredTrace{looksNew: !mayHaveStarted, located: spilled || !nothingReported}
-	if dispatcher.endDigested(cell, job, trace) {
+	findings := takeoverFindings{looksNew: !mayHaveStarted, located: spilled || !nothingReported}
+	if dispatcher.endDigested(cell, job, findings) {
 		return
 	}
 	if !mayHaveStarted && job.failure == nil {
