Let a digest count without a record, and wait for a failure domain that may still tell

(1) TestDigestsOutliveTwoHosts with -long, one of 421 cases: a resend reaches a host of another failure domain, which forwards it to the dead lead first; one of the two lost hosts is back before its loss is noticed, so the new lead isn't in doubt, and a submission that was forwarded once isn't new: it runs again although its digest is there. A digest now counts wherever no host of the failure domain has a record. The case is kept; it fails before. A failure domain that may still tell counts as a trace again.

--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -45,20 +45,21 @@
 // maxUnsentDigestAge is the age up to which an earlier lead may not have sent a digest.
 const maxUnsentDigestAge = 10 * time.Second
 
-// endDigested ends a job whose digest says that it must not be started. A job that somebody knows is
+// endDigested ends a job whose digest says that it must not be started. A job that a host knows is
 // ended only if the hosts that hold its answer may be lost; without that doubt, one of them replies
 // sooner or later. The refusal claims nothing about the job, since its first answer, which the caller
 // may have, still holds.
 func (dispatcher *Dispatcher) endDigested(cell *cell, job *job, findings takeoverFindings) bool {
+	answerMayBeLost := !findings.known || cell.mayMissRecords()
 	switch dispatcher.digestOf(job) {
 	case messenger.DigestNone:
 		return false
 	case messenger.DigestStarted:
-		if !findings.looksNew && (!cell.mayMissRecords() || findings.located) {
+		if !findings.looksNew && (findings.located || !answerMayBeLost) {
 			return false
 		}
 	case messenger.DigestEnded:
-		if !findings.looksNew && !cell.mayMissRecords() {
+		if !answerMayBeLost {
 			return false
 		}
 	}
@@ -69,10 +70,12 @@
 
 // takeoverFindings are what a takeover has found about a job without an answer.
 type takeoverFindings struct {
-	// looksNew reports whether nobody knows the job.
+	// looksNew reports whether nothing suggests that an earlier lead had the job.
 	looksNew bool
-	// located reports whether a backend server has tasks of the job, or another failure domain may
-	// have it.
+	// known reports whether a host of the failure domain has a record of the job.
+	known bool
+	// located reports whether a backend server has tasks of the job, or another failure domain has it
+	// or may still tell.
 	located bool
 }
 
--- a/pkg/dispatcher/digests_test.go
+++ b/pkg/dispatcher/digests_test.go
@@ -66,7 +66,7 @@
 func TestDigestWithoutARecordStartsNothing(t *testing.T) {
 	known := digests{kinds: map[identifier.SubmissionID]messenger.DigestKind{
 		"s-started": messenger.DigestStarted, "s-ended": messenger.DigestEnded,
-		"s-started-known": messenger.DigestStarted, "s-ended-known": messenger.DigestEnded,
+		"s-started-known": messenger.DigestStarted, "s-started-forwarded": messenger.DigestStarted, "s-ended-known": messenger.DigestEnded,
 	}}
 	for _, test := range []struct {
 		name    string
@@ -81,8 +81,13 @@
 			outputs := lead.Tick(identifier.Moment(time.Minute), []dispatcher.Input{
 				&dispatcher.ServerReported{Server: "server-0", Epoch: 2, ListsAcknowledged: true},
 				&dispatcher.DigestsCollected{},
+				&dispatcher.TakeoverReplied{From: "entry-3", Reply: messenger.TakeoverReply{Epoch: 2, Records: []messenger.CopyRecord{
+					{Submission: "s-started-known"}, {Submission: "s-ended-known"},
+				}}},
 				forwardOf("s-started", false),
 				forwardOf("s-ended", false),
+				// The caller's host had sent it to a lead that is lost.
+				forwardOf("s-started-forwarded", true),
 				forwardOf("s-started-known", true),
 				forwardOf("s-ended-known", true),
 				forwardOf("s-new", false),
--- a/pkg/dispatcher/recovery.go
+++ b/pkg/dispatcher/recovery.go
@@ -33,7 +33,10 @@
 	mayHaveStarted := known || job.mayHaveEarlierStarts || job.hasStarted() || unmatched != nil
 	spilled := known && recovered.record.SpilledTo != ""
 	nothingReported := unmatched == nil && !job.hasStarted()
-	findings := takeoverFindings{looksNew: !mayHaveStarted, located: spilled || !nothingReported}
+	silentDomain := dispatcher.domainWithoutReply(cell, job)
+	findings := takeoverFindings{
+		looksNew: !mayHaveStarted, known: known, located: spilled || !nothingReported || silentDomain != "",
+	}
 	if dispatcher.endDigested(cell, job, findings) {
 		return
 	}
@@ -49,8 +52,8 @@
 		dispatcher.querySpilled(job, recovered.record.SpilledTo)
 		return
 	}
-	if domain := dispatcher.domainWithoutReply(cell, job); domain != "" && nothingReported && job.failure == nil {
-		dispatcher.querySpilled(job, domain)
+	if silentDomain != "" && nothingReported && job.failure == nil {
+		dispatcher.querySpilled(job, silentDomain)
 		return
 	}
 	delete(cell.unmatched, job.spec.Submission)
