--- a/pkg/dispatcher/digests.go
+++ b/pkg/dispatcher/digests.go
@@ -86,8 +86,8 @@
 	return dispatcher.Digests.KindOf(job.spec.Submission)
 }
 
-// isLastHost reports whether a refusal may be lost with this host. Its resend would then be started, so
-// the refusal must not say "not run".
+// isLastHost reports whether the other hosts of the failure domain are lost. What this host answers
+// may then be lost with it, so it must claim nothing that the next lead could contradict.
 func (dispatcher *Dispatcher) isLastHost() bool {
 	return dispatcher.Digests != nil && dispatcher.Digests.IsLastHost()
 }
@@ -103,7 +103,7 @@
 	dispatcher.outputs.add(&DigestsRequested{})
 }
 
-// holders returns how many hosts hold a record.
+// holders returns how many hosts of the failure domain hold the record of a submission.
 func (dispatcher *Dispatcher) holders() int {
 	if dispatcher.HasPeers {
 		return holdersOfRecord
