--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -284,3 +284,7 @@
 // after another was answered "complete": the last living host of a failure domain is isolated, and
 // one that was isolated before has rejoined.
 func TestSeedOfALastHostThatIsCutOff(t *testing.T) { expectNoViolations(t, 58400018) }
+
+// TestSeedOfALastHostThatRejoinsAfterShutdowns guards against a second start by a host that was isolated
+// while the other hosts of its failure domain, which knew the submission, shut down.
+func TestSeedOfALastHostThatRejoinsAfterShutdowns(t *testing.T) { expectNoViolations(t, 58900198) }
