Measure in virtual time what hosts send by the size of the deployment

Cause: the whole fleet loses jobs to leads that are silent for 40 ms, and no test shows what a host sends at that size.

The network of the coordinator's tests opens connections on demand for it.

--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -40,9 +40,11 @@
 	harsh *harshFaults
 	// evacuations is nil if no failure domain is evacuated.
 	evacuations *evacuations
-	running     map[string]identifier.ServerIncarnation
-	refused     map[identifier.JobID]bool
-	started     map[identifier.JobID]bool
+	// chooseHost chooses the host that a report is sent to; nil chooses the first running one.
+	chooseHost func(report *messenger.ServerReport) *fakeHost
+	running    map[string]identifier.ServerIncarnation
+	refused    map[identifier.JobID]bool
+	started    map[identifier.JobID]bool
 	// resent are the resubmitted jobs, of which an earlier submission may have run.
 	resent     map[identifier.JobID]bool
 	waiting    map[supervisor.WaiterID]identifier.JobID
@@ -156,13 +158,24 @@
 		network.at(heartbeatInterval, server.announce)
 		return
 	}
-	for _, host := range network.hosts {
+	if host := server.world.announcesTo(&report); host != nil {
+		network.tick(host, &coordinator.ServerReportAnnounced{Report: report})
+	}
+	network.at(500*time.Millisecond, server.announce)
+}
+
+// announcesTo returns the host that a report is sent to, the first running one unless the world has
+// a choice of its own.
+func (world *calledWorld) announcesTo(report *messenger.ServerReport) *fakeHost {
+	if world.chooseHost != nil {
+		return world.chooseHost(report)
+	}
+	for _, host := range world.network.hosts {
 		if host.coordinator != nil {
-			network.tick(host, &coordinator.ServerReportAnnounced{Report: report})
-			break
+			return host
 		}
 	}
-	network.at(500*time.Millisecond, server.announce)
+	return nil
 }
 
 func (server *calledServer) clock() identifier.ServerTime {
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -39,6 +39,12 @@
 	called *calledWorld
 	// cost counts messages between hosts unless it is nil.
 	cost *cost
+	// traffic records what hosts send unless it is nil.
+	traffic *traffic
+	// seeds are the hosts that the settings name; nil means all hosts.
+	seeds []*fakeHost
+	// onDemand opens the connection of two hosts when one of them first sends something.
+	onDemand bool
 	// mayStart reports whether a start in a failure domain is allowed now; nil allows all.
 	mayStart func(domain identifier.FailureDomain) bool
 }
@@ -87,6 +93,10 @@
 	// frozen pauses the host; backlog holds the inputs that arrive meanwhile.
 	frozen  bool
 	backlog []coordinator.Input
+	// leads are the cells that the host leads.
+	leads map[messenger.CellNumber]bool
+	// keeperOnly is set if the host serves no callers.
+	keeperOnly bool
 	// keeper makes the host a member of the replicated log.
 	keeper bool
 	// joinsKeepers is set if the host's keeper has no disk state that counts towards a quorum.
@@ -100,7 +110,10 @@
 
 // member describes the host's current process.
 func (host *fakeHost) member() gossiper.Member {
-	roles := []gossiper.Role{gossiper.RoleEntry}
+	var roles []gossiper.Role
+	if !host.keeperOnly {
+		roles = append(roles, gossiper.RoleEntry)
+	}
 	if host.keeper {
 		roles = append(roles, gossiper.RoleKeeper)
 	}
@@ -218,13 +231,18 @@
 
 func (network *network) startHost(host *fakeHost) {
 	host.generation++
+	host.leads = make(map[messenger.CellNumber]bool)
 	host.coordinator = &coordinator.Coordinator{
 		Self:     host.member(),
 		Seed:     uint64(slices.Index(network.hosts, host)),
 		Settings: network.settings,
 	}
 	host.coordinator.Settings.JoinKeepers = host.joinsKeepers
-	for _, other := range network.hosts {
+	seeds := network.seeds
+	if seeds == nil {
+		seeds = network.hosts
+	}
+	for _, other := range seeds {
 		host.coordinator.Seeds = append(host.coordinator.Seeds, other.member())
 	}
 	host.startedAt = network.now
@@ -233,7 +251,7 @@
 	}
 	network.tick(host)
 	for _, other := range network.hosts {
-		if other != host && other.coordinator != nil {
+		if other != host && other.coordinator != nil && !network.onDemand {
 			network.connectHosts(host, other)
 		}
 	}
@@ -314,7 +332,11 @@
 		if network.cost != nil {
 			network.cost.count(output)
 		}
+		network.traffic.count(host, output)
 		peer := network.host(output.Host)
+		if network.onDemand {
+			network.connectHosts(host, peer)
+		}
 		batch := output.Batch
 		if network.intents != nil {
 			batch = encodedAndDecoded(batch)
@@ -329,6 +351,7 @@
 		if network.called != nil {
 			network.called.history = append(network.called.history, fmt.Sprintf("%v %s lead changed: %+v", time.Duration(network.now), host.id, output.Notice))
 		}
+		host.leads[output.Notice.Cell] = output.Notice.Host != ""
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
