Send a cell's changes to a few keepers, not the whole cell to all

Cause: a lead sent all reports of its cell to every keeper each 250 ms in which a backend server joined, left or shrank: servers of the cell times keepers, 0.9 MB at 250 servers and 25 keepers, 0.3 s of a link of 25 Mbit/s, in which grants wait.

Change: a cell is stored by CellCopies keepers, one more than the disks that may be lost at once, chosen by rendezvous hashing, the first in the cell's own failure domain. A keeper gets the whole cell once for each lead and connection, then CellUpdate with the reports that have changed. Keepers of the former program ignore CellUpdate and get the whole cell at each connection, as before.

Conclusion: what a lead sends to keepers grows with its own cell's changes, not with the keepers.

--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -132,7 +132,7 @@
 
 func (coordinator *Coordinator) handleAllocatorLeadTaken(taken elector.LeadTaken) {
 	coordinator.notifyAllocator(taken.Cell, &allocator.LeadTaken{Epoch: taken.Epoch})
-	coordinator.cellPersister.markChanged(taken.Cell)
+	coordinator.cellPersister.handleLeadTaken(taken.Cell)
 }
 
 func (coordinator *Coordinator) handleAllocatorLeadLost(lost elector.LeadLost) {
@@ -197,6 +197,8 @@
 		coordinator.notifyAllocators(&allocator.NoticeArrived{Notice: *message.CapacityNotice})
 	case message.StoredCell != nil:
 		coordinator.cellPersister.handleStoredCell(message.StoredCell)
+	case message.CellUpdate != nil:
+		coordinator.cellPersister.handleUpdate(message.CellUpdate)
 	case message.StartOrder != nil:
 		coordinator.notifyStarter(&starter.OrderArrived{From: from, Order: *message.StartOrder})
 	case message.StartResult != nil:
@@ -277,7 +279,7 @@
 	case *allocator.LeadFenced:
 		coordinator.notifyElector(elector.EpochSeen{Cell: cell, Epoch: output.Epoch + fenceStep})
 	case *allocator.BroadcastReport:
-		coordinator.cellPersister.markChanged(cell)
+		coordinator.cellPersister.addUpdate(cell, &output.Report)
 		for _, host := range coordinator.entryHosts(coordinator.livingIn(coordinator.Self.FailureDomain)) {
 			coordinator.sendReports(host, []messenger.ServerReport{output.Report})
 		}
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -44,6 +44,8 @@
 	// log with the keepers that the settings name. Otherwise a keeper that lost its disk would vote
 	// as if it had never accepted anything.
 	JoinKeepers bool
+	// CellCopies is how many keepers store the backend servers of each cell.
+	CellCopies int
 	// Voters is how many voters the keepers' log should have. 0 leaves the members unchanged.
 	Voters int
 }
@@ -63,6 +65,7 @@
 		Inquirer:       inquirer.DefaultSettings(),
 		Digester:       digester.DefaultSettings(),
 		Allocator:      allocator.DefaultSettings(),
+		CellCopies:     3,
 		LeadSettleTime: elector.DefaultSettleTime,
 	}
 }
