Apply the changes of the membership that come together once

Cause: for each host that joined, died or came back a host copied and scanned the whole membership some eight times and sorted it by rendezvous weight: hosts times hosts. When half of a fleet dies or returns, that stops a small host for tenths of seconds.

Change: the coordinator keeps the living hosts of each failure domain, built anew once the gossiper's version of the membership has changed. The starter, the elector, the forwarder and the digester are notified once for each version; the notifications that are left out were equal, as the states are all applied before the changes are routed. The digester finds its two witnesses in one pass instead of sorting all hosts.

--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -100,7 +100,7 @@
 		coordinator.sendReports(lead, []messenger.ServerReport{*report})
 		return
 	}
-	for _, host := range coordinator.entryHosts(coordinator.livingIn(report.FailureDomain)) {
+	for _, host := range coordinator.entryHostsIn(report.FailureDomain) {
 		coordinator.sendReports(host, []messenger.ServerReport{*report})
 	}
 }
@@ -280,7 +280,7 @@
 		coordinator.notifyElector(elector.EpochSeen{Cell: cell, Epoch: output.Epoch + fenceStep})
 	case *allocator.BroadcastReport:
 		coordinator.cellPersister.addUpdate(cell, &output.Report)
-		for _, host := range coordinator.entryHosts(coordinator.livingIn(coordinator.Self.FailureDomain)) {
+		for _, host := range coordinator.entryHostsIn(coordinator.Self.FailureDomain) {
 			coordinator.sendReports(host, []messenger.ServerReport{output.Report})
 		}
 	case *allocator.Decided:
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -87,19 +87,24 @@
 	possiblyIsolated bool
 
 	// Inputs that the components still have to process in this tick.
-	toDispatcher []dispatcher.Input
-	toForwarder  []forwarder.Input
-	toGossiper   []gossiper.Input
-	toElector    []elector.Input
-	toKeeper     []keeper.Input
-	toRequester  []claimer.Input
-	toFollower   []configurer.Input
-	toSupervisor []supervisor.Input
-	toStarter    []starter.Input
-	toInquirer   []inquirer.Input
-	toDigester   []digester.Input
-	outputs      outbox
-	draining     bool
+	toDispatcher   []dispatcher.Input
+	toForwarder    []forwarder.Input
+	toGossiper     []gossiper.Input
+	toElector      []elector.Input
+	toKeeper       []keeper.Input
+	toRequester    []claimer.Input
+	toFollower     []configurer.Input
+	toSupervisor   []supervisor.Input
+	toStarter      []starter.Input
+	toInquirer     []inquirer.Input
+	toDigester     []digester.Input
+	outputs        outbox
+	draining       bool
+	membershipView membershipView
+	// notifiedDomains is the membership that the components were last notified of, by failure domain.
+	notifiedDomains map[identifier.FailureDomain]gossiper.Version
+	// digestHosts is the membership that the digester was last notified of.
+	digestHosts gossiper.Version
 	// connected are the hosts with an open connection to this one.
 	connected map[identifier.HostID]bool
 	// deadButConnected are the hosts of the own failure domain that were declared dead while their
@@ -195,6 +200,7 @@
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration, StartedAt: now}
 	coordinator.operatorRequests = newOperatorRequests(coordinator)
 	coordinator.nextNonce = firstNonce(coordinator.Self.Incarnation)
+	coordinator.notifiedDomains = make(map[identifier.FailureDomain]gossiper.Version)
 	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.deadButConnected = make(map[identifier.HostID]bool)
 	coordinator.quotas.set(coordinator.Settings.Intents.Quotas)
--- a/pkg/coordinator/digests.go
+++ b/pkg/coordinator/digests.go
@@ -5,6 +5,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/digester"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 )
 
@@ -21,17 +22,23 @@
 	coordinator.toDigester = append(coordinator.toDigester, input)
 }
 
-// notifyDigesterOfHosts reports which other hosts are live.
+// notifyDigesterOfHosts reports which other hosts are live, once for all changes that arrived
+// together.
 func (coordinator *Coordinator) notifyDigesterOfHosts() {
+	version := coordinator.gossiper.Version()
+	if coordinator.digestHosts == version {
+		return
+	}
+	coordinator.digestHosts = version
 	var hosts []digester.Host
-	for _, state := range coordinator.gossiper.Members() {
-		member := state.Member
+	coordinator.gossiper.EachState(func(state *gossiper.State) {
+		member := &state.Member
 		if state.Living() && member.Host != coordinator.Self.Host {
 			hosts = append(hosts, digester.Host{
 				ID: member.Host, FailureDomain: member.FailureDomain, Incarnation: member.Incarnation,
 			})
 		}
-	}
+	})
 	slices.SortFunc(hosts, digester.CompareHosts)
 	coordinator.notifyDigester(&digester.HostsChanged{Hosts: hosts})
 }
--- a/pkg/coordinator/inquiring.go
+++ b/pkg/coordinator/inquiring.go
@@ -18,7 +18,7 @@
 		return
 	}
 	home := coordinator.domainOf(from)
-	peers := coordinator.entryHosts(coordinator.livingIn(home))
+	peers := slices.Clone(coordinator.entryHostsIn(home))
 	peers = slices.DeleteFunc(peers, func(host identifier.HostID) bool { return host == from })
 	coordinator.notifyInquirer(&inquirer.CapacityRequested{From: from, Request: *request, Home: home, Peers: peers})
 }
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -94,14 +94,8 @@
 	if restarted {
 		coordinator.notifyElector(elector.HostRestarted{FailureDomain: member.FailureDomain, Host: member.Host})
 	}
-	living := coordinator.livingIn(member.FailureDomain)
-	coordinator.notifyStarter(&starter.HostsChanged{FailureDomain: member.FailureDomain, Living: coordinator.entryHosts(living)})
-	coordinator.notifyElector(elector.HostsChanged{
-		FailureDomain: member.FailureDomain, Living: coordinator.entryHosts(living), MissingHosts: coordinator.countMissing(member.FailureDomain),
-	})
-	coordinator.notifyForwarder(&forwarder.DomainChanged{FailureDomain: member.FailureDomain, Living: len(living) > 0})
+	coordinator.notifyOfDomain(member.FailureDomain)
 	if member.FailureDomain == coordinator.Self.FailureDomain {
-		coordinator.updateLivingHosts()
 		if restarted {
 			coordinator.notifyForwarder(&forwarder.HostRestarted{Host: member.Host})
 		}
@@ -118,6 +112,25 @@
 	}
 }
 
+// notifyOfDomain reports which hosts of a failure domain live, once for all changes that arrived
+// together.
+func (coordinator *Coordinator) notifyOfDomain(domain identifier.FailureDomain) {
+	version := coordinator.gossiper.Version()
+	if coordinator.notifiedDomains[domain] == version {
+		return
+	}
+	coordinator.notifiedDomains[domain] = version
+	entryHosts := coordinator.entryHostsIn(domain)
+	coordinator.notifyStarter(&starter.HostsChanged{FailureDomain: domain, Living: entryHosts})
+	coordinator.notifyElector(elector.HostsChanged{
+		FailureDomain: domain, Living: entryHosts, MissingHosts: coordinator.countMissing(domain),
+	})
+	coordinator.notifyForwarder(&forwarder.DomainChanged{FailureDomain: domain, Living: len(coordinator.livingIn(domain)) > 0})
+	if domain == coordinator.Self.FailureDomain {
+		coordinator.updateLivingHosts()
+	}
+}
+
 // notifyDispatcherOfHost makes the dispatcher query a host that has joined or returned, and stop
 // waiting for one that is gone.
 func (coordinator *Coordinator) notifyDispatcherOfHost(change gossiper.MemberChanged, restarted bool) {
@@ -189,50 +202,6 @@
 	return host == coordinator.Self.Host || (known && state.Member.FailureDomain == coordinator.Self.FailureDomain)
 }
 
-// livingIn lists the living hosts of a failure domain, sorted by id, including this host.
-func (coordinator *Coordinator) livingIn(failureDomain identifier.FailureDomain) []identifier.HostID {
-	var living []identifier.HostID
-	if failureDomain == coordinator.Self.FailureDomain {
-		living = append(living, coordinator.Self.Host)
-	}
-	for _, state := range coordinator.gossiper.Members() {
-		member := state.Member
-		if member.FailureDomain == failureDomain && member.Host != coordinator.Self.Host && state.Living() {
-			living = append(living, member.Host)
-		}
-	}
-	slices.Sort(living)
-	return living
-}
-
-// entryHosts returns those of hosts that serve callers. A host that only keeps the replicated log
-// must not lead a cell, since it has no part in the data path.
-func (coordinator *Coordinator) entryHosts(hosts []identifier.HostID) []identifier.HostID {
-	var serving []identifier.HostID
-	for _, host := range hosts {
-		member := coordinator.Self
-		if state, known := coordinator.gossiper.State(host); known && host != coordinator.Self.Host {
-			member = state.Member
-		}
-		if slices.Contains(member.Roles, gossiper.RoleEntry) {
-			serving = append(serving, host)
-		}
-	}
-	return serving
-}
-
-// countMissing counts the known hosts of a failure domain that were declared dead but may live out
-// of reach.
-func (coordinator *Coordinator) countMissing(failureDomain identifier.FailureDomain) int {
-	missing := 0
-	for _, state := range coordinator.gossiper.Members() {
-		if state.Member.FailureDomain == failureDomain && state.Status == gossiper.StatusDead {
-			missing++
-		}
-	}
-	return missing
-}
-
 // updateLivingHosts notifies the forwarder which hosts live. A host that sees no other living host
 // may be cut off itself. Until a backend server proves that it isn't, it goes on requesting copies
 // from the others and delays commitments that it might not be able to keep.
--- a/pkg/digester/receivers.go
+++ b/pkg/digester/receivers.go
@@ -1,20 +1,12 @@
 package digester
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
-// maxWitnesses is the number of hosts in other failure domains that store a home's digests. They
-// are in different failure domains where there are as many, so that one of them remains when the
-// failure domain that runs a spilled job is cut off together with the loss of the home.
-const maxWitnesses = 2
-
 // receiver is a host to which this one sends the digests of its home.
 type receiver struct {
 	incarnation identifier.Incarnation
@@ -65,24 +57,38 @@
 }
 
 // witnessesAmong picks the witnesses by rendezvous hashing: all hosts of the home pick the same
-// ones, and one is replaced only when it is lost or a host with a higher weight joins.
+// ones, and one is replaced only when it is lost or a host with a higher weight joins. There are two
+// if there are as many hosts, in different failure domains if possible, so that one of them remains
+// when the failure domain that runs a spilled job is cut off together with the loss of the home.
 func (digester *Digester) witnessesAmong(remote []Host) []Host {
-	slices.SortFunc(remote, func(first, second Host) int {
-		return cmp.Or(cmp.Compare(digester.weight(second), digester.weight(first)), cmp.Compare(first.ID, second.ID))
-	})
-	if len(remote) == 0 {
+	first, found := digester.heaviest(remote, func(Host) bool { return true })
+	if !found {
 		return nil
 	}
-	witnesses := remote[:1:1]
-	for _, host := range remote[1:] {
-		if len(witnesses) < maxWitnesses && host.FailureDomain != witnesses[0].FailureDomain {
-			witnesses = append(witnesses, host)
-		}
+	second, found := digester.heaviest(remote, func(host Host) bool { return host.FailureDomain != first.FailureDomain })
+	if !found {
+		second, found = digester.heaviest(remote, func(host Host) bool { return host.ID != first.ID })
+	}
+	if !found {
+		return []Host{first}
 	}
-	if len(witnesses) < maxWitnesses && len(remote) > 1 {
-		witnesses = append(witnesses, remote[1])
+	return []Host{first, second}
+}
+
+// heaviest returns the eligible host with the highest weight, and false if there is none.
+func (digester *Digester) heaviest(hosts []Host, eligible func(host Host) bool) (Host, bool) {
+	var heaviest Host
+	var highest uint64
+	for _, host := range hosts {
+		if !eligible(host) {
+			continue
+		}
+		weight := digester.weight(host)
+		if heaviest.ID == "" || weight > highest || weight == highest && host.ID < heaviest.ID {
+			heaviest, highest = host, weight
+		}
 	}
-	return witnesses
+	return heaviest, heaviest.ID != ""
 }
 
 func (digester *Digester) weight(host Host) uint64 {
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -47,6 +47,7 @@
 	probes  *tabulator.Table[uint64, probe]
 	relays  *tabulator.Table[uint64, relay]
 	digest  uint64
+	version Version
 
 	sequence    uint64
 	healthScore int
@@ -71,6 +72,9 @@
 	remoteMismatches int
 }
 
+// Version counts the changes of the members' states within one process.
+type Version uint64
+
 // memberEntity is all that is known about one host, this one included.
 type memberEntity struct {
 	state   State
@@ -149,6 +153,7 @@
 	gossiper.sequence = uint64(gossiper.random.Uint32())
 	self := newMemberEntity(State{Member: gossiper.Self})
 	gossiper.members.Put(gossiper.Self.Host, self)
+	gossiper.version++
 	gossiper.updateDigest(self)
 	gossiper.nextFlush = identifier.Never
 	gossiper.enqueueRumor(memberRumor(gossiper.Self.Host), originated)
--- a/pkg/gossiper/merge.go
+++ b/pkg/gossiper/merge.go
@@ -43,6 +43,7 @@
 	}
 	entity := newMemberEntity(state)
 	gossiper.members.Put(state.Member.Host, entity)
+	gossiper.version++
 	gossiper.startSuspicion(entity)
 	gossiper.updateDigest(entity)
 	gossiper.emit(MemberChanged{New: state})
@@ -84,6 +85,7 @@
 func (gossiper *Gossiper) applyState(entity *memberEntity, state State) {
 	old := entity.state
 	entity.state = state
+	gossiper.version++
 	entity.conflicting = false
 	entity.suspicionEnds = identifier.Never
 	entity.ownProbeFailed = false
@@ -131,6 +133,7 @@
 	default:
 		self.state.Refutation = state.Refutation + 1
 	}
+	gossiper.version++
 	gossiper.updateDigest(self)
 	gossiper.enqueueRumor(memberRumor(gossiper.Self.Host), originated)
 }
--- a/pkg/gossiper/receive.go
+++ b/pkg/gossiper/receive.go
@@ -107,6 +107,7 @@
 		return
 	}
 	self.state.Status = StatusLeft
+	gossiper.version++
 	gossiper.updateDigest(self)
 	gossiper.enqueueRumor(memberRumor(gossiper.Self.Host), originated)
 	// The process may end right after this tick, so the update is sent without delay.
--- a/pkg/gossiper/rejoin.go
+++ b/pkg/gossiper/rejoin.go
@@ -113,6 +113,7 @@
 	gossiper.members.Each(func(host identifier.HostID, entity *memberEntity) bool {
 		if entity.forgetAt.Due(gossiper.now) {
 			gossiper.members.Remove(host)
+			gossiper.version++
 			gossiper.emit(MemberForgotten{Host: host})
 			return true
 		}
--- a/pkg/gossiper/view.go
+++ b/pkg/gossiper/view.go
@@ -20,6 +20,20 @@
 	return states
 }
 
+// EachState calls visit for every known state. The states must not be changed.
+func (gossiper *Gossiper) EachState(visit func(state *State)) {
+	if !gossiper.started {
+		return
+	}
+	gossiper.members.Each(func(_ identifier.HostID, entity *memberEntity) bool {
+		visit(&entity.state)
+		return true
+	})
+}
+
+// Version returns a number that is higher after each change of a state.
+func (gossiper *Gossiper) Version() Version { return gossiper.version }
+
 // State returns the known state of host, and whether the host is known.
 func (gossiper *Gossiper) State(host identifier.HostID) (State, bool) {
 	if !gossiper.started {
