Find the incarnations at an address without a scan

Cause: a host that learns of a backend server compared it with every other server of its cell, and keepers name each server several times to a host that starts: servers times servers.

Change: an index by address and by server id, in the order in which the incarnations became known.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -44,6 +44,7 @@
 	// evacuations are the failure domains where nothing is started.
 	evacuations messenger.EvacuatedDomains
 	servers     *tabulator.Table[identifier.ServerIncarnation, server]
+	serverIndex serverIndex
 	jobs        *tabulator.Table[identifier.JobID, job]
 	// waiting holds the jobs with tasks that wait for capacity, in the order of placement.
 	waiting []*job
@@ -136,6 +137,7 @@
 	allocator.startedAt = now
 	allocator.timers = tabulator.NewTimers[timerKey]()
 	allocator.servers = tabulator.New[identifier.ServerIncarnation, server]()
+	allocator.serverIndex = newServerIndex()
 	allocator.jobs = tabulator.New[identifier.JobID, job]()
 	allocator.lastRuns = tabulator.New[identifier.JobID, identifier.RunNumber]()
 	allocator.handoffs = tabulator.New[identifier.JobID, []handoff]()
--- a/pkg/allocator/incarnations.go
+++ b/pkg/allocator/incarnations.go
@@ -25,12 +25,6 @@
 	return answering == server.report.Server || !server.report.Server.Dated() && !answering.Dated()
 }
 
-// sharesAddressOrID reports whether calls to the incarnation of a report would reach this one, or
-// be refused by it.
-func (server *server) sharesAddressOrID(report *messenger.ServerReport) bool {
-	return server.report.Address == report.Address || server.sharesID(report.Server)
-}
-
 // sharesID reports whether an incarnation has the same server id.
 func (server *server) sharesID(other identifier.ServerIncarnation) bool {
 	return server.report.Server.Server() == other.Server()
@@ -90,12 +84,9 @@
 // fencedBySameID reports whether a call to another incarnation under the same id has raised the
 // fence there.
 func (allocator *Allocator) fencedBySameID(refused *server) bool {
-	higher := false
-	allocator.servers.Each(func(_ identifier.ServerIncarnation, other *server) bool {
-		higher = other.sharesID(refused.report.Server) && other.fence > refused.fence
-		return !higher
+	return slices.ContainsFunc(allocator.serverIndex.byID[refused.report.Server.Server()], func(other *server) bool {
+		return other.fence > refused.fence
 	})
-	return higher
 }
 
 // replaceIncarnation ends an incarnation in whose place another one answers. Its runs are over if
--- a/pkg/allocator/reports.go
+++ b/pkg/allocator/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/stoathitch/stoathitch/pkg/assessor"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -86,12 +87,7 @@
 	if allocator.servers.Get(report.Server) != nil || report.FailureDomain != allocator.FailureDomain {
 		return
 	}
-	newer := false
-	allocator.servers.Each(func(_ identifier.ServerIncarnation, other *server) bool {
-		newer = other.sharesAddressOrID(report)
-		return !newer
-	})
-	if newer {
+	if len(allocator.serverIndex.sharing(report)) > 0 {
 		return
 	}
 	recalled := *report
@@ -122,6 +118,7 @@
 		allocator.poll(other)
 	}
 	allocator.servers.Put(report.Server, created)
+	allocator.serverIndex.add(created)
 	allocator.healthInputs = append(allocator.healthInputs, &assessor.ServerJoined{Server: assessedID(report.Server), Incarnation: 1, Slots: healthSlots})
 	allocator.logDecision(messenger.Decision{Kind: messenger.DecisionServerJoined, Server: report.Server})
 	allocator.scheduleForget(created)
@@ -134,14 +131,9 @@
 // otherIncarnations lists the other incarnations of a server, and at its address, that may not be
 // over.
 func (allocator *Allocator) otherIncarnations(known *server) []*server {
-	var others []*server
-	allocator.servers.Each(func(_ identifier.ServerIncarnation, other *server) bool {
-		if other != known && !other.retired && other.sharesAddressOrID(&known.report) {
-			others = append(others, other)
-		}
-		return true
+	return slices.DeleteFunc(allocator.serverIndex.sharing(&known.report), func(other *server) bool {
+		return other == known || other.retired
 	})
-	return others
 }
 
 // resolveAddress ends the other incarnations at the address of a server that has answered a call
@@ -236,6 +228,7 @@
 		allocator.stopCalling(id)
 	}
 	allocator.servers.Remove(id)
+	allocator.serverIndex.remove(known)
 	allocator.healthInputs = append(allocator.healthInputs, &assessor.ServerGone{Server: assessedID(id)})
 }
 
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -11,6 +11,8 @@
 // server is one incarnation of a backend server.
 type server struct {
 	report messenger.ServerReport
+	// order is its position in the order in which the incarnations became known.
+	order uint64
 	// confirmed is set once it has given a complete answer under this lead's epoch: its runs are
 	// known, and no earlier lead can start anything.
 	confirmed bool
