Wait for a home whose lead is slow, and query no large failure domain

Cause: a job ended as given-up after two leads had been silent for 40 ms each, with 1.4 s of its time left. That a lead has sent nothing for 40 ms proves little where a host among 50 hears it three times a second. The second lead queries all hosts of the home for each job, needs every reply in 40 ms, and is slowed down by it.

A group waits for the lead of its home while its longest task can still end before the deadline and this host isn't cut off; with more than MaxInquiredHosts (20) other hosts no unreferred lead is asked. What is told that a host doesn't lead waits for the next lead as long as a job without any lead does, not for the rest of 40 ms. The limit bounds the messages of one job to 60; it is not scaled with the size.

Also restarts of a third of the hosts in TestTrafficBySize.

--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -16,6 +16,7 @@
 	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 	"github.com/stoathitch/stoathitch/pkg/starter"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // The keys of the records that spread with the membership.
@@ -128,6 +129,8 @@
 	coordinator.notifyForwarder(&forwarder.DomainChanged{FailureDomain: domain, Living: len(coordinator.livingIn(domain)) > 0})
 	if domain == coordinator.Self.FailureDomain {
 		coordinator.updateLivingHosts()
+		others := slices.DeleteFunc(slices.Clone(entryHosts), func(host identifier.HostID) bool { return host == coordinator.Self.Host })
+		coordinator.notifySupervisor(&supervisor.PeersChanged{Count: len(others)})
 	}
 }
 
--- a/pkg/coordinator/sizes_test.go
+++ b/pkg/coordinator/sizes_test.go
@@ -203,9 +203,26 @@
 	fmt.Fprintf(&text, "2%% of the backend servers leave, 2s\n%s", network.describe(network.measure(2*time.Second)))
 	network.crashHost(network.leadOfCell(fiveDomains[0], 0))
 	fmt.Fprintf(&text, "a lead is lost, 5s\n%s", network.describe(network.measure(5*time.Second)))
+	network.restartMany(len(network.hosts) / 3)
+	fmt.Fprintf(&text, "a third of the hosts is killed and returns, 3s\n%s", network.describe(network.measure(3*time.Second)))
 	return text.String()
 }
 
+// restartMany kills a number of entry hosts at once and starts them again a second later.
+func (network *network) restartMany(count int) {
+	var killed []*fakeHost
+	for _, host := range network.hosts {
+		if len(killed) < count && host.coordinator != nil && !host.keeperOnly && !host.leads[0] && !host.leads[1] {
+			killed = append(killed, host)
+			network.crashHost(host)
+		}
+	}
+	network.advance(time.Second)
+	for _, host := range killed {
+		network.startHost(host)
+	}
+}
+
 // leaveServers has a number of backend servers announce their end, one every 10 ms.
 func (network *network) leaveServers(count int) {
 	for index := range count {
--- a/pkg/supervisor/groups.go
+++ b/pkg/supervisor/groups.go
@@ -34,6 +34,8 @@
 	referredTo messenger.CellRef
 	// awaitsHome is set while only the lead of the job's home may place the group.
 	awaitsHome bool
+	// waitsForHome is set while the silent lead of the home is waited for and no other lead is tried.
+	waitsForHome bool
 }
 
 func (job *job) addGroup() *group {
@@ -138,6 +140,8 @@
 	job.lastRequest++
 	group.requestNumber = job.lastRequest
 	group.awaitsHome = false
+	group.waitsForHome = false
+	supervisor.recordRequest()
 	request := supervisor.newRequest(job, group, cell)
 	supervisor.timers.Set(leadTimer(job, group), supervisor.now.Add(supervisor.Settings.LeadTimeout))
 	supervisor.emit(&RequestCapacity{To: lead, Request: request})
@@ -268,44 +272,12 @@
 	return created
 }
 
-// handleLeadTimeout requests from another lead if the current one has sent no message at all, as
-// long as nothing of the group has started. A frozen or partitioned host is silent for seconds,
-// while the caller waits for tenths of a second.
-//
-// It keeps waiting for a lead that is only slow. If the jobs of a slow lead also went to the other
-// leads, one overloaded lead would become four, and most jobs would be rejected with capacity free.
-func (supervisor *Supervisor) handleLeadTimeout(job *job, group *group) {
-	if group.answered || group.granted {
-		return
-	}
-	if group.awaitsHome {
-		supervisor.retryHome(job, group)
-		return
-	}
-	if respondedAt := supervisor.lastResponseAt[group.lead]; group.lead != "" && group.awaitingSince.Before(respondedAt) {
-		group.awaitingSince = supervisor.now
-		supervisor.timers.Set(leadTimer(job, group), supervisor.now.Add(supervisor.Settings.LeadTimeout))
-		return
-	}
-	if group.lead != "" {
-		supervisor.release(group.lead, group.cell.Cell, job.spec.Job)
-		if supervisor.returnToHome(job, group) || len(group.tried) < maxLeadsTried && supervisor.requestElsewhere(job, group) {
-			return
-		}
-	}
-	supervisor.refuse(job, messenger.ReasonNoBackendServer, "no lead answers", supervisor.Settings.RetryAfter)
-}
-
 func (supervisor *Supervisor) dropGroup(job *job, dropped *group) {
 	job.startedInDropped = job.startedInDropped || dropped.granted
 	supervisor.timers.Clear(leadTimer(job, dropped))
 	job.groups = slices.DeleteFunc(job.groups, func(group *group) bool { return group == dropped })
 }
 
-// maxLeadsTried bounds how many silent leads are tried for one group: one in this host's failure
-// domain and one more. If both are silent, this host is more likely to be partitioned itself.
-const maxLeadsTried = 2
-
 // handleLeadChanged records the lead of a cell. Groups whose request the former lead had are
 // requested again from the new one. The requests list their runs, so that the new lead knows
 // which jobs these belong to.
--- a/pkg/supervisor/home.go
+++ b/pkg/supervisor/home.go
@@ -22,9 +22,14 @@
 		supervisor.sendRequest(job, group, lead, home)
 		return
 	}
-	if supervisor.requestElsewhere(job, group) {
+	if supervisor.mayInquire() && supervisor.requestElsewhere(job, group) {
 		return
 	}
+	supervisor.waitForLead(job, group)
+}
+
+// waitForLead keeps a group until the next lead is known.
+func (supervisor *Supervisor) waitForLead(job *job, group *group) {
 	group.lead = ""
 	supervisor.timers.Set(leadTimer(job, group), supervisor.now.Add(supervisor.leadWait(job)))
 }
@@ -43,7 +48,7 @@
 func (supervisor *Supervisor) retryHome(job *job, group *group) {
 	group.awaitsHome = false
 	group.tried = make(map[messenger.CellRef]bool)
-	if !supervisor.returnToHome(job, group) && !supervisor.requestElsewhere(job, group) {
+	if !supervisor.returnToHome(job, group) && !(supervisor.mayInquire() && supervisor.requestElsewhere(job, group)) {
 		supervisor.awaitHome(job, group)
 	}
 }
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -172,8 +172,8 @@
 		supervisor.moveFromEvacuated(job, group, answer)
 	case messenger.CapacityAnswerNotLed:
 		group.answered = false
-		if !supervisor.requestElsewhere(job, group) {
-			group.lead = ""
+		if !supervisor.mayInquire() || !supervisor.requestElsewhere(job, group) {
+			supervisor.waitForLead(job, group)
 		}
 	case messenger.CapacityAnswerKnownElsewhere:
 		supervisor.awaitHome(job, group)
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -56,6 +56,9 @@
 	Epoch identifier.Epoch
 }
 
+// PeersChanged reports how many other living hosts of the failure domain serve callers.
+type PeersChanged struct{ Count int }
+
 // GrantArrived delivers a lead's grant of capacity for runs.
 type GrantArrived struct {
 	From  identifier.HostID
@@ -98,6 +101,7 @@
 func (*ShutdownStarted) isSupervisorInput()    {}
 func (*JobArrived) isSupervisorInput()         {}
 func (*CallerLeft) isSupervisorInput()         {}
+func (*PeersChanged) isSupervisorInput()       {}
 func (*LeadChanged) isSupervisorInput()        {}
 func (*GrantArrived) isSupervisorInput()       {}
 func (*AnswerArrived) isSupervisorInput()      {}
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -24,6 +24,12 @@
 	// HomeRetryInterval is the time between requests to a job's home while only the home's lead
 	// may place the job.
 	HomeRetryInterval time.Duration
+	// MaxSilence is how long after an unanswered request, without a sign of any lead, this host counts
+	// as cut off. The membership replaces a lost lead sooner.
+	MaxSilence time.Duration
+	// MaxInquiredHosts is the number of other hosts of the failure domain up to which a lead that the
+	// home has not referred a job to may be asked.
+	MaxInquiredHosts int
 	// RetryAfter is the time after which a caller should resubmit a job that found no lead. A lost
 	// lead is replaced in little more than a second.
 	RetryAfter time.Duration
@@ -31,7 +37,14 @@
 
 // DefaultSettings returns the daemon's default settings.
 func DefaultSettings() Settings {
-	return Settings{LeadTimeout: 40 * time.Millisecond, MinLeadWait: 60 * time.Millisecond, HomeRetryInterval: 100 * time.Millisecond, RetryAfter: time.Second}
+	return Settings{
+		LeadTimeout:       40 * time.Millisecond,
+		MinLeadWait:       60 * time.Millisecond,
+		HomeRetryInterval: 100 * time.Millisecond,
+		MaxSilence:        1500 * time.Millisecond,
+		MaxInquiredHosts:  20,
+		RetryAfter:        time.Second,
+	}
 }
 
 // Supervisor holds the jobs of this host's callers. Set the exported fields before the first Tick.
@@ -48,6 +61,11 @@
 	leads    *tabulator.Table[messenger.CellRef, lead]
 	// lastResponseAt is when the last message of each lead arrived.
 	lastResponseAt map[identifier.HostID]identifier.Moment
+	// silentSince is the time of the first request after the last message of any lead, or
+	// identifier.Never.
+	silentSince identifier.Moment
+	// peers is the number of other hosts of the failure domain that serve callers.
+	peers int
 	// evacuations holds the failure domains in which no run is started.
 	evacuations messenger.EvacuatedDomains
 	// backlogEndsAt is when grants that were sent while this host was suspended have arrived.
@@ -144,6 +162,7 @@
 	supervisor.jobs = tabulator.New[identifier.JobID, job]()
 	supervisor.retained = tabulator.New[identifier.JobID, job]()
 	supervisor.leads = tabulator.New[messenger.CellRef, lead]()
+	supervisor.silentSince = identifier.Never
 	supervisor.lastResponseAt = make(map[identifier.HostID]identifier.Moment)
 	supervisor.timers = tabulator.NewTimers[timerKey]()
 }
@@ -160,16 +179,18 @@
 		supervisor.backlogEndsAt = supervisor.now.Add(backlogTime)
 	case *ShutdownStarted:
 		supervisor.endAll()
+	case *PeersChanged:
+		supervisor.peers = input.Count
 	case *LeadChanged:
 		supervisor.handleLeadChanged(input)
 	case *GrantArrived:
-		supervisor.lastResponseAt[input.From] = supervisor.now
+		supervisor.recordResponse(input.From)
 		supervisor.handleGrant(input)
 	case *AnswerArrived:
-		supervisor.lastResponseAt[input.From] = supervisor.now
+		supervisor.recordResponse(input.From)
 		supervisor.handleAnswer(input)
 	case *TaskDoneArrived:
-		supervisor.lastResponseAt[input.From] = supervisor.now
+		supervisor.recordResponse(input.From)
 		supervisor.handleDone(input)
 	case *StartReturned:
 		supervisor.handleStartReturned(input)
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -98,6 +98,10 @@
 		inputs = append(inputs, &supervisor.EvacuationsChanged{Evacuated: messenger.EvacuatedDomains{identifier.FailureDomain(scanString(t, data, "domain"))}})
 	case "host-ends":
 		inputs = append(inputs, &supervisor.ShutdownStarted{})
+	case "peers":
+		peers := 0
+		data.ScanArgs(t, "count", &peers)
+		inputs = append(inputs, &supervisor.PeersChanged{Count: peers})
 	case "wait":
 	default:
 		t.Fatalf("unknown command %q", data.Cmd)
