Send notices of much room only when it has halved or doubled

Cause: each start and end changed a cell's free slots, and each change went to every other lead, up to 50 a second: leads times leads. With five failure domains of two cells a lead sent and got 450 messages a second that no decision depends on.

Change: where at least as many slots are free as a notice lists releases, a notice says the same until the number has halved or doubled; it is repeated at half of NoticeAge as before.

Conclusion: in a cell with room a notice costs two messages a second and lead, whatever the load.

--- a/pkg/allocator/notices.go
+++ b/pkg/allocator/notices.go
@@ -86,6 +86,16 @@
 	return notice
 }
 
+// saysTheSame reports whether other leads would decide the same on two notices. Where there is much
+// room, its exact size doesn't matter until it has halved or doubled.
+func saysTheSame(first, second *messenger.CapacityNotice) bool {
+	if len(first.ExpectedReleases) > 0 || len(second.ExpectedReleases) > 0 {
+		return false
+	}
+	fewer, more := min(first.FreeSlots, second.FreeSlots), max(first.FreeSlots, second.FreeSlots)
+	return fewer == more || fewer >= maxNoticeReleases && more <= 2*fewer
+}
+
 // sendNotice notifies the other leads of the capacity here, again while it changes, and at half of
 // NoticeAge in any case.
 //
@@ -102,8 +112,7 @@
 		return
 	}
 	notice := allocator.notice()
-	quiet := notice.FreeSlots == allocator.lastNotice.FreeSlots && len(notice.ExpectedReleases) == 0 && len(allocator.lastNotice.ExpectedReleases) == 0
-	if quiet && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
+	if saysTheSame(&notice, &allocator.lastNotice) && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
 		allocator.timers.Set(timer, allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2))
 		return
 	}
--- a/pkg/allocator/notices_test.go
+++ b/pkg/allocator/notices_test.go
@@ -1,6 +1,7 @@
 package allocator_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -55,3 +56,39 @@
 		t.Error("the notice reports no capacity, although no server has anything to do")
 	}
 }
+
+// TestRoomyCellSendsFewNotices guards against leads that spend most of their messages on notices of
+// room that nobody needs: each start and end changed the free slots, and each change went to every
+// other lead.
+func TestRoomyCellSendsFewNotices(t *testing.T) {
+	settings := allocator.DefaultSettings()
+	lead := &allocator.Allocator{FailureDomain: "leuven", Settings: settings}
+	notices := 0
+	tick := func(at time.Duration, inputs ...allocator.Input) {
+		for _, output := range lead.Tick(identifier.Moment(at), inputs) {
+			if _, isNotice := output.(*allocator.SendNotice); isNotice {
+				notices++
+			}
+		}
+	}
+	tick(0, &allocator.LeadTaken{Epoch: 7}, &allocator.RemoteLeadChanged{Cell: geel, Host: "host-g"})
+	for number := range 100 {
+		server := identifier.ServerIncarnation(fmt.Sprintf("s%d", number))
+		tick(time.Millisecond, &allocator.ReportArrived{Report: messenger.ServerReport{
+			Server: server, Service: "desk", Address: string(server), FailureDomain: "leuven",
+			Capacity: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20},
+		}})
+		tick(time.Millisecond, &allocator.PollReturned{Server: server, Sequence: 1})
+	}
+	notices = 0
+	for number := range 50 {
+		at := time.Second + time.Duration(number)*20*time.Millisecond
+		tick(at, &allocator.CapacityRequested{From: "host-b", Request: messenger.CapacityRequest{
+			Job: identifier.JobID(fmt.Sprintf("job-%d", number)), Service: "desk", Queue: "quick", Attempts: 1, Stretch: 1.6, Remaining: 10 * time.Second,
+			Tasks: []messenger.TaskRequest{{Needs: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20}, Declared: time.Minute}},
+		}})
+	}
+	if most := int(2*time.Second/settings.NoticeAge) + 2; notices > most {
+		t.Errorf("%d notices in a second in which half of the room is taken, want at most %d", notices, most)
+	}
+}
--- a/pkg/coordinator/sizes_test.go
+++ b/pkg/coordinator/sizes_test.go
@@ -199,6 +199,8 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "start\n%s", network.describe(network.traffic))
 	fmt.Fprintf(&text, "calm for 5s\n%s", network.describe(network.measure(5*time.Second)))
+	network.submitJobs(3, 2*time.Second)
+	fmt.Fprintf(&text, "3 jobs/s of 4 tasks at each entry host, 2s\n%s", network.describe(network.measure(2*time.Second)))
 	network.leaveServers(size.servers / 50)
 	fmt.Fprintf(&text, "2%% of the backend servers leave, 2s\n%s", network.describe(network.measure(2*time.Second)))
 	network.crashHost(network.leadOfCell(fiveDomains[0], 0))
@@ -208,6 +210,21 @@
 	return text.String()
 }
 
+// submitJobs has each entry host get a number of jobs each second for a while, the hosts in turn.
+func (network *network) submitJobs(perSecond int, duration time.Duration) {
+	interval := time.Second / time.Duration(perSecond)
+	for index, host := range network.hosts {
+		if host.keeperOnly {
+			continue
+		}
+		offset := interval * time.Duration(index) / time.Duration(len(network.hosts))
+		for at := offset; at < duration; at += interval {
+			id := identifier.JobID(fmt.Sprintf("job-%d-%v-%v", index, network.now, at))
+			network.at(at, func() { network.called.submit(host, id, 4) })
+		}
+	}
+}
+
 // restartMany kills a number of entry hosts at once and starts them again a second later.
 func (network *network) restartMany(count int) {
 	var killed []*fakeHost
