Notify other leads of room again once they have used some of it

Other leads subtract what they hand off from the last notice, so they ran out of it while there was room, and refused jobs.

Change: a handoff that arrives makes the next notice due as before.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -68,8 +68,11 @@
 	remotes       *tabulator.Table[messenger.CellRef, remote]
 	lastNotice    messenger.CapacityNotice
 	noticeSentAt  identifier.Moment
-	timers        *tabulator.Timers[timerKey]
-	outputs       []Output
+	// handoffArrived is set if a job was handed off to this cell since the last notice. The other
+	// lead has subtracted it from the room of that notice.
+	handoffArrived bool
+	timers         *tabulator.Timers[timerKey]
+	outputs        []Output
 	// retryPlacement is set when capacity may have come free since the waiting jobs were last
 	// tried, so that a full cell is not searched for them at each tick.
 	retryPlacement bool
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -140,6 +140,7 @@
 		created.tasks = append(created.tasks, task{requested: activeRun.TaskRequest, account: allocator.accountOf(request.Job, activeRun.TaskRequest)})
 		created.lastRun = max(created.lastRun, activeRun.Run)
 	}
+	allocator.handoffArrived = allocator.handoffArrived || request.HandedOff
 	allocator.schedule(created)
 	allocator.jobs.Put(request.Job, created)
 	allocator.timers.Clear(timerKey{kind: timerJobForget, job: request.Job})
--- a/pkg/allocator/notices.go
+++ b/pkg/allocator/notices.go
@@ -112,11 +112,12 @@
 		return
 	}
 	notice := allocator.notice()
-	if saysTheSame(&notice, &allocator.lastNotice) && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
+	if !allocator.handoffArrived && saysTheSame(&notice, &allocator.lastNotice) && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
 		allocator.timers.Set(timer, allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2))
 		return
 	}
 	allocator.lastNotice = notice
+	allocator.handoffArrived = false
 	allocator.noticeSentAt = allocator.now
 	allocator.timers.Set(timer, allocator.now.Add(allocator.Settings.NoticeAge/2))
 	allocator.remotes.Each(func(_ messenger.CellRef, remote *remote) bool {
--- a/pkg/allocator/notices_test.go
+++ b/pkg/allocator/notices_test.go
@@ -57,38 +57,64 @@
 	}
 }
 
-// TestRoomyCellSendsFewNotices guards against leads that spend most of their messages on notices of
-// room that nobody needs: each start and end changed the free slots, and each change went to every
-// other lead.
-func TestRoomyCellSendsFewNotices(t *testing.T) {
-	settings := allocator.DefaultSettings()
-	lead := &allocator.Allocator{FailureDomain: "leuven", Settings: settings}
-	notices := 0
-	tick := func(at time.Duration, inputs ...allocator.Input) {
-		for _, output := range lead.Tick(identifier.Moment(at), inputs) {
-			if _, isNotice := output.(*allocator.SendNotice); isNotice {
-				notices++
-			}
-		}
-	}
-	tick(0, &allocator.LeadTaken{Epoch: 7}, &allocator.RemoteLeadChanged{Cell: geel, Host: "host-g"})
+// roomyCell is a lead of 100 backend servers with one slot each, and counts its notices.
+type roomyCell struct {
+	lead    *allocator.Allocator
+	notices int
+}
+
+func newRoomyCell() *roomyCell {
+	roomyCell := &roomyCell{lead: &allocator.Allocator{FailureDomain: "leuven", Settings: allocator.DefaultSettings()}}
+	roomyCell.tick(0, &allocator.LeadTaken{Epoch: 7}, &allocator.RemoteLeadChanged{Cell: geel, Host: "host-g"})
 	for number := range 100 {
 		server := identifier.ServerIncarnation(fmt.Sprintf("s%d", number))
-		tick(time.Millisecond, &allocator.ReportArrived{Report: messenger.ServerReport{
+		roomyCell.tick(time.Millisecond, &allocator.ReportArrived{Report: messenger.ServerReport{
 			Server: server, Service: "desk", Address: string(server), FailureDomain: "leuven",
 			Capacity: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20},
 		}})
-		tick(time.Millisecond, &allocator.PollReturned{Server: server, Sequence: 1})
+		roomyCell.tick(time.Millisecond, &allocator.PollReturned{Server: server, Sequence: 1})
 	}
-	notices = 0
-	for number := range 50 {
+	roomyCell.notices = 0
+	return roomyCell
+}
+
+func (roomyCell *roomyCell) tick(at time.Duration, inputs ...allocator.Input) {
+	for _, output := range roomyCell.lead.Tick(identifier.Moment(at), inputs) {
+		if _, isNotice := output.(*allocator.SendNotice); isNotice {
+			roomyCell.notices++
+		}
+	}
+}
+
+// request requests capacity for one task every 20 ms.
+func (roomyCell *roomyCell) request(jobs int, handedOff bool) {
+	for number := range jobs {
 		at := time.Second + time.Duration(number)*20*time.Millisecond
-		tick(at, &allocator.CapacityRequested{From: "host-b", Request: messenger.CapacityRequest{
-			Job: identifier.JobID(fmt.Sprintf("job-%d", number)), Service: "desk", Queue: "quick", Attempts: 1, Stretch: 1.6, Remaining: 10 * time.Second,
+		roomyCell.tick(at, &allocator.CapacityRequested{From: "host-b", Request: messenger.CapacityRequest{
+			Job: identifier.JobID(fmt.Sprintf("job-%d", number)), Service: "desk", Queue: "quick", Attempts: 1, Stretch: 1.6,
+			Remaining: 10 * time.Second, HandedOff: handedOff,
 			Tasks: []messenger.TaskRequest{{Needs: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20}, Declared: time.Minute}},
 		}})
 	}
-	if most := int(2*time.Second/settings.NoticeAge) + 2; notices > most {
-		t.Errorf("%d notices in a second in which half of the room is taken, want at most %d", notices, most)
+}
+
+// TestRoomyCellSendsFewNotices guards against leads that spend most of their messages on notices of
+// room that nobody needs: each start and end changed the free slots, and each change went to every
+// other lead.
+func TestRoomyCellSendsFewNotices(t *testing.T) {
+	roomyCell := newRoomyCell()
+	roomyCell.request(50, false)
+	if most := int(2*time.Second/allocator.DefaultSettings().NoticeAge) + 2; roomyCell.notices > most {
+		t.Errorf("%d notices in a second in which half of the room is taken, want at most %d", roomyCell.notices, most)
+	}
+}
+
+// TestRoomIsNoticedWhileItIsUsed guards against leads that refuse jobs although another cell has
+// room: each subtracts what it hands off from the room of the last notice, and runs out of it.
+func TestRoomIsNoticedWhileItIsUsed(t *testing.T) {
+	roomyCell := newRoomyCell()
+	roomyCell.request(40, true)
+	if roomyCell.notices < 40 {
+		t.Errorf("%d notices after 40 handoffs, want one after each", roomyCell.notices)
 	}
 }
