--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -139,32 +139,19 @@
 	coordinator.notifyAllocator(lost.Cell, &allocator.LeadLost{})
 }
 
-// reportSuccessors is the number of hosts that get all server reports of a cell from its lead when
-// they connect. The other hosts get what the keepers store and what changes.
-const reportSuccessors = 3
-
 // sendReportsTo sends the server reports of the own cells to a newly connected host of the own
-// failure domain that may lead them next. Earlier ones may have been lost with an older connection.
-// When many hosts return at once, they don't fill the lead's link.
+// failure domain. Earlier ones may have been lost with an older connection.
 func (coordinator *Coordinator) sendReportsTo(host identifier.HostID) {
 	if !coordinator.inOwnDomain(host) {
 		return
 	}
-	for cell, cellAllocator := range coordinator.allocators {
-		if cellAllocator.allocator.Leads() && coordinator.isSuccessor(host, messenger.CellNumber(cell)) {
+	for _, cellAllocator := range coordinator.allocators {
+		if cellAllocator.allocator.Leads() {
 			coordinator.sendReports(host, cellAllocator.allocator.Reports())
 		}
 	}
 }
 
-// isSuccessor reports whether a host is among the first that would lead a cell in place of this one.
-func (coordinator *Coordinator) isSuccessor(host identifier.HostID, cell messenger.CellNumber) bool {
-	hosts := coordinator.entryHostsIn(coordinator.Self.FailureDomain)
-	others := slices.DeleteFunc(slices.Clone(hosts), func(other identifier.HostID) bool { return other == coordinator.Self.Host })
-	ranked := elector.Rank(cell, others)
-	return slices.Contains(ranked[:min(len(ranked), reportSuccessors)], host)
-}
-
 // handleAllocatorHostChange notifies the allocators when a host is gone whose callers' jobs may
 // have capacity here. A leaving host still answers its callers; it counts as gone when its
 // connection closes.
--- a/pkg/elector/rendezvous.go
+++ b/pkg/elector/rendezvous.go
@@ -1,9 +1,7 @@
 package elector
 
 import (
-	"cmp"
 	"encoding/binary"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,15 +23,6 @@
 	return best
 }
 
-// Rank returns hosts in rendezvous order for a cell: the first one that lives leads it.
-func Rank(cell identifier.CellID, hosts []identifier.HostID) []identifier.HostID {
-	ranked := slices.Clone(hosts)
-	slices.SortFunc(ranked, func(first, second identifier.HostID) int {
-		return cmp.Or(cmp.Compare(rendezvousWeight(cell, second), rendezvousWeight(cell, first)), cmp.Compare(first, second))
-	})
-	return ranked
-}
-
 func rendezvousWeight(cell identifier.CellID, host identifier.HostID) uint64 {
 	buffer := binary.LittleEndian.AppendUint64(nil, uint64(cell))
 	return xxhash.Sum64(append(buffer, host...))
