Name the equivalence of notices, and word two comments

Cause: the last reading as a newcomer. saysTheSame said nothing outside its file, and the comments of persistedCell and maxLeadsTried needed a second reading.

Change: names and comments only.

--- a/pkg/allocator/notices.go
+++ b/pkg/allocator/notices.go
@@ -86,9 +86,9 @@
 	return notice
 }
 
-// saysTheSame reports whether other leads would decide the same on two notices. Where there is much
+// isEquivalentNotice reports whether other leads would decide the same on two notices. Where there is much
 // room, its exact size doesn't matter until it has halved or doubled.
-func saysTheSame(first, second *messenger.CapacityNotice) bool {
+func isEquivalentNotice(first, second *messenger.CapacityNotice) bool {
 	if len(first.ExpectedReleases) > 0 || len(second.ExpectedReleases) > 0 {
 		return false
 	}
@@ -112,7 +112,7 @@
 		return
 	}
 	notice := allocator.notice()
-	if !allocator.handoffArrived && saysTheSame(&notice, &allocator.lastNotice) && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
+	if !allocator.handoffArrived && isEquivalentNotice(&notice, &allocator.lastNotice) && allocator.now.Before(allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2)) {
 		allocator.timers.Set(timer, allocator.noticeSentAt.Add(allocator.Settings.NoticeAge/2))
 		return
 	}
--- a/pkg/coordinator/cellpersister.go
+++ b/pkg/coordinator/cellpersister.go
@@ -27,7 +27,7 @@
 	coordinator *Coordinator
 	// cells are the states of cells that a keeper stores.
 	cells map[messenger.CellRef]messenger.StoredCell
-	// own are the cells of the own failure domain.
+	// own is what the keepers lack of each cell of the own failure domain, by its number.
 	own   []persistedCell
 	dueAt identifier.Moment
 }
--- a/pkg/supervisor/waiting.go
+++ b/pkg/supervisor/waiting.go
@@ -32,7 +32,7 @@
 	supervisor.refuse(job, messenger.ReasonNoBackendServer, "no lead answers", supervisor.Settings.RetryAfter)
 }
 
-// maxLeadsTried bounds how many silent leads are tried for one group: one in this host's failure
+// maxLeadsTried is how many silent leads are tried for one group: one in this host's failure
 // domain and one more. If both are silent, this host is more likely to be partitioned itself.
 const maxLeadsTried = 2
 
