Count a host as handed over only where it knew who receives its records

Cause: a host that leaves copies its records to the hosts that it sees living, and a new lead took each host with the status "left" for one whose records it has. The isolated host was counted as dead by both, so nothing was copied to it. When it rejoined, it learned that both "left", took the lead with no host missing (its own isolation counts as one of two) and was in no doubt.

A host that left counts as missing unless the lead has its notice or a host that replies to the takeover has it. A host that left and starts again counts as one without state on the same condition.

Why it works: the notice comes from the one process that knows to whom it has copied, and its absence errs towards doubt.

Elsewhere: the same rule decided after a planned shutdown of a whole home, with no isolation at all, since the first host to start learns from other failure domains that the others left.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -110,6 +110,7 @@
 	// deadButConnected are the hosts of the own failure domain that were declared dead while their
 	// connection was open, and have sent nothing since.
 	deadButConnected map[identifier.HostID]bool
+	handovers        *handovers
 }
 
 // Tick applies the inputs, runs the deadlines that are due and returns the outputs to carry out.
@@ -149,6 +150,7 @@
 	next = identifier.Earlier(next, coordinator.starter.NextDeadline())
 	next = identifier.Earlier(next, coordinator.inquirer.NextDeadline())
 	next = identifier.Earlier(next, coordinator.digester.NextDeadline())
+	next = identifier.Earlier(next, coordinator.handovers.nextDeadline())
 	for _, cellAllocator := range coordinator.allocators {
 		next = identifier.Earlier(next, cellAllocator.allocator.NextDeadline())
 	}
@@ -203,6 +205,7 @@
 	coordinator.notifiedDomains = make(map[identifier.FailureDomain]gossiper.Version)
 	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.deadButConnected = make(map[identifier.HostID]bool)
+	coordinator.handovers = newHandovers(coordinator)
 	coordinator.quotas.set(coordinator.Settings.Intents.Quotas)
 	coordinator.intentDriver = newIntentDriver(coordinator)
 	coordinator.intentPlanner = newIntentPlanner(coordinator)
@@ -280,14 +283,27 @@
 }
 
 // reportDrained emits Drained during a graceful shutdown once every caller's submission is answered
-// and other hosts have all records of this one.
+// and other hosts have all records of this one and know it.
 func (coordinator *Coordinator) reportDrained() {
-	answered := coordinator.supervisor.Jobs()+len(coordinator.arrivals.jobs) == 0 && coordinator.forwarder.Unanswered() == 0 && coordinator.forwarder.WaitingLookups() == 0
-	if coordinator.draining && answered && coordinator.forwarder.UnreplicatedRecords() == 0 {
+	if !coordinator.draining {
+		return
+	}
+	if coordinator.hasOpenWork() {
+		coordinator.handovers.restart()
+		return
+	}
+	if coordinator.handovers.finish() {
 		coordinator.outputs.add(&Drained{})
 	}
 }
 
+// hasOpenWork reports whether callers wait for this host or records have still to be copied.
+func (coordinator *Coordinator) hasOpenWork() bool {
+	jobs := coordinator.supervisor.Jobs() + len(coordinator.arrivals.jobs)
+	requests := coordinator.forwarder.Unanswered() + coordinator.forwarder.WaitingLookups()
+	return jobs+requests+coordinator.forwarder.UnreplicatedRecords() > 0
+}
+
 // Unanswered returns how many submissions of this host's callers have no answer.
 func (coordinator *Coordinator) Unanswered() int {
 	if coordinator.forwarder == nil {
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -140,11 +140,10 @@
 	wasLiving := change.Old != nil && change.Old.Living() && !restarted
 	switch host := change.New.Member.Host; {
 	case change.New.Living() && !wasLiving:
-		lostState := restarted && change.Old.Status != gossiper.StatusLeft
+		lostState := restarted && !coordinator.handovers.isHandedOver(*change.Old)
 		coordinator.notifyDispatcher(&dispatcher.HostReturned{Host: host, WithoutState: lostState})
 	case !change.New.Living() && wasLiving && !coordinator.isLeaving(change.New):
-		left := change.New.Status == gossiper.StatusLeft
-		coordinator.notifyDispatcher(&dispatcher.HostGone{Host: host, Left: left})
+		coordinator.notifyHostGone(change.New)
 	}
 }
 
@@ -170,19 +169,25 @@
 func (coordinator *Coordinator) handleLeaverGone(host identifier.HostID) {
 	if state, known := coordinator.gossiper.State(host); known && state.Status == gossiper.StatusLeft {
 		coordinator.notifyAllocators(&allocator.HostGone{Host: host})
-		coordinator.notifyDispatcher(&dispatcher.HostGone{Host: host, Left: true})
+		coordinator.notifyHostGone(state)
 	}
 }
 
+func (coordinator *Coordinator) notifyHostGone(state gossiper.State) {
+	coordinator.notifyDispatcher(&dispatcher.HostGone{
+		Host: state.Member.Host, Left: state.Status == gossiper.StatusLeft, HandedOver: coordinator.handovers.isHandedOver(state),
+	})
+}
+
 // reachable reports whether a message to a host may arrive.
 func (coordinator *Coordinator) reachable(host identifier.HostID) bool {
 	state, known := coordinator.gossiper.State(host)
 	return known && (state.Living() || coordinator.connected[host])
 }
 
-// missingHosts lists the known hosts of the own failure domain that don't live, and those named in
-// the settings that have never been seen: a host that starts while all others are lost or cut off
-// knows none of them and may lack all their records.
+// missingHosts lists the known hosts of the own failure domain that died or left without a handover,
+// and those named in the settings that have never been seen: a host that starts while all others are
+// lost or cut off knows none of them and may lack all their records.
 func (coordinator *Coordinator) missingHosts() []identifier.HostID {
 	var missing []identifier.HostID
 	for _, seed := range coordinator.Seeds {
@@ -192,13 +197,29 @@
 		}
 	}
 	for _, state := range coordinator.gossiper.Members() {
-		if state.Member.FailureDomain == coordinator.Self.FailureDomain && state.Status == gossiper.StatusDead {
+		if state.Member.FailureDomain == coordinator.Self.FailureDomain && coordinator.mayHoldMissingRecords(state) {
 			missing = append(missing, state.Member.Host)
 		}
 	}
 	return missing
 }
 
+// mayHoldMissingRecords reports whether a host may have records that no host which can be reached
+// has.
+func (coordinator *Coordinator) mayHoldMissingRecords(state gossiper.State) bool {
+	if coordinator.hasMissedLeave(state) {
+		return true
+	}
+	return state.Status == gossiper.StatusDead
+}
+
+// hasMissedLeave reports whether a host has left and nobody is known to have its records. It didn't
+// see this host when it left.
+func (coordinator *Coordinator) hasMissedLeave(state gossiper.State) bool {
+	return state.Status == gossiper.StatusLeft && state.Member.Host != coordinator.Self.Host &&
+		!coordinator.connected[state.Member.Host] && !coordinator.handovers.isHandedOver(state)
+}
+
 // inOwnDomain reports whether a host belongs to the own failure domain.
 func (coordinator *Coordinator) inOwnDomain(host identifier.HostID) bool {
 	state, known := coordinator.gossiper.State(host)
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -290,6 +290,8 @@
 	DigestBatch       *messenger.DigestBatch    `cbor:"33,keyasint,omitempty"`
 	DigestQuery       *messenger.DigestQuery    `cbor:"34,keyasint,omitempty"`
 	DigestReply       *messenger.DigestBatch    `cbor:"35,keyasint,omitempty"`
+	Handover          *messenger.Handover       `cbor:"36,keyasint,omitempty"`
+	HandoverReceipt   bool                      `cbor:"37,keyasint,omitempty"`
 	// Membership, keepers and configuration.
 	Gossip        *gossiper.Message   `cbor:"14,keyasint,omitempty"`
 	Log           *replicator.Message `cbor:"15,keyasint,omitempty"`
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -47,6 +47,8 @@
 	onDemand bool
 	// mayStart reports whether a start in a failure domain is allowed now; nil allows all.
 	mayStart func(domain identifier.FailureDomain) bool
+	// drops reports whether a message between hosts is lost; nil loses none.
+	drops func(message coordinator.PeerMessage) bool
 }
 
 // connection counts its breaks as generations, so that messages of an older one are dropped.
@@ -338,6 +340,9 @@
 			network.connectHosts(host, peer)
 		}
 		batch := output.Batch
+		if network.drops != nil {
+			batch.Messages = slices.DeleteFunc(slices.Clone(batch.Messages), network.drops)
+		}
 		if network.intents != nil {
 			batch = encodedAndDecoded(batch)
 		}
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -146,7 +146,10 @@
 	case message.TakeoverQuery != nil:
 		coordinator.notifyForwarder(&forwarder.TakeoverQueried{From: from, Query: *message.TakeoverQuery})
 	case message.TakeoverReply != nil:
-		coordinator.notifyDispatcher(&dispatcher.TakeoverReplied{From: from, Reply: *message.TakeoverReply})
+		coordinator.handovers.adopt(message.TakeoverReply.HandedOver)
+		coordinator.notifyDispatcher(&dispatcher.TakeoverReplied{
+			From: from, Reply: *message.TakeoverReply, HandedOver: coordinator.handovers.known(),
+		})
 		coordinator.notifyForwarder(&forwarder.TakeoverRecordsArrived{From: from, Partner: from, Records: message.TakeoverReply.Records})
 	case message.LookupReply != nil:
 		coordinator.notifyForwarder(&forwarder.LookupReplied{From: from, Reply: *message.LookupReply})
@@ -155,6 +158,10 @@
 		coordinator.notifyDispatcher(&dispatcher.RecordsReplicated{Replicas: message.Replicas})
 	case message.ReplicaReceipt != nil:
 		coordinator.notifyForwarder(&forwarder.ReplicasHeld{From: from, Receipt: *message.ReplicaReceipt})
+	case message.Handover != nil:
+		coordinator.handovers.handleNotice(from, *message.Handover)
+	case message.HandoverReceipt:
+		coordinator.handovers.confirmed[from] = true
 	case message.LeadNotice != nil:
 		coordinator.handleLeadNotice(from, *message.LeadNotice)
 	case message.Lookup != nil:
@@ -304,6 +311,7 @@
 	case *forwarder.ReplyTakeover:
 		output.Reply.HostsWithoutState = coordinator.dispatcher.HostsWithoutState(coordinator.now)
 		output.Reply.MayLackState = coordinator.dispatcher.MayLackState(coordinator.now)
+		output.Reply.HandedOver = coordinator.handovers.known()
 		coordinator.dispatcher.AddSeenServers(&output.Reply)
 		if output.To == self {
 			coordinator.notifyDispatcher(&dispatcher.TakeoverReplied{From: self, Reply: output.Reply})
--- a/pkg/dispatcher/input.go
+++ b/pkg/dispatcher/input.go
@@ -98,12 +98,16 @@
 	Host identifier.HostID
 	// Left reports that the host itself announced that it leaves.
 	Left bool
+	// HandedOver reports that other hosts have all records of the host.
+	HandedOver bool
 }
 
 // TakeoverReplied delivers the records that one host has of a cell's submissions.
 type TakeoverReplied struct {
 	From  identifier.HostID
 	Reply messenger.TakeoverReply
+	// HandedOver are the hosts that have left and whose records other hosts have.
+	HandedOver []messenger.Handover
 }
 
 // JobForwarded delivers a job from the host that its caller is connected to.
--- a/pkg/dispatcher/returns.go
+++ b/pkg/dispatcher/returns.go
@@ -44,11 +44,11 @@
 }
 
 // handleHostGone goes on without a host that is gone. The records it has not sent are missing,
-// unless it handed them over before it left.
+// unless it has handed them over.
 func (dispatcher *Dispatcher) handleHostGone(input *HostGone) {
 	dispatcher.recordHostVisibility(input.Host, !input.Left)
 	dispatcher.cells.Each(func(_ messenger.CellNumber, cell *cell) bool {
-		if cell.awaitedHosts[input.Host] && !input.Left {
+		if cell.awaitedHosts[input.Host] && !input.HandedOver {
 			cell.missingHosts[input.Host] = true
 		}
 		delete(cell.awaitedHosts, input.Host)
--- a/pkg/dispatcher/takeover.go
+++ b/pkg/dispatcher/takeover.go
@@ -101,6 +101,9 @@
 		dispatcher.mergeRecord(cell, input.From, record)
 	}
 	dispatcher.adoptAnswers(cell, input.Reply.Records)
+	for _, handover := range input.HandedOver {
+		delete(cell.missingHosts, handover.Host)
+	}
 	for _, host := range input.Reply.HostsWithoutState {
 		dispatcher.countHostWithoutState(cell, host)
 	}
--- a/pkg/messenger/peer.go
+++ b/pkg/messenger/peer.go
@@ -103,6 +103,16 @@
 	// MayLackState reports whether the sender may not have received the state of the other hosts yet,
 	// since it has just started or was isolated.
 	MayLackState bool `cbor:"7,keyasint,omitempty"`
+	// HandedOver are the hosts of the failure domain that have left and whose records the sender
+	// knows to be handed over.
+	HandedOver []Handover `cbor:"8,keyasint,omitempty"`
+}
+
+// Handover reports that a host which leaves has copied all its records to other hosts of its failure
+// domain.
+type Handover struct {
+	Host        identifier.HostID      `cbor:"1,keyasint"`
+	Incarnation identifier.Incarnation `cbor:"2,keyasint"`
 }
 
 // LeadNotice reports which host leads a cell.
