Keep a run until no unanswered start call can begin it again

Callers' tasks ran on two backend servers at the same time (TestLateStartReachesTheNextIncarnation; case 413 of TestServerStartsAgainUnderHarshFaultsAndResends).

Cause: a listed end, or an answered stop, counted as proof that a run is over. Only the server's process that listed it refuses a late call for the run. A start call without an answer, under way for 0.4 s, arrived after that process had ended, and the next one under the server's id began the run again, beside the task's next run.

Evidence: the trace with the lead's polls added. The lead took run 2 for over at 7.3265 s by the old process's list; the call reached the next process at 7.554 s; the lead's poll of that process at 7.5955 s had no answer when it granted run 4 at 7.661 s. In the placed cases of TestLateStartAfterAFailure the task runs elsewhere before the server's process has ended, so no rule about the next process can help.

Change: the host that makes the calls notifies the lead when it repeats a start (StartRepeat). A run with such a start stays at its server after its end, until an answer to a call made after the last possible arrival doesn't list it, or until the server's next process has answered under its higher fence; listed there, it goes on. A host withholds a granted run of a task whose last start got no answer, unless the lead says that it has settled that (EarlierSettled), and reports the start.

Why it works: the host knows each call without an answer, the lead alone can prove what a server does; the task isn't placed in between.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -175,6 +175,8 @@
 		allocator.handleRelease(input.From, input.Job)
 	case *StartReported:
 		allocator.handleStartReport(input)
+	case *StartRepeated:
+		allocator.handleStartRepeated(input)
 	case *PollReturned:
 		allocator.handlePoll(input)
 	case *StopReturned:
--- a/pkg/allocator/incarnations.go
+++ b/pkg/allocator/incarnations.go
@@ -143,8 +143,13 @@
 	}
 }
 
-// startWindow is how long after the grant a start may be repeated for lack of an answer.
-const startWindow = 700 * time.Millisecond
+const (
+	// startTransit is how long a start call may be under way before a process has received it.
+	startTransit = 400 * time.Millisecond
+	// startWindow is how long after the grant a start may arrive, which is repeated for lack of an
+	// answer.
+	startWindow = 300*time.Millisecond + startTransit
+)
 
 // lapsedRuns lists the runs of a silent server that are over once its leases have lapsed. Leases
 // lapse by the clock of the server's incarnation. A start that reaches another incarnation of the
@@ -155,12 +160,20 @@
 	if !server.report.Server.Dated() {
 		return runs
 	}
-	longest := startWindow + lease*1000/(1000-clockDriftPerMille) + lapseMargin
+	longest := lease*1000/(1000-clockDriftPerMille) + lapseMargin
 	return slices.DeleteFunc(runs, func(run *run) bool {
-		return !run.confirmed && !run.grantedAt.Add(longest).Due(now)
+		return !run.confirmed && !run.lastStartAt().Add(longest).Due(now)
 	})
 }
 
+// lastStartAt is the latest moment at which a start of the run may arrive.
+func (run *run) lastStartAt() identifier.Moment {
+	if run.isExpected() {
+		return run.unsettled.arrivesUntil
+	}
+	return run.grantedAt.Add(startWindow)
+}
+
 // confirmMoved records that a run which was granted on an earlier incarnation is at work on this
 // one.
 func (server *server) confirmMoved(known *run) {
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -54,6 +54,8 @@
 	hung int
 	// avoid is the server on which the last run failed.
 	avoid identifier.ServerIncarnation
+	// earlierSettled is set once the unsettled start of an earlier run is settled or awaited.
+	earlierSettled bool
 }
 
 func (job *job) task(index messenger.TaskIndex) *task {
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -59,6 +59,12 @@
 	Report messenger.StartReport
 }
 
+// StartRepeated reports that a start got no answer and is repeated.
+type StartRepeated struct {
+	From   identifier.HostID
+	Repeat messenger.StartRepeat
+}
+
 // HostGone reports that a host can't supervise its jobs any more.
 type HostGone struct{ Host identifier.HostID }
 
@@ -148,6 +154,7 @@
 func (*JobHandedOff) isAllocatorInput()       {}
 func (*CapacityReleased) isAllocatorInput()   {}
 func (*StartReported) isAllocatorInput()      {}
+func (*StartRepeated) isAllocatorInput()      {}
 func (*HostGone) isAllocatorInput()           {}
 func (*RemoteLeadChanged) isAllocatorInput()  {}
 func (*NoticeArrived) isAllocatorInput()      {}
--- a/pkg/allocator/polls.go
+++ b/pkg/allocator/polls.go
@@ -40,6 +40,7 @@
 		if server.hasOpenReplacement() {
 			call.Wait = 0
 		}
+		call.Wait = server.waitForExpected(allocator.now, call.Wait)
 		if !server.lossyUntil.Due(allocator.now) {
 			call.Wait = min(call.Wait, lossyWait)
 			slack = lossySlack
@@ -209,6 +210,7 @@
 	lapsed := server.lapsedRuns(allocator.now, allocator.Settings.Lease)
 	allocator.recordLossOfRuns(server, lapsed)
 	for _, run := range lapsed {
+		run.settleStart()
 		allocator.endRun(server, run, "lease lapsed")
 	}
 	if len(server.runs) > 0 {
@@ -221,6 +223,9 @@
 func (allocator *Allocator) handleRunList(server *server, input *PollReturned) {
 	server.readClock(allocator.now, input.Clock)
 	server.lastResponseAt = allocator.now
+	if server.matchesAnswering(input.Answering) {
+		server.answeredCallAt = input.SentAt
+	}
 	allocator.scheduleForget(server)
 	if server.silent {
 		server.silent = false
@@ -256,6 +261,9 @@
 func (allocator *Allocator) endUnlisted(server *server, listed map[messenger.RunKey]bool, sentAt identifier.Moment) {
 	for key, run := range server.runs {
 		if !listed[key] && run.absenceProvesEnd(sentAt) {
+			if run.isExpected() {
+				run.settleStart()
+			}
 			allocator.endRun(server, run, "not listed")
 		}
 	}
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -35,6 +35,8 @@
 	// suspect is set if servers may crash under the task: its server gets no other such task
 	// meanwhile.
 	suspect bool
+	// unsettled is set once a call for the run's start got no answer.
+	unsettled *unsettledStart
 	// assessedSlow is set once the run was counted against the server for taking too long.
 	assessedSlow bool
 }
@@ -75,12 +77,14 @@
 	}
 	server.used = server.used.Add(task.requested.Needs)
 	task.run = created
+	earlierSettled := task.earlierSettled
+	task.earlierSettled = false
 	allocator.timers.Set(overdueTimer(created), created.grantedAt.Add(created.overdueAfter(slowAfter)))
 	allocator.estimates.recordNeeds(task.requested.Needs)
 	allocator.poll(server)
 	return messenger.GrantedRun{
 		Task: key.Task, Run: key.Run, Server: server.report.Server, Address: server.report.Address, LeaseEnd: lease,
-		Account: task.account, Fence: server.fence,
+		Account: task.account, Fence: server.fence, EarlierSettled: earlierSettled,
 	}
 }
 
@@ -209,8 +213,11 @@
 }
 
 // endRun records that a run is provably over without having done its work. Its task is placed
-// again, unless too many of its runs have failed.
+// again, unless too many of its runs have failed. A run that a late call may begin again is kept.
 func (allocator *Allocator) endRun(server *server, ended *run, reason string) {
+	if allocator.awaitStart(server, ended) {
+		return
+	}
 	allocator.releaseRun(server, ended)
 	job := ended.job
 	if job == nil {
@@ -222,6 +229,7 @@
 		return
 	}
 	task.run = nil
+	task.earlierSettled = ended.unsettled != nil
 	allocator.logDecision(messenger.Decision{
 		Kind: messenger.DecisionRunOver, Job: ended.key.Job, Task: ended.key.Task, Run: ended.key.Run, Server: server.report.Server,
 		Reason: reason, Elapsed: allocator.now.Sub(ended.grantedAt), Epoch: allocator.epoch,
@@ -244,6 +252,7 @@
 // endAllRuns ends every run of a server.
 func (allocator *Allocator) endAllRuns(server *server, reason string) {
 	for _, run := range server.runsInOrder() {
+		run.settleStart()
 		allocator.endRun(server, run, reason)
 	}
 }
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -61,6 +61,8 @@
 	lossyUntil identifier.Moment
 	// lastResponseAt is when its last answer came.
 	lastResponseAt identifier.Moment
+	// answeredCallAt is when the last call was made that provably this incarnation has answered.
+	answeredCallAt identifier.Moment
 	// lastPollPartial is set if rows of the last answer could not be read.
 	lastPollPartial bool
 	// cursor is the highest number of an end of this incarnation that was handled.
--- a/pkg/allocator/startreports.go
+++ b/pkg/allocator/startreports.go
@@ -22,9 +22,17 @@
 		Kind: messenger.DecisionStartFailed, Job: key.Job, Task: key.Task, Run: key.Run, Server: run.server,
 		Reason: input.Report.Outcome.String(), Elapsed: allocator.now.Sub(run.grantedAt),
 	})
+	if unsettled := input.Report.Unsettled; unsettled != nil {
+		allocator.endRun(server, run, input.Report.Outcome.String())
+		allocator.awaitEarlierStart(job, task, *unsettled)
+		return
+	}
 	task.avoid = run.server
 	switch input.Report.Outcome {
 	case messenger.StartUnanswered:
+		if run.unsettled == nil && run.server.Dated() {
+			allocator.markUnsettled(run, messenger.UnsettledStart{RunKey: key, Server: input.Report.Server, Epoch: input.Report.Epoch})
+		}
 		allocator.stop(run, "its start got no answer")
 		return
 	case messenger.StartServerGone:
--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -187,6 +187,8 @@
 		coordinator.releaseCapacity(from, message.CapacityRelease)
 	case message.StartReport != nil:
 		coordinator.notifyAllocator(message.StartReport.Cell, &allocator.StartReported{From: from, Report: *message.StartReport})
+	case message.StartRepeat != nil:
+		coordinator.notifyAllocator(message.StartRepeat.Cell, &allocator.StartRepeated{From: from, Repeat: *message.StartRepeat})
 	case message.Grant != nil:
 		coordinator.notifySupervisor(&supervisor.GrantArrived{From: from, Grant: *message.Grant})
 	case message.CapacityAnswer != nil:
@@ -227,6 +229,8 @@
 		coordinator.send(output.To, PeerMessage{CapacityRequest: &output.Request})
 	case *supervisor.ReleaseCapacity:
 		coordinator.send(output.To, PeerMessage{CapacityRelease: &output.Release})
+	case *supervisor.ReportRepeat:
+		coordinator.send(output.To, PeerMessage{StartRepeat: &output.Repeat})
 	case *supervisor.ReportStart:
 		coordinator.send(output.To, PeerMessage{StartReport: &output.Report})
 	case *supervisor.StartRun:
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -40,6 +40,10 @@
 	harsh *harshFaults
 	// evacuations is nil if no failure domain is evacuated.
 	evacuations *evacuations
+	// disturbStart disturbs a start call; nil disturbs none.
+	disturbStart func(start *supervisor.StartRun) startDisturbance
+	// workOf returns how long a run takes and how it ends; nil draws both.
+	workOf func(key messenger.RunKey) (time.Duration, allocator.EndKind)
 	// chooseHost chooses the host that a report is sent to; nil chooses the first running one.
 	chooseHost func(report *messenger.ServerReport) *fakeHost
 	running    map[string]identifier.ServerIncarnation
@@ -79,6 +83,16 @@
 	unannounced bool
 }
 
+// startDisturbance is what happens to a start call.
+type startDisturbance struct {
+	// unanswered has the caller wait for an answer in vain.
+	unanswered bool
+	// arrives has an unanswered call arrive after the delay, at whichever process has the server's id
+	// then.
+	arrives bool
+	delay   time.Duration
+}
+
 type calledRun struct{ key messenger.RunKey }
 
 func taskOf(key messenger.RunKey) string { return fmt.Sprintf("%s/%d", key.Job, key.Task) }
@@ -257,6 +271,9 @@
 				For: output.For, Returned: supervisor.StartReturned{Run: start.Run, Server: start.Server, Epoch: start.Epoch, Outcome: outcome},
 			}})
 		}
+		if world.startDisturbed(start, started) {
+			return
+		}
 		world.call(host, start.Server, callTimeout, func(server *calledServer, reply func(func())) {
 			outcome := server.start(start)
 			reply(func() { started(outcome) })
@@ -283,6 +300,27 @@
 	}
 }
 
+// startDisturbed carries out a start call that is disturbed, and reports whether it is.
+func (world *calledWorld) startDisturbed(start *supervisor.StartRun, started func(outcome messenger.StartOutcome)) bool {
+	if world.disturbStart == nil {
+		return false
+	}
+	disturbance := world.disturbStart(start)
+	if !disturbance.unanswered {
+		return false
+	}
+	world.network.at(callTimeout, func() { started(messenger.StartUnanswered) })
+	if disturbance.arrives {
+		address := world.servers[start.Server].address
+		world.network.at(hop+disturbance.delay, func() {
+			if server := world.harsh.serverAt(address); server != nil {
+				server.start(start)
+			}
+		})
+	}
+	return true
+}
+
 func (world *calledWorld) poll(host *fakeHost, call *allocator.PollServer, tick func(allocator.Input)) {
 	returned := &allocator.PollReturned{
 		Server: call.Server, Sequence: call.Sequence, SentAt: identifier.Moment(world.network.now.Sub(host.startedAt)),
@@ -391,6 +429,9 @@
 	if world.harsh != nil && world.chance("long", 4) == 0 {
 		work *= longWorkFactor
 	}
+	if world.workOf != nil {
+		work, kind = world.workOf(start.Run)
+	}
 	world.network.at(work, func() { server.end(run, kind) })
 	if world.harsh != nil {
 		world.history = append(world.history, fmt.Sprintf("%v %s RUNS %s run %d epoch %d", time.Duration(world.network.now), server.report.Server, task, start.Run.Run, start.Epoch))
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -319,6 +319,7 @@
 	JobInquiry      *messenger.JobInquiry      `cbor:"62,keyasint,omitempty"`
 	JobInquiryReply *messenger.JobInquiryReply `cbor:"63,keyasint,omitempty"`
 	JobElsewhere    *messenger.JobHandoff      `cbor:"64,keyasint,omitempty"`
+	StartRepeat     *messenger.StartRepeat     `cbor:"66,keyasint,omitempty"`
 	// CellUpdate holds only those reports of a cell that have changed.
 	CellUpdate *messenger.StoredCell `cbor:"65,keyasint,omitempty"`
 }
--- a/pkg/messenger/capacity.go
+++ b/pkg/messenger/capacity.go
@@ -106,6 +106,9 @@
 	Account budgeter.Account `cbor:"6,keyasint,omitzero"`
 	// Fence is the epoch to use in the start, at or above the lead's; zero means the lead's.
 	Fence identifier.Epoch `cbor:"7,keyasint,omitempty"`
+	// EarlierSettled reports that no call for an unsettled start of an earlier run of the task can begin
+	// that run any more.
+	EarlierSettled bool `cbor:"8,keyasint,omitempty"`
 }
 
 // CapacityAnswer is the answer to a request for capacity that isn't granted at once.
@@ -231,8 +234,8 @@
 	StartServerGone
 	// StartUnanswered means that it is unknown whether the backend server has the run.
 	StartUnanswered
-	// StartWithheld means that the call wasn't made, since the failure domain is evacuated or the
-	// host was suspended when the run was granted.
+	// StartWithheld means that the call wasn't made, since the failure domain is evacuated, the host
+	// was suspended when the run was granted, or a start of an earlier run of the task is unsettled.
 	StartWithheld
 )
 
@@ -245,6 +248,25 @@
 	Cell  CellNumber       `cbor:"4,keyasint,omitempty"`
 	// Server is the called server. Runs of two submissions of a job may have the same number.
 	Server identifier.ServerIncarnation `cbor:"5,keyasint"`
+	// Unsettled is the start of an earlier run because of which this one was withheld.
+	Unsettled *UnsettledStart `cbor:"6,keyasint,omitempty"`
+}
+
+// UnsettledStart is a start of which a call got no answer and may still arrive. A backend server whose
+// run has ended refuses the call; its next process would start the run again.
+type UnsettledStart struct {
+	RunKey RunKey                       `cbor:"1,keyasint"`
+	Server identifier.ServerIncarnation `cbor:"2,keyasint"`
+	// Epoch is the epoch of the call.
+	Epoch identifier.Epoch `cbor:"3,keyasint"`
+	// Age is how long ago the last call was made.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// StartRepeat notifies a lead that a start got no answer and is repeated.
+type StartRepeat struct {
+	Start UnsettledStart `cbor:"1,keyasint"`
+	Cell  CellNumber     `cbor:"2,keyasint,omitempty"`
 }
 
 // StartOrder asks another host to call a backend server in order to start a run there.
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -59,12 +59,18 @@
 		job.lastRun = max(job.lastRun, run.Run)
 		job.spec.Tasks[run.Task].Account.Merge(run.Account)
 		task := &job.tasks[run.Task]
-		task.start = &StartRun{
+		if task.mustWithhold(&run) {
+			task.ended = true
+			unsettled := supervisor.unsettled(task)
+			supervisor.withholdRun(group, &input.Grant, &run, &unsettled)
+			continue
+		}
+		task.unanswered, task.ended = false, false
+		supervisor.call(task, &StartRun{
 			Server: run.Server, Address: run.Address, Run: messenger.RunKey{Job: job.spec.Job, Task: run.Task, Run: run.Run},
 			Epoch: cmp.Or(run.Fence, input.Grant.Epoch), LeaseEnd: run.LeaseEnd, Payload: job.spec.Payload,
 			FailureDomain: group.cell.FailureDomain, Service: job.spec.Service,
-		}
-		supervisor.emit(task.start)
+		})
 	}
 }
 
@@ -77,13 +83,19 @@
 func (supervisor *Supervisor) withhold(job *job, group *group, grant *messenger.Grant) {
 	for _, run := range grant.Runs {
 		job.lastRun = max(job.lastRun, run.Run)
-		supervisor.emit(&ReportStart{To: group.lead, Report: messenger.StartReport{
-			RunKey: messenger.RunKey{Job: grant.Job, Task: run.Task, Run: run.Run}, Outcome: messenger.StartWithheld,
-			Epoch: cmp.Or(run.Fence, grant.Epoch), Cell: group.cell.Cell, Server: run.Server,
-		}})
+		supervisor.withholdRun(group, grant, &run, nil)
 	}
 }
 
+// withholdRun reports to the lead that a granted run isn't started, and because of which unsettled
+// start, if any.
+func (supervisor *Supervisor) withholdRun(group *group, grant *messenger.Grant, run *messenger.GrantedRun, unsettled *messenger.UnsettledStart) {
+	supervisor.emit(&ReportStart{To: group.lead, Report: messenger.StartReport{
+		RunKey: messenger.RunKey{Job: grant.Job, Task: run.Task, Run: run.Run}, Outcome: messenger.StartWithheld,
+		Epoch: cmp.Or(run.Fence, grant.Epoch), Cell: group.cell.Cell, Server: run.Server, Unsettled: unsettled,
+	}})
+}
+
 // maxStartRepeats bounds how often an unanswered start call is repeated. Three calls of 150 ms
 // take less than half of the lease under which a run may start.
 const maxStartRepeats = 2
@@ -104,13 +116,16 @@
 	if !task.matchesLastStart(input) {
 		return // Another run has been granted since; the lead knows what became of this one.
 	}
+	if outcome == messenger.StartUnanswered {
+		task.unanswered = true
+	}
+	if task.ended {
+		return // The lead finds out whether a call begins the run again.
+	}
 	if !task.done {
 		switch {
 		case outcome == messenger.StartUnanswered && task.start.Repeats < maxStartRepeats && !supervisor.evacuations.Has(task.start.FailureDomain):
-			repeated := *task.start
-			repeated.Repeats++
-			task.start = &repeated
-			supervisor.emit(task.start)
+			supervisor.repeatCall(task)
 			supervisor.logDecision(messenger.Decision{
 				Kind: messenger.DecisionStartRepeated, Job: job.spec.Job, Task: input.Run.Task, Run: input.Run.Run, Server: task.start.Server,
 				Tasks: task.start.Repeats, Elapsed: supervisor.now.Sub(job.arrivedAt), Epoch: input.Epoch,
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -123,6 +123,12 @@
 	Release messenger.CapacityRelease
 }
 
+// ReportRepeat reports to a lead that a start is repeated.
+type ReportRepeat struct {
+	To     identifier.HostID
+	Repeat messenger.StartRepeat
+}
+
 // ReportStart reports to a lead a start that was not accepted.
 type ReportStart struct {
 	To     identifier.HostID
@@ -177,6 +183,7 @@
 
 func (*RequestCapacity) isSupervisorOutput() {}
 func (*ReleaseCapacity) isSupervisorOutput() {}
+func (*ReportRepeat) isSupervisorOutput()    {}
 func (*ReportStart) isSupervisorOutput()     {}
 func (*StartRun) isSupervisorOutput()        {}
 func (*JobEnded) isSupervisorOutput()        {}
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -123,6 +123,12 @@
 	// start is the call that starts the last granted run; nil if there is none or if that run is
 	// known to have ended.
 	start *StartRun
+	// calledAt is when the last call for start was made.
+	calledAt identifier.Moment
+	// unanswered is set once a call for start got no answer.
+	unanswered bool
+	// ended is set once another run was granted and withheld: the run of start has ended.
+	ended bool
 }
 
 // Tick applies the inputs, handles the timers that are due at now and returns the outputs for its
--- a/pkg/supervisor/supervisor_test.go
+++ b/pkg/supervisor/supervisor_test.go
@@ -72,7 +72,9 @@
 	case "left":
 		inputs = append(inputs, &supervisor.CallerLeft{Waiter: supervisor.WaiterID(waiter), Job: id})
 	case "grant":
-		granted := messenger.GrantedRun{Task: key.Task, Run: key.Run, Server: "s1", Address: "address of s1", LeaseEnd: 1000}
+		granted := messenger.GrantedRun{
+			Task: key.Task, Run: key.Run, Server: scanServer(t, data), Address: "address of s1", LeaseEnd: 1000, EarlierSettled: data.HasArg("settled"),
+		}
 		inputs = append(inputs, &supervisor.GrantArrived{From: from, Grant: messenger.Grant{
 			Job: id, Epoch: identifier.Epoch(epoch), Runs: []messenger.GrantedRun{granted}, RequestNumber: scenario.requestNumber(data, from, id),
 		}})
@@ -92,8 +94,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := identifier.ServerIncarnation(cmp.Or(scanString(t, data, "server"), "s1"))
-		inputs = append(inputs, &supervisor.StartReturned{Run: key, Server: server, Outcome: outcome, Epoch: identifier.Epoch(epoch)})
+		inputs = append(inputs, &supervisor.StartReturned{Run: key, Server: scanServer(t, data), Outcome: outcome, Epoch: identifier.Epoch(epoch)})
 	case "evacuate":
 		inputs = append(inputs, &supervisor.EvacuationsChanged{Evacuated: messenger.EvacuatedDomains{identifier.FailureDomain(scanString(t, data, "domain"))}})
 	case "host-ends":
@@ -150,6 +151,16 @@
 	return tasks
 }
 
+// scanServer returns the server of a command. With the argument born its id is dated.
+func scanServer(t *testing.T, data *datadriven.TestData) identifier.ServerIncarnation {
+	server, born := cmp.Or(scanString(t, data, "server"), "s1"), int64(0)
+	data.MaybeScanArgs(t, "born", &born)
+	if born == 0 {
+		return identifier.ServerIncarnation(server)
+	}
+	return identifier.NewServerIncarnation(identifier.BackendServerID(server), identifier.UnixMilliseconds(born))
+}
+
 func scanString(t *testing.T, data *datadriven.TestData, key string) string {
 	var text string
 	data.MaybeScanArgs(t, key, &text)
@@ -166,8 +177,10 @@
 		case *supervisor.ReleaseCapacity:
 			fmt.Fprintf(&lines, "release %s at %s\n", output.Release.Job, output.To)
 		case *supervisor.ReportStart:
-			fmt.Fprintf(&lines, "report %s task %d run %d to %s: %s\n", output.Report.RunKey.Job, output.Report.RunKey.Task,
-				output.Report.RunKey.Run, output.To, output.Report.Outcome)
+			fmt.Fprintf(&lines, "report %s task %d run %d to %s: %s%s\n", output.Report.RunKey.Job, output.Report.RunKey.Task,
+				output.Report.RunKey.Run, output.To, output.Report.Outcome, showUnsettled(output.Report.Unsettled))
+		case *supervisor.ReportRepeat:
+			fmt.Fprintf(&lines, "report to %s that a start is repeated%s\n", output.To, showUnsettled(&output.Repeat.Start))
 		case *supervisor.StartRun:
 			fmt.Fprintf(&lines, "start %s task %d run %d on %s epoch %d\n", output.Run.Job, output.Run.Task, output.Run.Run, output.Server, output.Epoch)
 		case *supervisor.JobEnded:
@@ -176,3 +189,11 @@
 	}
 	return lines.String()
 }
+
+func showUnsettled(start *messenger.UnsettledStart) string {
+	if start == nil {
+		return ""
+	}
+	return fmt.Sprintf(", unsettled: %s task %d run %d on %s epoch %d, called %v ago",
+		start.RunKey.Job, start.RunKey.Task, start.RunKey.Run, start.Server, start.Epoch, start.Age)
+}
