Guard reports of repeated starts against unknown tasks, and word two functions

A repeat that names a task which the job doesn't have would have taken a run for it; an age below zero would have prolonged the wait. mayHoldMissingRecords tells the two states of a missing host apart in one place.

--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -67,6 +67,10 @@
 	return &task{}
 }
 
+func (job *job) hasTask(index messenger.TaskIndex) bool {
+	return slices.ContainsFunc(job.tasks, func(task task) bool { return task.requested.Task == index })
+}
+
 func (server *server) runsInOrder() []*run {
 	runs := make([]*run, 0, len(server.runs))
 	for _, run := range server.runs {
@@ -119,7 +123,7 @@
 // requeueTasks queues tasks of a job that were requested from another cell's lead in vain.
 func (allocator *Allocator) requeueTasks(job *job, tasks []messenger.TaskRequest) {
 	for _, requested := range tasks {
-		if !slices.ContainsFunc(job.tasks, func(task task) bool { return task.requested.Task == requested.Task }) {
+		if !job.hasTask(requested.Task) {
 			job.tasks = append(job.tasks, task{requested: requested, account: requested.Account})
 		}
 	}
--- a/pkg/allocator/unsettled.go
+++ b/pkg/allocator/unsettled.go
@@ -24,7 +24,7 @@
 }
 
 func (allocator *Allocator) newUnsettledStart(call messenger.UnsettledStart) *unsettledStart {
-	return &unsettledStart{call: call, arrivesUntil: allocator.now.Add(startTransit - call.Age)}
+	return &unsettledStart{call: call, arrivesUntil: allocator.now.Add(startTransit - max(call.Age, 0))}
 }
 
 // handleStartRepeated records that a start of a run is unsettled. If the run has ended and its task
@@ -33,7 +33,7 @@
 func (allocator *Allocator) handleStartRepeated(input *StartRepeated) {
 	call := input.Repeat.Start
 	job := allocator.jobs.Get(call.RunKey.Job)
-	if job == nil || job.from != input.From {
+	if job == nil || job.from != input.From || !job.hasTask(call.RunKey.Task) {
 		return
 	}
 	task := job.task(call.RunKey.Task)
@@ -84,7 +84,7 @@
 // awaitEarlierStart makes a task that waits for capacity wait until no call can begin an earlier run of
 // it again.
 func (allocator *Allocator) awaitEarlierStart(job *job, task *task, call messenger.UnsettledStart) {
-	if job.closed || task.done || task.run != nil || task.requested.Task != call.RunKey.Task {
+	if job.closed || task.done || task.run != nil {
 		return
 	}
 	task.earlierSettled = true
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -204,20 +204,18 @@
 	return missing
 }
 
-// mayHoldMissingRecords reports whether a host may have records that no host which can be reached
-// has.
+// mayHoldMissingRecords reports whether a host may have records that no reachable host has: it has
+// died, or it has left without a handover, since it saw no host that could receive them.
 func (coordinator *Coordinator) mayHoldMissingRecords(state gossiper.State) bool {
-	if coordinator.hasMissedLeave(state) {
+	switch state.Status {
+	case gossiper.StatusDead:
 		return true
+	case gossiper.StatusLeft:
+		isSelf := state.Member.Host == coordinator.Self.Host
+		return !isSelf && !coordinator.isLeaving(state) && !coordinator.handovers.isHandedOver(state)
+	default:
+		return false
 	}
-	return state.Status == gossiper.StatusDead
-}
-
-// hasMissedLeave reports whether a host has left and nobody is known to have its records. It didn't
-// see this host when it left.
-func (coordinator *Coordinator) hasMissedLeave(state gossiper.State) bool {
-	return state.Status == gossiper.StatusLeft && state.Member.Host != coordinator.Self.Host &&
-		!coordinator.connected[state.Member.Host] && !coordinator.handovers.isHandedOver(state)
 }
 
 // inOwnDomain reports whether a host belongs to the own failure domain.
