Name awaited runs and the wait for receipts one way, and shorten comments

No change of behaviour: the placed tests of both faults and the tests of allocator and supervisor pass.

--- a/pkg/allocator/crashes.go
+++ b/pkg/allocator/crashes.go
@@ -23,7 +23,7 @@
 	}
 	evidence := allocator.crashes.Record(allocator.now, len(runs))
 	for _, run := range runs {
-		if run.job == nil || run.isExpected() {
+		if run.job == nil || run.isAwaited() {
 			continue
 		}
 		task := run.job.task(run.key.Task)
--- a/pkg/allocator/incarnations.go
+++ b/pkg/allocator/incarnations.go
@@ -146,9 +146,8 @@
 const (
 	// startTransit is how long a start call may be under way before a process has received it.
 	startTransit = 400 * time.Millisecond
-	// startWindow is how long after the grant a start may arrive, which is repeated for lack of an
-	// answer.
-	startWindow = 300*time.Millisecond + startTransit
+	// startRepeatWindow is how long after the grant a start call may be repeated for lack of an answer.
+	startRepeatWindow = 300 * time.Millisecond
 )
 
 // lapsedRuns lists the runs of a silent server that are over once its leases have lapsed. Leases
@@ -168,10 +167,10 @@
 
 // lastStartAt is the latest moment at which a start of the run may arrive.
 func (run *run) lastStartAt() identifier.Moment {
-	if run.isExpected() {
+	if run.isAwaited() {
 		return run.unsettled.arrivesUntil
 	}
-	return run.grantedAt.Add(startWindow)
+	return run.grantedAt.Add(startRepeatWindow + startTransit)
 }
 
 // confirmMoved records that a run which was granted on an earlier incarnation is at work on this
--- a/pkg/allocator/polls.go
+++ b/pkg/allocator/polls.go
@@ -40,7 +40,7 @@
 		if server.hasOpenReplacement() {
 			call.Wait = 0
 		}
-		call.Wait = server.waitForExpected(allocator.now, call.Wait)
+		call.Wait = server.waitForAwaited(allocator.now, call.Wait)
 		if !server.lossyUntil.Due(allocator.now) {
 			call.Wait = min(call.Wait, lossyWait)
 			slack = lossySlack
@@ -261,7 +261,7 @@
 func (allocator *Allocator) endUnlisted(server *server, listed map[messenger.RunKey]bool, sentAt identifier.Moment) {
 	for key, run := range server.runs {
 		if !listed[key] && run.absenceProvesEnd(sentAt) {
-			if run.isExpected() {
+			if run.isAwaited() {
 				run.settleStart()
 			}
 			allocator.endRun(server, run, "not listed")
--- a/pkg/allocator/unsettled.go
+++ b/pkg/allocator/unsettled.go
@@ -9,17 +9,15 @@
 
 // unsettledStart is a start of which a call got no answer and may still arrive.
 //
-// When the run has ended, its server's process refuses the call. The next process doesn't know the run:
-// it may run it already, or will when the call arrives, unless it was called under a higher fence
-// before. Without the wait, the task would be placed elsewhere and run twice; the log would show the
-// end of a run, its task on another server, and the same run on the server that has started again.
+// When the run has ended, its server's process refuses the call. The next process doesn't know the run
+// and begins it again when the call arrives, unless it was called under a higher fence before.
 type unsettledStart struct {
 	call messenger.UnsettledStart
 	// arrivesUntil is until when a call may arrive.
 	arrivesUntil identifier.Moment
 	// awaited is set once the run has ended and its task waits until no call can begin it again.
 	awaited bool
-	// settled is set once no call can.
+	// settled is set once no call can begin the run again.
 	settled bool
 }
 
@@ -53,7 +51,7 @@
 		unsettled.arrivesUntil = max(unsettled.arrivesUntil, known.arrivesUntil)
 	}
 	run.unsettled = unsettled
-	if run.isExpected() {
+	if run.isAwaited() {
 		run.absentAfter = max(run.absentAfter, unsettled.arrivesUntil)
 	}
 }
@@ -98,7 +96,7 @@
 		if server.refuses(unsettled) {
 			return
 		}
-		awaited = allocator.expectRun(server, job, task, unsettled)
+		awaited = allocator.addAwaitedRun(server, job, task, unsettled)
 	}
 	allocator.unqueueTask(job, task)
 	allocator.assignRun(awaited, job)
@@ -118,24 +116,24 @@
 	return current
 }
 
-// expectRun adds a run that an unsettled start may begin, or has begun.
-func (allocator *Allocator) expectRun(server *server, job *job, task *task, unsettled *unsettledStart) *run {
+// addAwaitedRun adds a run that an unsettled start may begin, or has begun.
+func (allocator *Allocator) addAwaitedRun(server *server, job *job, task *task, unsettled *unsettledStart) *run {
 	unsettled.awaited = true
-	expected := &run{
+	awaited := &run{
 		key: unsettled.call.RunKey, server: server.report.Server, needs: task.requested.Needs, job: job, grantedAt: allocator.now,
 		absentAfter: max(unsettled.arrivesUntil, allocator.now), unsettled: unsettled, suspect: task.account.IsSuspect(),
 	}
-	expected.setExpectedTime(allocator.now, allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared))
-	allocator.attach(server, expected)
-	allocator.timers.Set(overdueTimer(expected), allocator.now.Add(expected.overdueAfter(slowAfter)))
+	awaited.setExpectedTime(allocator.now, allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared))
+	allocator.attach(server, awaited)
+	allocator.timers.Set(overdueTimer(awaited), allocator.now.Add(awaited.overdueAfter(slowAfter)))
 	if server.silent {
 		allocator.timers.Set(lapseTimer(server.report.Server), server.lapsesAt(allocator.now))
 	}
-	return expected
+	return awaited
 }
 
-// isExpected reports whether the run has ended, and may have begun again or still begin.
-func (run *run) isExpected() bool {
+// isAwaited reports whether the run has ended, and may have begun again or still begin.
+func (run *run) isAwaited() bool {
 	return run.unsettled != nil && run.unsettled.awaited && !run.confirmed
 }
 
@@ -146,11 +144,11 @@
 	}
 }
 
-// waitForExpected limits the wait of a call to the time after which a call can prove that no expected
-// run begins.
-func (server *server) waitForExpected(now identifier.Moment, wait time.Duration) time.Duration {
+// waitForAwaited limits the wait of a call to the time after which the next one can prove that no
+// awaited run begins.
+func (server *server) waitForAwaited(now identifier.Moment, wait time.Duration) time.Duration {
 	for _, run := range server.runs {
-		if run.isExpected() {
+		if run.isAwaited() {
 			wait = min(wait, max(run.absentAfter.Sub(now), 0)+time.Millisecond)
 		}
 	}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -292,7 +292,7 @@
 		coordinator.handovers.restart()
 		return
 	}
-	if coordinator.handovers.finish() {
+	if coordinator.handovers.announce() {
 		coordinator.outputs.add(&Drained{})
 	}
 }
--- a/pkg/coordinator/forgottenshutdown_test.go
+++ b/pkg/coordinator/forgottenshutdown_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestForgottenRunDuringAnAbsence guards against the same start of a submission that arrived while the
-// host was out of reach.
+// TestForgottenRunDuringAnAbsence guards against a second start, or the start of a refused submission, that
+// arrived while the host was out of reach.
 func TestForgottenRunDuringAnAbsence(t *testing.T) {
 	for _, first := range firstRuns {
 		for _, absence := range absences {
@@ -98,8 +98,8 @@
 	}
 }
 
-// TestForgottenAfterShutdownsBesideEmptyHosts guards against the same second start when the hosts that
-// shut down have started again without state.
+// TestForgottenAfterShutdownsBesideEmptyHosts guards against a second start, or the start of a refused
+// submission, beside hosts that shut down and have started again without state.
 func TestForgottenAfterShutdownsBesideEmptyHosts(t *testing.T) {
 	for _, first := range firstRuns {
 		for _, absence := range absences {
--- a/pkg/coordinator/handovers.go
+++ b/pkg/coordinator/handovers.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// handoverRetryInterval is how long a leaving host waits for a receipt before it sends its notice again.
+	// handoverRetryInterval is how long a leaving host waits for a receipt before it repeats its notice.
 	handoverRetryInterval = 200 * time.Millisecond
 	// handoverTimeout bounds the wait for receipts, which hosts of an earlier version don't send.
 	handoverTimeout = time.Second
@@ -43,16 +43,16 @@
 	}
 }
 
-// restart forgets the receipts of a handover after which this host had more to hand over.
+// restart forgets the receipts, since this host has more to hand over.
 func (handovers *handovers) restart() {
 	clear(handovers.confirmed)
 	handovers.retryAt = identifier.Never
 	handovers.endsAt = identifier.Never
 }
 
-// finish notifies the other living hosts that this one has handed over its records, and reports
-// whether all of them know or the time is over.
-func (handovers *handovers) finish() bool {
+// announce notifies the other living hosts that this one has handed over its records, and reports
+// whether all of them have confirmed that or the time is over.
+func (handovers *handovers) announce() bool {
 	now := handovers.coordinator.now
 	if handovers.endsAt == identifier.Never {
 		handovers.endsAt = now.Add(handoverTimeout)
@@ -102,6 +102,9 @@
 	handovers.coordinator.outputs.toPeer(from, PeerMessage{HandoverReceipt: true})
 }
 
+// handleReceipt records that a host knows of the handover of this one.
+func (handovers *handovers) handleReceipt(from identifier.HostID) { handovers.confirmed[from] = true }
+
 // adopt records the handovers that another host of the failure domain knows of.
 func (handovers *handovers) adopt(known []messenger.Handover) {
 	for _, handover := range known {
--- a/pkg/coordinator/latestart_test.go
+++ b/pkg/coordinator/latestart_test.go
@@ -134,9 +134,8 @@
 	{"another host starts", func(network *network) *fakeHost { return network.others(network.leadOf("leuven"))[0] }},
 }
 
-// TestLateStartAfterAFailure guards against a task that runs twice at the same time. The first start call
-// has no answer and is repeated; the repeated call starts the run, which fails, and the task is placed
-// elsewhere. The server starts again, and the first call reaches its next process.
+// TestLateStartAfterAFailure guards against a task that runs twice at the same time, since an unanswered
+// start call reaches the server's next process after the run that its repetition started has failed.
 func TestLateStartAfterAFailure(t *testing.T) {
 	for _, start := range startHosts {
 		for _, restartAt := range []time.Duration{0, 180 * time.Millisecond, 250 * time.Millisecond, 350 * time.Millisecond} {
@@ -158,8 +157,8 @@
 	}
 }
 
-// TestLateStartAfterAStop guards against the same when no start call has an answer, and the lead stops
-// the run and places the task elsewhere once the stop is answered.
+// TestLateStartAfterAStop guards against a task that runs twice at the same time, since an unanswered
+// start call reaches the server's next process after the lead has stopped the run.
 func TestLateStartAfterAStop(t *testing.T) {
 	for _, start := range startHosts {
 		for _, restartAt := range []time.Duration{500 * time.Millisecond, 550 * time.Millisecond, 600 * time.Millisecond, 650 * time.Millisecond} {
@@ -174,8 +173,8 @@
 	}
 }
 
-// TestLateStartRepeatedAfterItsEnd guards against the same when the first call starts the run, which
-// fails, while its answer is lost; its repetition arrives late. The task waits for room elsewhere.
+// TestLateStartRepeatedAfterItsEnd guards against a task that runs twice at the same time, since a start
+// call that is repeated after the end of its run reaches the server's next process.
 func TestLateStartRepeatedAfterItsEnd(t *testing.T) {
 	for _, start := range startHosts {
 		for _, room := range []time.Duration{100 * time.Millisecond, 149500 * time.Microsecond, 150 * time.Millisecond, 150200 * time.Microsecond, 150500 * time.Microsecond, 200 * time.Millisecond, 300 * time.Millisecond} {
@@ -203,8 +202,8 @@
 	}
 }
 
-// TestLateStartBeforeTheNextGrant guards against the same when the late call reaches the server's next
-// process before there is room elsewhere.
+// TestLateStartBeforeTheNextGrant guards against a task that runs twice at the same time, since an
+// unanswered start call has reached the server's next process before the task is placed elsewhere.
 func TestLateStartBeforeTheNextGrant(t *testing.T) {
 	for _, start := range startHosts {
 		for _, room := range []time.Duration{395 * time.Millisecond, 450 * time.Millisecond, 550 * time.Millisecond, 800 * time.Millisecond} {
@@ -230,8 +229,8 @@
 	}
 }
 
-// TestLateStartBeforeAnEvacuation guards against the same when the failure domain is evacuated and the
-// task goes to another one.
+// TestLateStartBeforeAnEvacuation guards against a task that runs twice at the same time, since an
+// unanswered start call reaches a server of a failure domain that was evacuated meanwhile.
 func TestLateStartBeforeAnEvacuation(t *testing.T) {
 	for _, start := range startHosts {
 		for _, test := range []struct {
@@ -260,8 +259,8 @@
 	}
 }
 
-// TestLateStartAfterAChangeOfLead guards against the same when the lead that knew of the unanswered call
-// shuts down before the call arrives.
+// TestLateStartAfterAChangeOfLead guards against a task that runs twice at the same time, since the lead
+// that knew of an unanswered start call shuts down before the call arrives.
 func TestLateStartAfterAChangeOfLead(t *testing.T) {
 	for _, leaveAt := range []time.Duration{155 * time.Millisecond, 180 * time.Millisecond, 230 * time.Millisecond} {
 		t.Run("lead shuts down after "+leaveAt.String(), func(t *testing.T) {
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -205,7 +205,7 @@
 }
 
 // mayHoldMissingRecords reports whether a host may have records that no reachable host has: it has
-// died, or it has left without a handover, since it saw no host that could receive them.
+// died, or it has left and no handover of its records is known.
 func (coordinator *Coordinator) mayHoldMissingRecords(state gossiper.State) bool {
 	switch state.Status {
 	case gossiper.StatusDead:
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -161,7 +161,7 @@
 	case message.Handover != nil:
 		coordinator.handovers.handleNotice(from, *message.Handover)
 	case message.HandoverReceipt:
-		coordinator.handovers.confirmed[from] = true
+		coordinator.handovers.handleReceipt(from)
 	case message.LeadNotice != nil:
 		coordinator.handleLeadNotice(from, *message.LeadNotice)
 	case message.Lookup != nil:
