Declare host capacities, server speeds and agreed layouts

Cause: hosts of unequal size and backend servers of unequal speed need fields in the membership, in server reports and in the configuration. Change: the types and optional wire fields only; nothing sets them yet, so encoded messages are unchanged.

--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -62,6 +62,8 @@
 	// Evacuations holds one state for each failure domain that an order has ever named,
 	// sorted by name.
 	Evacuations []EvacuationState `cbor:"7,keyasint,omitempty" json:"evacuations,omitempty"`
+	// Layouts holds the agreed layout of each failure domain that has one, sorted by name.
+	Layouts []Layout `cbor:"8,keyasint,omitempty" json:"layouts,omitempty"`
 }
 
 // Result is the answer to a change or an evacuation order.
@@ -135,6 +137,7 @@
 		Document:    change.Document,
 		Revision:    change.Revision,
 		Evacuations: newest.Evacuations,
+		Layouts:     newest.Layouts,
 	})
 }
 
--- a/pkg/gossiper/member.go
+++ b/pkg/gossiper/member.go
@@ -49,6 +49,8 @@
 	// Incarnation should be higher than that of the host's previous process, for example the wall
 	// clock at the start. If it is too low, it is raised as soon as a peer sends the higher one.
 	Incarnation identifier.Incarnation `cbor:"6,keyasint,omitempty"`
+	// Capacity is what the host has; zero amounts are not stated.
+	Capacity identifier.HostCapacity `cbor:"7,keyasint,omitzero"`
 }
 
 // State is a member with the newest that is known about it. States of one host are ordered by
--- a/pkg/identifier/resources.go
+++ b/pkg/identifier/resources.go
@@ -83,3 +83,22 @@
 	}
 	return min(count, fits)
 }
+
+// BitsPerSecond is the bandwidth of a network link.
+type BitsPerSecond int64
+
+// HostCapacity is what a host of the system has, as its own settings state it. A zero amount is not
+// stated.
+type HostCapacity struct {
+	MilliCPU    MilliCPU      `cbor:"1,keyasint,omitempty" json:"milli-cpu,omitempty"`
+	Memory      Bytes         `cbor:"2,keyasint,omitempty" json:"memory-bytes,omitempty"`
+	Descriptors int           `cbor:"3,keyasint,omitempty" json:"descriptors,omitempty"`
+	Link        BitsPerSecond `cbor:"4,keyasint,omitempty" json:"link-bits-per-second,omitempty"`
+}
+
+// Speed is how fast a backend server runs tasks, in thousandths of a usual server of its service.
+// Zero is not known.
+type Speed int32
+
+// UsualSpeed is the speed of a usual server.
+const UsualSpeed Speed = 1000
--- a/pkg/messenger/capacity.go
+++ b/pkg/messenger/capacity.go
@@ -326,6 +326,9 @@
 	Clock identifier.ServerTime `cbor:"9,keyasint,omitempty"`
 	// Gone means that the incarnation has ended.
 	Gone bool `cbor:"10,keyasint,omitempty"`
+	// Speed is what the lead of the server's cell has learned of it; zero is not known. Backend
+	// servers don't state it.
+	Speed identifier.Speed `cbor:"11,keyasint,omitempty"`
 }
 
 // StoredCell is what the keepers store about a cell for hosts that start without state: the
