Acquire no cell that the own layout doesn't have

Cause: see the test before: an announcement of a host with another number of cells created the cell here, and after that host's loss this one acquired it without having an allocator for it. Change: the elector decides on the cells of its own layout only. After: TestCellOutsideTheLayoutIsNotTaken passes; it failed before.

--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -99,7 +99,7 @@
 		elector.settlesAt = identifier.Never
 	}
 	elector.cells.Each(func(key cellKey, cell *cellEntity) bool {
-		if key.domain == elector.FailureDomain {
+		if elector.hasCell(key) {
 			elector.decide(key.cell, cell)
 		}
 		elector.reportLead(key, cell)
@@ -152,6 +152,12 @@
 	}
 }
 
+// hasCell reports whether a cell belongs to the own failure domain and to this host's layout of it.
+// Hosts with another layout may announce cells beyond it.
+func (elector *Elector) hasCell(key cellKey) bool {
+	return key.domain == elector.FailureDomain && int(key.cell) < elector.Cells
+}
+
 // cell returns the entity of a cell and creates it on first use.
 func (elector *Elector) cell(domain identifier.FailureDomain, cell identifier.CellID) *cellEntity {
 	key := cellKey{domain, cell}
