--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -44,6 +44,8 @@
 	disturbStart func(start *supervisor.StartRun) startDisturbance
 	// workOf returns how long a run takes and how it ends; nil draws both.
 	workOf func(key messenger.RunKey) (time.Duration, allocator.EndKind)
+	// jobEnded is called for each job that ends, unless it is nil.
+	jobEnded func(ended *supervisor.JobEnded)
 	// chooseHost chooses the host that a report is sent to; nil chooses the first running one.
 	chooseHost func(report *messenger.ServerReport) *fakeHost
 	running    map[string]identifier.ServerIncarnation
@@ -497,6 +499,9 @@
 
 func (world *calledWorld) handleJobEnded(ended *supervisor.JobEnded) {
 	delete(world.waiting, ended.Waiter)
+	if world.jobEnded != nil {
+		world.jobEnded(ended)
+	}
 	if world.harsh != nil {
 		world.harsh.handleJobEnded(ended)
 	}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -47,6 +48,8 @@
 	onDemand bool
 	// mayStart reports whether a start in a failure domain is allowed now; nil allows all.
 	mayStart func(domain identifier.FailureDomain) bool
+	// moves are the planned moves of leads.
+	moves []elector.MovePlanned
 	// drops reports whether a message between hosts is lost; nil loses none.
 	drops func(message coordinator.PeerMessage) bool
 }
@@ -99,6 +102,8 @@
 	leads map[messenger.CellNumber]bool
 	// keeperOnly is set if the host serves no callers.
 	keeperOnly bool
+	// processor is the processor capacity that the host states; 0 states none.
+	processor identifier.MilliCPU
 	// keeper makes the host a member of the replicated log.
 	keeper bool
 	// joinsKeepers is set if the host's keeper has no disk state that counts towards a quorum.
@@ -126,6 +131,7 @@
 		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
+		Capacity:      identifier.HostCapacity{MilliCPU: host.processor},
 	}
 }
 
@@ -360,6 +366,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.LeadMovePlanned:
+		network.moves = append(network.moves, output.Move)
 	case *coordinator.StoreCells:
 		host.cells = output.Cells
 	case *coordinator.Persist:
