Count leads of the own layout's cells only

Cause: hosts that count leads for the method of highest averages counted cells that only another host's layout has. Change: ownCells lists the cells of the own layout.

--- a/pkg/elector/moves.go
+++ b/pkg/elector/moves.go
@@ -27,11 +27,11 @@
 	dueAt identifier.Moment
 }
 
-// ownCells lists the numbers of the known cells of the own failure domain in ascending order.
+// ownCells lists the numbers of the cells of the own failure domain in ascending order.
 func (elector *Elector) ownCells() []identifier.CellID {
 	var ids []identifier.CellID
 	elector.cells.Each(func(key cellKey, _ *cellEntity) bool {
-		if key.domain == elector.FailureDomain {
+		if elector.hasCell(key) {
 			ids = append(ids, key.cell)
 		}
 		return true
