Assign duties and size limits by the capacity of hosts

Cause: starters, witnesses of digests, holders of cells, holders of copies and the targets of membership updates were chosen alike for hosts of all sizes, and limits for waiting and remembered jobs did not follow the host's memory. Change: pkg/ranker orders hosts by weighted rendezvous hashing; hosts of equal or unknown capacity keep their order. Connections, queued bytes and remembered jobs are lowered to what the stated capacity allows. stoathitch hosts and the status show the capacity.

--- a/pkg/commander/hosts.go
+++ b/pkg/commander/hosts.go
@@ -26,15 +26,15 @@
 	if command.JSON {
 		return command.terminal.printJSON(answers)
 	}
-	listed := &table{headers: []string{"HOST", "FAILURE-DOMAIN", "STATE", "ROLES", "CALLERS", "LEADS", "UNANSWERED", "CONFIG"}}
+	listed := &table{headers: []string{"HOST", "FAILURE-DOMAIN", "STATE", "ROLES", "CALLERS", "LEADS", "UNANSWERED", "CONFIG", "CAPACITY"}}
 	for _, answer := range answers {
 		status := answer.Status
 		if status == nil {
-			listed.add(string(answer.Host), string(answer.FailureDomain), "no answer ("+answer.Believed.String()+")", "-", answer.Callers, "-", "-", "-")
+			listed.add(string(answer.Host), string(answer.FailureDomain), "no answer ("+answer.Believed.String()+")", "-", answer.Callers, "-", "-", "-", "-")
 			continue
 		}
 		listed.add(string(status.Host), string(status.FailureDomain), stateOf(status), joined(status.Roles),
-			status.Callers, cellsOf(status), number(status.Unanswered), number(status.ConfigVersion))
+			status.Callers, cellsOf(status), number(status.Unanswered), number(status.ConfigVersion), status.Capacity.String())
 	}
 	return command.terminal.printTable(listed)
 }
--- a/pkg/coordinator/cellholders.go
+++ b/pkg/coordinator/cellholders.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 
@@ -10,18 +9,15 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/ranker"
 )
 
 // chooseHolders returns the keepers that store the state of a cell, at most count of them. The first
 // is one of the cell's own failure domain, which is within reach while that domain is cut off, and
 // the others are in different failure domains as far as there are enough. Rendezvous hashing gives
-// each keeper its share of the cells, and the loss of a keeper moves no other cell.
+// each keeper its share of the cells by its capacity, and the loss of a keeper moves no other cell.
 func chooseHolders(cell messenger.CellRef, keepers []gossiper.Member, count int) []identifier.HostID {
-	ranked := slices.Clone(keepers)
-	slices.SortFunc(ranked, func(first, second gossiper.Member) int {
-		order := cmp.Compare(holderWeight(cell, second.Host), holderWeight(cell, first.Host))
-		return cmp.Or(order, cmp.Compare(first.Host, second.Host))
-	})
+	ranked := rankMembers(keepers, func(host identifier.HostID) uint64 { return holderWeight(cell, host) })
 	var holders []identifier.HostID
 	used := make(map[identifier.FailureDomain]bool)
 	choose := func(eligible func(keeper gossiper.Member) bool) {
@@ -40,6 +36,24 @@
 	return holders
 }
 
+// rankMembers orders members for a duty by their capacity and their hash for it.
+func rankMembers(members []gossiper.Member, hash func(host identifier.HostID) uint64) []gossiper.Member {
+	candidates := make([]ranker.Candidate, len(members))
+	byHost := make(map[identifier.HostID]gossiper.Member, len(members))
+	for index, member := range members {
+		candidates[index] = ranker.Candidate{
+			Host: member.Host, Hash: hash(member.Host), Capacity: member.Capacity.OrUnknown().MilliCPU,
+		}
+		byHost[member.Host] = member
+	}
+	ranker.Rank(candidates)
+	ranked := make([]gossiper.Member, len(members))
+	for index, candidate := range candidates {
+		ranked[index] = byHost[candidate.Host]
+	}
+	return ranked
+}
+
 func holderWeight(cell messenger.CellRef, host identifier.HostID) uint64 {
 	buffer := binary.LittleEndian.AppendUint64([]byte(cell.FailureDomain), uint64(cell.Cell))
 	return xxhash.Sum64(append(buffer, host...))
--- a/pkg/coordinator/digests.go
+++ b/pkg/coordinator/digests.go
@@ -36,6 +36,7 @@
 		if state.Living() && member.Host != coordinator.Self.Host {
 			hosts = append(hosts, digester.Host{
 				ID: member.Host, FailureDomain: member.FailureDomain, Incarnation: member.Incarnation,
+				Processor: member.Capacity.OrUnknown().MilliCPU,
 			})
 		}
 	})
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/digester"
@@ -15,6 +17,7 @@
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/ranker"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
@@ -122,7 +125,9 @@
 	}
 	coordinator.notifiedDomains[domain] = version
 	entryHosts := coordinator.entryHostsIn(domain)
-	coordinator.notifyStarter(&starter.HostsChanged{FailureDomain: domain, Living: entryHosts})
+	coordinator.notifyStarter(&starter.HostsChanged{
+		FailureDomain: domain, Living: entryHosts, Processors: coordinator.domainView(domain).processors,
+	})
 	coordinator.notifyElector(elector.HostsChanged{
 		FailureDomain: domain, Living: entryHosts, Processors: coordinator.domainView(domain).processors,
 		MissingHosts: coordinator.countMissing(domain),
@@ -233,8 +238,28 @@
 	living := coordinator.livingIn(own)
 	coordinator.possiblyIsolated = len(living) == 1 && coordinator.countMissing(own) > 0
 	if !coordinator.possiblyIsolated {
-		coordinator.notifyForwarder(&forwarder.HostsChanged{Living: living})
+		coordinator.notifyForwarder(&forwarder.HostsChanged{Living: coordinator.inCopyOrder(living)})
+	}
+}
+
+// inCopyOrder returns the living hosts of the own failure domain in the order in which this host
+// requests copies from them: by id, or by weighted rendezvous hashing if their capacities differ.
+func (coordinator *Coordinator) inCopyOrder(living []identifier.HostID) []identifier.HostID {
+	processors := coordinator.domainView(coordinator.Self.FailureDomain).processors
+	candidates := make([]ranker.Candidate, len(living))
+	for index, host := range living {
+		hash := xxhash.Sum64String(string(coordinator.Self.Host) + " " + string(host))
+		candidates[index] = ranker.Candidate{Host: host, Hash: hash, Capacity: processors[host]}
+	}
+	if ranker.Alike(candidates) {
+		return living
+	}
+	ranker.Rank(candidates)
+	ordered := make([]identifier.HostID, len(living))
+	for index, candidate := range candidates {
+		ordered[index] = candidate.Host
 	}
+	return ordered
 }
 
 // recordServerContact records that a backend server has responded.
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -15,6 +15,8 @@
 	FailureDomain identifier.FailureDomain `json:"failure-domain"`
 	Roles         []gossiper.Role          `json:"roles"`
 	Callers       string                   `json:"callers-address"`
+	// Capacity is what the host states in its settings.
+	Capacity      identifier.HostCapacity  `json:"capacity,omitzero"`
 	Draining      bool                     `json:"draining"`
 	Unanswered    int                      `json:"unanswered"`
 	ConfigVersion identifier.ConfigVersion `json:"config-version"`
@@ -41,7 +43,9 @@
 	Status        gossiper.Status          `json:"status"`
 	Roles         []gossiper.Role          `json:"roles"`
 	Callers       string                   `json:"callers-address"`
-	ConfigVersion string                   `json:"config-version,omitempty"`
+	// Capacity is what the host states, if that is plausible.
+	Capacity      identifier.HostCapacity `json:"capacity,omitzero"`
+	ConfigVersion string                  `json:"config-version,omitempty"`
 }
 
 // CellStatus is the lead of a cell of the own failure domain.
@@ -70,6 +74,7 @@
 		Evacuated:     coordinator.evacuated(),
 		Roles:         coordinator.Self.Roles,
 		Callers:       coordinator.Self.Addresses.Callers,
+		Capacity:      coordinator.Self.Capacity,
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
 		Intents:       coordinator.intentDriver.status(),
@@ -102,6 +107,7 @@
 		Status:        state.Status,
 		Roles:         member.Roles,
 		Callers:       member.Addresses.Callers,
+		Capacity:      member.Capacity.OrUnknown(),
 		ConfigVersion: string(version.Value),
 	}
 }
--- a/pkg/digester/input.go
+++ b/pkg/digester/input.go
@@ -22,6 +22,8 @@
 	ID            identifier.HostID
 	FailureDomain identifier.FailureDomain
 	Incarnation   identifier.Incarnation
+	// Processor is the processor capacity that the host states; 0 is unknown.
+	Processor identifier.MilliCPU
 }
 
 // HostsChanged lists all other live hosts, of all failure domains, sorted by id.
--- a/pkg/digester/receivers.go
+++ b/pkg/digester/receivers.go
@@ -1,10 +1,13 @@
 package digester
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/ranker"
 )
 
 // receiver is a host to which this one sends the digests of its home.
@@ -75,20 +78,21 @@
 	return []Host{first, second}
 }
 
-// heaviest returns the eligible host with the highest weight, and false if there is none.
+// heaviest returns the eligible host that comes first by weighted rendezvous hashing, and false if
+// there is none.
 func (digester *Digester) heaviest(hosts []Host, eligible func(host Host) bool) (Host, bool) {
-	var heaviest Host
-	var highest uint64
+	var candidates []ranker.Candidate
 	for _, host := range hosts {
-		if !eligible(host) {
-			continue
-		}
-		weight := digester.weight(host)
-		if heaviest.ID == "" || weight > highest || weight == highest && host.ID < heaviest.ID {
-			heaviest, highest = host, weight
+		if eligible(host) {
+			candidates = append(candidates, ranker.Candidate{Host: host.ID, Hash: digester.weight(host), Capacity: host.Processor})
 		}
 	}
-	return heaviest, heaviest.ID != ""
+	if len(candidates) == 0 {
+		return Host{}, false
+	}
+	ranker.Rank(candidates)
+	first := slices.IndexFunc(hosts, func(host Host) bool { return host.ID == candidates[0].Host })
+	return hosts[first], true
 }
 
 func (digester *Digester) weight(host Host) uint64 {
--- a/pkg/gossiper/rumor.go
+++ b/pkg/gossiper/rumor.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/ranker"
 )
 
 // origin is how this host learned of an update.
@@ -140,12 +141,13 @@
 }
 
 // remoteTargets picks up to Settings.RemoteFanout random hosts outside, each of another failure
-// domain.
+// domain, in which it forwards the updates. Hosts are picked in proportion to their capacity.
 func (gossiper *Gossiper) remoteTargets() []identifier.HostID {
 	var targets []identifier.HostID
 	chosen := make(map[identifier.FailureDomain]bool)
 	candidates := gossiper.aliveHosts(false)
 	gossiper.shuffle(candidates)
+	gossiper.preferLarge(candidates)
 	for _, host := range candidates {
 		domain := gossiper.members.Get(host).state.Member.FailureDomain
 		if chosen[domain] {
@@ -160,6 +162,25 @@
 	return targets
 }
 
+// preferLarge orders hosts by weighted random hashes if their capacities differ.
+func (gossiper *Gossiper) preferLarge(hosts []identifier.HostID) {
+	candidates := make([]ranker.Candidate, len(hosts))
+	for index, host := range hosts {
+		capacity := gossiper.members.Get(host).state.Member.Capacity.OrUnknown().MilliCPU
+		candidates[index] = ranker.Candidate{Host: host, Capacity: capacity}
+	}
+	if ranker.Alike(candidates) {
+		return
+	}
+	for index := range candidates {
+		candidates[index].Hash = gossiper.random.Uint64()
+	}
+	ranker.Rank(candidates)
+	for index, candidate := range candidates {
+		hosts[index] = candidate.Host
+	}
+}
+
 // piggyback adds updates to a probe or an answer.
 func (gossiper *Gossiper) piggyback(message *Message, local bool) {
 	added := 0
--- a/pkg/identifier/hostcapacity.go
+++ b/pkg/identifier/hostcapacity.go
@@ -1,7 +1,8 @@
 package identifier
 
 import (
-	"fmt"
+	"math"
+	"strconv"
 	"strings"
 )
 
@@ -50,16 +51,20 @@
 	return hostCapacity
 }
 
-// String lists the stated amounts, or "-" if there are none.
+// String lists the stated amounts, such as "0.48cpu,424MiB,10250fd,62Mbit/s", or "-" if there are none.
 func (hostCapacity HostCapacity) String() string {
 	var stated []string
-	for _, amount := range hostCapacity.Amounts() {
-		if amount.Value != 0 {
-			stated = append(stated, fmt.Sprintf("%s=%d", amount.Name, amount.Value))
+	add := func(amount float64, unit string) {
+		if amount != 0 {
+			stated = append(stated, strconv.FormatFloat(amount, 'f', -1, 64)+unit)
 		}
 	}
+	add(float64(hostCapacity.MilliCPU)/1e3, "cpu")
+	add(math.Round(float64(hostCapacity.Memory)/(1<<20)), "MiB")
+	add(float64(hostCapacity.Descriptors), "fd")
+	add(float64(hostCapacity.Link)/1e6, "Mbit/s")
 	if len(stated) == 0 {
 		return "-"
 	}
-	return strings.Join(stated, " ")
+	return strings.Join(stated, ",")
 }
--- a/pkg/loader/capacity.go
+++ b/pkg/loader/capacity.go
@@ -2,6 +2,21 @@
 
 import "github.com/stoathitch/stoathitch/pkg/identifier"
 
+const (
+	// listenerDescriptorPart is the part of a host's descriptors that the connections of one address
+	// may use: nearly all of them are callers' connections, on one address.
+	listenerDescriptorPart = 2
+	// waitingMemoryPart and recordMemoryPart are the parts of a host's memory that the bodies of
+	// waiting jobs and the remembered jobs may use. The other half is for what runs.
+	waitingMemoryPart = 4
+	recordMemoryPart  = 4
+	// recordBytes is the memory of a remembered job: 1,338 bytes with an answer of four tasks of 100
+	// bytes, measured by go test ./pkg/forwarder -run '^$' -bench Records -benchtime 200000x.
+	recordBytes = 1338
+	// minJobsInMemory keeps a host useful whose stated memory is very small.
+	minJobsInMemory = 1000
+)
+
 // Capacity is what this host has. The other hosts learn it with the membership, and
 // give the larger duties to the larger hosts. An amount that is left out is unknown.
 type Capacity struct {
@@ -35,3 +50,19 @@
 		}
 	}
 }
+
+// FitCapacity lowers the limits that this host could not keep with its stated capacity: the
+// connections of an address, the bodies of waiting jobs, and the remembered jobs. Without a stated
+// amount the limits stay.
+func (settings *Settings) FitCapacity() {
+	if descriptors := settings.Capacity.Descriptors; descriptors > 0 {
+		lower(&settings.Connections.PerListener, max(descriptors/listenerDescriptorPart, minConnections))
+	}
+	if memory := settings.Capacity.Memory; memory > 0 {
+		limits := &settings.Limits
+		lower(&limits.QueuedPayload, max(memory/waitingMemoryPart, limits.Payload, limits.RequestBody))
+		lower(&limits.JobsInMemory, max(int(memory/recordMemoryPart/recordBytes), minJobsInMemory))
+	}
+}
+
+func lower[T int | identifier.Bytes](limit *T, most T) { *limit = min(*limit, most) }
--- a/pkg/loader/configuration.go
+++ b/pkg/loader/configuration.go
@@ -102,6 +102,7 @@
 	}
 	if configuration.Limits != nil {
 		settings.Limits = *configuration.Limits
+		settings.FitCapacity()
 	}
 	if tuning := configuration.Dispatch; tuning != nil {
 		settings.Dispatch.RetryBudgetRatio = tuning.RetryBudgetRatio
--- a/pkg/loader/connections.go
+++ b/pkg/loader/connections.go
@@ -35,9 +35,12 @@
 	HandshakeTimeout Duration `json:"handshake-timeout"`
 }
 
+// minConnections is the least number of connections that an address takes.
+const minConnections = 16
+
 func (checker *checker) checkConnections() {
 	connections := &checker.settings.Connections
-	between(checker, "connections.per-listener", connections.PerListener, 16, 1_000_000)
+	between(checker, "connections.per-listener", connections.PerListener, minConnections, 1_000_000)
 	between(checker, "connections.streams", connections.Streams, 1, 1000)
 	between(checker, "connections.message-bytes", connections.Message, 1<<20, 1<<30)
 	// gRPC probes no more often than this.
--- a/pkg/loader/load.go
+++ b/pkg/loader/load.go
@@ -46,6 +46,7 @@
 	if err := reporter.err(); err != nil {
 		return nil, err
 	}
+	settings.FitCapacity()
 	return &settings, nil
 }
 
--- a/pkg/loader/parse_test.go
+++ b/pkg/loader/parse_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+// TestLimitsFitTheCapacity guards against a small host that runs out of memory or descriptors under
+// limits that are meant for a larger one.
+func TestLimitsFitTheCapacity(t *testing.T) {
+	settings := loader.Defaults()
+	settings.Capacity = loader.Capacity{Memory: 144 << 20, Descriptors: 3075}
+	settings.FitCapacity()
+	limits := settings.Limits
+	if settings.Connections.PerListener != 1537 || limits.QueuedPayload != 36<<20 || limits.JobsInMemory != 28212 {
+		t.Errorf("limits %+v, %d connections", limits, settings.Connections.PerListener)
+	}
+	document, err := loader.ParseConfiguration("document", []byte(`{"limits": {"queued-bytes": 268435456}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	document.Fill(&settings)
+	if settings.Limits != limits {
+		t.Errorf("the configuration sets limits %+v", settings.Limits)
+	}
+}
+
 func TestLoadNamesUnreadableFile(t *testing.T) {
 	_, err := loader.Load("testdata/no-such-file.json")
 	var failure *loader.Error
--- a/pkg/loader/settings.go
+++ b/pkg/loader/settings.go
@@ -55,7 +55,8 @@
 	// Log says what is logged.
 	Log Log `json:"log,omitzero"`
 
-	// Capacity is what this host has, such as its share of processors.
+	// Capacity is what this host has, such as its share of processors. It bounds
+	// connections.per-listener, limits.queued-bytes and limits.jobs-in-memory.
 	Capacity Capacity `json:"capacity,omitzero"`
 
 	// Limits bounds what callers may send and what this host holds in memory.
--- a/pkg/starter/choosing.go
+++ b/pkg/starter/choosing.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/ranker"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
@@ -38,16 +39,25 @@
 	}
 	set := slices.Clone(starter.liveHosts[start.FailureDomain])
 	if most := starter.maxStarters(start.Service); len(set) > most {
-		slices.SortFunc(set, func(first, second identifier.HostID) int {
-			order := cmp.Compare(rendezvousWeight(server, second), rendezvousWeight(server, first))
-			return cmp.Or(order, cmp.Compare(first, second))
-		})
-		set = set[:most]
+		set = starter.rank(server, set)[:most]
 	}
 	starter.starterSets[server] = set
 	return set
 }
 
+// rank orders the hosts for a server, so that larger hosts are starters of more servers.
+func (starter *Starter) rank(server identifier.BackendServerID, hosts []identifier.HostID) []identifier.HostID {
+	candidates := make([]ranker.Candidate, len(hosts))
+	for index, host := range hosts {
+		candidates[index] = ranker.Candidate{Host: host, Hash: rendezvousWeight(server, host), Capacity: starter.processors[host]}
+	}
+	ranker.Rank(candidates)
+	for index, candidate := range candidates {
+		hosts[index] = candidate.Host
+	}
+	return hosts
+}
+
 // maxStarters returns how many starters a server of a service may have.
 func (starter *Starter) maxStarters(service identifier.ServiceName) int {
 	return max(starter.startConnectionLimit(service)/starter.Settings.HostConnections, 1)
--- a/pkg/starter/messages.go
+++ b/pkg/starter/messages.go
@@ -34,6 +34,8 @@
 type HostsChanged struct {
 	FailureDomain identifier.FailureDomain
 	Living        []identifier.HostID
+	// Processors are the processor capacities that living hosts state.
+	Processors map[identifier.HostID]identifier.MilliCPU
 }
 
 // PeerConnectionChanged reports whether this host has a connection to another host.
--- a/pkg/starter/starter.go
+++ b/pkg/starter/starter.go
@@ -12,6 +12,7 @@
 package starter
 
 import (
+	"maps"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -58,6 +59,8 @@
 	now identifier.Moment
 	// liveHosts holds the live entry hosts of each failure domain, in the order of their ids.
 	liveHosts map[identifier.FailureDomain][]identifier.HostID
+	// processors holds the processor capacities that live hosts state.
+	processors map[identifier.HostID]identifier.MilliCPU
 	// connected holds the hosts to which this host has a connection.
 	connected map[identifier.HostID]bool
 	// connectionLimits holds how many connections a server of each service accepts.
@@ -108,6 +111,7 @@
 		return
 	}
 	starter.liveHosts = make(map[identifier.FailureDomain][]identifier.HostID)
+	starter.processors = make(map[identifier.HostID]identifier.MilliCPU)
 	starter.connected = make(map[identifier.HostID]bool)
 	starter.connectionLimits = make(map[identifier.ServiceName]int)
 	starter.starterSets = make(map[identifier.BackendServerID][]identifier.HostID)
@@ -126,6 +130,10 @@
 	case *ResultArrived:
 		starter.handleResult(input)
 	case *HostsChanged:
+		for _, host := range starter.liveHosts[input.FailureDomain] {
+			delete(starter.processors, host)
+		}
+		maps.Copy(starter.processors, input.Processors)
 		starter.liveHosts[input.FailureDomain] = input.Living
 		clear(starter.starterSets)
 	case *PeerConnectionChanged:
--- a/pkg/starter/starter_test.go
+++ b/pkg/starter/starter_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// TestLargeHostsAreStartersOfMoreServers guards against small hosts that make as many calls as large
+// ones: with sizes of one and three, and room for about a third of the hosts, a large one is a
+// starter of more than twice as many servers.
+func TestLargeHostsAreStartersOfMoreServers(t *testing.T) {
+	hosts := hostsOf(72)
+	tested := newConnectedStarter("elsewhere", hosts)
+	processors := make(map[identifier.HostID]identifier.MilliCPU)
+	for index, host := range hosts {
+		processors[host] = identifier.MilliCPU(144 + 336*(index%2))
+	}
+	tested.Tick(1, []Input{&HostsChanged{FailureDomain: domain, Living: hosts, Processors: processors}})
+	loads := make(map[identifier.MilliCPU]int)
+	for server := range 1000 {
+		for _, host := range tested.startersFor(startOn(server, 1)) {
+			loads[processors[host]]++
+		}
+	}
+	if loads[480] <= 2*loads[144] {
+		t.Errorf("starts by the size of their hosts: %v", loads)
+	}
+}
+
 // TestBoundOfAServer checks the number of starters for connection limits that are missing, small,
 // or change at run time.
 func TestBoundOfAServer(t *testing.T) {
