Agree on the cells of a failure domain through the keepers' log

Cause: each host derived the number of cells of its failure domain from its own processor share. In a failure domain of small and large hosts some assumed two cells and others one, sent a submission to different cells, and leads fenced each other. Change: the leader of the keepers proposes a layout (failure domain, cells) once the entry hosts have been the same for 2 s, at the latest after 6 s, and there is a configuration document. The first command for a failure domain wins and stays. The layout is part of the configuration version, so hosts learn both from one message. With dispatch.cells 0, which the platform's adapter sets, a host creates its cells when it learns the layout; the settle time of leads counts from its start. Reports of backend servers that arrive before are kept until then. The command is not written where dispatch.cells is fixed.

--- a/pkg/assembler/coordinator.go
+++ b/pkg/assembler/coordinator.go
@@ -63,6 +63,8 @@
 	result.Dispatcher.HeartbeatTimeout = settings.Timeouts.HeartbeatInterval.Std() * heartbeats
 	fillLimits(settings, &result.Dispatcher.Limits)
 	result.Forwarder.Cells = settings.Dispatch.Cells
+	result.AgreedLayout = settings.Dispatch.Cells == 0
+	result.AnnounceLayout = true
 	result.Forwarder.AnswerRetention = settings.Timeouts.AnswerRetention.Std()
 	result.Intents.Quotas = quotasOf(settings)
 	result.Forwarder.MaxRecords = settings.Limits.JobsInMemory
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -58,6 +58,8 @@
 	configStore   *configStore
 	cellStore     *cellStore
 	security      *security
+	// layout is the last reported layout; only deliver uses it.
+	layout coordinator.LayoutChanged
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it reports unready, refuses new
@@ -190,6 +192,10 @@
 		daemon.Log.Warn("digests of another failure domain ignored", "host", output.From)
 	case *coordinator.ConfigInForce:
 		daemon.applyConfig(output.Version)
+	case *coordinator.LayoutChanged:
+		daemon.applyLayout(output)
+	case *coordinator.LayoutProposed:
+		daemon.logProposal(output)
 	case *coordinator.StoreCells:
 		daemon.cellStore.save(output.Cells)
 	case *coordinator.Persist:
--- a/pkg/configurer/enums_enumer.go
+++ b/pkg/configurer/enums_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "acceptedconflictsuperseded"
+const _VerdictName = "acceptedconflictsupersededinvalid"
 
-var _VerdictIndex = [...]uint8{0, 8, 16, 26}
+var _VerdictIndex = [...]uint8{0, 8, 16, 26, 33}
 
-const _VerdictLowerName = "acceptedconflictsuperseded"
+const _VerdictLowerName = "acceptedconflictsupersededinvalid"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[VerdictAccepted-(0)]
 	_ = x[VerdictConflict-(1)]
 	_ = x[VerdictSuperseded-(2)]
+	_ = x[VerdictInvalid-(3)]
 }
 
-var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict, VerdictSuperseded}
+var _VerdictValues = []Verdict{VerdictAccepted, VerdictConflict, VerdictSuperseded, VerdictInvalid}
 
 var _VerdictNameToValueMap = map[string]Verdict{
 	_VerdictName[0:8]:   VerdictAccepted,
 	_VerdictName[8:16]:  VerdictConflict,
 	_VerdictName[16:26]: VerdictSuperseded,
+	_VerdictName[26:33]: VerdictInvalid,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
 	_VerdictLowerName[0:8]:   VerdictAccepted,
 	_VerdictLowerName[8:16]:  VerdictConflict,
 	_VerdictLowerName[16:26]: VerdictSuperseded,
+	_VerdictLowerName[26:33]: VerdictInvalid,
 }
 
 var _VerdictNames = []string{
 	_VerdictName[0:8],
 	_VerdictName[8:16],
 	_VerdictName[16:26],
+	_VerdictName[26:33],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
@@ -96,11 +100,11 @@
 	return err
 }
 
-const _ErrorKindName = "snapshot"
+const _ErrorKindName = "snapshotlayout"
 
-var _ErrorKindIndex = [...]uint8{0, 8}
+var _ErrorKindIndex = [...]uint8{0, 8, 14}
 
-const _ErrorKindLowerName = "snapshot"
+const _ErrorKindLowerName = "snapshotlayout"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -114,20 +118,24 @@
 func _ErrorKindNoOp() {
 	var x [1]struct{}
 	_ = x[ErrorSnapshot-(0)]
+	_ = x[ErrorLayout-(1)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorSnapshot}
+var _ErrorKindValues = []ErrorKind{ErrorSnapshot, ErrorLayout}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
-	_ErrorKindName[0:8]: ErrorSnapshot,
+	_ErrorKindName[0:8]:  ErrorSnapshot,
+	_ErrorKindName[8:14]: ErrorLayout,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
-	_ErrorKindLowerName[0:8]: ErrorSnapshot,
+	_ErrorKindLowerName[0:8]:  ErrorSnapshot,
+	_ErrorKindLowerName[8:14]: ErrorLayout,
 }
 
 var _ErrorKindNames = []string{
 	_ErrorKindName[0:8],
+	_ErrorKindName[8:14],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -28,6 +28,8 @@
 	// one, or that the failure domain is already in the ordered state. Nothing was changed
 	// and nothing needs to be.
 	VerdictSuperseded
+	// VerdictInvalid means that a layout has no failure domain or an impossible number of cells.
+	VerdictInvalid
 )
 
 // Change requests a new version of the document.
@@ -76,6 +78,8 @@
 	// Winner is the operator of the newest version and WonAt is its At.
 	Winner string `cbor:"4,keyasint,omitempty" json:"winner,omitempty"`
 	WonAt  string `cbor:"5,keyasint,omitempty" json:"won-at,omitempty"`
+	// Layout is the layout in force after a SetLayout.
+	Layout *Layout `cbor:"6,keyasint,omitempty" json:"layout,omitempty"`
 }
 
 // Register is the replicated state machine of the configuration. Set the exported fields
--- a/pkg/configurer/snapshot.go
+++ b/pkg/configurer/snapshot.go
@@ -15,6 +15,8 @@
 const (
 	// ErrorSnapshot means that a snapshot could not be encoded or decoded.
 	ErrorSnapshot ErrorKind = iota
+	// ErrorLayout means that a layout was refused.
+	ErrorLayout
 )
 
 // Error is the error type of this package.
--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -34,9 +34,6 @@
 	return allocators
 }
 
-// cells returns the number of cells of each failure domain.
-func (coordinator *Coordinator) cells() int { return max(coordinator.Settings.Dispatcher.Cells, 1) }
-
 func (coordinator *Coordinator) allocatorsHavePendingInputs() bool {
 	return slices.ContainsFunc(coordinator.allocators, func(cellAllocator *cellAllocator) bool { return len(cellAllocator.inputs) > 0 })
 }
@@ -90,13 +87,11 @@
 // to the lead of the server's cell, or to every entry host of its failure domain while nobody
 // leads.
 func (coordinator *Coordinator) handleAnnouncedReport(report *messenger.ServerReport) {
-	cell := coordinator.cellOfServer(report.Server)
 	if report.FailureDomain == coordinator.Self.FailureDomain {
-		coordinator.notifyAllocator(cell, &allocator.ReportArrived{Report: *report})
+		coordinator.receiveReport(*report, false)
 		coordinator.recordServerContact()
 	}
-	lead, _ := coordinator.elector.Lead(report.FailureDomain, cell)
-	if lead != "" {
+	if lead := coordinator.leadOfServer(report); lead != "" {
 		coordinator.sendReports(lead, []messenger.ServerReport{*report})
 		return
 	}
@@ -105,6 +100,17 @@
 	}
 }
 
+// leadOfServer returns the lead of a backend server's cell, or "" if the lead or the layout of the
+// failure domain is unknown.
+func (coordinator *Coordinator) leadOfServer(report *messenger.ServerReport) identifier.HostID {
+	cells := coordinator.cellsIn(report.FailureDomain)
+	if cells == 0 {
+		return ""
+	}
+	lead, _ := coordinator.elector.Lead(report.FailureDomain, messenger.CellOfServer(report.Server.Server(), cells))
+	return lead
+}
+
 // handlePeerReport processes a server report from another host. A host that only keeps the log may
 // not know how many cells this failure domain has, so its report is passed on to the right lead.
 func (coordinator *Coordinator) handlePeerReport(from identifier.HostID, report *messenger.ServerReport) {
@@ -112,7 +118,7 @@
 		coordinator.handleAnnouncedReport(report)
 		return
 	}
-	coordinator.notifyAllocator(coordinator.cellOfServer(report.Server), &allocator.ReportArrived{Report: *report})
+	coordinator.receiveReport(*report, false)
 }
 
 func (coordinator *Coordinator) sendReports(to identifier.HostID, reports []messenger.ServerReport) {
--- a/pkg/coordinator/arrivals.go
+++ b/pkg/coordinator/arrivals.go
@@ -29,6 +29,9 @@
 	arrivals := &coordinator.arrivals
 	switch event := event.(type) {
 	case *supervisor.JobArrived:
+		if coordinator.refuseWithoutLayout(event) {
+			return
+		}
 		if !coordinator.leadsHomeOf(event) {
 			break
 		}
--- a/pkg/coordinator/cellpersister.go
+++ b/pkg/coordinator/cellpersister.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -209,8 +208,7 @@
 	}
 	coordinator.notifyElector(elector.EpochSeen{Cell: storedCell.Cell.Cell, Epoch: storedCell.Epoch})
 	for index := range storedCell.Reports {
-		report := &storedCell.Reports[index]
-		coordinator.notifyAllocator(coordinator.cellOfServer(report.Server), &allocator.ReportRecalled{Report: *report})
+		coordinator.receiveReport(storedCell.Reports[index], true)
 	}
 }
 
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	intentPlanner    *intentPlanner
 	quotas           quotas
 	keeperMembership *keeperMembership
+	layouts          *layouts
+	layoutProposer   *layoutProposer
 	// supervisor and allocators serve jobs that need not be remembered, on backend servers that are
 	// called.
 	supervisor *supervisor.Supervisor
@@ -144,6 +146,8 @@
 	next = identifier.Earlier(next, coordinator.intentDriver.nextDeadline())
 	next = identifier.Earlier(next, coordinator.intentPlanner.nextDeadline())
 	next = identifier.Earlier(next, coordinator.keeperMembership.dueAt)
+	next = identifier.Earlier(next, coordinator.layouts.learnedBy)
+	next = identifier.Earlier(next, coordinator.layoutProposer.dueAt)
 	next = identifier.Earlier(next, coordinator.cellPersister.dueAt)
 	next = identifier.Earlier(next, coordinator.arrivals.nextDeadline())
 	next = identifier.Earlier(next, coordinator.supervisor.NextDeadline())
@@ -165,6 +169,7 @@
 	if coordinator.dispatcher != nil {
 		return
 	}
+	coordinator.layouts = newLayouts(coordinator)
 	coordinator.digester = newDigester(coordinator)
 	coordinator.dispatcher = &dispatcher.Dispatcher{
 		Self:          coordinator.Self.Host,
@@ -198,6 +203,7 @@
 	}
 	coordinator.keeper = coordinator.newKeeper()
 	coordinator.keeperMembership = newKeeperMembership(coordinator)
+	coordinator.layoutProposer = newLayoutProposer(coordinator)
 	coordinator.requester = &claimer.Requester{Settings: coordinator.Settings.Claims}
 	coordinator.follower = &configurer.Follower{Settings: coordinator.Settings.Configuration, StartedAt: now}
 	coordinator.operatorRequests = newOperatorRequests(coordinator)
@@ -218,7 +224,9 @@
 func (coordinator *Coordinator) settle() {
 	for round := 0; round == 0 || coordinator.hasPendingInputs(); round++ {
 		coordinator.settleMembership()
+		coordinator.layouts.settle()
 		coordinator.keeperMembership.settle()
+		coordinator.layoutProposer.settle()
 		coordinator.settleKeeping()
 		coordinator.settleDispatch()
 		coordinator.settleAllocation()
@@ -230,7 +238,7 @@
 }
 
 func (coordinator *Coordinator) hasPendingInputs() bool {
-	return len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
+	return coordinator.layouts.changed || len(coordinator.toDispatcher) > 0 || len(coordinator.toForwarder) > 0 ||
 		len(coordinator.toGossiper) > 0 || len(coordinator.toElector) > 0 ||
 		len(coordinator.toKeeper) > 0 || len(coordinator.toRequester) > 0 ||
 		len(coordinator.toSupervisor) > 0 || len(coordinator.toStarter) > 0 || len(coordinator.toInquirer) > 0 || len(coordinator.toDigester) > 0 || coordinator.allocatorsHavePendingInputs() ||
--- a/pkg/coordinator/followertracker.go
+++ b/pkg/coordinator/followertracker.go
@@ -36,13 +36,19 @@
 }
 
 func newFollowerTracker(coordinator *Coordinator) *followerTracker {
-	created := &followerTracker{coordinator: coordinator, followers: make([]map[identifier.HostID]follower, coordinator.cells())}
-	for cell := range created.followers {
-		created.followers[cell] = make(map[identifier.HostID]follower)
-	}
+	created := &followerTracker{coordinator: coordinator}
+	created.setCells(coordinator.cells())
 	return created
 }
 
+// setCells sets the number of own cells.
+func (followerTracker *followerTracker) setCells(cells int) {
+	followerTracker.followers = make([]map[identifier.HostID]follower, cells)
+	for cell := range followerTracker.followers {
+		followerTracker.followers[cell] = make(map[identifier.HostID]follower)
+	}
+}
+
 // handleLeadKnown records who leads a cell of any failure domain.
 func (followerTracker *followerTracker) handleLeadKnown(notice messenger.LeadNotice) {
 	followerTracker.pendingNotices = append(followerTracker.pendingNotices, notice)
@@ -96,7 +102,7 @@
 		return
 	}
 	domain := state.Member.FailureDomain
-	for cell := range followerTracker.followers {
+	for cell := range coordinator.cellsIn(domain) {
 		number := messenger.CellNumber(cell)
 		if lead, epoch := coordinator.elector.Lead(domain, number); lead == host {
 			followerTracker.pendingNotices = append(followerTracker.pendingNotices, messenger.LeadNotice{FailureDomain: domain, Cell: number, Host: host, Epoch: epoch})
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -132,7 +132,7 @@
 		coordinator.notifyRequester(&claimer.Decided{Decisions: reply.Result.Decisions})
 		return
 	}
-	if coordinator.intentDriver.handleReply(reply) || coordinator.intentPlanner.handleReply(reply) {
+	if coordinator.layoutProposer.handleReply(reply) || coordinator.intentDriver.handleReply(reply) || coordinator.intentPlanner.handleReply(reply) {
 		return
 	}
 	coordinator.operatorRequests.handleReply(reply)
@@ -239,6 +239,7 @@
 		coordinator.enforceLimits(version.Document)
 		coordinator.enforceQuotas(version.Document)
 		coordinator.enforceEvacuations()
+		coordinator.layouts.adopt(version.Layouts)
 		coordinator.outputs.add(&ConfigInForce{Version: version})
 	}
 }
--- a/pkg/coordinator/membership.go
+++ b/pkg/coordinator/membership.go
@@ -42,7 +42,7 @@
 	return &elector.Elector{
 		Self:          coordinator.Self.Host,
 		FailureDomain: coordinator.Self.FailureDomain,
-		Cells:         max(coordinator.Settings.Dispatcher.Cells, 1),
+		Cells:         coordinator.cells(),
 		OtherHosts:    coordinator.seedsOfOwnDomain(),
 		SettleTime:    coordinator.Settings.LeadSettleTime,
 		OvertakenTime: coordinator.Settings.LeadOvertakenTime,
@@ -108,6 +108,7 @@
 	}
 	coordinator.notifyDigesterOfHosts()
 	coordinator.followerTracker.changed = true
+	coordinator.layouts.changed = true
 	if slices.Contains(member.Roles, gossiper.RoleKeeper) {
 		coordinator.updateKeeperReachability(change.New)
 	}
@@ -261,6 +262,8 @@
 		if err == nil {
 			coordinator.notifyFollower(&configurer.VersionAnnounced{Host: change.Host, Version: identifier.ConfigVersion(version)})
 		}
+	case key == layoutRecordKey:
+		coordinator.layouts.changed = true
 	case key == joiningRecordKey:
 		coordinator.keeperMembership.recordJoining(change.Host, value)
 	case key == keeperLeaderKey:
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -168,6 +168,26 @@
 // ConfigInForce reports that a configuration is in force on this host from now on.
 type ConfigInForce struct{ Version configurer.Version }
 
+// LayoutChanged reports the layouts that this host knows, after a change.
+type LayoutChanged struct {
+	// Cells is the number of cells that this host uses, 0 while it uses none.
+	Cells int
+	// Layouts are the agreed layouts of the failure domains, sorted by name, and Agreed is the number
+	// of cells that they give the own failure domain, 0 for none.
+	Layouts []configurer.Layout
+	Agreed  int
+	// Serving reports whether this host serves callers with its layout.
+	Serving bool
+	// Differing are the living hosts of the failure domain that use another number of cells.
+	Differing []LayoutDifference
+}
+
+// LayoutProposed reports, for the log, the outcome of a layout that this host proposed.
+type LayoutProposed struct {
+	Layout configurer.Layout
+	Result configurer.Result
+}
+
 // StoreCells requests that everything known of the cells be stored on disk. The write is best
 // effort: it is not in the journal and nothing waits for it.
 type StoreCells struct{ Cells []messenger.StoredCell }
@@ -252,6 +272,8 @@
 func (*KeeperHalted) isCoordinatorOutput()        {}
 func (*ConfigInForce) isCoordinatorOutput()       {}
 func (*StoreCells) isCoordinatorOutput()          {}
+func (*LayoutChanged) isCoordinatorOutput()       {}
+func (*LayoutProposed) isCoordinatorOutput()      {}
 func (*ConfigHistory) isCoordinatorOutput()       {}
 func (*ConfigAnswer) isCoordinatorOutput()        {}
 func (*OperatorAnswer) isCoordinatorOutput()      {}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -14,6 +14,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // network simulates entry hosts, fake backend servers and the connections between them in virtual
@@ -47,6 +48,8 @@
 	onDemand bool
 	// mayStart reports whether a start in a failure domain is allowed now; nil allows all.
 	mayStart func(domain identifier.FailureDomain) bool
+	// ended is how the last job that need not be remembered ended.
+	ended *supervisor.JobEnded
 	// drops reports whether a message between hosts is lost; nil loses none.
 	drops func(message coordinator.PeerMessage) bool
 }
@@ -99,6 +102,8 @@
 	leads map[messenger.CellNumber]bool
 	// keeperOnly is set if the host serves no callers.
 	keeperOnly bool
+	// processor is the processor capacity that the host states; 0 states none.
+	processor identifier.MilliCPU
 	// keeper makes the host a member of the replicated log.
 	keeper bool
 	// joinsKeepers is set if the host's keeper has no disk state that counts towards a quorum.
@@ -106,6 +111,8 @@
 	disk         fakeDisk
 	// cells are the cells that the keeper has stored on its disk.
 	cells []messenger.StoredCell
+	// layout is the layout that the process last reported; nil before the first.
+	layout *coordinator.LayoutChanged
 	// inForce are the configuration revisions that the process has applied, in order.
 	inForce []identifier.ConfigRevision
 }
@@ -126,6 +133,7 @@
 		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
+		Capacity:      identifier.HostCapacity{MilliCPU: host.processor},
 	}
 }
 
@@ -234,6 +242,7 @@
 func (network *network) startHost(host *fakeHost) {
 	host.generation++
 	host.leads = make(map[messenger.CellNumber]bool)
+	host.layout = nil
 	host.coordinator = &coordinator.Coordinator{
 		Self:     host.member(),
 		Seed:     uint64(slices.Index(network.hosts, host)),
@@ -360,6 +369,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.LayoutChanged:
+		host.layout = output
 	case *coordinator.StoreCells:
 		host.cells = output.Cells
 	case *coordinator.Persist:
@@ -380,6 +391,9 @@
 	case *coordinator.ToCaller:
 		network.oracle.checkAnswer(output.Answer.Waiter, output.Answer.Answer)
 	case *coordinator.CallStart, *coordinator.CallStop, *coordinator.CallPoll, *coordinator.JobEnded, *coordinator.Decided:
+		if ended, isEnd := output.(*coordinator.JobEnded); isEnd {
+			network.ended = ended.Ended
+		}
 		network.called.carryOut(host, output)
 	default:
 		network.intents.carryOut(host, output)
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -249,7 +249,7 @@
 // The dispatcher drops its jobs when the lead is lost. Without the record, a lead that was deposed
 // for a moment and takes the cell again would run a resubmitted job a second time.
 func (coordinator *Coordinator) keepRecord(from, partner identifier.HostID, forward *messenger.Forward) {
-	number := messenger.CellOf(forward.Job.Submission, coordinator.Settings.Dispatcher.Cells)
+	number := messenger.CellOf(forward.Job.Submission, coordinator.cells())
 	lead, _ := coordinator.elector.Lead(coordinator.Self.FailureDomain, number)
 	if from == coordinator.Self.Host || lead != coordinator.Self.Host {
 		return
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -46,6 +46,12 @@
 	JoinKeepers bool
 	// CellCopies is how many keepers store the backend servers of each cell.
 	CellCopies int
+	// AgreedLayout makes the hosts learn the number of cells of each failure domain from the keepers;
+	// Dispatcher.Cells and Forwarder.Cells must be 0.
+	AgreedLayout bool
+	// AnnounceLayout spreads a fixed number of cells with the membership, so that hosts with other
+	// settings are detected. Replays of earlier recordings leave it out.
+	AnnounceLayout bool
 	// Voters is how many voters the keepers' log should have. 0 leaves the members unchanged.
 	Voters int
 }
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -81,7 +81,7 @@
 		}
 		status.Hosts = append(status.Hosts, coordinator.hostStatus(state))
 	}
-	for number := range max(coordinator.Settings.Dispatcher.Cells, 1) {
+	for number := range coordinator.cells() {
 		cell := messenger.CellNumber(number)
 		host, epoch := coordinator.elector.Lead(coordinator.Self.FailureDomain, cell)
 		status.Cells = append(status.Cells, CellStatus{Cell: cell, Lead: host, Epoch: epoch})
--- a/pkg/elector/decide.go
+++ b/pkg/elector/decide.go
@@ -33,6 +33,11 @@
 		elector.handleJoined()
 	case ProcessStalled:
 		elector.handleStall()
+	case LayoutKnown:
+		elector.Cells = input.Cells
+		elector.createCells()
+	case UnfitChanged:
+		elector.unfit = slices.Clone(input.Hosts)
 	case Resign:
 		elector.resign()
 	}
@@ -156,6 +161,10 @@
 		elector.reviewOwnLead(id, cell, lead)
 		return
 	}
+	// Another host may announce a cell that this host's layout doesn't have.
+	if int(id) >= elector.Cells {
+		return
+	}
 	if lead.host != "" || elector.resigned || !elector.hasSettled() || elector.isCutOff() {
 		return
 	}
@@ -171,6 +180,8 @@
 	switch {
 	case elector.mustStepDown():
 		elector.giveUp(id, cell, "")
+	case slices.Contains(elector.unfit, elector.Self):
+		elector.giveUp(id, cell, elector.preferredLead(id))
 	case lead.host != elector.Self:
 		next := lead.host
 		if next == "" {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -23,7 +23,7 @@
 type Elector struct {
 	Self          identifier.HostID
 	FailureDomain identifier.FailureDomain
-	// Cells is the number of cells of the own failure domain.
+	// Cells is the number of cells of the own failure domain, 0 until a LayoutKnown sets it.
 	Cells int
 	// OtherHosts is how many other hosts of the own failure domain the settings name. If it is
 	// positive, a host that has just started acquires no cell until one of them or a backend
@@ -49,6 +49,7 @@
 	now       identifier.Moment
 	settlesAt identifier.Moment
 	isolation isolation
+	unfit     []identifier.HostID
 	outputs   []Output
 	domains   *tabulator.Table[identifier.FailureDomain, domainEntity]
 	cells     *tabulator.Table[cellKey, cellEntity]
@@ -140,6 +141,19 @@
 	return found.reported.host, found.reported.epoch
 }
 
+// EachLead calls visit for each cell of any failure domain that has a living lead.
+func (elector *Elector) EachLead(visit func(lead LeadIs)) {
+	if !elector.started {
+		return
+	}
+	elector.cells.Each(func(key cellKey, cell *cellEntity) bool {
+		if cell.reported.host != "" {
+			visit(LeadIs{FailureDomain: key.domain, Cell: key.cell, Host: cell.reported.host, Epoch: cell.reported.epoch})
+		}
+		return true
+	})
+}
+
 func (elector *Elector) start() {
 	elector.started = true
 	elector.settlesAt = elector.now.Add(elector.SettleTime)
@@ -147,6 +161,10 @@
 	elector.domains = tabulator.New[identifier.FailureDomain, domainEntity]()
 	elector.cells = tabulator.New[cellKey, cellEntity]()
 	elector.setLiving(elector.FailureDomain, nil)
+	elector.createCells()
+}
+
+func (elector *Elector) createCells() {
 	for cell := range elector.Cells {
 		elector.cell(elector.FailureDomain, identifier.CellID(cell))
 	}
--- a/pkg/elector/messages.go
+++ b/pkg/elector/messages.go
@@ -60,6 +60,13 @@
 // cells.
 type ProcessStalled struct{}
 
+// LayoutKnown sets the number of cells of the own failure domain, which was unknown before.
+type LayoutKnown struct{ Cells int }
+
+// UnfitChanged lists the hosts of the own failure domain that can lead no cell, among them possibly
+// this one, although they are living.
+type UnfitChanged struct{ Hosts []identifier.HostID }
+
 // Resign makes this host give up its cells and acquire none from then on.
 type Resign struct{}
 
@@ -72,6 +79,8 @@
 func (EpochSeen) input()       {}
 func (Joined) input()          {}
 func (ProcessStalled) input()  {}
+func (LayoutKnown) input()     {}
+func (UnfitChanged) input()    {}
 func (Resign) input()          {}
 
 // Output is a decision of this host or a change of its view.
--- a/pkg/elector/rendezvous.go
+++ b/pkg/elector/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,6 +16,9 @@
 	var best identifier.HostID
 	var bestWeight uint64
 	for _, host := range elector.domains.Get(elector.FailureDomain).living {
+		if slices.Contains(elector.unfit, host) {
+			continue
+		}
 		weight := rendezvousWeight(cell, host)
 		if best == "" || weight > bestWeight || (weight == bestWeight && host < best) {
 			best, bestWeight = host, weight
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -16,6 +16,9 @@
 	Intent *planner.Command   `cbor:"3,keyasint,omitempty"`
 	// Evacuation has its result in Result.Change.
 	Evacuation *configurer.Evacuation `cbor:"4,keyasint,omitempty"`
+	// Layout has its result in Result.Change. Earlier versions of the program ignore it, so it is
+	// proposed only once every member of the log is known to apply it.
+	Layout *configurer.SetLayout `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is the result of an applied command or a read; the field that matches its kind
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -110,6 +110,14 @@
 	return &keeper.machine.intents
 }
 
+// Configuration returns the newest configuration version applied here, or a zero one.
+func (keeper *Keeper) Configuration() configurer.Version {
+	if keeper.machine == nil {
+		return configurer.Version{}
+	}
+	return keeper.newestVersion()
+}
+
 func (keeper *Keeper) prepare(now identifier.Moment) {
 	keeper.now = now
 	if keeper.replicator != nil {
--- a/pkg/keeper/machine.go
+++ b/pkg/keeper/machine.go
@@ -64,6 +64,9 @@
 	case command.Evacuation != nil:
 		outcome := machine.configuration.ApplyEvacuation(command.Evacuation)
 		return Result{Change: &outcome}
+	case command.Layout != nil:
+		outcome := machine.configuration.ApplyLayout(command.Layout)
+		return Result{Change: &outcome}
 	case command.Intent != nil:
 		result := machine.intents.Apply(index, *command.Intent)
 		return Result{Intent: &result}
--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -27,6 +27,8 @@
 	variableResponses     = "responses"
 	variableGauges        = "gauges"
 	variableServers       = "backend-servers"
+	variableLayoutCells   = "layout-cells"
+	variableLayoutDiffers = "layout-differing-hosts"
 )
 
 // Gauges are the current counts.
@@ -52,8 +54,12 @@
 	reasons     *expvar.Map
 	badRequests *expvar.Map
 	servers     *expvar.Map
-	mutex       sync.Mutex
-	responses   *histograms
+	// layoutCells is the number of cells that the host uses, and layoutDiffers how many living hosts
+	// of its failure domain use another number.
+	layoutCells   *expvar.Int
+	layoutDiffers *expvar.Int
+	mutex         sync.Mutex
+	responses     *histograms
 }
 
 // New returns a measurer with all counters at zero.
@@ -64,12 +70,15 @@
 		reasons:     new(expvar.Map).Init(),
 		badRequests: new(expvar.Map).Init(),
 		servers:     new(expvar.Map).Init(),
-		responses:   newHistograms(),
+		layoutCells: new(expvar.Int), layoutDiffers: new(expvar.Int),
+		responses: newHistograms(),
 	}
 	created.variables.Set(variableJobs, created.jobs)
 	created.variables.Set(variableReasons, created.reasons)
 	created.variables.Set(variableBadRequests, created.badRequests)
 	created.variables.Set(variableServers, created.servers)
+	created.variables.Set(variableLayoutCells, created.layoutCells)
+	created.variables.Set(variableLayoutDiffers, created.layoutDiffers)
 	created.variables.Set(variableResponses, expvar.Func(created.summaries))
 	for _, counter := range []string{variableStarts, variableStartsRefused, variableTaskAnswers, variableLateAnswers, variableHungUp} {
 		created.variables.Add(counter, 0)
@@ -103,6 +112,13 @@
 	measurer.servers.Add(kind.String(), 1)
 }
 
+// LayoutChanged records the number of cells that the host uses, and how many living hosts of its
+// failure domain use another number.
+func (measurer *Measurer) LayoutChanged(cells, differing int) {
+	measurer.layoutCells.Set(int64(cells))
+	measurer.layoutDiffers.Set(int64(differing))
+}
+
 // CallerDisconnected counts a caller that disconnected before its answer.
 func (measurer *Measurer) CallerDisconnected() { measurer.variables.Add(variableHungUp, 1) }
 
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -50,7 +50,8 @@
 // Supervisor holds the jobs of this host's callers. Set the exported fields before the first Tick.
 type Supervisor struct {
 	FailureDomain identifier.FailureDomain
-	// Cells is the number of cells in each failure domain.
+	// Cells is the number of cells in the own failure domain. It may change until the first job
+	// arrives.
 	Cells    int
 	Settings Settings
 
@@ -160,6 +161,11 @@
 	return supervisor.jobs.Len()
 }
 
+// Has reports whether a job has no answer yet or may still have active runs here.
+func (supervisor *Supervisor) Has(job identifier.JobID) bool {
+	return supervisor.timers != nil && (supervisor.jobs.Get(job) != nil || supervisor.retained.Get(job) != nil)
+}
+
 func (supervisor *Supervisor) prepare(now identifier.Moment) {
 	supervisor.now = now
 	if supervisor.timers != nil {
