--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -15,6 +15,7 @@
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/supervisor"
 )
 
 // network simulates entry hosts, fake backend servers and the connections between them in virtual
@@ -50,6 +51,8 @@
 	mayStart func(domain identifier.FailureDomain) bool
 	// moves are the planned moves of leads.
 	moves []elector.MovePlanned
+	// ended is how the last job that need not be remembered ended.
+	ended *supervisor.JobEnded
 	// drops reports whether a message between hosts is lost; nil loses none.
 	drops func(message coordinator.PeerMessage) bool
 }
@@ -111,6 +114,8 @@
 	disk         fakeDisk
 	// cells are the cells that the keeper has stored on its disk.
 	cells []messenger.StoredCell
+	// layout is the layout that the process last reported; nil before the first.
+	layout *coordinator.LayoutChanged
 	// inForce are the configuration revisions that the process has applied, in order.
 	inForce []identifier.ConfigRevision
 }
@@ -240,6 +245,7 @@
 func (network *network) startHost(host *fakeHost) {
 	host.generation++
 	host.leads = make(map[messenger.CellNumber]bool)
+	host.layout = nil
 	host.coordinator = &coordinator.Coordinator{
 		Self:     host.member(),
 		Seed:     uint64(slices.Index(network.hosts, host)),
@@ -368,6 +374,8 @@
 		}
 	case *coordinator.LeadMovePlanned:
 		network.moves = append(network.moves, output.Move)
+	case *coordinator.LayoutChanged:
+		host.layout = output
 	case *coordinator.StoreCells:
 		host.cells = output.Cells
 	case *coordinator.Persist:
@@ -388,6 +396,9 @@
 	case *coordinator.ToCaller:
 		network.oracle.checkAnswer(output.Answer.Waiter, output.Answer.Answer)
 	case *coordinator.CallStart, *coordinator.CallStop, *coordinator.CallPoll, *coordinator.JobEnded, *coordinator.Decided:
+		if ended, isEnd := output.(*coordinator.JobEnded); isEnd {
+			network.ended = ended.Ended
+		}
 		network.called.carryOut(host, output)
 	default:
 		network.intents.carryOut(host, output)
