--- a/pkg/replayer/hosting.go
+++ b/pkg/replayer/hosting.go
@@ -36,9 +36,6 @@
 		Addresses:     gossiper.Addresses{Callers: string(host.id), BackendServers: string(host.id), Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.incarnation),
 	}
-	if host.replay.processors != nil {
-		member.Capacity.MilliCPU = host.replay.processors(host.id)
-	}
 	if host.disk != nil {
 		member.Roles = append(member.Roles, gossiper.RoleKeeper)
 	}
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -31,8 +31,6 @@
 	// Seed drives the random choices of the fake balancer and the seeds of the coordinators. With
 	// the same trace, policy and seed, Run returns the same figures.
 	Seed uint64
-	// Processors returns the processor capacity that a host states; nil means that no host states any.
-	Processors func(host identifier.HostID) identifier.MilliCPU
 	// Explain is the submission whose decisions Run returns in Result.Steps; empty means none.
 	Explain identifier.SubmissionID
 }
@@ -71,18 +69,16 @@
 
 // replay is the state of one replay. The trace starts at moment zero of its clock.
 type replay struct {
-	trace  *tracer.Trace
-	policy *policy
-	seed   uint64
-	// processors is Replayer.Processors.
-	processors func(host identifier.HostID) identifier.MilliCPU
-	random     *rand.Rand
-	clock      *fakenetwork.Clock
-	network    *fakenetwork.Network
-	checker    *Checker
-	traffic    *traffic
-	settings   coordinator.Settings
-	end        identifier.Moment
+	trace    *tracer.Trace
+	policy   *policy
+	seed     uint64
+	random   *rand.Rand
+	clock    *fakenetwork.Clock
+	network  *fakenetwork.Network
+	checker  *Checker
+	traffic  *traffic
+	settings coordinator.Settings
+	end      identifier.Moment
 
 	hosts       []*entryHost
 	hostByID    map[identifier.HostID]*entryHost
@@ -100,7 +96,6 @@
 		trace:       replayer.Trace,
 		policy:      policy,
 		seed:        replayer.Seed,
-		processors:  replayer.Processors,
 		random:      rand.New(rand.NewPCG(replayer.Seed, deployment.Seed)),
 		clock:       clock,
 		checker:     NewChecker(),
