Repeat the release of a cancelled job that may have runs

Cause: a host told the lead once that a job is over. Where that message was lost, since a connection broke or a queue was full, the lead let the runs go on until the deadline of the job. "Every message between hosts is either repeated by its sender or covered by a timeout" (pkg/connector/sendqueue.go) did not hold for it within the 4 s that a cancellation may take.

Change: the release of a job that may have runs is repeated after 0.3, 0.9 and 2.1 s, to the present leads of its cells, and not once the job is submitted again. Ruled out: a reply to the release, as it needs a new message between hosts and a lead of an earlier version would not send it.

--- a/pkg/supervisor/resubmissions.go
+++ b/pkg/supervisor/resubmissions.go
@@ -23,6 +23,7 @@
 	}
 	supervisor.retained.Put(job.spec.Job, job)
 	supervisor.timers.Set(retentionTimer(job.spec.Job), supervisor.now.Add(retentionTime))
+	supervisor.timers.Set(releaseTimer(job.spec.Job), supervisor.now.Add(releaseRepeatTime))
 }
 
 // resume continues a resubmitted job, and reports whether the job was retained. The new requests
@@ -35,6 +36,8 @@
 	}
 	supervisor.retained.Remove(id)
 	supervisor.timers.Clear(retentionTimer(id))
+	supervisor.timers.Clear(releaseTimer(id))
+	job.releaseRepeats = 0
 	job.spec, job.waiters = input.Job, []WaiterID{input.Waiter}
 	job.arrivedAt, job.deadline = supervisor.now, input.Deadline
 	supervisor.jobs.Put(id, job)
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -81,6 +81,7 @@
 	timerDeadline timerKind = iota
 	timerLeadTimeout
 	timerRetention
+	timerRelease
 )
 
 type timerKey struct {
@@ -111,6 +112,8 @@
 	lastRequest messenger.RequestNumber
 	// startedInDropped is set if a start call may have been sent for a group that was dropped.
 	startedInDropped bool
+	// releaseRepeats counts the repeated releases of a retained job.
+	releaseRepeats int
 	// earlierMayHaveStarted is set if runs of an earlier submission of the job may have started.
 	earlierMayHaveStarted bool
 }
@@ -204,9 +207,13 @@
 }
 
 func (supervisor *Supervisor) handleTimer(key timerKey) {
-	if key.kind == timerRetention {
+	switch key.kind {
+	case timerRetention:
 		supervisor.retained.Remove(key.job)
 		return
+	case timerRelease:
+		supervisor.repeatRelease(key.job)
+		return
 	}
 	job := supervisor.jobs.Get(key.job)
 	if job == nil {
