Test that the tasks of a cancelled submission end in time

The test cancels a submission of 5 minutes at a host that does not lead, under faults alone and in pairs: the lead lost before and after it knows, connections lost, the message lost, the caller's host lost, the servers' streams broken. A caller whose host is lost repeats the cancellation at another one.

--- /dev/null
+++ b/pkg/coordinator/cancelledsubmission_test.go
@@ -0,0 +1,120 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+	"github.com/stoathitch/stoathitch/pkg/messenger"
+)
+
+// cancelNetwork is a failure domain of three hosts, and a submission to one that does not lead.
+type cancelNetwork struct {
+	*network
+	job        *messenger.Job
+	lead, host *fakeHost
+}
+
+// submissionFaults are the faults that the cancellation of a submission meets, callersLeaveAt after it
+// was made. Each is set up before.
+var submissionFaults = []struct {
+	name string
+	set  func(network *cancelNetwork)
+}{
+	{"lead lost before", func(network *cancelNetwork) {
+		network.at(callersLeaveAt-time.Millisecond, func() { network.crashHost(network.lead) })
+	}},
+	{"lead lost after", func(network *cancelNetwork) {
+		network.at(callersLeaveAt+100*time.Microsecond, func() { network.crashHost(network.lead) })
+	}},
+	{"lead lost once it knows", func(network *cancelNetwork) {
+		network.at(callersLeaveAt+300*time.Microsecond, func() { network.crashHost(network.lead) })
+	}},
+	{"lead not connected", func(network *cancelNetwork) {
+		network.at(callersLeaveAt-50*time.Millisecond, func() { network.disconnectHosts(network.host, network.lead) })
+		network.at(callersLeaveAt+250*time.Millisecond, func() { network.connectHosts(network.host, network.lead) })
+	}},
+	{"cancellation lost", func(network *cancelNetwork) {
+		network.drops = func(message coordinator.PeerMessage) bool { return message.Cancel != nil }
+		network.at(callersLeaveAt+300*time.Millisecond, func() { network.drops = nil })
+	}},
+	// The caller gets no answer and repeats the cancellation at another host.
+	{"host lost once the lead knows", func(network *cancelNetwork) {
+		network.at(callersLeaveAt+300*time.Microsecond, func() { network.crashHost(network.host) })
+		network.at(callersLeaveAt+resubmitAfter, func() {
+			for _, other := range network.hosts {
+				if other.coordinator != nil {
+					network.cancel(other, network.job)
+					return
+				}
+			}
+		})
+	}},
+	{"server's streams break", func(network *cancelNetwork) {
+		network.at(callersLeaveAt+100*time.Microsecond, func() {
+			for _, server := range network.servers {
+				for _, host := range network.hosts {
+					server.detach(host)
+				}
+			}
+		})
+		network.at(callersLeaveAt+time.Second, func() {
+			for _, server := range network.servers {
+				for _, host := range network.hosts {
+					server.attach(host)
+				}
+			}
+		})
+	}},
+}
+
+// runningTasks counts the tasks that the backend servers run.
+func (network *cancelNetwork) runningTasks() int {
+	count := 0
+	for _, server := range network.servers {
+		count += len(server.tasks)
+	}
+	return count
+}
+
+// TestCancelledSubmissionEndsInTime guards against tasks of a cancelled submission that run on, under
+// each fault alone and each pair of faults.
+func TestCancelledSubmissionEndsInTime(t *testing.T) {
+	for first := range submissionFaults {
+		for second := first; second < len(submissionFaults); second++ {
+			name := submissionFaults[first].name
+			if second != first {
+				name += " and " + submissionFaults[second].name
+			}
+			t.Run(name, func(t *testing.T) {
+				network := &cancelNetwork{network: newNetwork([]identifier.FailureDomain{"leuven"}, 3, 2, 4)}
+				network.job = newJob("cancelled", "team", 2, longWork)
+				network.lead = network.leadOf("leuven")
+				network.host = network.others(network.lead)[0]
+				network.submit(network.host, network.job, 2*longWork)
+				submissionFaults[first].set(network)
+				if second != first {
+					submissionFaults[second].set(network)
+				}
+				network.at(callersLeaveAt, func() { network.cancel(network.host, network.job) })
+				network.advance(callersLeaveAt - 60*time.Millisecond)
+				if network.runningTasks() != 2 {
+					t.Fatalf("%d tasks run before the cancellation", network.runningTasks())
+				}
+				lastRun := time.Duration(0)
+				const step = 10 * time.Millisecond
+				for passed := callersLeaveAt - 60*time.Millisecond; passed < callersLeaveAt+4*cancelTime; passed += step {
+					network.advance(step)
+					if network.runningTasks() > 0 {
+						lastRun = passed - callersLeaveAt
+					}
+				}
+				t.Logf("last seen running %v after the cancellation", lastRun)
+				if lastRun > cancelTime+stopTime {
+					t.Errorf("a task ran %v after the cancellation", lastRun)
+				}
+			})
+		}
+	}
+}
