Bound the keepers' history of configurations in bytes

Change: the history is also bounded to 16 MiB of documents; the newest version is always retained. Results of changes do not depend on the history, so keepers of both versions of the program agree on them.

--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -83,6 +83,9 @@
 type Register struct {
 	// HistoryBound is the maximum number of retained versions.
 	HistoryBound int
+	// HistoryBytes bounds the documents of all retained versions together, of which the newest
+	// is always retained; 0 means no bound.
+	HistoryBytes int
 	// ResultBound is the maximum number of results retained for resent requests.
 	ResultBound int
 
@@ -141,10 +144,10 @@
 	})
 }
 
-// accept appends a version as the newest and drops the oldest ones above HistoryBound.
+// accept appends a version as the newest and drops the oldest ones beyond the bounds.
 func (register *Register) accept(accepted Version) Result {
 	register.versions = append(register.versions, accepted)
-	if excess := len(register.versions) - register.HistoryBound; excess > 0 {
+	if excess := register.excessVersions(); excess > 0 {
 		register.versions = slices.Delete(register.versions, 0, excess)
 	}
 	return Result{
@@ -153,6 +156,19 @@
 	}
 }
 
+// excessVersions returns how many of the oldest versions are beyond the bounds.
+func (register *Register) excessVersions() int {
+	newest := len(register.versions) - 1
+	retained := len(register.versions[newest].Document)
+	for index := newest - 1; index >= 0; index-- {
+		retained += len(register.versions[index].Document)
+		if newest-index >= register.HistoryBound || register.HistoryBytes > 0 && retained > register.HistoryBytes {
+			return index + 1
+		}
+	}
+	return 0
+}
+
 // rejectedResult returns the result of a request that changes nothing.
 func (register *Register) rejectedResult(request identifier.RequestID, verdict Verdict) Result {
 	newest := register.Newest()
--- a/pkg/keeper/machine.go
+++ b/pkg/keeper/machine.go
@@ -14,7 +14,10 @@
 const (
 	fingerprintBound = 4_000_000
 	historyBound     = 1_000
-	resultBound      = 10_000
+	// historyBytes bounds the documents of the history. A snapshot takes more than twice as much
+	// memory for a moment, and a keeper may have 284 MB.
+	historyBytes = 16 << 20
+	resultBound  = 10_000
 )
 
 // machine is the replicated state machine: it combines all registers that one log drives.
@@ -27,7 +30,7 @@
 func newMachine() *machine {
 	return &machine{
 		claims:        claimer.Register{FingerprintBound: fingerprintBound},
-		configuration: configurer.Register{HistoryBound: historyBound, ResultBound: resultBound},
+		configuration: configurer.Register{HistoryBound: historyBound, HistoryBytes: historyBytes, ResultBound: resultBound},
 	}
 }
 
