Draw mixed fleets in the fuzzers under harsh faults

Cause: all hosts and servers of the fuzzers were alike.

The tests before draw nothing more, so that their seeds and the saved cases of testdata/rapid keep their course.

go test ./pkg/coordinator -run 'InAMixedFleet|Cancelled|LateStart|TestRunOn|TestRunUnder|TestServerStartsAgain|TestJobSent': ok.

--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -79,6 +79,8 @@
 	// pendingPolls are the polls that wait for the end of a run.
 	pendingPolls []func()
 	dead         bool
+	// kind is the size and speed of the server.
+	kind serverKind
 	// unannounced is set if the server sends no more reports although it is alive.
 	unannounced bool
 }
@@ -114,12 +116,13 @@
 	id := world.incarnationOf(index, incarnation)
 	server := &calledServer{
 		world: world, address: index, startedAt: world.network.now, clockLag: world.chance("slow", 20),
-		runs: make(map[string]*calledRun), lastRuns: make(map[string]identifier.RunNumber),
+		runs: make(map[string]*calledRun), lastRuns: make(map[string]identifier.RunNumber), kind: world.drawServerKind(),
 		report: messenger.ServerReport{
 			Server: id, Service: "desk", Address: fmt.Sprintf("address-%d", index), FailureDomain: world.failureDomainOf(index),
-			Capacity: identifier.Resources{MilliCPU: 3000, Memory: 1 << 30},
+			Capacity: identifier.Resources{Memory: 1 << 30},
 		},
 	}
+	server.report.Capacity.MilliCPU = identifier.MilliCPU(server.kind.room) * taskCPU
 	world.servers[id] = server
 	server.announce()
 }
@@ -406,7 +409,7 @@
 		return messenger.StartAccepted
 	case start.Run.Run <= server.lastRuns[task]:
 		return messenger.StartStaleRun
-	case len(server.runs) >= 3:
+	case len(server.runs) >= server.kind.room:
 		return messenger.StartNoRoom
 	}
 	world := server.world
@@ -432,6 +435,7 @@
 	if world.workOf != nil {
 		work, kind = world.workOf(start.Run)
 	}
+	work = work * time.Duration(server.kind.workPermille) / 1000
 	world.network.at(work, func() { server.end(run, kind) })
 	if world.harsh != nil {
 		world.history = append(world.history, fmt.Sprintf("%v %s RUNS %s run %d epoch %d", time.Duration(world.network.now), server.report.Server, task, start.Run.Run, start.Epoch))
@@ -481,7 +485,7 @@
 	job := supervisor.Job{Job: id, Service: "desk", Queue: "quick", Attempts: 3, Stretch: 1.6, Allowance: time.Second}
 	for index := range tasks {
 		job.Tasks = append(job.Tasks, messenger.TaskRequest{
-			Task: messenger.TaskIndex(index), Needs: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20}, Declared: 100 * time.Millisecond,
+			Task: messenger.TaskIndex(index), Needs: identifier.Resources{MilliCPU: taskCPU, Memory: 1 << 20}, Declared: 100 * time.Millisecond,
 		})
 	}
 	world.waiting[world.lastWaiter] = id
--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -46,12 +46,25 @@
 	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, sameIDs: true}) })
 }
 
+// TestHarshFaultsInAMixedFleet has hosts of several sizes and servers of several sizes and speeds,
+// which may be others after a start.
+func TestHarshFaultsInAMixedFleet(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		runHarshFaults(draw, harshKinds{lateReports: true, sameIDs: true, mixedFleet: true})
+	})
+}
+
+// TestHarshFaultsAndResendsInAMixedFleet also has callers resubmit their jobs.
+func TestHarshFaultsAndResendsInAMixedFleet(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, mixedFleet: true}) })
+}
+
 func runHarshFaults(draw *rapid.T, kinds harshKinds) {
 	settings := coordinator.DefaultSettings()
 	settings.Dispatcher.Cells = rapid.IntRange(1, 2).Draw(draw, "cells")
 	domains := []identifier.FailureDomain{"leuven", "geel"}[:rapid.IntRange(1, 2).Draw(draw, "domains")]
 	hosts := rapid.IntRange(2, 3).Draw(draw, "hosts")
-	network := newNetworkWith(domains, hosts, settings)
+	network := newNetworkOfKinds(draw, domains, hosts, settings, kinds)
 	servers := rapid.IntRange(3, 5).Draw(draw, "servers") * len(domains)
 	world, harsh := newHarshWorld(network, draw, servers, kinds)
 	evacuations := newEvacuations(world, false)
@@ -80,7 +93,7 @@
 
 // newHarshWorld returns a world whose servers have ids of the kind that kinds.sameIDs selects.
 func newHarshWorld(network *network, draw *rapid.T, servers int, kinds harshKinds) (*calledWorld, *harshFaults) {
-	if !kinds.sameIDs {
+	if !kinds.sameIDs && !kinds.mixedFleet {
 		world := newCalledWorld(network, draw, servers)
 		return world, newHarshFaults(world, kinds)
 	}
--- a/pkg/coordinator/harshworld_test.go
+++ b/pkg/coordinator/harshworld_test.go
@@ -41,6 +41,8 @@
 	sameIDs bool
 	// evacuations has failure domains evacuated and readmitted.
 	evacuations bool
+	// mixedFleet draws sizes of hosts, and sizes and speeds of servers, at each of their starts.
+	mixedFleet bool
 }
 
 // pathKey identifies the path between a host and the server at an address.
@@ -280,6 +282,9 @@
 
 func (harsh *harshFaults) start(host *fakeHost) {
 	if host.coordinator == nil {
+		if harsh.kinds.mixedFleet && harsh.world.chance("another size", 3) == 0 {
+			host.capacity = drawHostCapacity(harsh.world.draw)
+		}
 		harsh.record("%s starts", host.id)
 		harsh.world.network.startHost(host)
 	}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -92,6 +92,8 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
+	// capacity is what the host states; zero states nothing.
+	capacity identifier.HostCapacity
 	// frozen pauses the host; backlog holds the inputs that arrive meanwhile.
 	frozen  bool
 	backlog []coordinator.Input
@@ -126,6 +128,7 @@
 		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
+		Capacity:      host.capacity,
 	}
 }
 
@@ -142,12 +145,20 @@
 }
 
 func startNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings) *network {
+	return startNetworkOf(domains, hostsEach, serversEach, slots, settings, nil)
+}
+
+// startNetworkOf makes a network whose hosts state the capacity that capacityOf returns; nil states none.
+func startNetworkOf(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings, capacityOf func() identifier.HostCapacity) *network {
 	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
 	created.operators = make(map[uint64]*coordinator.OperatorAnswer)
 	created.settings = settings
 	for _, domain := range domains {
 		for index := range hostsEach {
 			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain}
+			if capacityOf != nil {
+				host.capacity = capacityOf()
+			}
 			created.hosts = append(created.hosts, host)
 		}
 		for index := range serversEach {
