Replay the random faults in mixed fleets, too

Cause: all hosts and backend servers of the replays were alike.

A further test replays the schedules of TestRandomFaults with it; that test and the kept seeds replay as before.

--- a/pkg/replayer/backendserver.go
+++ b/pkg/replayer/backendserver.go
@@ -22,10 +22,11 @@
 	node        *fakenetwork.Node
 	incarnation uint64
 	process     *fakebackend.Server
+	kind        serverKind
 }
 
 func (replay *replay) addServer(id identifier.BackendServerID, domain identifier.FailureDomain) {
-	server := &backendServer{replay: replay, id: id}
+	server := &backendServer{replay: replay, id: id, kind: replay.fleet.drawServer()}
 	server.node = replay.network.AddNode(fakenetwork.Address(id), domain)
 	for _, host := range replay.hosts {
 		if host.domain == domain {
@@ -41,7 +42,8 @@
 	deployment := &server.replay.trace.Deployment
 	server.process = &fakebackend.Server{
 		ID:          server.id,
-		Slots:       deployment.Slots,
+		Slots:       server.kind.slotsOf(deployment.Slots),
+		WorkFactor:  server.kind.workFactor,
 		Connections: deployment.Connections,
 		Incarnation: server.incarnation,
 		Environment: server,
--- a/pkg/replayer/entryhost.go
+++ b/pkg/replayer/entryhost.go
@@ -30,6 +30,8 @@
 	restartAfterShutdown bool
 	// disk is nil on a host that isn't a keeper.
 	disk *fakedisk.Disk
+	// capacity is what the host states; zero states nothing.
+	capacity identifier.HostCapacity
 }
 
 // hostProcess drives one incarnation of a coordinator as pkg/runner does: it ticks as soon as
@@ -49,7 +51,7 @@
 }
 
 func (replay *replay) addHost(id identifier.HostID, domain identifier.FailureDomain) {
-	host := &entryHost{replay: replay, id: id, domain: domain}
+	host := &entryHost{replay: replay, id: id, domain: domain, capacity: replay.fleet.drawHost()}
 	host.node = replay.network.AddNode(fakenetwork.Address(id), domain)
 	for _, other := range replay.hosts {
 		replay.network.Link(other.node, host.node)
--- a/pkg/replayer/fakebackend/server.go
+++ b/pkg/replayer/fakebackend/server.go
@@ -38,6 +38,8 @@
 	Connections int
 	Incarnation uint64
 	Environment Environment
+	// WorkFactor multiplies run times for as long as the server exists; zero means none.
+	WorkFactor float64
 	// StartedAt is when the process started.
 	StartedAt identifier.Moment
 	// FailsEveryTask and Slowdown are faults. Slowdown multiplies run times; zero means none.
@@ -287,10 +289,13 @@
 	if err != nil {
 		panic("fakebackend: a payload that Payload has not made")
 	}
-	if server.Slowdown > 0 {
-		return time.Duration(float64(nanoseconds) * server.Slowdown)
+	runTime := time.Duration(nanoseconds)
+	for _, factor := range []float64{server.WorkFactor, server.Slowdown} {
+		if factor > 0 {
+			runTime = time.Duration(float64(runTime) * factor)
+		}
 	}
-	return time.Duration(nanoseconds)
+	return runTime
 }
 
 func (server *Server) cancel(key dispatcher.TaskKey) {
--- a/pkg/replayer/hosting.go
+++ b/pkg/replayer/hosting.go
@@ -35,6 +35,7 @@
 		Roles:         []gossiper.Role{gossiper.RoleEntry},
 		Addresses:     gossiper.Addresses{Callers: string(host.id), BackendServers: string(host.id), Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.incarnation),
+		Capacity:      host.capacity,
 	}
 	if host.disk != nil {
 		member.Roles = append(member.Roles, gossiper.RoleKeeper)
--- a/pkg/replayer/random_test.go
+++ b/pkg/replayer/random_test.go
@@ -28,6 +28,35 @@
 	}
 }
 
+// TestRandomFaultsInMixedFleets replays the same schedules with hosts of several sizes and backend
+// servers of several sizes and speeds. It guards against guarantees that hold only where all are alike.
+func TestRandomFaultsInMixedFleets(t *testing.T) {
+	for seed := *randomFrom; seed < *randomFrom+*randomCount; seed++ {
+		for _, violation := range violationsOf(t, &Replayer{Trace: generate(t, randomParameters(seed)), Seed: seed, MixedFleet: true}) {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
+// TestMixedFleetKeepsTheSchedule guards against a mixed fleet that shifts the other choices of a seed.
+func TestMixedFleetKeepsTheSchedule(t *testing.T) {
+	alike, mixed := &Replayer{Trace: generate(t, randomParameters(1)), Seed: 1}, &Replayer{Trace: generate(t, randomParameters(1)), Seed: 1, MixedFleet: true}
+	first, second := newReplay(alike, &policies[0]), newReplay(mixed, &policies[0])
+	if first.random.Uint64() != second.random.Uint64() {
+		t.Error("the mixed fleet draws from the stream of the other choices")
+	}
+	sizes, speeds := make(map[identifier.HostCapacity]bool), make(map[serverKind]bool)
+	for _, host := range second.hosts {
+		sizes[host.capacity] = true
+	}
+	for _, server := range second.servers {
+		speeds[server.kind] = true
+	}
+	if len(sizes) < 2 || len(speeds) < 2 {
+		t.Errorf("all hosts or all servers are alike: %v, %v", sizes, speeds)
+	}
+}
+
 // TestKeptSeeds replays schedules of random faults that are regression cases.
 //
 // Failure: tasks of a submission start a second time.
@@ -177,12 +206,23 @@
 
 // replayParameters replays the schedule of the parameters and returns the violations.
 func replayParameters(t *testing.T, parameters *generator.Parameters) []string {
+	t.Helper()
+	return violationsOf(t, &Replayer{Trace: generate(t, parameters), Seed: parameters.Seed})
+}
+
+func generate(t *testing.T, parameters *generator.Parameters) *tracer.Trace {
 	t.Helper()
 	trace, err := generator.Generate(parameters)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := (&Replayer{Trace: trace, Seed: parameters.Seed}).Run()
+	return trace
+}
+
+// violationsOf runs a replayer and returns the violations.
+func violationsOf(t *testing.T, replayer *Replayer) []string {
+	t.Helper()
+	result, err := replayer.Run()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -33,6 +33,9 @@
 	Seed uint64
 	// Explain is the submission whose decisions Run returns in Result.Steps; empty means none.
 	Explain identifier.SubmissionID
+	// MixedFleet draws sizes of hosts, and sizes and speeds of backend servers, from a random stream of
+	// its own, so that the other choices of a seed stay as they are.
+	MixedFleet bool
 }
 
 // Result holds the results of a replay.
@@ -78,7 +81,9 @@
 	checker  *Checker
 	traffic  *traffic
 	settings coordinator.Settings
-	end      identifier.Moment
+	// fleet is nil if all hosts and all backend servers are alike.
+	fleet *fleet
+	end   identifier.Moment
 
 	hosts       []*entryHost
 	hostByID    map[identifier.HostID]*entryHost
@@ -109,6 +114,9 @@
 	created.network = &fakenetwork.Network{Clock: clock, Delay: created.delay, ReconnectPause: reconnectPause}
 	policy.apply(&created.settings, deployment)
 	created.end = created.lastMoment()
+	if replayer.MixedFleet {
+		created.fleet = newFleet(replayer.Seed)
+	}
 	created.build(deployment)
 	return created
 }
