--- a/pkg/coordinator/cancelled_test.go
+++ b/pkg/coordinator/cancelled_test.go
@@ -1,6 +1,8 @@
 package coordinator_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +27,8 @@
 type cancelWorld struct {
 	*lateStartWorld
 	lead, host, starter *fakeHost
+	// jobs are the submitted jobs by their callers' waiters.
+	jobs map[supervisor.WaiterID]identifier.JobID
 	// mayNotStart is set if the starts arrive so late that none may be accepted.
 	mayNotStart bool
 }
@@ -43,7 +47,7 @@
 	network := newNetworkWith([]identifier.FailureDomain{"leuven"}, 4, coordinator.DefaultSettings())
 	called, harsh := newHarshWorld(network, nil, 1, harshKinds{sameIDs: true})
 	network.advance(3 * time.Second)
-	world := &cancelWorld{lateStartWorld: &lateStartWorld{calledWorld: called, harsh: harsh, calls: make(map[messenger.RunKey]int)}}
+	world := &cancelWorld{lateStartWorld: &lateStartWorld{calledWorld: called, harsh: harsh, calls: make(map[messenger.RunKey]int)}, jobs: make(map[supervisor.WaiterID]identifier.JobID)}
 	world.workOf = func(messenger.RunKey) (time.Duration, allocator.EndKind) { return longWork, allocator.EndDone }
 	limits := &starter.ConnectionLimitsChanged{Connections: map[identifier.ServiceName]int{"desk": oneStarter}}
 	for _, host := range network.hosts {
@@ -88,26 +92,34 @@
 // begin submits the job of two tasks, with a deadline far away.
 func (world *cancelWorld) begin() {
 	world.begunAt = world.network.now
+	world.submitLong("job")
+}
+
+// submitLong submits a job of two tasks that run for longWork.
+func (world *cancelWorld) submitLong(id identifier.JobID) {
 	world.lastWaiter++
-	job := supervisor.Job{Job: "job", Service: "desk", Queue: "slow", Attempts: 3, Stretch: 1.6, Allowance: time.Second}
+	world.jobs[world.lastWaiter] = id
+	job := supervisor.Job{Job: id, Service: "desk", Queue: "slow", Attempts: 3, Stretch: 1.6, Allowance: time.Second}
 	for index := range 2 {
 		job.Tasks = append(job.Tasks, messenger.TaskRequest{
-			Task: messenger.TaskIndex(index), Needs: identifier.Resources{MilliCPU: 1000, Memory: 1 << 20}, Declared: longWork,
+			Task: messenger.TaskIndex(index), Needs: identifier.Resources{MilliCPU: 500, Memory: 1 << 20}, Declared: longWork,
 		})
 	}
 	deadline := identifier.Moment(world.network.now.Sub(world.host.startedAt)).Add(2 * longWork)
 	world.network.tick(world.host, &coordinator.SupervisorEvent{Event: &supervisor.JobArrived{Waiter: world.lastWaiter, Job: job, Deadline: deadline}})
 }
 
-// callerLeaves disconnects the job's caller.
-func (world *cancelWorld) callerLeaves() {
-	world.network.tick(world.host, &coordinator.SupervisorEvent{Event: &supervisor.CallerLeft{Waiter: world.lastWaiter, Job: "job"}})
+// callersLeave disconnects the callers of all jobs.
+func (world *cancelWorld) callersLeave() {
+	for _, waiter := range slices.Sorted(maps.Keys(world.jobs)) {
+		world.network.tick(world.host, &coordinator.SupervisorEvent{Event: &supervisor.CallerLeft{Waiter: waiter, Job: world.jobs[waiter]}})
+	}
 }
 
-// runs reports whether a task of the job runs.
+// runs reports whether a task of the jobs runs.
 func (world *cancelWorld) runs() bool {
 	for task := range world.running {
-		if strings.HasPrefix(task, "job/") {
+		if strings.HasPrefix(task, "job") {
 			return true
 		}
 	}
@@ -148,6 +160,14 @@
 }{
 	{"starts just before the cancellation", func(world *cancelWorld) { world.startsArriveLate(callersLeaveAt - 130*time.Millisecond) }},
 	{"starts just after the cancellation", func(world *cancelWorld) { world.startsArriveLate(callersLeaveAt + 10*time.Millisecond) }},
+	// The first call is under way when the caller leaves, and no answer is missing yet.
+	{"start calls under way", func(world *cancelWorld) {
+		world.disturbStart = func(start *supervisor.StartRun) startDisturbance {
+			late := start.Run.Job == "job-under-way"
+			return startDisturbance{unanswered: late, arrives: late, delay: 100 * time.Millisecond}
+		}
+		world.after(callersLeaveAt-60*time.Millisecond, func() { world.submitLong("job-under-way") })
+	}},
 	{"starts near the end of their lease", func(world *cancelWorld) { world.startsArriveLate(950 * time.Millisecond) }},
 	{"server starts again", func(world *cancelWorld) {
 		world.after(callersLeaveAt+20*time.Millisecond, func() { world.harsh.endIncarnation(world.harsh.serverAt(0), false, 20*time.Millisecond, 3) })
@@ -225,7 +245,7 @@
 				if second != first {
 					cancelFaults[second].set(world)
 				}
-				world.after(callersLeaveAt, world.callerLeaves)
+				world.after(callersLeaveAt, world.callersLeave)
 				world.expectEndInTime(t)
 			})
 		}
