--- a/pkg/coordinator/layouts_test.go
+++ b/pkg/coordinator/layouts_test.go
@@ -43,7 +43,7 @@
 		created.keepers = append(created.keepers, host)
 	}
 	for index, processor := range processors {
-		host := &fakeHost{id: identifier.HostID(fmt.Sprintf("entry-%d", index)), domain: domains[index%2], processor: processor}
+		host := &fakeHost{id: identifier.HostID(fmt.Sprintf("entry-%d", index)), domain: domains[index%2], capacity: identifier.HostCapacity{MilliCPU: processor}}
 		created.entry = append(created.entry, host)
 	}
 	created.hosts = append(append(created.hosts, created.keepers...), created.entry...)
--- a/pkg/coordinator/mixedhosts_test.go
+++ b/pkg/coordinator/mixedhosts_test.go
@@ -31,7 +31,7 @@
 	network := newNetworkWith([]identifier.FailureDomain{"leuven"}, 0, settings)
 	for index, processor := range processors {
 		id := identifier.HostID(fmt.Sprintf("leuven-host-%d", index))
-		network.hosts = append(network.hosts, &fakeHost{id: id, domain: "leuven", processor: processor})
+		network.hosts = append(network.hosts, &fakeHost{id: id, domain: "leuven", capacity: identifier.HostCapacity{MilliCPU: processor}})
 	}
 	network.seeds = network.hosts[:2]
 	for _, host := range network.hosts[:living] {
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -98,6 +98,8 @@
 	coordinator *coordinator.Coordinator
 	startedAt   identifier.Moment
 	generation  int
+	// capacity is what the host states; zero states nothing.
+	capacity identifier.HostCapacity
 	// frozen pauses the host; backlog holds the inputs that arrive meanwhile.
 	frozen  bool
 	backlog []coordinator.Input
@@ -105,8 +107,6 @@
 	leads map[messenger.CellNumber]bool
 	// keeperOnly is set if the host serves no callers.
 	keeperOnly bool
-	// processor is the processor capacity that the host states; 0 states none.
-	processor identifier.MilliCPU
 	// keeper makes the host a member of the replicated log.
 	keeper bool
 	// joinsKeepers is set if the host's keeper has no disk state that counts towards a quorum.
@@ -136,7 +136,7 @@
 		Roles:         roles,
 		Addresses:     gossiper.Addresses{Peers: string(host.id)},
 		Incarnation:   identifier.Incarnation(host.generation + 1),
-		Capacity:      identifier.HostCapacity{MilliCPU: host.processor},
+		Capacity:      host.capacity,
 	}
 }
 
@@ -153,12 +153,20 @@
 }
 
 func startNetwork(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings) *network {
+	return startNetworkOf(domains, hostsEach, serversEach, slots, settings, nil)
+}
+
+// startNetworkOf makes a network whose hosts state the capacity that capacityOf returns; nil states none.
+func startNetworkOf(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings, capacityOf func() identifier.HostCapacity) *network {
 	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
 	created.operators = make(map[uint64]*coordinator.OperatorAnswer)
 	created.settings = settings
 	for _, domain := range domains {
 		for index := range hostsEach {
 			host := &fakeHost{id: identifier.HostID(fmt.Sprintf("%s-host-%d", domain, index)), domain: domain}
+			if capacityOf != nil {
+				host.capacity = capacityOf()
+			}
 			created.hosts = append(created.hosts, host)
 		}
 		for index := range serversEach {
