Reject a part of the new work on an overloaded host

Cause: an overloaded entry host accepted all jobs of its callers, and an overloaded lead all requests, so that nearly all of them were late. Change: the runner measures how long the oldest input of a tick has waited and passes it to the coordinator. An overloaded host marks a part of its callers' new jobs, which the lead of their home turns away: only the lead knows whether an earlier submission has started. An overloaded lead hands new requests to another cell with room for the whole job, or turns them away, and its notices show no room.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -71,8 +71,10 @@
 	// handoffArrived is set if a job was handed off to this cell since the last notice. The other
 	// lead has subtracted it from the room of that notice.
 	handoffArrived bool
-	timers         *tabulator.Timers[timerKey]
-	outputs        []Output
+	// overloaded is set while this host is overloaded.
+	overloaded bool
+	timers     *tabulator.Timers[timerKey]
+	outputs    []Output
 	// retryPlacement is set when capacity may have come free since the waiting jobs were last
 	// tried, so that a full cell is not searched for them at each tick.
 	retryPlacement bool
@@ -169,6 +171,8 @@
 		allocator.recallReport(&input.Report)
 	case *CapacityRequested:
 		allocator.handleRequest(input)
+	case *OverloadChanged:
+		allocator.overloaded = input.Overloaded
 	case *JobHandedOff:
 		allocator.recordHandoff(input)
 	case *CapacityReleased:
--- a/pkg/allocator/jobs.go
+++ b/pkg/allocator/jobs.go
@@ -103,7 +103,10 @@
 		allocator.endEarlierSubmission(input, unclaimed)
 		return
 	}
-	allocator.admit(allocator.newJob(input))
+	created := allocator.newJob(input)
+	if !allocator.rejectOverloaded(created, input) {
+		allocator.admit(created)
+	}
 }
 
 // supersede ends an earlier submission of a job that its caller has resubmitted, to this host or
--- a/pkg/allocator/messages.go
+++ b/pkg/allocator/messages.go
@@ -37,8 +37,14 @@
 type CapacityRequested struct {
 	From    identifier.HostID
 	Request messenger.CapacityRequest
+	// RetryAfter is positive if this host is overloaded and the job is to be handed to another cell or
+	// turned away with this time.
+	RetryAfter time.Duration
 }
 
+// OverloadChanged reports whether this host is overloaded.
+type OverloadChanged struct{ Overloaded bool }
+
 // JobHandedOff reports that another cell is about to grant capacity to tasks of a job whose
 // home is this cell, and which this cell doesn't know.
 type JobHandedOff struct {
@@ -152,6 +158,7 @@
 func (*ReportRecalled) isAllocatorInput()     {}
 func (*CapacityRequested) isAllocatorInput()  {}
 func (*JobHandedOff) isAllocatorInput()       {}
+func (*OverloadChanged) isAllocatorInput()    {}
 func (*CapacityReleased) isAllocatorInput()   {}
 func (*StartReported) isAllocatorInput()      {}
 func (*StartRepeated) isAllocatorInput()      {}
--- a/pkg/allocator/notices.go
+++ b/pkg/allocator/notices.go
@@ -69,6 +69,9 @@
 // notice reports the capacity here beyond what the waiting tasks take.
 func (allocator *Allocator) notice() messenger.CapacityNotice {
 	notice := messenger.CapacityNotice{From: allocator.ref()}
+	if allocator.overloaded {
+		return notice
+	}
 	freeSlots := allocator.freeSlots()
 	if spare := freeSlots - allocator.waitingTasks; spare >= maxNoticeReleases {
 		notice.FreeSlots = spare
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -124,6 +124,7 @@
 		Decider: deciding,
 		Deliver: daemon.deliver,
 		Clock:   daemon.clock,
+		Measure: func(wait time.Duration) coordinator.Input { return &coordinator.InputsWaited{Wait: wait} },
 	}
 	daemon.runner.Prepare()
 	daemon.peers = &connector.Peers{
@@ -173,6 +174,8 @@
 	switch output := output.(type) {
 	case *coordinator.LeadChanged:
 		daemon.logLead(output)
+	case *coordinator.OverloadChanged:
+		daemon.logOverload(output)
 	case *coordinator.MemberChanged:
 		member := output.State.Member
 		daemon.Log.Info("member changed", "peer", member.Host, "status", output.State.Status, "failure-domain", member.FailureDomain)
@@ -209,6 +212,15 @@
 	daemon.Log.Info("lead taken", "cell", change.Notice.Cell, "epoch", change.Notice.Epoch)
 }
 
+func (daemon *Daemon) logOverload(change *coordinator.OverloadChanged) {
+	if change.Overloaded {
+		daemon.Log.Warn("overload began", "wait", change.Wait)
+		return
+	}
+	daemon.Log.Info("overload ended", "lasted", change.Lasted, "wait", change.Wait,
+		"rejected-jobs", change.RejectedJobs, "rejected-requests", change.RejectedRequests)
+}
+
 func (daemon *Daemon) markDrained() {
 	select {
 	case <-daemon.drained:
--- a/pkg/assembler/measuring.go
+++ b/pkg/assembler/measuring.go
@@ -32,6 +32,9 @@
 	if answer, answered := output.(*coordinator.StatusAnswer); answered {
 		gauges.Queued = answer.Status.Work.Queued
 		gauges.Running = answer.Status.Work.Running
+		overload := &answer.Status.Overload
+		gauges.Overloaded, gauges.RejectedFraction, gauges.Overloads = overload.Overloaded, overload.Fraction, overload.Overloads
+		gauges.OverloadRejectedJobs, gauges.OverloadRejectedRequests = overload.RejectedJobs, overload.RejectedRequests
 	}
 	return gauges
 }
--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -236,6 +236,7 @@
 	case *supervisor.StartRun:
 		coordinator.notifyStarter(&starter.StartRequested{Start: output})
 	case *supervisor.JobEnded:
+		coordinator.countRejectedJob(output)
 		coordinator.outputs.add(&JobEnded{Ended: output})
 	case *supervisor.Decided:
 		coordinator.outputs.add(&Decided{Decision: output.Decision})
@@ -288,6 +289,7 @@
 			coordinator.sendReports(host, []messenger.ServerReport{output.Report})
 		}
 	case *allocator.Decided:
+		coordinator.countRejectedRequest(&output.Decision)
 		coordinator.outputs.add(&Decided{Decision: output.Decision})
 	}
 }
--- a/pkg/coordinator/arrivals.go
+++ b/pkg/coordinator/arrivals.go
@@ -29,6 +29,7 @@
 	arrivals := &coordinator.arrivals
 	switch event := event.(type) {
 	case *supervisor.JobArrived:
+		coordinator.markRejected(event)
 		if !coordinator.leadsHomeOf(event) {
 			break
 		}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -111,6 +111,7 @@
 	// connection was open, and have sent nothing since.
 	deadButConnected map[identifier.HostID]bool
 	handovers        *handovers
+	overload         overload
 }
 
 // Tick applies the inputs, runs the deadlines that are due and returns the outputs to carry out.
@@ -122,6 +123,8 @@
 	for _, input := range inputs {
 		coordinator.apply(input)
 	}
+	coordinator.overload.throttler.Expire(now)
+	coordinator.updateOverload()
 	coordinator.releaseDueArrivals()
 	coordinator.operatorRequests.expire()
 	coordinator.settle()
@@ -206,6 +209,7 @@
 	coordinator.connected = make(map[identifier.HostID]bool)
 	coordinator.deadButConnected = make(map[identifier.HostID]bool)
 	coordinator.handovers = newHandovers(coordinator)
+	coordinator.overload.throttler.Settings = coordinator.Settings.Throttler
 	coordinator.quotas.set(coordinator.Settings.Intents.Quotas)
 	coordinator.intentDriver = newIntentDriver(coordinator)
 	coordinator.intentPlanner = newIntentPlanner(coordinator)
--- a/pkg/coordinator/inquiring.go
+++ b/pkg/coordinator/inquiring.go
@@ -14,7 +14,7 @@
 // hosts of its home have been queried.
 func (coordinator *Coordinator) requestCapacity(from identifier.HostID, request *messenger.CapacityRequest) {
 	if !request.Unreferred || !coordinator.isUnknownJob(request) {
-		coordinator.notifyAllocator(request.Cell, &allocator.CapacityRequested{From: from, Request: *request})
+		coordinator.passRequest(from, request)
 		return
 	}
 	home := coordinator.domainOf(from)
@@ -90,7 +90,7 @@
 	case *inquirer.SendNotice:
 		coordinator.send(output.To, PeerMessage{JobElsewhere: &output.Notice})
 	case *inquirer.RequestCleared:
-		coordinator.notifyAllocator(output.Request.Cell, &allocator.CapacityRequested{From: output.From, Request: output.Request})
+		coordinator.passRequest(output.From, &output.Request)
 	case *inquirer.RequestDenied:
 		coordinator.answerCapacityRequest(output.From, &output.Request, messenger.CapacityAnswerKnownElsewhere)
 	case *inquirer.RequestPending:
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -51,6 +51,8 @@
 		coordinator.handleCallResult(input.Event)
 	case *ServerReportAnnounced:
 		coordinator.handleAnnouncedReport(&input.Report)
+	case *InputsWaited:
+		coordinator.observeWait(input.Wait)
 	case *ShutdownRequested:
 		coordinator.shutDown()
 	default:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -15,6 +15,7 @@
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/starter"
 	"github.com/stoathitch/stoathitch/pkg/supervisor"
+	"github.com/stoathitch/stoathitch/pkg/throttler"
 )
 
 // Settings combines the settings of the components.
@@ -31,6 +32,7 @@
 	Inquirer      inquirer.Settings
 	Digester      digester.Settings
 	Allocator     allocator.Settings
+	Throttler     throttler.Settings
 	// LeadSettleTime is how long a starting host waits for an announcement of a living lead before
 	// it takes a cell, so that it doesn't compete with that lead.
 	LeadSettleTime time.Duration
@@ -65,6 +67,7 @@
 		Inquirer:       inquirer.DefaultSettings(),
 		Digester:       digester.DefaultSettings(),
 		Allocator:      allocator.DefaultSettings(),
+		Throttler:      throttler.DefaultSettings(),
 		CellCopies:     3,
 		LeadSettleTime: elector.DefaultSettleTime,
 	}
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -27,6 +27,8 @@
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
 	// Work counts the work of the cells that this host leads.
 	Work dispatcher.WorkStatus `json:"work"`
+	// Overload describes whether this host is overloaded.
+	Overload OverloadStatus `json:"overload"`
 	// Intents describes the workers and the intents that this host drives.
 	Intents IntentStatus `json:"intents"`
 	// Teams has the counts of Work for each team.
@@ -72,6 +74,7 @@
 		Callers:       coordinator.Self.Addresses.Callers,
 		Servers:       coordinator.dispatcher.Servers(),
 		Work:          coordinator.dispatcher.Work(),
+		Overload:      coordinator.overload.status,
 		Intents:       coordinator.intentDriver.status(),
 		Teams:         coordinator.dispatcher.Teams(),
 	}
--- a/pkg/coordinator/suspension.go
+++ b/pkg/coordinator/suspension.go
@@ -29,6 +29,7 @@
 	if !coordinator.wasSuspended {
 		return
 	}
+	coordinator.resetOverload()
 	coordinator.notifyElector(elector.ProcessStalled{})
 	coordinator.notifySupervisor(&supervisor.HostResumed{})
 	coordinator.settleMembership()
--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -38,6 +38,13 @@
 	Waiting int `json:"waiting"`
 	// WaitingBytes is the total size of their bodies.
 	WaitingBytes identifier.Bytes `json:"waiting-bytes"`
+	// Overloaded reports whether this host is overloaded, RejectedFraction the part of the new work that
+	// it rejects. The other fields count since the start of the process.
+	Overloaded               bool    `json:"overloaded"`
+	RejectedFraction         float64 `json:"rejected-fraction"`
+	Overloads                int     `json:"overloads"`
+	OverloadRejectedJobs     int     `json:"overload-rejected-jobs"`
+	OverloadRejectedRequests int     `json:"overload-rejected-requests"`
 }
 
 // Measurer holds the variables of one host. They are not expvar's global ones,
--- a/pkg/messenger/answer.go
+++ b/pkg/messenger/answer.go
@@ -68,6 +68,8 @@
 	// ReasonAnswerLost means that the job ended, but no live host holds its answer any
 	// more.
 	ReasonAnswerLost
+	// ReasonOverloaded means that the caller's host, or the lead that it asked, is overloaded.
+	ReasonOverloaded
 )
 
 // TaskAnswer is the result of one task.
--- a/pkg/messenger/answer_enumer.go
+++ b/pkg/messenger/answer_enumer.go
@@ -100,11 +100,11 @@
 	return err
 }
 
-const _ReasonName = "nonetask-failedtask-unknowndeadline-passedcancelledqueue-fullover-quotadeadline-unreachablenever-runnableno-backend-servershutting-downhome-unreachableclaim-unavailablealready-claimedconflictunknown-submissionanswer-lost"
+const _ReasonName = "nonetask-failedtask-unknowndeadline-passedcancelledqueue-fullover-quotadeadline-unreachablenever-runnableno-backend-servershutting-downhome-unreachableclaim-unavailablealready-claimedconflictunknown-submissionanswer-lostoverloaded"
 
-var _ReasonIndex = [...]uint8{0, 4, 15, 27, 42, 51, 61, 71, 91, 105, 122, 135, 151, 168, 183, 191, 209, 220}
+var _ReasonIndex = [...]uint8{0, 4, 15, 27, 42, 51, 61, 71, 91, 105, 122, 135, 151, 168, 183, 191, 209, 220, 230}
 
-const _ReasonLowerName = "nonetask-failedtask-unknowndeadline-passedcancelledqueue-fullover-quotadeadline-unreachablenever-runnableno-backend-servershutting-downhome-unreachableclaim-unavailablealready-claimedconflictunknown-submissionanswer-lost"
+const _ReasonLowerName = "nonetask-failedtask-unknowndeadline-passedcancelledqueue-fullover-quotadeadline-unreachablenever-runnableno-backend-servershutting-downhome-unreachableclaim-unavailablealready-claimedconflictunknown-submissionanswer-lostoverloaded"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -134,9 +134,10 @@
 	_ = x[ReasonConflict-(14)]
 	_ = x[ReasonUnknownSubmission-(15)]
 	_ = x[ReasonAnswerLost-(16)]
+	_ = x[ReasonOverloaded-(17)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonTaskFailed, ReasonTaskUnknown, ReasonDeadlinePassed, ReasonCancelled, ReasonQueueFull, ReasonOverQuota, ReasonDeadlineUnreachable, ReasonNeverRunnable, ReasonNoBackendServer, ReasonShuttingDown, ReasonHomeUnreachable, ReasonClaimUnavailable, ReasonAlreadyClaimed, ReasonConflict, ReasonUnknownSubmission, ReasonAnswerLost}
+var _ReasonValues = []Reason{ReasonNone, ReasonTaskFailed, ReasonTaskUnknown, ReasonDeadlinePassed, ReasonCancelled, ReasonQueueFull, ReasonOverQuota, ReasonDeadlineUnreachable, ReasonNeverRunnable, ReasonNoBackendServer, ReasonShuttingDown, ReasonHomeUnreachable, ReasonClaimUnavailable, ReasonAlreadyClaimed, ReasonConflict, ReasonUnknownSubmission, ReasonAnswerLost, ReasonOverloaded}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -156,6 +157,7 @@
 	_ReasonName[183:191]: ReasonConflict,
 	_ReasonName[191:209]: ReasonUnknownSubmission,
 	_ReasonName[209:220]: ReasonAnswerLost,
+	_ReasonName[220:230]: ReasonOverloaded,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -176,6 +178,7 @@
 	_ReasonLowerName[183:191]: ReasonConflict,
 	_ReasonLowerName[191:209]: ReasonUnknownSubmission,
 	_ReasonLowerName[209:220]: ReasonAnswerLost,
+	_ReasonLowerName[220:230]: ReasonOverloaded,
 }
 
 var _ReasonNames = []string{
@@ -196,6 +199,7 @@
 	_ReasonName[183:191],
 	_ReasonName[191:209],
 	_ReasonName[209:220],
+	_ReasonName[220:230],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/pkg/messenger/capacity.go
+++ b/pkg/messenger/capacity.go
@@ -63,6 +63,9 @@
 	HighestRun identifier.RunNumber `cbor:"14,keyasint,omitempty"`
 	// ActiveRuns are the runs that an earlier lead granted and that have not ended.
 	ActiveRuns []ActiveRun `cbor:"15,keyasint,omitempty"`
+	// RetryAfter is positive if the requesting host is overloaded: the lead turns the job away with
+	// this time, unless an earlier submission of the job may have started.
+	RetryAfter time.Duration `cbor:"21,keyasint,omitempty"`
 }
 
 // TaskRequest is one task that needs capacity.
--- a/pkg/supervisor/groups.go
+++ b/pkg/supervisor/groups.go
@@ -157,7 +157,7 @@
 		Attempts: job.spec.Attempts, RequiredLabel: job.spec.Label, PreferredLabel: job.spec.Near, MaxTasksPerServer: job.spec.PerServer,
 		Elapsed: supervisor.now.Sub(job.arrivedAt), Stretch: job.spec.Stretch, Allowance: job.spec.Allowance,
 		Remaining: job.deadline.Sub(supervisor.now), HandedOff: cell != supervisor.homeCell(job) || len(group.tried) > 1, Partial: len(job.groups) > 1,
-		HighestRun: job.lastRun, Number: group.requestNumber,
+		HighestRun: job.lastRun, Number: group.requestNumber, RetryAfter: job.retryAfter,
 		Unreferred: cell != supervisor.homeCell(job) && cell != group.referredTo && !group.granted,
 	}
 	for index := range job.tasks {
--- a/pkg/supervisor/jobs.go
+++ b/pkg/supervisor/jobs.go
@@ -22,7 +22,7 @@
 	}
 	created := &job{
 		spec: input.Job, waiters: []WaiterID{input.Waiter}, arrivedAt: supervisor.now, deadline: input.Deadline,
-		tasks: make([]task, len(input.Job.Tasks)), tasksLeft: len(input.Job.Tasks),
+		tasks: make([]task, len(input.Job.Tasks)), tasksLeft: len(input.Job.Tasks), retryAfter: input.RetryAfter,
 	}
 	group := created.addGroup()
 	for index := range created.tasks {
--- a/pkg/supervisor/messages.go
+++ b/pkg/supervisor/messages.go
@@ -39,6 +39,9 @@
 	Waiter   WaiterID
 	Job      Job
 	Deadline identifier.Moment
+	// RetryAfter is positive if this host is overloaded and wants to reject the job. The lead of its
+	// home is still asked, as only leads know whether an earlier submission has started.
+	RetryAfter time.Duration
 }
 
 // CallerLeft reports that a caller no longer waits for its job.
--- a/pkg/supervisor/resubmissions.go
+++ b/pkg/supervisor/resubmissions.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// Has reports whether this host has a job, or retains it for a resubmission.
+func (supervisor *Supervisor) Has(id identifier.JobID) bool {
+	return supervisor.jobs != nil && (supervisor.jobs.Get(id) != nil || supervisor.retained.Get(id) != nil)
+}
+
 // MayRun reports whether a run of a job may be active for this host, or may still be granted to it
 // by a cell other than except.
 func (supervisor *Supervisor) MayRun(id identifier.JobID, except messenger.CellRef) bool {
--- a/pkg/supervisor/supervisor.go
+++ b/pkg/supervisor/supervisor.go
@@ -113,6 +113,8 @@
 	startedInDropped bool
 	// earlierMayHaveStarted is set if runs of an earlier submission of the job may have started.
 	earlierMayHaveStarted bool
+	// retryAfter is positive if leads are to turn the job away because this host is overloaded.
+	retryAfter time.Duration
 }
 
 // task is the state of one task of a job.
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -24,6 +24,8 @@
 	MinObservations int
 	// StartTime is how long after the start, or the end of a suspension, nothing is rejected.
 	StartTime time.Duration
+	// MaxSilence is how long an overload goes on without observations.
+	MaxSilence time.Duration
 	// Gain is by how much the lasting part of the rejected fraction rises in a second in which the wait
 	// is far above the target. It falls at the same rate.
 	Gain float64
@@ -44,6 +46,7 @@
 		Window:          100 * time.Millisecond,
 		MinObservations: 4,
 		StartTime:       3 * time.Second,
+		MaxSilence:      time.Second,
 		Gain:            0.5,
 		MaxFraction:     0.98,
 		MinRetryAfter:   time.Second,
@@ -151,6 +154,13 @@
 	throttler.beginWindow(now)
 }
 
+// Expire ends an overload if there have been no observations for a while: the measurement has failed.
+func (throttler *Throttler) Expire(now identifier.Moment) {
+	if throttler.overloaded && throttler.lastAt.Add(throttler.Settings.MaxSilence).Before(now) {
+		throttler.Reset(now)
+	}
+}
+
 func (throttler *Throttler) beginWindow(now identifier.Moment) {
 	throttler.windowStart = now
 	throttler.observations = 0
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -154,7 +154,8 @@
 	}
 }
 
-// Guards against rejections while the clock jumps, and for long after an overload.
+// Guards against rejections for long after an overload, after a jump of the clock, and when the measurement
+// fails.
 func TestOverloadEnds(t *testing.T) {
 	burst := func(second float64) float64 {
 		if second > 10 && second < 11 {
@@ -170,6 +171,11 @@
 	if !overloaded.Overloaded() {
 		t.Error("no overload at 1.5 times the capacity")
 	}
+	silent := overloaded
+	silent.Expire(identifier.Moment(time.Hour))
+	if silent.Overloaded() || silent.Reject() {
+		t.Error("the overload goes on without observations")
+	}
 	overloaded.Observe(0, time.Hour)
 	if overloaded.Overloaded() || overloaded.Reject() {
 		t.Error("a clock that went back counts as an overload")
