Draw overloads in the harsh fuzzer

Cause: what an overloaded host rejects or hands over must not run, also when hosts and servers fail at the same time.

--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -46,9 +46,17 @@
 	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, sameIDs: true}) })
 }
 
+// TestHarshFaultsAndOverloads also has hosts fall behind, which reject new jobs and hand them over.
+func TestHarshFaultsAndOverloads(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{overloads: true}) })
+}
+
 func runHarshFaults(draw *rapid.T, kinds harshKinds) {
 	settings := coordinator.DefaultSettings()
 	settings.Dispatcher.Cells = rapid.IntRange(1, 2).Draw(draw, "cells")
+	if kinds.overloads {
+		settings.Throttler.StartTime = 0
+	}
 	domains := []identifier.FailureDomain{"leuven", "geel"}[:rapid.IntRange(1, 2).Draw(draw, "domains")]
 	hosts := rapid.IntRange(2, 3).Draw(draw, "hosts")
 	network := newNetworkWith(domains, hosts, settings)
@@ -62,6 +70,10 @@
 		if kinds.evacuations && world.chance("order", 9) == 0 {
 			evacuations.randomStep()
 		}
+		if kinds.overloads && world.chance("falls behind", 4) == 0 {
+			host := network.hosts[world.chance("host", len(network.hosts)-1)]
+			overloadHost(network, host, 25*time.Millisecond+harsh.duration("wait", 200), 150*time.Millisecond+harsh.duration("behind", 2000))
+		}
 		network.advance(time.Duration(rapid.IntRange(1, 150).Draw(draw, "pause")) * time.Millisecond)
 		if len(world.problems) > 0 {
 			break
--- a/pkg/coordinator/harshworld_test.go
+++ b/pkg/coordinator/harshworld_test.go
@@ -41,6 +41,8 @@
 	sameIDs bool
 	// evacuations has failure domains evacuated and readmitted.
 	evacuations bool
+	// overloads lets hosts fall behind.
+	overloads bool
 }
 
 // pathKey identifies the path between a host and the server at an address.
