--- a/pkg/coordinator/arrivals.go
+++ b/pkg/coordinator/arrivals.go
@@ -32,6 +32,7 @@
 		if coordinator.refuseWithoutLayout(event) {
 			return
 		}
+		coordinator.markRejected(event)
 		if !coordinator.leadsHomeOf(event) {
 			break
 		}
--- a/pkg/coordinator/harshworld_test.go
+++ b/pkg/coordinator/harshworld_test.go
@@ -43,6 +43,8 @@
 	evacuations bool
 	// mixedFleet draws sizes of hosts, and sizes and speeds of servers, at each of their starts.
 	mixedFleet bool
+	// overloads lets hosts fall behind.
+	overloads bool
 }
 
 // pathKey identifies the path between a host and the server at an address.
