Learn how fast backend servers are, and place by it

Cause: run times were learned by queue only, and placing packed by size alone. Where servers differ in speed, long tasks on slow servers make jobs late although faster servers are free.

Change: pkg/rater keeps, for each incarnation, the mean of ln(run time / expected run time) of its latest 40 runs, shrunk towards the mean of its kind (service, first label, capacity). The mean over all servers is the usual server, so that the code learns whether a stated factor multiplies speed or time. All factors are exactly 1 until the variance between servers is proven above 0.02 (off again below 0.01, a tenth). Runs whose start was repeated, late or adopted are left out, as are those of servers on trial. The regression of a queue learns from run times divided by the factor; expected ends, overdue runs and health use the factor (health one that follows over 20 runs). Placing prefers servers on which the task ends by the job's due time, then the least waste; if none does, the fastest server; a job of which nothing has started waits for a faster one until it would be late there too.

--- a/pkg/allocator/admission.go
+++ b/pkg/allocator/admission.go
@@ -175,7 +175,7 @@
 	}
 	known.needs = activeRun.TaskRequest.Needs
 	allocator.assignRun(known, job)
-	known.setExpectedTime(allocator.now, allocator.estimates.expectedRunTime(job.request.Queue, activeRun.TaskRequest.Declared))
+	known.setExpectedTime(allocator.now, server.runTime(allocator.estimates.expectedRunTime(job.request.Queue, activeRun.TaskRequest.Declared)))
 	allocator.timers.Set(overdueTimer(known), allocator.now.Add(known.overdueAfter(slowAfter)))
 	server.used = server.used.Add(known.needs)
 	if task.account.IsSuspect() {
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -13,6 +13,7 @@
 	"github.com/stoathitch/stoathitch/pkg/budgeter"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/rater"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
@@ -63,11 +64,14 @@
 	// unclaimedRuns counts the runs that no job here has requested.
 	unclaimedRuns int
 	estimates     estimates
-	assessor      *assessor.Assessor
-	healthInputs  []assessor.Input
-	remotes       *tabulator.Table[messenger.CellRef, remote]
-	lastNotice    messenger.CapacityNotice
-	noticeSentAt  identifier.Moment
+	rater         rater.Rater
+	// speedsDiffer is set while the rater has proven that backend servers differ in speed.
+	speedsDiffer bool
+	assessor     *assessor.Assessor
+	healthInputs []assessor.Input
+	remotes      *tabulator.Table[messenger.CellRef, remote]
+	lastNotice   messenger.CapacityNotice
+	noticeSentAt identifier.Moment
 	// handoffArrived is set if a job was handed off to this cell since the last notice. The other
 	// lead has subtracted it from the room of that notice.
 	handoffArrived bool
--- a/pkg/allocator/estimates.go
+++ b/pkg/allocator/estimates.go
@@ -64,6 +64,22 @@
 	regression.covariance = (1 - weight) * (regression.covariance + weight*offset*(observed-regression.meanObserved))
 }
 
+// logRatio is the natural logarithm of a run time over the expected one, and false while nothing
+// reliable is expected.
+func (estimates *estimates) logRatio(queue identifier.QueueName, declared, observed time.Duration) (float64, bool) {
+	known := estimates.queues[queue]
+	if declared <= 0 || observed <= 0 || known == nil || known.outcomes < minOutcomes || known.variance == 0 {
+		return 0, false
+	}
+	return math.Log(float64(observed)) - known.expected(math.Log(float64(declared))), true
+}
+
+// expected is the expected logarithm of the run time for that of a declared time.
+func (regression *regression) expected(declared float64) float64 {
+	slope := min(max(regression.covariance/regression.variance, 0), 1)
+	return regression.meanObserved + slope*(declared-regression.meanDeclared)
+}
+
 // expectedRunTime is how long a task is estimated to run.
 func (estimates *estimates) expectedRunTime(queue identifier.QueueName, declared time.Duration) time.Duration {
 	if declared <= 0 {
@@ -73,8 +89,7 @@
 	if known == nil || known.outcomes < minOutcomes || known.variance == 0 {
 		return declared
 	}
-	slope := min(max(known.covariance/known.variance, 0), 1)
-	return time.Duration(math.Exp(known.meanObserved + slope*(math.Log(float64(declared))-known.meanDeclared)))
+	return time.Duration(math.Exp(known.expected(math.Log(float64(declared)))))
 }
 
 // recordNeeds adds the size of a task to the means.
--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -34,6 +34,9 @@
 	// times as long.
 	hanging, slow int
 	slowFactor    float64
+	// runTimeFactors are how much longer than usual tasks take on the servers, by rotation in groups of
+	// three, so that each factor occurs with each size; none means that all are usual.
+	runTimeFactors []float64
 	// lossy is how many servers lose three answers in ten.
 	lossy int
 	// crashing configures and counts crashes of servers.
@@ -308,6 +311,9 @@
 
 // runTime returns how long a run takes on a server, and whether it ever ends.
 func (load *load) runTime(server *loadServer, usual time.Duration) (time.Duration, bool) {
+	if count := len(load.runTimeFactors); count > 0 {
+		usual = time.Duration(float64(usual) * load.runTimeFactors[(server.index+server.index/3)%count])
+	}
 	switch {
 	case server.index < load.hanging:
 		return usual, load.random.Float64() > 0.4
@@ -545,6 +551,43 @@
 	}
 }
 
+// TestWorthWithThreeSpeeds guards against placing that ignores how fast servers are: the tasks of two
+// thirds of the servers take 0.7 of the usual time and those of the others 1.7, or these are factors of
+// speed. A long task on a slow server makes its job late. Placing by size alone is compared on the same
+// load, at 0.8 to 1.2 of the capacity.
+func TestWorthWithThreeSpeeds(t *testing.T) {
+	const perJob = 0.244*8*0.06 + 0.044*4*0.9 + 0.712*2*0.2
+	for _, want := range []struct {
+		name    string
+		factors []float64
+		gain    float64
+	}{
+		{"factors of time", []float64{0.7, 0.7, 1.7}, 0.05},
+		{"factors of speed", []float64{1 / 0.7, 1 / 0.7, 1 / 1.7}, 0.01},
+	} {
+		speed := 0.0
+		for _, factor := range want.factors {
+			speed += 1 / factor / float64(len(want.factors))
+		}
+		worth := map[bool]float64{}
+		for _, share := range []float64{0.8, 0.9, 1, 1.1, 1.2} {
+			for _, ignoring := range []bool{true, false} {
+				load := newLoad(58)
+				load.runTimeFactors = want.factors
+				load.leads[0].Settings.IgnoreSpeeds = ignoring
+				load.simulate(share*58*2.25*speed/perJob, 20*time.Second)
+				worth[ignoring] += load.value()
+				t.Logf("%s, ignored %v, at %.1f: %.3f, %d of %d long jobs late, %d of %d rejected",
+					want.name, ignoring, share, load.value(), load.late["large"], load.arrived["large"], load.rejected, load.jobs)
+			}
+		}
+		t.Logf("%s: %.3f by size, %.3f by speed, of 5", want.name, worth[true], worth[false])
+		if worth[false] < worth[true]+want.gain {
+			t.Errorf("%s: users get %.3f, by size alone %.3f", want.name, worth[false], worth[true])
+		}
+	}
+}
+
 // TestWideJobsAreShared guards against the rejection of the widest jobs in calm seconds, at seven
 // tenths of the capacity: jobs of 8 to 25 tasks arrive in failure domains with 28 slots each, of
 // which some 8 are free; the other three have as many. A job that goes to another failure domain
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -1,6 +1,8 @@
 package allocator
 
 import (
+	"math"
+
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
@@ -117,11 +119,15 @@
 // smallest remainder that no usual task fits. As two tasks fill most of a server, packing by size
 // determines how much of a failure domain can be used. A server near the job's data comes first,
 // but a job does not wait for one, since many may want the same rack.
+//
+// Where servers differ in speed, those come first on which the task should end by the job's due
+// time; if there is none, the fastest does. A job of which nothing has started waits for a faster
+// server while it can still be in time there.
 func (allocator *Allocator) bestServerFor(job *job, task *task) *server {
 	var best *server
-	var bestWaste, bestLoad identifier.MilliCPU
-	bestNear := false
+	var bestFit fit
 	usual := allocator.estimates.usualNeeds().MilliCPU
+	slowest := allocator.slowestInTime(job, task)
 	allocator.servers.Each(func(id identifier.ServerIncarnation, server *server) bool {
 		if !allocator.mayRun(job, task, server) {
 			return true
@@ -131,17 +137,59 @@
 		if usual > 0 {
 			waste = left % usual
 		}
-		load := server.used.MilliCPU
-		near := server.hasLabel(job.request.PreferredLabel)
-		fitsBetter := waste < bestWaste || waste == bestWaste && load < bestLoad
-		if best == nil || near && !bestNear || near == bestNear && fitsBetter {
-			best, bestWaste, bestLoad, bestNear = server, waste, load, near
+		found := fit{
+			near: server.hasLabel(job.request.PreferredLabel), late: server.factor > slowest, factor: server.factor,
+			waste: waste, load: server.used.MilliCPU,
+		}
+		if best == nil || found.isBetter(&bestFit) {
+			best, bestFit = server, found
 		}
 		return true
 	})
+	if best != nil && bestFit.late && !job.granted && allocator.now.Before(job.startBy) {
+		return nil
+	}
 	return best
 }
 
+// fit is how well a task fits a server.
+type fit struct {
+	// near is set if the server is near the job's data.
+	near bool
+	// late is set if the task should end after the job's due time.
+	late   bool
+	factor float64
+	// waste is the remainder that no usual task fits, load the capacity in use.
+	waste, load identifier.MilliCPU
+}
+
+func (fit *fit) isBetter(than *fit) bool {
+	if fit.near != than.near {
+		return fit.near
+	}
+	if fit.late != than.late {
+		return than.late
+	}
+	if fit.late && fit.factor != than.factor {
+		return fit.factor < than.factor
+	}
+	return fit.waste < than.waste || fit.waste == than.waste && fit.load < than.load
+}
+
+// dueReserve is how much longer than expected a task may take on a server that counts as fast enough
+// for it: learned factors are off by about a tenth. With 1.2, too many tasks wait for fast servers.
+const dueReserve = 1.1
+
+// slowestInTime is the factor above which a server is too slow for a task to end by the job's due
+// time. Where all servers are alike, none is.
+func (allocator *Allocator) slowestInTime(job *job, task *task) float64 {
+	if !allocator.speedsDiffer {
+		return math.Inf(1)
+	}
+	expected := allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared)
+	return float64(job.dueAt.Sub(allocator.now)) / (dueReserve * float64(expected))
+}
+
 func (allocator *Allocator) mayRun(job *job, task *task, server *server) bool {
 	if !allocator.usable(server) || server.report.Service != job.request.Service || !task.requested.Needs.Fits(server.free()) {
 		return false
--- a/pkg/allocator/reports.go
+++ b/pkg/allocator/reports.go
@@ -51,6 +51,7 @@
 	if resized {
 		allocator.resize(known)
 	}
+	allocator.rater.Reclassify(report.Server, kindOf(report))
 	if report.Clock > 0 {
 		known.readClock(allocator.now, report.Clock)
 	}
@@ -106,7 +107,7 @@
 	if report.Gone {
 		return
 	}
-	created := &server{report: *report, broadcastCapacity: report.Capacity, runLimit: healthSlots, reportedAt: allocator.now}
+	created := &server{report: *report, broadcastCapacity: report.Capacity, runLimit: healthSlots, reportedAt: allocator.now, factor: 1, healthFactor: 1}
 	created.reset()
 	created.oldLeasesEnd = allocator.oldLeasesEnd(created)
 	allocator.raiseFence(created)
@@ -119,6 +120,7 @@
 	}
 	allocator.servers.Put(report.Server, created)
 	allocator.serverIndex.add(created)
+	allocator.rateServer(created)
 	allocator.healthInputs = append(allocator.healthInputs, &assessor.ServerJoined{Server: assessedID(report.Server), Incarnation: 1, Slots: healthSlots})
 	allocator.logDecision(messenger.Decision{Kind: messenger.DecisionServerJoined, Server: report.Server})
 	allocator.scheduleForget(created)
@@ -229,6 +231,7 @@
 	}
 	allocator.servers.Remove(id)
 	allocator.serverIndex.remove(known)
+	allocator.rater.Remove(id)
 	allocator.healthInputs = append(allocator.healthInputs, &assessor.ServerGone{Server: assessedID(id)})
 }
 
--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -70,7 +70,7 @@
 		key: key, server: server.report.Server, needs: task.requested.Needs, job: job, grantedAt: allocator.now,
 		absentAfter: server.lapsesAt(allocator.now), epoch: server.fence,
 	}
-	created.setExpectedTime(allocator.now, allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared))
+	created.setExpectedTime(allocator.now, server.runTime(allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared)))
 	server.runs[key] = created
 	if task.account.IsSuspect() {
 		server.markSuspect(created)
@@ -189,7 +189,7 @@
 	ran := allocator.now.Sub(ended.grantedAt)
 	task := job.task(ended.key.Task)
 	allocator.assessRun(ended, job, false, ran)
-	allocator.estimates.recordRunTime(job.request.Queue, task.requested.Declared, ran)
+	allocator.recordRunTime(server, ended, task, ran)
 	if task.run != ended {
 		return
 	}
@@ -272,6 +272,9 @@
 // assessRun passes the outcome of a run to the assessor of the servers. After a lost answer an end
 // is learned late and the server looks slow, which is how its users experience it.
 func (allocator *Allocator) assessRun(ended *run, job *job, failed bool, ran time.Duration) {
+	if server := allocator.servers.Get(ended.server); server != nil {
+		ran = scaled(ran, 1/server.healthFactor)
+	}
 	allocator.healthInputs = append(allocator.healthInputs, &assessor.TaskEnded{
 		Server: assessedID(ended.server), Origin: assessor.Origin{Team: identifier.TeamID(job.request.Queue)}, Failed: failed, RunTime: ran,
 	})
--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -33,6 +33,8 @@
 	// RemoteDelay is by how much later capacity at another cell counts as free: the time of a
 	// request to its lead, and a reserve for what its notice leaves out.
 	RemoteDelay time.Duration
+	// IgnoreSpeeds treats all backend servers as equally fast, for comparisons.
+	IgnoreSpeeds bool
 	// Health holds the settings for assessing backend servers by the outcomes of their runs.
 	Health assessor.Settings
 }
--- a/pkg/allocator/unsettled.go
+++ b/pkg/allocator/unsettled.go
@@ -123,7 +123,7 @@
 		key: unsettled.call.RunKey, server: server.report.Server, needs: task.requested.Needs, job: job, grantedAt: allocator.now,
 		absentAfter: max(unsettled.arrivesUntil, allocator.now), unsettled: unsettled, suspect: task.account.IsSuspect(),
 	}
-	awaited.setExpectedTime(allocator.now, allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared))
+	awaited.setExpectedTime(allocator.now, server.runTime(allocator.estimates.expectedRunTime(job.request.Queue, task.requested.Declared)))
 	allocator.attach(server, awaited)
 	allocator.timers.Set(overdueTimer(awaited), allocator.now.Add(awaited.overdueAfter(slowAfter)))
 	if server.silent {
--- /dev/null
+++ b/pkg/rater/updating.go
@@ -0,0 +1,93 @@
+package rater
+
+import (
+	"math"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+// update computes the means of the kinds, whether the servers differ, and all factors.
+func (rater *Rater) update() {
+	rater.recorded = 0
+	rater.updateKinds()
+	usual := rater.usual()
+	rater.differ = rater.provesDifference()
+	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
+		if server.runs == 0 {
+			server.estimate = server.prior()
+			server.lagging = server.estimate
+		}
+		server.factor, server.healthFactor = 1, 1
+		if rater.differ {
+			server.factor = math.Exp(clipped(server.estimate - usual))
+			server.healthFactor = math.Exp(clipped(server.lagging - usual))
+		}
+		return true
+	})
+}
+
+// updateKinds computes the means of the kinds from those of their servers. Each server counts with at
+// most minRuns runs, so that one that runs more tasks than others does not stand for its kind.
+func (rater *Rater) updateKinds() {
+	rater.kinds.Each(func(_ Kind, kind *kind) bool {
+		kind.sum, kind.weight = 0, kindPriorRuns
+		return true
+	})
+	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
+		weight := float64(min(server.runs, minRuns))
+		server.kind.sum += weight * server.mean
+		server.kind.weight += weight
+		if server.isTold {
+			server.kind.sum += priorRuns * server.told
+			server.kind.weight += priorRuns
+		}
+		return true
+	})
+	rater.kinds.Each(func(_ Kind, kind *kind) bool {
+		kind.mean = kind.sum / kind.weight
+		return true
+	})
+}
+
+// usual is the mean over the servers, to which factors refer. Expected run times are learned from run
+// times divided by the factors, so that only differences between servers are known.
+func (rater *Rater) usual() float64 {
+	if rater.servers.Len() == 0 {
+		return 0
+	}
+	sum := 0.0
+	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
+		sum += server.estimate
+		return true
+	})
+	return sum / float64(rater.servers.Len())
+}
+
+// provesDifference reports whether the means of the servers vary by more than the run times of single
+// tasks explain: the variance between groups less that within them (DerSimonian and Laird 1986).
+func (rater *Rater) provesDifference() bool {
+	count, sum, squares, errors := 0.0, 0.0, 0.0, 0.0
+	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
+		if !server.counts() {
+			return true
+		}
+		value := server.told
+		if server.runs >= minRuns {
+			value = server.mean
+			errors += rater.noise * runsPerSample / float64(min(server.runs, 2*memory))
+		}
+		count++
+		sum += value
+		squares += value * value
+		return true
+	})
+	if count < 2 {
+		return false
+	}
+	variance := (squares - sum*sum/count) / (count - 1)
+	errors /= count
+	if rater.differ {
+		return variance-errors > alikeVariance
+	}
+	return variance-errors > differVariance+errorsExcluded*errors*math.Sqrt(2/(count-1))
+}
