Carry learned speeds in the reports of backend servers

Cause: a lead that takes over knew no speeds and would have to learn them again.

Hosts adopt a speed only from the lead of the server's cell, and keepers' reports fill in servers that have reported themselves; a heartbeat's own speed is dropped. Speeds out of 250 to 4,000 thousandths are ignored.

--- a/pkg/allocator/speeds.go
+++ b/pkg/allocator/speeds.go
@@ -1,6 +1,8 @@
 package allocator
 
 import (
+	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -18,12 +20,73 @@
 	return kind
 }
 
-// rateServer starts to rate a server that has joined.
+// rateServer starts to rate a server that has joined, from the speed that an earlier lead has learned.
 func (allocator *Allocator) rateServer(joined *server) {
 	allocator.rater.Add(joined.report.Server, kindOf(&joined.report), joined.report.Speed)
 	allocator.applyFactors()
 }
 
+// followSpeed adopts the speed in a report, which the lead of the cell has learned. A lead goes by what
+// it has learned itself. A report may come behind a later one of the server, so that its number does
+// not matter here.
+func (allocator *Allocator) followSpeed(known *server, report *messenger.ServerReport) {
+	if allocator.Leads() || !rater.IsPlausible(report.Speed) || known.report.Speed == report.Speed {
+		return
+	}
+	known.report.Speed = report.Speed
+	allocator.rater.Tell(report.Server, report.Speed)
+	allocator.applyFactors()
+}
+
+// recallSpeed adopts the speed that the keepers remember of a server that has reported itself since.
+func (allocator *Allocator) recallSpeed(known *server, report *messenger.ServerReport) {
+	if known.report.Speed != 0 || !rater.IsPlausible(report.Speed) {
+		return
+	}
+	known.report.Speed = report.Speed
+	allocator.rater.Recall(report.Server, report.Speed)
+	allocator.applyFactors()
+}
+
+// reclassify records that a server may be of another kind than before.
+func (allocator *Allocator) reclassify(known *server, report *messenger.ServerReport) {
+	before, now := kindOf(&known.report), kindOf(report)
+	if before == now {
+		return
+	}
+	if before.Label != now.Label {
+		known.report.Speed = 0
+	}
+	allocator.rater.Reclassify(report.Server, now)
+	allocator.applyFactors()
+}
+
+// speedStep is by how much a learned speed must have changed to be reported.
+const speedStep = 1.2
+
+// announceSpeeds reports the speeds that have changed by more than a fifth to the other hosts of the
+// failure domain, each of which may lead next, and to the keepers.
+func (allocator *Allocator) announceSpeeds() {
+	if !allocator.Leads() || allocator.Settings.IgnoreSpeeds {
+		return
+	}
+	allocator.servers.Each(func(id identifier.ServerIncarnation, server *server) bool {
+		learned := allocator.rater.Speed(id)
+		before := cmp.Or(server.report.Speed, identifier.UsualSpeed)
+		ratio := float64(learned) / float64(before)
+		if learned == 0 || server.retired || ratio < speedStep && ratio > 1/speedStep {
+			return true
+		}
+		server.report.Speed = learned
+		allocator.emit(&BroadcastReport{Report: server.report})
+		allocator.logDecision(messenger.Decision{
+			Kind: messenger.DecisionServerSpeedChanged, Server: id,
+			Reason: fmt.Sprintf("%d thousandths of the usual speed, before %d", learned, before),
+		})
+		return true
+	})
+}
+
 // recordRunTime learns from the run time of a task that has done its work: how fast its server is, and
 // what its queue takes on a usual server.
 func (allocator *Allocator) recordRunTime(server *server, ended *run, task *task, ran time.Duration) {
@@ -32,6 +95,7 @@
 	if allocator.showsSpeed(server, ended) {
 		if ratio, known := allocator.estimates.logRatio(queue, declared, ran); known && allocator.rater.Record(server.report.Server, ratio) {
 			allocator.applyFactors()
+			allocator.announceSpeeds()
 		}
 	}
 	allocator.estimates.recordRunTime(queue, declared, scaled(ran, 1/factor))
--- a/pkg/coordinator/allocation.go
+++ b/pkg/coordinator/allocation.go
@@ -88,8 +88,9 @@
 
 // handleAnnouncedReport processes the report that a backend server sent to this host, and passes it
 // to the lead of the server's cell, or to every entry host of its failure domain while nobody
-// leads.
-func (coordinator *Coordinator) handleAnnouncedReport(report *messenger.ServerReport) {
+// leads. A server doesn't state its speed.
+func (coordinator *Coordinator) handleAnnouncedReport(announced *messenger.ServerReport) {
+	report := withoutSpeed(announced)
 	cell := coordinator.cellOfServer(report.Server)
 	if report.FailureDomain == coordinator.Self.FailureDomain {
 		coordinator.notifyAllocator(cell, &allocator.ReportArrived{Report: *report})
@@ -106,13 +107,25 @@
 }
 
 // handlePeerReport processes a server report from another host. A host that only keeps the log may
-// not know how many cells this failure domain has, so its report is passed on to the right lead.
+// not know how many cells this failure domain has, so its report is passed on to the right lead. The
+// speed in a report counts only if the lead of the server's cell has sent it.
 func (coordinator *Coordinator) handlePeerReport(from identifier.HostID, report *messenger.ServerReport) {
 	if state, known := coordinator.gossiper.State(from); known && !slices.Contains(state.Member.Roles, gossiper.RoleEntry) {
 		coordinator.handleAnnouncedReport(report)
 		return
 	}
-	coordinator.notifyAllocator(coordinator.cellOfServer(report.Server), &allocator.ReportArrived{Report: *report})
+	cell := coordinator.cellOfServer(report.Server)
+	if lead, _ := coordinator.elector.Lead(report.FailureDomain, cell); lead != from {
+		report = withoutSpeed(report)
+	}
+	coordinator.notifyAllocator(cell, &allocator.ReportArrived{Report: *report})
+}
+
+// withoutSpeed returns a copy of a report that states no speed.
+func withoutSpeed(report *messenger.ServerReport) *messenger.ServerReport {
+	stripped := *report
+	stripped.Speed = 0
+	return &stripped
 }
 
 func (coordinator *Coordinator) sendReports(to identifier.HostID, reports []messenger.ServerReport) {
--- a/pkg/messenger/decision.go
+++ b/pkg/messenger/decision.go
@@ -60,6 +60,9 @@
 	// DecisionServerJudged means that the outcomes of its runs changed how many tasks a backend
 	// server may have.
 	DecisionServerJudged
+	// DecisionServerSpeedChanged means that the learned speed of a backend server has changed by more
+	// than a fifth.
+	DecisionServerSpeedChanged
 	// DecisionCrashedUnder means that a backend server crashed, or stopped responding for good,
 	// during a run.
 	DecisionCrashedUnder
--- a/pkg/messenger/decision_enumer.go
+++ b/pkg/messenger/decision_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedcrashed-underheartbeat-passed-overend-passed-over"
 
-var _DecisionKindIndex = [...]uint8{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 129, 142, 153, 164, 177, 188, 201, 214, 235, 250}
+var _DecisionKindIndex = [...]uint16{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 129, 142, 153, 164, 177, 188, 201, 221, 234, 255, 270}
 
-const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedcrashed-underheartbeat-passed-overend-passed-over"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -45,12 +45,13 @@
 	_ = x[DecisionServerLeaves-(18)]
 	_ = x[DecisionServerGone-(19)]
 	_ = x[DecisionServerJudged-(20)]
-	_ = x[DecisionCrashedUnder-(21)]
-	_ = x[DecisionHeartbeatPassedOver-(22)]
-	_ = x[DecisionEndPassedOver-(23)]
+	_ = x[DecisionServerSpeedChanged-(21)]
+	_ = x[DecisionCrashedUnder-(22)]
+	_ = x[DecisionHeartbeatPassedOver-(23)]
+	_ = x[DecisionEndPassedOver-(24)]
 }
 
-var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionInquired, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
+var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionInquired, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionServerSpeedChanged, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:7]:     DecisionArrived,
@@ -74,9 +75,10 @@
 	_DecisionKindName[164:177]: DecisionServerLeaves,
 	_DecisionKindName[177:188]: DecisionServerGone,
 	_DecisionKindName[188:201]: DecisionServerJudged,
-	_DecisionKindName[201:214]: DecisionCrashedUnder,
-	_DecisionKindName[214:235]: DecisionHeartbeatPassedOver,
-	_DecisionKindName[235:250]: DecisionEndPassedOver,
+	_DecisionKindName[201:221]: DecisionServerSpeedChanged,
+	_DecisionKindName[221:234]: DecisionCrashedUnder,
+	_DecisionKindName[234:255]: DecisionHeartbeatPassedOver,
+	_DecisionKindName[255:270]: DecisionEndPassedOver,
 }
 
 var _DecisionKindLowerNameToValueMap = map[string]DecisionKind{
@@ -101,9 +103,10 @@
 	_DecisionKindLowerName[164:177]: DecisionServerLeaves,
 	_DecisionKindLowerName[177:188]: DecisionServerGone,
 	_DecisionKindLowerName[188:201]: DecisionServerJudged,
-	_DecisionKindLowerName[201:214]: DecisionCrashedUnder,
-	_DecisionKindLowerName[214:235]: DecisionHeartbeatPassedOver,
-	_DecisionKindLowerName[235:250]: DecisionEndPassedOver,
+	_DecisionKindLowerName[201:221]: DecisionServerSpeedChanged,
+	_DecisionKindLowerName[221:234]: DecisionCrashedUnder,
+	_DecisionKindLowerName[234:255]: DecisionHeartbeatPassedOver,
+	_DecisionKindLowerName[255:270]: DecisionEndPassedOver,
 }
 
 var _DecisionKindNames = []string{
@@ -128,9 +131,10 @@
 	_DecisionKindName[164:177],
 	_DecisionKindName[177:188],
 	_DecisionKindName[188:201],
-	_DecisionKindName[201:214],
-	_DecisionKindName[214:235],
-	_DecisionKindName[235:250],
+	_DecisionKindName[201:221],
+	_DecisionKindName[221:234],
+	_DecisionKindName[234:255],
+	_DecisionKindName[255:270],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/pkg/rater/rater.go
+++ b/pkg/rater/rater.go
@@ -39,8 +39,9 @@
 	// tenth.
 	differVariance = 0.02
 	alikeVariance  = 0.01
-	// errorsExcluded is how many standard errors a proven variance is above its threshold.
-	errorsExcluded = 3
+	// errorsExcluded is the quantile of the normal distribution up to which chance may explain a
+	// variance: one test in a million exceeds it. A lead tests some times a second, all day.
+	errorsExcluded = 4.75
 	// runsPerSample is how many runs count as one independent sample: a server runs two tasks of a job
 	// at once, which are alike.
 	runsPerSample = 2
@@ -58,6 +59,9 @@
 	MaxSpeed identifier.Speed = 4000
 )
 
+// IsPlausible reports whether a speed is known and within bounds.
+func IsPlausible(speed identifier.Speed) bool { return speed >= MinSpeed && speed <= MaxSpeed }
+
 // Kind is what servers of one make have in common. Racks are not part of it.
 type Kind struct {
 	Service  identifier.ServiceName
@@ -132,12 +136,17 @@
 	return created
 }
 
-// Reclassify moves a server to another kind, and keeps what it has shown itself.
+// Reclassify moves a server to another kind. A resized server keeps what it has shown; one with another
+// label or service is another machine, and is rated anew.
 func (rater *Rater) Reclassify(id identifier.ServerIncarnation, key Kind) {
 	known := rater.get(id)
 	if known == nil || known.kind.key == key {
 		return
 	}
+	if known.kind.key.Label != key.Label || known.kind.key.Service != key.Service {
+		rater.Add(id, key, 0)
+		return
+	}
 	rater.leaveKind(known)
 	known.kind = rater.kind(key)
 	known.kind.servers++
@@ -152,10 +161,17 @@
 		return
 	}
 	known.runs, known.mean = 0, 0
-	known.estimate, known.lagging = known.told, known.told
 	rater.update()
 }
 
+// Recall sets the speed that the keepers remember of a server, unless the server has shown its own or a
+// lead has told it.
+func (rater *Rater) Recall(id identifier.ServerIncarnation, told identifier.Speed) {
+	if known := rater.get(id); known != nil && known.runs == 0 && !known.isTold {
+		rater.Tell(id, told)
+	}
+}
+
 // Remove forgets a server.
 func (rater *Rater) Remove(id identifier.ServerIncarnation) {
 	if known := rater.get(id); known != nil {
@@ -250,7 +266,7 @@
 
 // setTold sets the speed that another lead has learned, and reports whether it is within bounds.
 func (server *server) setTold(told identifier.Speed) bool {
-	if told < MinSpeed || told > MaxSpeed {
+	if !IsPlausible(told) {
 		return false
 	}
 	server.isTold = true
--- a/pkg/rater/updating.go
+++ b/pkg/rater/updating.go
@@ -89,5 +89,12 @@
 	if rater.differ {
 		return variance-errors > alikeVariance
 	}
-	return variance-errors > differVariance+errorsExcluded*errors*math.Sqrt(2/(count-1))
+	return variance > differVariance+errors*varianceQuantile(count-1)
+}
+
+// varianceQuantile is how many times its true value an observed variance may reach by chance, by the
+// approximation of Wilson and Hilferty (1931) for the chi-squared distribution.
+func varianceQuantile(degrees float64) float64 {
+	spread := 2 / (9 * degrees)
+	return math.Pow(1-spread+errorsExcluded*math.Sqrt(spread), 3)
 }
