--- a/pkg/elector/moves_test.go
+++ b/pkg/elector/moves_test.go
@@ -127,3 +127,21 @@
 		t.Error("the cell does not move to the host that has refuted the suspicion")
 	}
 }
+
+// TestForeignCellPreventsNoMove guards against moves that never happen because a lost host with
+// another layout announced a cell that nobody else has.
+func TestForeignCellPreventsNoMove(t *testing.T) {
+	small := &Elector{Self: "a", FailureDomain: ownDomain, Cells: 1, SettleTime: DefaultSettleTime}
+	processors := map[identifier.HostID]identifier.MilliCPU{"a": 144, "b": 480}
+	small.Tick(0, []Input{
+		HostsChanged{FailureDomain: ownDomain, Living: []identifier.HostID{"a", "c"}, Processors: processors},
+		LeadSeen{FailureDomain: ownDomain, Host: "c", Cell: 1, Epoch: 1},
+	})
+	small.Tick(identifier.Moment(DefaultSettleTime), nil)
+	small.Tick(identifier.Moment(time.Second), []Input{
+		HostsChanged{FailureDomain: ownDomain, Living: []identifier.HostID{"a", "b"}, Processors: processors},
+	})
+	if small.NextDeadline() != identifier.Moment(3*time.Second) {
+		t.Errorf("the next move is due at %v", time.Duration(small.NextDeadline()))
+	}
+}
