Test the agreement on layouts under failure

Cause: the agreement had one test, of the undisturbed path. After a restart of all hosts the cells are led no later than with a fixed layout, in virtual time.

--- a/pkg/coordinator/layouts_test.go
+++ b/pkg/coordinator/layouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,8 @@
 	for _, host := range created.hosts {
 		created.startHost(host)
 	}
-	for index := range 6 {
+	// Each cell gets some of the servers.
+	for index := range 12 {
 		created.world.startServer(index, 1)
 	}
 	return created
@@ -148,3 +150,225 @@
 		t.Error(problem)
 	}
 }
+
+// TestInterruptedLayoutProposal guards against failure domains that stay without a layout, or get two,
+// when the leader of the keepers is lost around its proposal: before, while it spreads, and after.
+func TestInterruptedLayoutProposal(t *testing.T) {
+	start := func() *agreeingNetwork {
+		network := newAgreeingNetwork(t, smallHost, largeHost, largeHost, largeHost)
+		network.advance(2 * time.Second)
+		network.configure(1)
+		return network
+	}
+	undisturbed := start()
+	began := undisturbed.now
+	for undisturbed.cellsOf(undisturbed.entry[0]) == 0 && undisturbed.now.Sub(began) < 10*time.Second {
+		undisturbed.advance(hop)
+	}
+	learned := undisturbed.now.Sub(began)
+	// A layout is proposed, persisted by two keepers, applied and announced within some hops.
+	for hops := range 40 {
+		network := start()
+		network.advance(learned - time.Duration(hops)*hop)
+		leader := network.keeperLeader()
+		if leader == nil {
+			t.Fatal("nobody leads the keepers")
+		}
+		network.crashHost(leader)
+		network.advance(8 * time.Second)
+		network.startHost(leader)
+		network.advance(3 * time.Second)
+		network.checkLed(t, "leuven", 2)
+		network.checkLed(t, "geel", 1)
+	}
+}
+
+// keeperLeader returns the keeper that leads the others, or nil.
+func (network *agreeingNetwork) keeperLeader() *fakeHost {
+	for _, host := range network.keepers {
+		if host.coordinator != nil && host.leadsKeepers {
+			return host
+		}
+	}
+	return nil
+}
+
+// TestLayoutWithoutKeepers guards against hosts that lose their layout with the keepers, and against
+// ones that start and guess it.
+func TestLayoutWithoutKeepers(t *testing.T) {
+	network := newAgreeingNetwork(t, smallHost, largeHost, largeHost, largeHost)
+	network.advance(8 * time.Second)
+	network.configure(1)
+	network.advance(5 * time.Second)
+	for _, host := range network.keepers {
+		network.crashHost(host)
+	}
+	network.advance(10 * time.Second)
+	network.checkLed(t, "leuven", 2)
+	for _, host := range network.entry {
+		network.crashHost(host)
+	}
+	for _, host := range network.entry {
+		network.startHost(host)
+	}
+	network.advance(10 * time.Second)
+	for _, host := range network.entry {
+		if network.cellsOf(host) != 0 {
+			t.Errorf("%s uses %d cells that nobody told it", host.id, network.cellsOf(host))
+		}
+	}
+	for _, host := range network.keepers {
+		network.startHost(host)
+	}
+	network.advance(5 * time.Second)
+	network.checkLed(t, "leuven", 2)
+	network.checkLed(t, "geel", 1)
+}
+
+// TestRestartOfAllHostsIsNotDelayedByTheLayout guards against a second settle time after the layout is
+// learned, which would add to the outage of every restart.
+func TestRestartOfAllHostsIsNotDelayedByTheLayout(t *testing.T) {
+	restart := func(fixedCells int) time.Duration {
+		network := newAgreeingNetwork(t, smallHost, largeHost, largeHost, largeHost)
+		network.advance(8 * time.Second)
+		network.configure(1)
+		network.advance(5 * time.Second)
+		network.settings.AgreedLayout, network.settings.Dispatcher.Cells = fixedCells == 0, fixedCells
+		for _, host := range network.entry {
+			network.crashHost(host)
+		}
+		for _, host := range network.entry {
+			network.startHost(host)
+		}
+		started := network.now
+		for network.now.Sub(started) < 10*time.Second && !(network.isLed("leuven", 0) && network.isLed("leuven", 1)) {
+			network.advance(time.Millisecond)
+		}
+		return network.now.Sub(started)
+	}
+	if agreed, fixed := restart(0), restart(2); agreed > fixed {
+		t.Errorf("the cells are led %v after the start, with a fixed layout after %v", agreed, fixed)
+	}
+}
+
+func (network *agreeingNetwork) isLed(domain identifier.FailureDomain, cell messenger.CellNumber) bool {
+	return slices.ContainsFunc(network.entry, func(host *fakeHost) bool { return host.domain == domain && host.leads[cell] })
+}
+
+// TestHostCutOffWhileTheLayoutIsAgreed guards against a host that comes back from behind a cut link
+// with another layout, or none.
+func TestHostCutOffWhileTheLayoutIsAgreed(t *testing.T) {
+	network := newAgreeingNetwork(t, largeHost, largeHost, smallHost, largeHost, largeHost)
+	network.advance(8 * time.Second)
+	cut := network.entry[0]
+	for _, other := range network.hosts {
+		network.disconnectHosts(cut, other)
+	}
+	network.configure(1)
+	network.advance(8 * time.Second)
+	if cells := network.cellsOf(cut); cells != 0 || len(cut.leads) > 0 {
+		t.Errorf("the host that is cut off uses %d cells and leads %v", cells, cut.leads)
+	}
+	for _, other := range network.hosts {
+		network.connectHosts(cut, other)
+	}
+	network.advance(10 * time.Second)
+	network.checkLed(t, "leuven", 2)
+}
+
+// TestOlderKeeperGetsNoLayoutCommand guards against a keeper of an older program that ignores the
+// command and so holds other versions than the rest.
+func TestOlderKeeperGetsNoLayoutCommand(t *testing.T) {
+	network := newAgreeingNetwork(t, smallHost, largeHost, largeHost, largeHost)
+	older := network.keepers[2]
+	network.crashHost(older)
+	network.settings.AgreedLayout = false
+	network.startHost(older)
+	network.settings.AgreedLayout = true
+	network.advance(5 * time.Second)
+	network.configure(1)
+	network.advance(10 * time.Second)
+	for _, host := range network.entry {
+		if network.cellsOf(host) != 0 {
+			t.Fatalf("%s has a layout while a keeper would ignore it", host.id)
+		}
+	}
+	network.crashHost(older)
+	network.startHost(older)
+	network.advance(5 * time.Second)
+	network.checkLed(t, "leuven", 2)
+}
+
+// TestHostThatDiffersFromTheAgreedLayout guards against two divisions of one failure domain: keepers
+// that have lost their state agree on another layout than a host holds.
+func TestHostThatDiffersFromTheAgreedLayout(t *testing.T) {
+	network := newAgreeingNetwork(t, smallHost, largeHost, largeHost, largeHost, largeHost)
+	differs := network.entry[0]
+	network.tick(differs, &coordinator.ConfigRestored{Version: configurer.Version{
+		Version: 1, Document: []byte("{}"), Layouts: []configurer.Layout{{FailureDomain: "leuven", Cells: 3}},
+	}})
+	network.advance(8 * time.Second)
+	for _, other := range network.entry {
+		if other != differs && other.domain == "leuven" {
+			network.crashHost(other)
+			network.startHost(other)
+		}
+	}
+	version := configurer.Version{Version: 9, Document: []byte("{}"), Layouts: []configurer.Layout{{FailureDomain: "leuven", Cells: 2}}}
+	for _, host := range network.entry {
+		network.tick(host, &coordinator.ConfigRestored{Version: version})
+	}
+	network.advance(5 * time.Second)
+	if network.cellsOf(differs) != 3 || differs.layout.Serving {
+		t.Errorf("the host that differs reports %+v", differs.layout)
+	}
+	for cell, led := range differs.leads {
+		if led {
+			t.Errorf("the host that differs leads cell %d", cell)
+		}
+	}
+	if ended := network.runJob(differs, "refused"); ended == nil || ended.Outcome != supervisor.OutcomeRefused {
+		t.Errorf("a job at the host that differs ended as %+v", ended)
+	}
+	for index, host := range network.entry {
+		if host == differs || host.domain != "leuven" {
+			continue
+		}
+		if !host.layout.Serving {
+			t.Errorf("%s, which has the agreed layout, does not serve", host.id)
+		}
+		if ended := network.runJob(host, identifier.JobID(fmt.Sprint("served-", index))); ended == nil || ended.Outcome != supervisor.OutcomeComplete {
+			t.Errorf("a job at %s ended as %+v", host.id, ended)
+		}
+	}
+}
+
+// TestHostsWithOtherFixedLayouts guards against leads that fence each other because the settings of
+// two hosts name different numbers of cells.
+func TestHostsWithOtherFixedLayouts(t *testing.T) {
+	settings := coordinator.DefaultSettings()
+	settings.AnnounceLayout = true
+	network := newNetworkWith([]identifier.FailureDomain{"leuven"}, 2, settings)
+	other := network.hosts[1]
+	network.crashHost(other)
+	network.settings.Dispatcher.Cells, network.settings.Forwarder.Cells = 2, 2
+	network.startHost(other)
+	network.advance(5 * time.Second)
+	for _, host := range network.hosts {
+		if host.layout == nil || host.layout.Serving || len(host.layout.Differing) != 1 {
+			t.Errorf("%s reports %+v", host.id, host.layout)
+		}
+		for cell, led := range host.leads {
+			if led {
+				t.Errorf("%s leads cell %d", host.id, cell)
+			}
+		}
+	}
+	network.crashHost(other)
+	network.settings = settings
+	network.startHost(other)
+	network.advance(5 * time.Second)
+	if first := network.hosts[0]; !first.layout.Serving || !first.leads[0] && !other.leads[0] {
+		t.Errorf("the hosts agree again and cell 0 has no lead; %s reports %+v", first.id, first.layout)
+	}
+}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -111,6 +111,8 @@
 	disk         fakeDisk
 	// cells are the cells that the keeper has stored on its disk.
 	cells []messenger.StoredCell
+	// leadsKeepers reports whether the process last said that it leads the keepers.
+	leadsKeepers bool
 	// layout is the layout that the process last reported; nil before the first.
 	layout *coordinator.LayoutChanged
 	// inForce are the configuration revisions that the process has applied, in order.
@@ -243,6 +245,7 @@
 	host.generation++
 	host.leads = make(map[messenger.CellNumber]bool)
 	host.layout = nil
+	host.leadsKeepers = false
 	host.coordinator = &coordinator.Coordinator{
 		Self:     host.member(),
 		Seed:     uint64(slices.Index(network.hosts, host)),
@@ -369,6 +372,8 @@
 		if output.Notice.Host != "" {
 			network.leads[host.domain] = host
 		}
+	case *coordinator.KeeperLeaderChanged:
+		host.leadsKeepers = output.Leader == host.id
 	case *coordinator.LayoutChanged:
 		host.layout = output
 	case *coordinator.StoreCells:
