Find the overload of a host whose ticks pass for suspensions

A deadline missed by 600 ms counts as a suspension, after each of which nothing was rejected for 3 s: such a host would never have rejected anything. Change: a suspension counts at most once in 10 s, and not in an overload. Conclusion: such a host is found overloaded some seconds later than others, where it was not found before (TestOverloadEnds).

--- a/pkg/coordinator/overload.go
+++ b/pkg/coordinator/overload.go
@@ -78,14 +78,6 @@
 	coordinator.notifyAllocators(&allocator.OverloadChanged{Overloaded: overloaded})
 }
 
-// resetOverload keeps the backlog of a suspension from counting as an overload. A host that is
-// overloaded already may have had a tick that is as long as a suspension.
-func (coordinator *Coordinator) resetOverload() {
-	if throttler := &coordinator.overload.throttler; !throttler.Overloaded() {
-		throttler.Reset(coordinator.now)
-	}
-}
-
 // markRejected marks a new job of a caller for rejection if the host is overloaded.
 func (coordinator *Coordinator) markRejected(arrived *supervisor.JobArrived) {
 	throttler := &coordinator.overload.throttler
--- a/pkg/coordinator/suspension.go
+++ b/pkg/coordinator/suspension.go
@@ -29,7 +29,7 @@
 	if !coordinator.wasSuspended {
 		return
 	}
-	coordinator.resetOverload()
+	coordinator.overload.throttler.Resume(coordinator.now)
 	coordinator.notifyElector(elector.ProcessStalled{})
 	coordinator.notifySupervisor(&supervisor.HostResumed{})
 	coordinator.settleMembership()
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -24,6 +24,9 @@
 	MinObservations int
 	// StartTime is how long after the start, or the end of a suspension, nothing is rejected.
 	StartTime time.Duration
+	// SuspensionInterval is the least time between suspensions. Ticks of an overloaded host may take as
+	// long as a suspension, each of them.
+	SuspensionInterval time.Duration
 	// MaxSilence is how long an overload goes on without observations.
 	MaxSilence time.Duration
 	// Gain is by how much the lasting part of the rejected fraction rises in a second in which the wait
@@ -41,16 +44,17 @@
 	return Settings{
 		// The shortest jobs of the mixes have 96 ms to spare, and a passage of the queue takes about
 		// one and a half times the longest wait.
-		Threshold:       20 * time.Millisecond,
-		Target:          10 * time.Millisecond,
-		Window:          100 * time.Millisecond,
-		MinObservations: 4,
-		StartTime:       3 * time.Second,
-		MaxSilence:      time.Second,
-		Gain:            0.5,
-		MaxFraction:     0.98,
-		MinRetryAfter:   time.Second,
-		MaxRetryAfter:   10 * time.Second,
+		Threshold:          20 * time.Millisecond,
+		Target:             10 * time.Millisecond,
+		Window:             100 * time.Millisecond,
+		MinObservations:    4,
+		StartTime:          3 * time.Second,
+		SuspensionInterval: 10 * time.Second,
+		MaxSilence:         time.Second,
+		Gain:               0.5,
+		MaxFraction:        0.98,
+		MinRetryAfter:      time.Second,
+		MaxRetryAfter:      10 * time.Second,
 	}
 }
 
@@ -60,6 +64,8 @@
 
 	// quietUntil is until when nothing is rejected after a start or a suspension.
 	quietUntil identifier.Moment
+	// nextResume is when the next suspension counts.
+	nextResume identifier.Moment
 	started    bool
 	// windowStart is the time of the first observation of the current window, lastAt that of the last
 	// observation.
@@ -81,7 +87,7 @@
 // arrived during the tick before, and the last ones have hardly waited however slow the host is.
 func (throttler *Throttler) Observe(now identifier.Moment, wait time.Duration) {
 	if !throttler.started || now.Before(throttler.lastAt) || wait < 0 {
-		throttler.Reset(now)
+		throttler.reset(now)
 		return
 	}
 	gap := now.Sub(throttler.lastAt)
@@ -143,9 +149,18 @@
 	return 1 - float64(limit)/float64(max(wait, limit/2))
 }
 
-// Reset rejects nothing for StartTime. It is for a start and for the end of a suspension; a reading
-// of the clock that goes back has the same effect.
-func (throttler *Throttler) Reset(now identifier.Moment) {
+// Resume reports that the process may have been suspended until now, after which nothing is rejected for
+// StartTime. A host that is overloaded, or has resumed within SuspensionInterval, has long ticks instead.
+func (throttler *Throttler) Resume(now identifier.Moment) {
+	if throttler.overloaded || now.Before(throttler.nextResume) {
+		return
+	}
+	throttler.nextResume = now.Add(throttler.Settings.SuspensionInterval)
+	throttler.reset(now)
+}
+
+// reset rejects nothing for StartTime.
+func (throttler *Throttler) reset(now identifier.Moment) {
 	throttler.started = true
 	throttler.lastAt = now
 	throttler.quietUntil = now.Add(throttler.Settings.StartTime)
@@ -157,7 +172,7 @@
 // Expire ends an overload if there have been no observations for a while: the measurement has failed.
 func (throttler *Throttler) Expire(now identifier.Moment) {
 	if throttler.overloaded && throttler.lastAt.Add(throttler.Settings.MaxSilence).Before(now) {
-		throttler.Reset(now)
+		throttler.reset(now)
 	}
 }
 
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// Guards against rejections for long after an overload, after a jump of the clock, and when the measurement
-// fails.
+// Guards against rejections for long after an overload, after a jump of the clock and when the measurement
+// fails, and against long ticks that pass for suspensions.
 func TestOverloadEnds(t *testing.T) {
 	burst := func(second float64) float64 {
 		if second > 10 && second < 11 {
@@ -176,6 +176,15 @@
 	if silent.Overloaded() || silent.Reject() {
 		t.Error("the overload goes on without observations")
 	}
+	slow := throttler.Throttler{Settings: throttler.DefaultSettings()}
+	for second := range 12 {
+		now := identifier.Moment(time.Duration(second) * time.Second)
+		slow.Resume(now)
+		slow.Observe(now, time.Second)
+	}
+	if !slow.Overloaded() {
+		t.Error("no overload of a host whose ticks are as long as a suspension")
+	}
 	overloaded.Observe(0, time.Hour)
 	if overloaded.Overloaded() || overloaded.Reject() {
 		t.Error("a clock that went back counts as an overload")
