--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -23,7 +23,9 @@
 	random  *rand.Rand
 	// kinds are the kinds of the jobs.
 	kinds []kind
-	next  int
+	// urgencies are the priorities of the queues; 0 comes first.
+	urgencies map[identifier.QueueName]int
+	next      int
 	// Counts of the jobs and runs by outcome.
 	jobs, rejected, done int
 	inTime, late         map[identifier.QueueName]int
@@ -382,10 +384,15 @@
 		}
 		drawn -= kind.share
 	}
+	return load.submitKind(chosen)
+}
+
+// submitKind submits one job of a kind.
+func (load *load) submitKind(chosen kind) []allocator.Input {
 	load.next++
 	request := messenger.CapacityRequest{
 		Job: identifier.JobID(fmt.Sprintf("j%d", load.next)), Service: "desk", Queue: chosen.queue, Attempts: 3, Stretch: 1.6,
-		Allowance: 60 * time.Millisecond, Remaining: 5 * time.Second,
+		Allowance: 60 * time.Millisecond, Remaining: 5 * time.Second, Urgency: load.urgencies[chosen.queue],
 	}
 	width := max(1, int(chosen.width*(1+0.4*load.random.NormFloat64())+0.5))
 	work := time.Duration(float64(chosen.work) * max(0.2, 1+0.4*load.random.NormFloat64()))
