Rate servers on trial too, and test learned speeds under failure

Cause: a server that was told as fast and is slow was ejected, and as its runs on trial did not count it stayed so (TestWrongSpeedIsCorrected: 8 of 28 speeds stayed wrong).

Change: runs on trial count; the factor for the health does not start from a told fastness. Tests: the next lead knows the speeds from broadcasts and from keepers; late, repeated and lost starts on the slowest servers; a wrong speed and one out of bounds; kinds that change places; a fast server that turns slow is ejected as soon as in an alike fleet (0.47 s, alike 0.91 s).

--- a/pkg/allocator/health.go
+++ b/pkg/allocator/health.go
@@ -25,9 +25,6 @@
 		}
 		incarnation := identifier.ServerIncarnation(change.Server)
 		server := allocator.servers.Get(incarnation)
-		if server != nil {
-			server.restricted = change.Cause == assessor.CauseEjected || change.Cause == assessor.CauseProbing
-		}
 		if server == nil || server.runLimit == int(change.Slots) {
 			continue
 		}
--- a/pkg/allocator/load_test.go
+++ b/pkg/allocator/load_test.go
@@ -37,6 +37,12 @@
 	// runTimeFactors are how much longer than usual tasks take on the servers, by rotation in groups of
 	// three, so that each factor occurs with each size; none means that all are usual.
 	runTimeFactors []float64
+	// lateStarts is set if a third of the starts on the slowest servers get no answer: most arrive late,
+	// some never.
+	lateStarts bool
+	// broadcasts holds the last broadcast report of each server, ejectedAt when it was first ejected.
+	broadcasts map[identifier.ServerIncarnation]messenger.ServerReport
+	ejectedAt  map[identifier.ServerIncarnation]identifier.Moment
 	// lossy is how many servers lose three answers in ten.
 	lossy int
 	// crashing configures and counts crashes of servers.
@@ -143,6 +149,7 @@
 		random:  rand.New(rand.NewPCG(1, 2)),
 		inTime:  make(map[identifier.QueueName]int), late: make(map[identifier.QueueName]int), arrived: make(map[identifier.QueueName]int),
 		open: make(map[identifier.JobID]*loadJob), lastStarts: make(map[int]identifier.Moment),
+		broadcasts: make(map[identifier.ServerIncarnation]messenger.ServerReport), ejectedAt: make(map[identifier.ServerIncarnation]identifier.Moment),
 	}
 	for lead := range leads {
 		created.leads = append(created.leads, &allocator.Allocator{FailureDomain: domainOf(lead), Settings: allocator.DefaultSettings()})
@@ -201,7 +208,11 @@
 		}
 		for _, run := range output.Grant.Runs {
 			key := messenger.RunKey{Job: output.Grant.Job, Task: run.Task, Run: run.Run}
-			load.at(lead, serverDelay, func() []allocator.Input {
+			delay, lost := load.startDelay(lead, key, run, output.Grant.Epoch)
+			if lost {
+				continue
+			}
+			load.at(lead, delay, func() []allocator.Input {
 				server := load.serverReached(run.Server)
 				if server.down {
 					return nil
@@ -265,6 +276,14 @@
 		load.finish(output.Done.RunKey.Job)
 	case *allocator.AnswerRequest:
 		load.handleAnswer(&output.Answer)
+	case *allocator.BroadcastReport:
+		load.broadcasts[output.Report.Server] = output.Report
+	case *allocator.Decided:
+		if output.Decision.Kind == messenger.DecisionServerJudged && output.Decision.Reason == "ejected" {
+			if _, known := load.ejectedAt[output.Decision.Server]; !known {
+				load.ejectedAt[output.Decision.Server] = load.now
+			}
+		}
 	case *allocator.SendNotice:
 		load.deliver(load.leadNamed(output.To), domainDelay, &allocator.NoticeArrived{Notice: output.Notice})
 	}
@@ -311,9 +330,7 @@
 
 // runTime returns how long a run takes on a server, and whether it ever ends.
 func (load *load) runTime(server *loadServer, usual time.Duration) (time.Duration, bool) {
-	if count := len(load.runTimeFactors); count > 0 {
-		usual = time.Duration(float64(usual) * load.runTimeFactors[(server.index+server.index/3)%count])
-	}
+	usual = time.Duration(float64(usual) * load.factorOf(server.index))
 	switch {
 	case server.index < load.hanging:
 		return usual, load.random.Float64() > 0.4
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -43,8 +43,6 @@
 	// factor is how much longer than on a usual server tasks take, healthFactor the same for the
 	// assessment of its health.
 	factor, healthFactor float64
-	// restricted is set while its health excludes it, or allows it a few runs on trial.
-	restricted bool
 	// used is the capacity of all runs that are not provably over.
 	used identifier.Resources
 	runs map[messenger.RunKey]*run
--- a/pkg/allocator/speeds.go
+++ b/pkg/allocator/speeds.go
@@ -102,9 +102,10 @@
 }
 
 // showsSpeed reports whether a run shows how fast its server is: it was granted here, its start was
-// not repeated, late or unanswered, its end was learned at once, and the server is not on trial.
+// not repeated, late or unanswered, and its end was learned at once. A server that its health excludes
+// shows it in its runs on trial: otherwise one that is much slower than it was would stay excluded.
 func (allocator *Allocator) showsSpeed(server *server, ended *run) bool {
-	return ended.epoch != 0 && ended.unsettled == nil && !ended.moved && !server.restricted && server.lossyUntil.Due(allocator.now)
+	return ended.epoch != 0 && ended.unsettled == nil && !ended.moved && server.lossyUntil.Due(allocator.now)
 }
 
 // applyFactors adopts the learned factors.
--- a/pkg/rater/rater.go
+++ b/pkg/rater/rater.go
@@ -90,7 +90,9 @@
 	// told is the logarithm that an earlier lead has learned; isTold reports whether there is one.
 	told   float64
 	isTold bool
-	// estimate is the mean, shrunk towards the prior; lagging follows it slowly.
+	// estimate is the mean, shrunk towards the prior; lagging follows it slowly. lagging starts from a
+	// told slowness, but not from a told fastness: a usual server that was told as fast would be ejected
+	// for being slow before its runs have corrected that.
 	estimate, lagging float64
 	// factor and healthFactor are the results of the last update.
 	factor, healthFactor float64
@@ -123,6 +125,9 @@
 	created.setTold(told)
 	created.estimate = created.prior()
 	created.lagging = created.estimate
+	if created.isTold {
+		created.lagging = max(created.told, 0)
+	}
 	rater.servers.Put(id, created)
 	rater.update()
 }
@@ -161,6 +166,7 @@
 		return
 	}
 	known.runs, known.mean = 0, 0
+	known.lagging = max(known.told, 0)
 	rater.update()
 }
 
--- a/pkg/rater/updating.go
+++ b/pkg/rater/updating.go
@@ -15,7 +15,9 @@
 	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
 		if server.runs == 0 {
 			server.estimate = server.prior()
-			server.lagging = server.estimate
+			if !server.isTold {
+				server.lagging = server.estimate
+			}
 		}
 		server.factor, server.healthFactor = 1, 1
 		if rater.differ {
