Show learned speeds in metrics, logs and explanations

Cause: nothing told an operator that servers differ in speed, or that a job was late because of it.

Change: the gauges and the status have the mean speed by kind (service, first label, capacity; 16 kinds at most) while servers are known to differ; slow-run names the last run of a late job on a slow server, and the explanation of a request names it, too.

go test ./pkg/narrator ./pkg/measurer ./pkg/messenger ./pkg/rater ./pkg/allocator pass.

--- a/pkg/allocator/runs.go
+++ b/pkg/allocator/runs.go
@@ -195,6 +195,7 @@
 	}
 	task.run = nil
 	task.done = true
+	allocator.logSlowRun(server, ended, job)
 	allocator.emit(&NotifyDone{To: job.from, Done: messenger.TaskDone{RunKey: ended.key}})
 	allocator.closeIfDone(job)
 }
--- a/pkg/allocator/speeds.go
+++ b/pkg/allocator/speeds.go
@@ -108,6 +108,41 @@
 	return ended.epoch != 0 && ended.unsettled == nil && !ended.moved && server.lossyUntil.Due(allocator.now)
 }
 
+// logSlowRun logs the last run of a late job if its server is slow.
+func (allocator *Allocator) logSlowRun(server *server, ended *run, job *job) {
+	if server.factor < speedStep || !job.dueAt.Before(allocator.now) || !job.allDone() {
+		return
+	}
+	allocator.logDecision(messenger.Decision{
+		Kind: messenger.DecisionSlowRun, Job: ended.key.Job, Task: ended.key.Task, Run: ended.key.Run, Server: server.report.Server,
+		Elapsed: allocator.now.Sub(ended.grantedAt), Reason: fmt.Sprintf("its server takes %.1f times the usual time", server.factor),
+	})
+}
+
+// KindSpeed is the mean speed of the backend servers of one kind in a cell.
+type KindSpeed struct {
+	Service  identifier.ServiceName `json:"service"`
+	Label    string                 `json:"label,omitempty"`
+	MilliCPU identifier.MilliCPU    `json:"milli-cpu"`
+	Servers  int                    `json:"servers"`
+	Speed    identifier.Speed       `json:"speed"`
+}
+
+// KindSpeeds returns the mean speeds of the kinds while backend servers are known to differ.
+func (allocator *Allocator) KindSpeeds() []KindSpeed {
+	var speeds []KindSpeed
+	if !allocator.speedsDiffer {
+		return nil
+	}
+	allocator.rater.EachKind(func(kind rater.Kind, servers int, factor float64) {
+		speeds = append(speeds, KindSpeed{
+			Service: kind.Service, Label: kind.Label, MilliCPU: kind.Capacity.MilliCPU, Servers: servers,
+			Speed: identifier.Speed(float64(identifier.UsualSpeed) / factor),
+		})
+	})
+	return speeds
+}
+
 // applyFactors adopts the learned factors.
 func (allocator *Allocator) applyFactors() {
 	if allocator.Settings.IgnoreSpeeds {
--- a/pkg/assembler/measuring.go
+++ b/pkg/assembler/measuring.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/measurer"
 )
 
@@ -32,6 +35,28 @@
 	if answer, answered := output.(*coordinator.StatusAnswer); answered {
 		gauges.Queued = answer.Status.Work.Queued
 		gauges.Running = answer.Status.Work.Running
+		gauges.ServerSpeeds = meanSpeeds(answer.Status.KindSpeeds)
 	}
 	return gauges
 }
+
+// maxSpeedLabels bounds the kinds of backend servers with a speed of their own in the gauges.
+const maxSpeedLabels = 16
+
+// meanSpeeds returns the mean speed of each kind over the cells.
+func meanSpeeds(kinds []allocator.KindSpeed) map[string]identifier.Speed {
+	servers, sums := make(map[string]int), make(map[string]int)
+	for _, kind := range kinds {
+		name := fmt.Sprintf("%s/%s/%d", kind.Service, kind.Label, kind.MilliCPU)
+		if _, known := servers[name]; !known && len(servers) >= maxSpeedLabels {
+			name = "others"
+		}
+		servers[name] += kind.Servers
+		sums[name] += kind.Servers * int(kind.Speed)
+	}
+	speeds := make(map[string]identifier.Speed, len(servers))
+	for name, count := range servers {
+		speeds[name] = identifier.Speed(sums[name] / count)
+	}
+	return speeds
+}
--- a/pkg/coordinator/status.go
+++ b/pkg/coordinator/status.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/dispatcher"
 	"github.com/stoathitch/stoathitch/pkg/explainer"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
@@ -25,6 +26,9 @@
 	Cells     []CellStatus               `json:"cells"`
 	// Servers are the backend servers that have announced themselves here.
 	Servers []dispatcher.ServerStatus `json:"backend-servers"`
+	// KindSpeeds are the mean speeds of the kinds of backend servers in the cells that this host leads,
+	// as far as they differ.
+	KindSpeeds []allocator.KindSpeed `json:"kind-speeds,omitempty"`
 	// Work counts the work of the cells that this host leads.
 	Work dispatcher.WorkStatus `json:"work"`
 	// Intents describes the workers and the intents that this host drives.
@@ -75,6 +79,11 @@
 		Intents:       coordinator.intentDriver.status(),
 		Teams:         coordinator.dispatcher.Teams(),
 	}
+	for _, cellAllocator := range coordinator.allocators {
+		if cellAllocator.allocator.Leads() {
+			status.KindSpeeds = append(status.KindSpeeds, cellAllocator.allocator.KindSpeeds()...)
+		}
+	}
 	for _, state := range coordinator.gossiper.Members() {
 		if state.Member.Host == coordinator.Self.Host {
 			continue
--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -38,6 +38,9 @@
 	Waiting int `json:"waiting"`
 	// WaitingBytes is the total size of their bodies.
 	WaitingBytes identifier.Bytes `json:"waiting-bytes"`
+	// ServerSpeeds are the mean speeds of the backend servers in the cells that this host leads, by
+	// service, first label and thousandths of a core, while they differ.
+	ServerSpeeds map[string]identifier.Speed `json:"server-speeds,omitempty"`
 }
 
 // Measurer holds the variables of one host. They are not expvar's global ones,
--- a/pkg/messenger/decision.go
+++ b/pkg/messenger/decision.go
@@ -63,6 +63,8 @@
 	// DecisionServerSpeedChanged means that the learned speed of a backend server has changed by more
 	// than a fifth.
 	DecisionServerSpeedChanged
+	// DecisionSlowRun means that the last run of a late job was on a slow backend server.
+	DecisionSlowRun
 	// DecisionCrashedUnder means that a backend server crashed, or stopped responding for good,
 	// during a run.
 	DecisionCrashedUnder
--- a/pkg/messenger/decision_enumer.go
+++ b/pkg/messenger/decision_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedslow-runcrashed-underheartbeat-passed-overend-passed-over"
 
-var _DecisionKindIndex = [...]uint16{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 129, 142, 153, 164, 177, 188, 201, 221, 234, 255, 270}
+var _DecisionKindIndex = [...]uint16{0, 7, 12, 19, 24, 35, 46, 58, 72, 79, 87, 94, 102, 110, 121, 129, 142, 153, 164, 177, 188, 201, 221, 229, 242, 263, 278}
 
-const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedcrashed-underheartbeat-passed-overend-passed-over"
+const _DecisionKindLowerName = "arrivedaskedgrantedwaitshanded-overturned-awaystart-failedstart-repeatedadoptedrun-overstoppedansweredgiven-upcaller-leftinquiredserver-joinedserver-lostserver-backserver-leavesserver-goneserver-judgedserver-speed-changedslow-runcrashed-underheartbeat-passed-overend-passed-over"
 
 func (i DecisionKind) String() string {
 	if i < 0 || i >= DecisionKind(len(_DecisionKindIndex)-1) {
@@ -46,12 +46,13 @@
 	_ = x[DecisionServerGone-(19)]
 	_ = x[DecisionServerJudged-(20)]
 	_ = x[DecisionServerSpeedChanged-(21)]
-	_ = x[DecisionCrashedUnder-(22)]
-	_ = x[DecisionHeartbeatPassedOver-(23)]
-	_ = x[DecisionEndPassedOver-(24)]
+	_ = x[DecisionSlowRun-(22)]
+	_ = x[DecisionCrashedUnder-(23)]
+	_ = x[DecisionHeartbeatPassedOver-(24)]
+	_ = x[DecisionEndPassedOver-(25)]
 }
 
-var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionInquired, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionServerSpeedChanged, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
+var _DecisionKindValues = []DecisionKind{DecisionArrived, DecisionAsked, DecisionGranted, DecisionWaits, DecisionHandedOver, DecisionTurnedAway, DecisionStartFailed, DecisionStartRepeated, DecisionAdopted, DecisionRunOver, DecisionStopped, DecisionAnswered, DecisionGivenUp, DecisionCallerLeft, DecisionInquired, DecisionServerJoined, DecisionServerLost, DecisionServerBack, DecisionServerLeaves, DecisionServerGone, DecisionServerJudged, DecisionServerSpeedChanged, DecisionSlowRun, DecisionCrashedUnder, DecisionHeartbeatPassedOver, DecisionEndPassedOver}
 
 var _DecisionKindNameToValueMap = map[string]DecisionKind{
 	_DecisionKindName[0:7]:     DecisionArrived,
@@ -76,9 +77,10 @@
 	_DecisionKindName[177:188]: DecisionServerGone,
 	_DecisionKindName[188:201]: DecisionServerJudged,
 	_DecisionKindName[201:221]: DecisionServerSpeedChanged,
-	_DecisionKindName[221:234]: DecisionCrashedUnder,
-	_DecisionKindName[234:255]: DecisionHeartbeatPassedOver,
-	_DecisionKindName[255:270]: DecisionEndPassedOver,
+	_DecisionKindName[221:229]: DecisionSlowRun,
+	_DecisionKindName[229:242]: DecisionCrashedUnder,
+	_DecisionKindName[242:263]: DecisionHeartbeatPassedOver,
+	_DecisionKindName[263:278]: DecisionEndPassedOver,
 }
 
 var _DecisionKindLowerNameToValueMap = map[string]DecisionKind{
@@ -104,9 +106,10 @@
 	_DecisionKindLowerName[177:188]: DecisionServerGone,
 	_DecisionKindLowerName[188:201]: DecisionServerJudged,
 	_DecisionKindLowerName[201:221]: DecisionServerSpeedChanged,
-	_DecisionKindLowerName[221:234]: DecisionCrashedUnder,
-	_DecisionKindLowerName[234:255]: DecisionHeartbeatPassedOver,
-	_DecisionKindLowerName[255:270]: DecisionEndPassedOver,
+	_DecisionKindLowerName[221:229]: DecisionSlowRun,
+	_DecisionKindLowerName[229:242]: DecisionCrashedUnder,
+	_DecisionKindLowerName[242:263]: DecisionHeartbeatPassedOver,
+	_DecisionKindLowerName[263:278]: DecisionEndPassedOver,
 }
 
 var _DecisionKindNames = []string{
@@ -132,9 +135,10 @@
 	_DecisionKindName[177:188],
 	_DecisionKindName[188:201],
 	_DecisionKindName[201:221],
-	_DecisionKindName[221:234],
-	_DecisionKindName[234:255],
-	_DecisionKindName[255:270],
+	_DecisionKindName[221:229],
+	_DecisionKindName[229:242],
+	_DecisionKindName[242:263],
+	_DecisionKindName[263:278],
 }
 
 // DecisionKindString retrieves an enum value from the enum constants string name.
--- a/pkg/narrator/cause.go
+++ b/pkg/narrator/cause.go
@@ -71,6 +71,9 @@
 	if over := storyBuilder.last(messenger.DecisionRunOver); over != nil {
 		return fmt.Sprintf("it was complete after %v; a run on %s had to be repeated: %s", answered.Elapsed, over.Server, over.Reason), true
 	}
+	if slow := storyBuilder.last(messenger.DecisionSlowRun); slow != nil {
+		return fmt.Sprintf("it was complete after %v, and late; its last run took %v on %s: %s", answered.Elapsed, slow.Elapsed, slow.Server, slow.Reason), true
+	}
 	if waited := storyBuilder.first(messenger.DecisionWaits); waited != nil {
 		if granted := storyBuilder.first(messenger.DecisionGranted); granted != nil {
 			return fmt.Sprintf("it was complete after %v, of which it waited %v for room", answered.Elapsed, granted.Elapsed), true
