--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -50,6 +50,9 @@
 	Overloads                int     `json:"overloads"`
 	OverloadRejectedJobs     int     `json:"overload-rejected-jobs"`
 	OverloadRejectedRequests int     `json:"overload-rejected-requests"`
+	// ServerSpeeds are the mean speeds of the backend servers in the cells that this host leads, by
+	// service, first label and thousandths of a core, while they differ.
+	ServerSpeeds map[string]identifier.Speed `json:"server-speeds,omitempty"`
 }
 
 // Measurer holds the variables of one host. They are not expvar's global ones,
