Refuse submissions while layouts differ, and document the layouts

A change of layout is reported after the hosts have been compared, so that its log line tells whether the host serves.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +20,7 @@
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/listener"
+	"github.com/stoathitch/stoathitch/pkg/loader"
 	"github.com/stoathitch/stoathitch/pkg/measurer"
 	backendv1 "github.com/stoathitch/stoathitch/pkg/protocol/backend/v1"
 	peerv1 "github.com/stoathitch/stoathitch/pkg/protocol/peer/v1"
@@ -60,6 +62,8 @@
 	security      *security
 	// layout is the last reported layout; only deliver uses it.
 	layout coordinator.LayoutChanged
+	// draining reports that the host shuts down and stays unready.
+	draining atomic.Bool
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it reports unready, refuses new
@@ -101,7 +105,9 @@
 	}
 	runners.Go(func() { daemon.runner.Run(running) })
 	runners.Go(func() { daemon.peers.Run(running) })
-	daemon.receiver.SetReady(true)
+	if daemon.Settings.Dispatch.Cells > 0 || !daemon.Settings.HasRole(loader.RoleEntry) {
+		daemon.receiver.SetReady(true)
+	}
 	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
 		"backend-servers", listeners.backendServersAddress(), "peers", listeners.peers.Addr())
 	<-ctx.Done()
@@ -225,6 +231,7 @@
 
 // drain answers the accepted jobs, within the shutdown deadline of the settings.
 func (daemon *Daemon) drain(ctx, abort context.Context) {
+	daemon.draining.Store(true)
 	daemon.receiver.SetReady(false)
 	daemon.Log.Info("shutting down", "waiting", daemon.receiver.WaitingRequests())
 	deadline, cancel := context.WithTimeout(abort, daemon.Settings.Timeouts.ShutdownDeadline.Std())
--- a/pkg/assembler/layouts.go
+++ b/pkg/assembler/layouts.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/loader"
 )
 
 // applyLayout logs and counts a change of the layouts.
@@ -11,6 +12,9 @@
 	last := daemon.layout
 	daemon.layout = *change
 	daemon.measurer.LayoutChanged(change.Cells, len(change.Differing))
+	if daemon.Settings.HasRole(loader.RoleEntry) && !daemon.draining.Load() {
+		daemon.receiver.SetReady(change.Serving)
+	}
 	if change.Cells != last.Cells {
 		daemon.Log.Info("layout-in-force", "failure-domain", daemon.Settings.FailureDomain, "cells", change.Cells)
 	}
--- a/pkg/coordinator/layouts.go
+++ b/pkg/coordinator/layouts.go
@@ -8,6 +8,7 @@
 	"github.com/stoathitch/stoathitch/pkg/allocator"
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/elector"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -45,6 +46,8 @@
 	learnedBy identifier.Moment
 	// changed reports that the layouts of the hosts may differ in another way than before.
 	changed bool
+	// unreported reports that a LayoutChanged is due.
+	unreported bool
 	// reports are the reports of backend servers that arrived before the layout was known.
 	reports *tabulator.Table[earlyReportKey, messenger.ServerReport]
 }
@@ -115,7 +118,7 @@
 	if layouts.own == 0 && cells > 0 && layouts.isEntryHost() {
 		layouts.use(cells)
 	}
-	layouts.report()
+	layouts.unreported = true
 }
 
 // use creates everything that depends on the number of cells, in the state that it would have if it
@@ -173,9 +176,17 @@
 		return
 	}
 	layouts.changed = false
-	if layouts.own == 0 || !layouts.isEntryHost() {
-		return
+	if layouts.own > 0 && layouts.isEntryHost() {
+		layouts.compare()
+	}
+	if layouts.unreported {
+		layouts.unreported = false
+		layouts.report()
 	}
+}
+
+// compare decides whether this host may serve with its layout.
+func (layouts *layouts) compare() {
 	differing, learning := layouts.compareHosts()
 	agreed := layouts.agreedIn(layouts.coordinator.Self.FailureDomain)
 	suspended := len(differing) > 0
@@ -185,7 +196,7 @@
 	layouts.updateUnfit(differing, learning, suspended)
 	if suspended != layouts.suspended || !slices.Equal(differing, layouts.differing) {
 		layouts.suspended, layouts.differing = suspended, differing
-		layouts.report()
+		layouts.unreported = true
 	}
 }
 
@@ -244,20 +255,38 @@
 	if layouts.serves() || !coordinator.Settings.AgreedLayout && !layouts.suspended {
 		return false
 	}
-	detail := "no configuration yet"
-	if layouts.suspended {
-		if coordinator.supervisor.Has(arrived.Job.Job) {
-			return false
-		}
-		detail = "the hosts of the failure domain use different layouts"
+	if layouts.suspended && coordinator.supervisor.Has(arrived.Job.Job) {
+		return false
 	}
 	coordinator.outputs.add(&JobEnded{Ended: &supervisor.JobEnded{
 		Waiter: arrived.Waiter, Job: arrived.Job.Job, Outcome: supervisor.OutcomeRefused,
-		Reason: messenger.ReasonNoBackendServer, Detail: detail, RetryAfter: layoutRetryAfter,
+		Reason: messenger.ReasonNoBackendServer, Detail: layouts.refusal(), RetryAfter: layoutRetryAfter,
 	}})
 	return true
 }
 
+// refuseSubmission answers a submission that this host can't accept because of its layout, and reports
+// whether it did. An earlier process or another host may have run the submission.
+func (coordinator *Coordinator) refuseSubmission(event forwarder.Input) bool {
+	submitted, isSubmission := event.(*forwarder.CallerSubmitted)
+	layouts := coordinator.layouts
+	if !isSubmission || layouts.own > 0 && !layouts.suspended {
+		return false
+	}
+	answer := messenger.RefuseUnknown(submitted.Job.Submission, messenger.ReasonNoBackendServer, layouts.refusal())
+	answer.RetryAfter = layoutRetryAfter
+	coordinator.outputs.add(&ToCaller{Answer: &forwarder.AnswerCaller{Waiter: submitted.Waiter, Answer: answer}})
+	return true
+}
+
+// refusal returns why this host accepts no job.
+func (layouts *layouts) refusal() string {
+	if layouts.suspended {
+		return "the hosts of the failure domain use different layouts"
+	}
+	return "no configuration yet"
+}
+
 // entryCapacities returns the capacities of the known entry hosts that have not left, by failure
 // domain.
 func (coordinator *Coordinator) entryCapacities() map[identifier.FailureDomain]map[identifier.HostID]identifier.HostCapacity {
--- a/pkg/coordinator/layouts_test.go
+++ b/pkg/coordinator/layouts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
@@ -355,6 +356,15 @@
 	network.startHost(other)
 	network.advance(5 * time.Second)
 	for _, host := range network.hosts {
+		submitted := &forwarder.CallerSubmitted{Waiter: 1, Job: &messenger.Job{Submission: "order"}, Deadline: identifier.Never}
+		now := identifier.Moment(network.now.Sub(host.startedAt))
+		refusal := slices.IndexFunc(host.coordinator.Tick(now, []coordinator.Input{&coordinator.CallerEvent{Event: submitted}}), func(output coordinator.Output) bool {
+			answer, isAnswer := output.(*coordinator.ToCaller)
+			return isAnswer && answer.Answer.Answer.ClaimsNothing() && answer.Answer.Answer.RetryAfter > 0
+		})
+		if refusal < 0 {
+			t.Errorf("%s does not refuse a submission", host.id)
+		}
 		if host.layout == nil || host.layout.Serving || len(host.layout.Differing) != 1 {
 			t.Errorf("%s reports %+v", host.id, host.layout)
 		}
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -42,6 +42,9 @@
 	case *ServerEvent:
 		coordinator.handleServerEvent(input.Event)
 	case *CallerEvent:
+		if coordinator.refuseSubmission(input.Event) {
+			return
+		}
 		coordinator.toForwarder = append(coordinator.toForwarder, input.Event)
 	case *StartEvent:
 		coordinator.notifyStarter(input.Event)
--- a/pkg/loader/dispatch.go
+++ b/pkg/loader/dispatch.go
@@ -7,7 +7,8 @@
 	Policy PolicyName `json:"policy"`
 
 	// Cells is the number of cells that the slots of each failure domain form. All
-	// hosts of a deployment must have the same number.
+	// hosts of a deployment must have the same number; hosts whose numbers differ serve
+	// nothing until they agree.
 	Cells int `json:"cells"`
 
 	// RetryBudgetRatio is the share of starts that may be repeated elsewhere after a
