--- a/pkg/allocator/closing.go
+++ b/pkg/allocator/closing.go
@@ -116,4 +116,5 @@
 func (allocator *Allocator) clearJobTimers(id identifier.JobID) {
 	allocator.timers.Clear(timerKey{kind: timerJobDeadline, job: id})
 	allocator.timers.Clear(timerKey{kind: timerJobStart, job: id})
+	allocator.timers.Clear(timerKey{kind: timerReopen, job: id})
 }
--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -121,8 +121,8 @@
 // but a job does not wait for one, since many may want the same rack.
 //
 // Where servers differ in speed, those come first on which the task should end by the job's due
-// time; if there is none, the fastest does. A job of which nothing has started waits for a faster
-// server while it can still be in time there.
+// time. If there is none, the task waits for a faster server while its job could be in time on a usual
+// one, and gets the fastest after that.
 func (allocator *Allocator) bestServerFor(job *job, task *task) *server {
 	var best *server
 	var bestFit fit
@@ -146,7 +146,8 @@
 		}
 		return true
 	})
-	if best != nil && bestFit.late && !job.granted && allocator.now.Before(job.startBy) {
+	if best != nil && bestFit.late && allocator.now.Before(job.startBy) {
+		allocator.timers.Set(timerKey{kind: timerReopen, job: job.request.Job}, job.startBy)
 		return nil
 	}
 	return best
--- a/pkg/allocator/speeds_test.go
+++ b/pkg/allocator/speeds_test.go
@@ -190,3 +190,31 @@
 		t.Errorf("ejected after %v, in an alike fleet after %v", fast, alike)
 	}
 }
+
+// TestTaskGetsSlowServerInTheEnd guards against a task that waits for a fast server for good while slow
+// ones are free: the fast ones have left after the first tasks of the job had started.
+func TestTaskGetsSlowServerInTheEnd(t *testing.T) {
+	load := newLoadWithSpeeds(nil)
+	next := load.leads[0]
+	for index := range len(load.servers) {
+		report := load.servers[serverNamed(index)].report
+		report.Draining = load.factorOf(index) < 1.6
+		load.tick(0, &allocator.ReportArrived{Report: report})
+	}
+	request := messenger.CapacityRequest{Job: "last", Service: "desk", Queue: "large", Attempts: 3, Stretch: 1.6, Remaining: 5 * time.Second, Partial: true}
+	needs := identifier.Resources{MilliCPU: 8000, Memory: 64 << 20}
+	request.Tasks = append(request.Tasks, messenger.TaskRequest{Needs: needs, Declared: 900 * time.Millisecond})
+	arrived := load.now
+	isGranted := func(outputs []allocator.Output) bool {
+		return slices.ContainsFunc(outputs, func(output allocator.Output) bool { _, is := output.(*allocator.GrantCapacity); return is })
+	}
+	if isGranted(next.Tick(load.now, []allocator.Input{&allocator.CapacityRequested{From: "host-b", Request: request}})) {
+		t.Error("the task does not wait for a faster server")
+	}
+	for !isGranted(next.Tick(load.now, nil)) {
+		load.now = next.NextDeadline()
+		if load.now.Sub(arrived) > time.Second {
+			t.Fatal("the task gets no server within a second")
+		}
+	}
+}
