Ignore an implausible capacity when a layout is decided

Cause: the proposer counted the capacity as a host states it; a host with a wrong one would have decided the layout of its failure domain for good. Change: it counts as unknown, as for leads. After: TestImplausibleCapacityDoesNotDecideTheLayout passes; it failed before.

--- a/pkg/coordinator/layouts.go
+++ b/pkg/coordinator/layouts.go
@@ -300,7 +300,7 @@
 			hosts = make(map[identifier.HostID]identifier.HostCapacity)
 			capacities[member.FailureDomain] = hosts
 		}
-		hosts[member.Host] = member.Capacity
+		hosts[member.Host] = member.Capacity.OrUnknown()
 	}
 	coordinator.gossiper.EachState(func(state *gossiper.State) {
 		if state.Status != gossiper.StatusLeft && state.Member.Host != coordinator.Self.Host {
--- a/pkg/coordinator/layouts_test.go
+++ b/pkg/coordinator/layouts_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// TestImplausibleCapacityDoesNotDecideTheLayout guards against a layout that is decided for good by a host
+// whose stated capacity is wrong.
+func TestImplausibleCapacityDoesNotDecideTheLayout(t *testing.T) {
+	network := newAgreeingNetwork(t, largeHost, largeHost, largeHost, largeHost)
+	wrong := network.entry[0]
+	network.crashHost(wrong)
+	wrong.capacity = identifier.HostCapacity{MilliCPU: smallHost, Memory: -1}
+	network.startHost(wrong)
+	network.advance(10 * time.Second)
+	network.configure(1)
+	network.advance(2 * time.Second)
+	network.checkLed(t, "leuven", 1)
+}
+
 // TestInterruptedLayoutProposal guards against failure domains that stay without a layout, or get two,
 // when the leader of the keepers is lost around its proposal: before, while it spreads, and after.
 func TestInterruptedLayoutProposal(t *testing.T) {
