Rate the servers that join together once

Cause: each server that a host learned of had all factors computed anew, so that a cell's join cost the square of its servers on every host of its failure domain. Change: an added server gets its own factor; told speeds are taken into account before the next input that is no report.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -75,6 +75,8 @@
 	// handoffArrived is set if a job was handed off to this cell since the last notice. The other
 	// lead has subtracted it from the room of that notice.
 	handoffArrived bool
+	// speedsStale is set if reports may have changed the learned speeds since they were adopted.
+	speedsStale bool
 	// overloaded is set while this host is overloaded.
 	overloaded bool
 	timers     *tabulator.Timers[timerKey]
@@ -113,8 +115,12 @@
 func (allocator *Allocator) Tick(now identifier.Moment, inputs []Input) []Output {
 	allocator.prepare(now)
 	for _, input := range inputs {
+		if !isReport(input) {
+			allocator.refreshFactors()
+		}
 		allocator.apply(input)
 	}
+	allocator.refreshFactors()
 	allocator.timers.EachDue(now, allocator.expire)
 	allocator.assessServers()
 	if allocator.epoch != 0 {
--- a/pkg/allocator/speeds.go
+++ b/pkg/allocator/speeds.go
@@ -22,8 +22,13 @@
 
 // rateServer starts to rate a server that has joined, from the speed that an earlier lead has learned.
 func (allocator *Allocator) rateServer(joined *server) {
-	allocator.rater.Add(joined.report.Server, kindOf(&joined.report), joined.report.Speed)
-	allocator.applyFactors()
+	id := joined.report.Server
+	allocator.rater.Add(id, kindOf(&joined.report), joined.report.Speed)
+	if joined.report.Speed != 0 || allocator.speedsStale || allocator.Settings.IgnoreSpeeds {
+		allocator.speedsStale = true
+		return
+	}
+	joined.factor, joined.healthFactor = allocator.rater.Factor(id), allocator.rater.HealthFactor(id)
 }
 
 // followSpeed adopts the speed in a report, which the lead of the cell has learned. A lead goes by what
@@ -35,7 +40,7 @@
 	}
 	known.report.Speed = report.Speed
 	allocator.rater.Tell(report.Server, report.Speed)
-	allocator.applyFactors()
+	allocator.speedsStale = true
 }
 
 // recallSpeed adopts the speed that the keepers remember of a server that has reported itself since.
@@ -45,7 +50,7 @@
 	}
 	known.report.Speed = report.Speed
 	allocator.rater.Recall(report.Server, report.Speed)
-	allocator.applyFactors()
+	allocator.speedsStale = true
 }
 
 // reclassify records that a server may be of another kind than before.
@@ -58,7 +63,7 @@
 		known.report.Speed = 0
 	}
 	allocator.rater.Reclassify(report.Server, now)
-	allocator.applyFactors()
+	allocator.speedsStale = true
 }
 
 // speedStep is by how much a learned speed must have changed to be reported.
@@ -143,8 +148,26 @@
 	return speeds
 }
 
+// refreshFactors adopts the learned factors if reports may have changed them. Reports come in bursts, so
+// it runs before the next input that is none.
+func (allocator *Allocator) refreshFactors() {
+	if allocator.speedsStale {
+		allocator.applyFactors()
+	}
+}
+
+func isReport(input Input) bool {
+	switch input.(type) {
+	case *ReportArrived, *ReportRecalled:
+		return true
+	default:
+		return false
+	}
+}
+
 // applyFactors adopts the learned factors.
 func (allocator *Allocator) applyFactors() {
+	allocator.speedsStale = false
 	if allocator.Settings.IgnoreSpeeds {
 		return
 	}
--- a/pkg/rater/rater.go
+++ b/pkg/rater/rater.go
@@ -77,8 +77,12 @@
 	noise float64
 	// differ is set while servers are proven to differ.
 	differ bool
-	// recorded counts the runs since the factors were computed.
+	// usual is the mean over the servers at the last update, to which factors refer.
+	usual float64
+	// recorded counts the runs since the last update.
 	recorded int
+	// stale is set if the factors have to be computed before they are read.
+	stale bool
 }
 
 // server is what is known of one incarnation. All means are of natural logarithms of run time over
@@ -128,8 +132,11 @@
 	if created.isTold {
 		created.lagging = max(created.told, 0)
 	}
+	rater.setFactors(created)
 	rater.servers.Put(id, created)
-	rater.update()
+	// A server without a told speed proves no difference and hardly moves the mean. An update for each
+	// would cost the square of the servers when all of them join.
+	rater.stale = rater.stale || created.isTold
 }
 
 func (rater *Rater) kind(key Kind) *kind {
@@ -155,7 +162,7 @@
 	rater.leaveKind(known)
 	known.kind = rater.kind(key)
 	known.kind.servers++
-	rater.update()
+	rater.stale = true
 }
 
 // Tell replaces what is known of a server by the speed that the lead has learned. A speed out of
@@ -167,7 +174,7 @@
 	}
 	known.runs, known.mean = 0, 0
 	known.lagging = max(known.told, 0)
-	rater.update()
+	rater.stale = true
 }
 
 // Recall sets the speed that the keepers remember of a server, unless the server has shown its own or a
@@ -221,6 +228,7 @@
 
 // Factor is how much longer than on a usual server tasks take on a server.
 func (rater *Rater) Factor(id identifier.ServerIncarnation) float64 {
+	rater.refresh()
 	if known := rater.get(id); known != nil {
 		return known.factor
 	}
@@ -229,6 +237,7 @@
 
 // HealthFactor is the factor for the assessment of a server's health, which follows more slowly.
 func (rater *Rater) HealthFactor(id identifier.ServerIncarnation) float64 {
+	rater.refresh()
 	if known := rater.get(id); known != nil {
 		return known.healthFactor
 	}
@@ -237,6 +246,7 @@
 
 // Speed is the learned speed of a server; zero before it has shown one.
 func (rater *Rater) Speed(id identifier.ServerIncarnation) identifier.Speed {
+	rater.refresh()
 	known := rater.get(id)
 	if known == nil || known.runs < minRuns {
 		return 0
@@ -245,13 +255,17 @@
 }
 
 // Differ reports whether the servers are proven to differ. Otherwise all factors are 1.
-func (rater *Rater) Differ() bool { return rater.differ }
+func (rater *Rater) Differ() bool {
+	rater.refresh()
+	return rater.differ
+}
 
 // EachKind visits the kinds with the number of their servers and the mean factor of these.
 func (rater *Rater) EachKind(visit func(key Kind, servers int, factor float64)) {
 	if rater.servers == nil {
 		return
 	}
+	rater.refresh()
 	sums := make(map[Kind]float64, rater.kinds.Len())
 	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
 		sums[server.kind.key] += math.Log(server.factor)
--- a/pkg/rater/updating.go
+++ b/pkg/rater/updating.go
@@ -8,9 +8,9 @@
 
 // update computes the means of the kinds, whether the servers differ, and all factors.
 func (rater *Rater) update() {
-	rater.recorded = 0
+	rater.recorded, rater.stale = 0, false
 	rater.updateKinds()
-	usual := rater.usual()
+	rater.usual = rater.meanEstimate()
 	rater.differ = rater.provesDifference()
 	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
 		if server.runs == 0 {
@@ -19,15 +19,26 @@
 				server.lagging = server.estimate
 			}
 		}
-		server.factor, server.healthFactor = 1, 1
-		if rater.differ {
-			server.factor = math.Exp(clipped(server.estimate - usual))
-			server.healthFactor = math.Exp(clipped(server.lagging - usual))
-		}
+		rater.setFactors(server)
 		return true
 	})
 }
 
+// refresh brings the factors up to date.
+func (rater *Rater) refresh() {
+	if rater.stale {
+		rater.update()
+	}
+}
+
+func (rater *Rater) setFactors(server *server) {
+	server.factor, server.healthFactor = 1, 1
+	if rater.differ {
+		server.factor = math.Exp(clipped(server.estimate - rater.usual))
+		server.healthFactor = math.Exp(clipped(server.lagging - rater.usual))
+	}
+}
+
 // updateKinds computes the means of the kinds from those of their servers. Each server counts with at
 // most minRuns runs, so that one that runs more tasks than others does not stand for its kind.
 func (rater *Rater) updateKinds() {
@@ -51,9 +62,9 @@
 	})
 }
 
-// usual is the mean over the servers, to which factors refer. Expected run times are learned from run
-// times divided by the factors, so that only differences between servers are known.
-func (rater *Rater) usual() float64 {
+// meanEstimate is the mean over the servers, to which factors refer. Expected run times are learned from
+// run times divided by the factors, so that only differences between servers are known.
+func (rater *Rater) meanEstimate() float64 {
 	if rater.servers.Len() == 0 {
 		return 0
 	}
