--- a/pkg/allocator/placing.go
+++ b/pkg/allocator/placing.go
@@ -178,7 +178,7 @@
 }
 
 // dueReserve is how much longer than expected a task may take on a server that counts as fast enough
-// for it: learned factors are off by about a tenth. With 1.2, too many tasks wait for fast servers.
+// for it: learned factors are off by about a tenth. A larger reserve makes more tasks wait for fast servers.
 const dueReserve = 1.1
 
 // slowestInTime is the factor above which a server is too slow for a task to end by the job's due
--- a/pkg/loader/capacity.go
+++ b/pkg/loader/capacity.go
@@ -11,7 +11,7 @@
 	waitingMemoryPart = 4
 	recordMemoryPart  = 4
 	// recordBytes is the memory of a remembered job: 1,338 bytes with an answer of four tasks of 100
-	// bytes, measured by go test ./pkg/forwarder -run '^$' -bench Records -benchtime 200000x.
+	// bytes (BenchmarkRecords in pkg/forwarder).
 	recordBytes = 1338
 	// minJobsInMemory keeps a host useful whose stated memory is very small.
 	minJobsInMemory = 1000
