Call a speed that another lead has learned a reported one

Cause: the read-through: pkg/rater said told and tell for what the reports of servers carry, and sick for what the rest of the code calls unhealthy. Change: names and comments only.

--- a/pkg/allocator/speeds.go
+++ b/pkg/allocator/speeds.go
@@ -39,7 +39,7 @@
 		return
 	}
 	known.report.Speed = report.Speed
-	allocator.rater.Tell(report.Server, report.Speed)
+	allocator.rater.Report(report.Server, report.Speed)
 	allocator.speedsStale = true
 }
 
--- a/pkg/loader/capacity.go
+++ b/pkg/loader/capacity.go
@@ -33,7 +33,7 @@
 	Link identifier.BitsPerSecond `json:"link,omitzero"`
 }
 
-// HostCapacity returns the capacity as it is told to the other hosts.
+// HostCapacity returns the capacity as it is stated to the other hosts.
 func (capacity Capacity) HostCapacity() identifier.HostCapacity {
 	return identifier.HostCapacity{
 		MilliCPU: capacity.Processor, Memory: capacity.Memory, Descriptors: capacity.Descriptors, Link: capacity.Link,
--- a/pkg/rater/rater.go
+++ b/pkg/rater/rater.go
@@ -32,7 +32,7 @@
 	// offsetLimit bounds how far one run counts as off the mean of its server. Logarithms of single
 	// runs are off by 0.45 as declared times are; a run whose start was late is off by more.
 	offsetLimit = 1
-	// maxFactor bounds the factors: a server beyond it is sick rather than slow.
+	// maxFactor bounds the factors: a server beyond it is unhealthy rather than slow.
 	maxFactor = 2.5
 	// differVariance and alikeVariance are the variances of the logarithms of factors above which
 	// servers differ, and below which they are alike again. The latter is a standard deviation of a
@@ -91,11 +91,11 @@
 	kind *kind
 	runs int
 	mean float64
-	// told is the logarithm that an earlier lead has learned; isTold reports whether there is one.
-	told   float64
-	isTold bool
+	// reported is the logarithm that an earlier lead has learned; isReported reports whether there is one.
+	reported   float64
+	isReported bool
 	// estimate is the mean, shrunk towards the prior; lagging follows it slowly. lagging starts from a
-	// told slowness, but not from a told fastness: a usual server that was told as fast would be ejected
+	// reported slowness, but not from a reported fastness: a usual server that was reported as fast would be ejected
 	// for being slow before its runs have corrected that.
 	estimate, lagging float64
 	// factor and healthFactor are the results of the last update.
@@ -120,23 +120,23 @@
 }
 
 // Add starts to rate an incarnation of a server. It inherits nothing from earlier ones under its id;
-// its prior is the speed that another lead has told, or else the mean of its kind.
-func (rater *Rater) Add(id identifier.ServerIncarnation, key Kind, told identifier.Speed) {
+// its prior is the speed that another lead has reported, or else the mean of its kind.
+func (rater *Rater) Add(id identifier.ServerIncarnation, key Kind, reported identifier.Speed) {
 	rater.prepare()
 	rater.Remove(id)
 	created := &server{kind: rater.kind(key), factor: 1, healthFactor: 1}
 	created.kind.servers++
-	created.setTold(told)
+	created.setReported(reported)
 	created.estimate = created.prior()
 	created.lagging = created.estimate
-	if created.isTold {
-		created.lagging = max(created.told, 0)
+	if created.isReported {
+		created.lagging = max(created.reported, 0)
 	}
 	rater.setFactors(created)
 	rater.servers.Put(id, created)
-	// A server without a told speed proves no difference and hardly moves the mean. An update for each
+	// A server without a reported speed proves no difference and hardly moves the mean. An update for each
 	// would cost the square of the servers when all of them join.
-	rater.stale = rater.stale || created.isTold
+	rater.stale = rater.stale || created.isReported
 }
 
 func (rater *Rater) kind(key Kind) *kind {
@@ -165,23 +165,23 @@
 	rater.stale = true
 }
 
-// Tell replaces what is known of a server by the speed that the lead has learned. A speed out of
+// Report replaces what is known of a server by the speed that the lead has learned. A speed out of
 // bounds is ignored.
-func (rater *Rater) Tell(id identifier.ServerIncarnation, told identifier.Speed) {
+func (rater *Rater) Report(id identifier.ServerIncarnation, reported identifier.Speed) {
 	known := rater.get(id)
-	if known == nil || !known.setTold(told) {
+	if known == nil || !known.setReported(reported) {
 		return
 	}
 	known.runs, known.mean = 0, 0
-	known.lagging = max(known.told, 0)
+	known.lagging = max(known.reported, 0)
 	rater.stale = true
 }
 
 // Recall sets the speed that the keepers remember of a server, unless the server has shown its own or a
-// lead has told it.
-func (rater *Rater) Recall(id identifier.ServerIncarnation, told identifier.Speed) {
-	if known := rater.get(id); known != nil && known.runs == 0 && !known.isTold {
-		rater.Tell(id, told)
+// lead has reported it.
+func (rater *Rater) Recall(id identifier.ServerIncarnation, reported identifier.Speed) {
+	if known := rater.get(id); known != nil && known.runs == 0 && !known.isReported {
+		rater.Report(id, reported)
 	}
 }
 
@@ -284,20 +284,20 @@
 	return rater.servers.Get(id)
 }
 
-// setTold sets the speed that another lead has learned, and reports whether it is within bounds.
-func (server *server) setTold(told identifier.Speed) bool {
-	if !IsPlausible(told) {
+// setReported sets the speed that another lead has learned, and reports whether it is within bounds.
+func (server *server) setReported(reported identifier.Speed) bool {
+	if !IsPlausible(reported) {
 		return false
 	}
-	server.isTold = true
-	server.told = clipped(-math.Log(float64(told) / float64(identifier.UsualSpeed)))
+	server.isReported = true
+	server.reported = clipped(-math.Log(float64(reported) / float64(identifier.UsualSpeed)))
 	return true
 }
 
 // prior is what a server counts as before it has run anything.
 func (server *server) prior() float64 {
-	if server.isTold {
-		return server.told
+	if server.isReported {
+		return server.reported
 	}
 	return server.kind.mean
 }
@@ -308,7 +308,7 @@
 }
 
 // counts reports whether the server counts for the proof that servers differ.
-func (server *server) counts() bool { return server.isTold || server.runs >= minRuns }
+func (server *server) counts() bool { return server.isReported || server.runs >= minRuns }
 
 // clipped is a logarithm within the bounds of factors.
 func clipped(logarithm float64) float64 {
--- a/pkg/rater/rater_test.go
+++ b/pkg/rater/rater_test.go
@@ -125,13 +125,13 @@
 func TestToldSpeeds(t *testing.T) {
 	fleet := newFleet(4, rotated(60, 0.7, 1.4)...)
 	for index, id := range fleet.ids {
-		fleet.rater.Tell(id, []identifier.Speed{1414, 707}[index%2])
+		fleet.rater.Report(id, []identifier.Speed{1414, 707}[index%2])
 	}
 	fleet.want(t, 0, 1/math.Sqrt2)
 	fleet.want(t, 1, math.Sqrt2)
-	fleet.rater.Tell("s1", rater.MaxSpeed+1)
+	fleet.rater.Report("s1", rater.MaxSpeed+1)
 	fleet.want(t, 1, math.Sqrt2)
-	fleet.rater.Tell("s1", 2000)
+	fleet.rater.Report("s1", 2000)
 	fleet.want(t, 1, 0.5)
 	for range 15 {
 		fleet.rater.Record("s1", math.Log(math.Sqrt2))
--- a/pkg/rater/updating.go
+++ b/pkg/rater/updating.go
@@ -15,7 +15,7 @@
 	rater.servers.Each(func(_ identifier.ServerIncarnation, server *server) bool {
 		if server.runs == 0 {
 			server.estimate = server.prior()
-			if !server.isTold {
+			if !server.isReported {
 				server.lagging = server.estimate
 			}
 		}
@@ -50,8 +50,8 @@
 		weight := float64(min(server.runs, minRuns))
 		server.kind.sum += weight * server.mean
 		server.kind.weight += weight
-		if server.isTold {
-			server.kind.sum += priorRuns * server.told
+		if server.isReported {
+			server.kind.sum += priorRuns * server.reported
 			server.kind.weight += priorRuns
 		}
 		return true
@@ -84,7 +84,7 @@
 		if !server.counts() {
 			return true
 		}
-		value := server.told
+		value := server.reported
 		if server.runs >= minRuns {
 			value = server.mean
 			errors += rater.noise * runsPerSample / float64(min(server.runs, 2*memory))
