--- a/review/3/standin/main.go
+++ b/review/3/standin/main.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 )
 
@@ -47,6 +48,8 @@
 	recordPath := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "cancel the jobs while they are at work")
 	flag.Parse()
+	// The kernel kills the processes when the thread that started them ends; the main thread never does.
+	runtime.LockOSThread()
 	events, err := newRecord(*recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
