Show that a resend runs beside the first runs of a zone that lost its hosts

Cause: the lease is the whole of maxHoldMs, so with 15 s of it nothing ends the runs of a zone without entry hosts before the callers' resends come to another zone, which knows nothing of them.

--- a/review/3/standin/clients.go
+++ b/review/3/standin/clients.go
@@ -13,39 +13,45 @@
 
 // job is one job and what its client saw.
 type job struct {
-	id, front    string
-	postStatus   int
-	state        string
-	deleteStatus int
-	// acknowledgedAt is when the client read the acknowledgement of the cancellation; zero if none came.
-	acknowledgedAt time.Time
+	id string
+	// status and state are those of the last response; status is 0 without one.
+	status int
+	state  string
+	tries  int
 }
 
-// jobGap is the time between two jobs, so that they don't compete for room.
-const jobGap = 300 * time.Millisecond
-
-// submitJobs plays the clients and returns what they saw, once all their requests have ended.
-func submitJobs(fronts []string, trouble bool, events *record) []*job {
+// submitJobs plays the clients of one entry host, each with one job, and returns what they saw. Once all
+// jobs are at work, disturb is called.
+func submitJobs(round int, front, otherFront string, disturb func() error, events *record) ([]*job, error) {
 	var jobs []*job
 	var playing sync.WaitGroup
-	for number := range jobCount {
-		created := &job{id: fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+number), front: fronts[number%len(fronts)]}
+	for number := range jobsEach {
+		created := &job{id: fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+round*jobsEach+number)}
 		jobs = append(jobs, created)
-		playing.Go(func() { created.post(events) })
-		if trouble {
-			playing.Go(func() {
-				time.Sleep(cancelDelay)
-				created.cancel(events)
-			})
-		}
-		time.Sleep(jobGap)
+		playing.Go(func() { created.submit(front, otherFront, events) })
 	}
+	time.Sleep(workBeforeKill)
+	err := disturb()
 	playing.Wait()
-	return jobs
+	return jobs, err
+}
+
+// submit sends the job, and sends it again to another entry host, as the platform's pages say, after no
+// response, a broken connection, a 502 or a 504.
+func (job *job) submit(front, otherFront string, events *record) {
+	for job.tries < maxTries {
+		job.tries++
+		job.post(front, events)
+		if job.status != 0 && job.status != http.StatusBadGateway && job.status != http.StatusGatewayTimeout {
+			return
+		}
+		time.Sleep(retransmitTime)
+		front = otherFront
+	}
 }
 
-func (job *job) request(method string, body []byte) (int, []byte, error) {
-	request, err := http.NewRequest(method, "http://"+job.front+queuePrefix+job.id, bytes.NewReader(body))
+func (job *job) request(front string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+front+queuePrefix+job.id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -60,11 +66,14 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, content, err
+	if err != nil {
+		return 0, nil, err
+	}
+	return response.StatusCode, content, nil
 }
 
-// post submits the job and waits for its end.
-func (job *job) post(events *record) {
+// post sends the job once and waits for the response.
+func (job *job) post(front string, events *record) {
 	body, err := json.Marshal(map[string]any{
 		"spec": "check", "bestEffort": true,
 		"steps": []map[string]any{{"count": tasksEach, "cpu": taskCPU, "memMb": 64, "estimateMs": workTime.Milliseconds()}},
@@ -72,25 +81,14 @@
 	if err != nil {
 		panic(err) // Plain maps always have a JSON form.
 	}
-	events.add("POST %s to %s", job.id, job.front)
-	status, content, err := job.request(http.MethodPost, body)
+	events.add("POST %s to %s, try %d", job.id, front, job.tries)
+	status, content, err := job.request(front, body)
 	var answer struct {
 		State string `json:"state"`
 	}
 	if err == nil && json.Unmarshal(content, &answer) == nil {
 		job.state = answer.State
 	}
-	job.postStatus = status
-	events.add("POST %s: %d %s %v", job.id, status, bytes.TrimSpace(content), err)
-}
-
-// cancel cancels the job. A response of 2xx or 410 acknowledges that.
-func (job *job) cancel(events *record) {
-	events.add("DELETE %s to %s", job.id, job.front)
-	status, content, err := job.request(http.MethodDelete, nil)
-	job.deleteStatus = status
-	if err == nil && (status/100 == 2 || status == http.StatusGone) {
-		job.acknowledgedAt = time.Now()
-	}
-	events.add("DELETE %s: %d %s %v", job.id, status, bytes.TrimSpace(content), err)
+	job.status = status
+	events.add("POST %s, try %d: %d %s %v", job.id, job.tries, status, bytes.TrimSpace(content), err)
 }
--- a/review/3/standin/deployment.go
+++ b/review/3/standin/deployment.go
@@ -104,38 +104,69 @@
 	return addresses
 }
 
-// fronts returns the addresses that accept jobs.
-func (deployment *deployment) fronts() []string {
-	var addresses []string
+// entryHosts returns the entry hosts of a zone.
+func (deployment *deployment) entryHosts(zone string) []*machine {
+	var hosts []*machine
 	for _, machine := range deployment.machines {
-		if machine.edge {
-			addresses = append(addresses, deployment.address(machine, offsetFront))
+		if machine.edge && machine.zone == zone {
+			hosts = append(hosts, machine)
 		}
 	}
-	return addresses
+	return hosts
+}
+
+// front returns the address at which an entry host accepts jobs.
+func (deployment *deployment) front(machine *machine) string {
+	return deployment.address(machine, offsetFront)
 }
 
-// start starts every process with its settings file.
+// start starts every process of the system for the first time.
 func (deployment *deployment) start() error {
 	for _, machine := range deployment.machines {
-		path := filepath.Join(deployment.folder, machine.name+".toml")
-		if err := os.WriteFile(path, []byte(deployment.settings(machine)), 0o600); err != nil {
-			return fmt.Errorf("%w: %w", errNotRun, err)
-		}
-		output, err := os.Create(filepath.Join(deployment.folder, machine.name+".log"))
-		if err != nil {
-			return fmt.Errorf("%w: %w", errNotRun, err)
+		if err := deployment.startProcess(machine, true); err != nil {
+			return err
 		}
-		command := exec.Command(deployment.daemon)
-		command.Env = append(os.Environ(), "STOATHITCH_BOOT="+path, "GOMAXPROCS=1")
-		command.Stdout, command.Stderr = output, output
-		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := command.Start(); err != nil {
-			return fmt.Errorf("%w: start %s: %w", errNotRun, machine.name, err)
+	}
+	return nil
+}
+
+// startProcess writes the settings of a process and starts it.
+func (deployment *deployment) startProcess(machine *machine, bootstrap bool) error {
+	path := filepath.Join(deployment.folder, machine.name+".toml")
+	if err := os.WriteFile(path, []byte(deployment.settings(machine, bootstrap)), 0o600); err != nil {
+		return fmt.Errorf("%w: %w", errNotRun, err)
+	}
+	output, err := os.OpenFile(filepath.Join(deployment.folder, machine.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNotRun, err)
+	}
+	// The process has its own copy of the descriptor.
+	defer func() { _ = output.Close() }()
+	command := exec.Command(deployment.daemon)
+	command.Env = append(os.Environ(), "STOATHITCH_BOOT="+path, "GOMAXPROCS=1")
+	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("%w: start %s: %w", errNotRun, machine.name, err)
+	}
+	machine.command = command
+	return nil
+}
+
+// killAndRestart kills processes at the same moment and starts them again after a while.
+func (deployment *deployment) killAndRestart(machines []*machine, after time.Duration) error {
+	for _, machine := range machines {
+		_ = machine.command.Process.Kill()
+	}
+	killedAt := time.Now()
+	for _, machine := range machines {
+		_ = machine.command.Wait()
+	}
+	time.Sleep(time.Until(killedAt.Add(after)))
+	for _, machine := range machines {
+		if err := deployment.startProcess(machine, false); err != nil {
+			return err
 		}
-		machine.command = command
-		// The process has its own copy of the descriptor.
-		_ = output.Close()
 	}
 	return nil
 }
@@ -160,7 +191,7 @@
 }
 
 // settings returns the settings file of a process, with the fields and bounds of a small deployment.
-func (deployment *deployment) settings(machine *machine) string {
+func (deployment *deployment) settings(machine *machine, bootstrap bool) string {
 	var text strings.Builder
 	class, serves := "core", "control"
 	if machine.edge {
@@ -172,7 +203,7 @@
 	}
 	fmt.Fprintf(&text, "node = %q\nrole = %q\nmachineClass = %q\nserves = [%q]\n", machine.name, class, class, serves)
 	fmt.Fprintf(&text, "ip = %q\nzone = %q\nregion = \"hcm-south\"\n", machine.ip, machine.zone)
-	fmt.Fprintf(&text, "portRange = [%d,%d]\nseeds = %s\nbootstrap = true\n", deployment.firstPort, deployment.firstPort+15, seeds)
+	fmt.Fprintf(&text, "portRange = [%d,%d]\nseeds = %s\nbootstrap = %v\n", deployment.firstPort, deployment.firstPort+15, seeds, bootstrap)
 	fmt.Fprintf(&text, "faultCounted = %v\ndiscovery = \"registration\"\nentry = \"vip\"\nheartbeatMs = 1500\n", !machine.edge)
 	text.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\"]\nconfig_mode = \"highest\"\norders = \"invocation\"\n")
 	if !machine.edge {
@@ -191,10 +222,11 @@
 		text.WriteString("[limits]\ncpuShare = 0.8\ncores = 1\nmemoryMb = 280\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 128\n")
 	}
 	text.WriteString("[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0\n")
-	text.WriteString("[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = 6\n" +
-		"lossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nmaxStretchMs = 5000\nrecoveryS = 12\nmaxHoldMs = 1000\n" +
-		"stopTimeoutMs = 50\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\n" +
-		"slowdownFactor = 1.5\ncheckpointS = 2\nrestoreMs = 600\nnoticeMs = 4500\nfencingRequired = true\nleaseMs = 3000\nretransmitMs = 1300\n")
+	fmt.Fprintf(&text, "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 6000\nackMs = 8000\ncatchUpS = 6\ndrainMs = 4000\ngraceS = 6\n"+
+		"lossSlackMs = 200\nconfigApplyMs = 4000\nrollbackSlackMs = 250\nmaxStretchMs = 10000\nrecoveryS = 18\nmaxHoldMs = %d\n"+
+		"stopTimeoutMs = 50\ngangTimeoutMs = 7000\ncancel_ms = 7000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 16\nstatus_s = 120\n"+
+		"slowdownFactor = 3\ncheckpointS = 1\nrestoreMs = 100\nnoticeMs = 6500\nfencingRequired = true\nleaseMs = 3000\nretransmitMs = %d\n",
+		maxHold.Milliseconds(), retransmitTime.Milliseconds())
 	return text.String()
 }
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts below review/, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/cancelled ./review/3/standin
+go build -o target/review/twice ./review/3/standin
