End the runs of a failure domain that is lost before its callers are back

Cause: a lead took the longest lease that backend servers accept, 15 s there, for the lease of its runs. Once all hosts that know a run are lost, only its lease ends it, and the failure domain that gets the job has nobody to ask. On other deployments the longest lease is 1 s and happens to lapse before callers are back after 1.3 s; nothing in the program said so, and it did not read when they are back.

Change: pkg/renewer works the lease out of both bounds. It has lapsed, by a clock that is 2 % slow, before a caller can be back, less 0.2 s in which a lead that outlives the job's host may not know of the loss: 1.019 s for 15 s and 1.3 s, and 1 s as before where servers accept no more. Without a known delay of callers it is 1 s at most. The lease in force is logged, as a warning where callers may be back before it has lapsed.

Why it works: no message of a lost host can renew a run beyond the lease that it gave last, as lease ends are moments on the server's clock.

--- a/pkg/allocator/incarnations.go
+++ b/pkg/allocator/incarnations.go
@@ -6,6 +6,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/renewer"
 )
 
 // assessedID is the id under which the outcomes of an incarnation are assessed: each incarnation is
@@ -159,7 +160,7 @@
 	if !server.report.Server.Dated() {
 		return runs
 	}
-	longest := lease*1000/(1000-clockDriftPerMille) + lapseMargin
+	longest := renewer.LapseTime(lease)
 	return slices.DeleteFunc(runs, func(run *run) bool {
 		return !run.confirmed && !run.lastStartAt().Add(longest).Due(now)
 	})
--- a/pkg/allocator/polls.go
+++ b/pkg/allocator/polls.go
@@ -6,6 +6,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/renewer"
 )
 
 // poll calls a backend server, unless a call is under way. One call at a time keeps the answers in
@@ -214,7 +215,7 @@
 		allocator.endRun(server, run, "lease lapsed")
 	}
 	if len(server.runs) > 0 {
-		allocator.timers.Set(lapseTimer(id), allocator.now.Add(lapseMargin))
+		allocator.timers.Set(lapseTimer(id), allocator.now.Add(renewer.LapseMargin))
 	}
 }
 
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -6,6 +6,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/renewer"
 )
 
 // server is one incarnation of a backend server.
@@ -72,9 +73,6 @@
 	cursor int64
 }
 
-// clockDriftPerMille is how slow a backend server's clock may be.
-const clockDriftPerMille = 20
-
 // reset drops the state that is valid under one epoch only.
 func (server *server) reset() {
 	server.confirmed = false
@@ -92,7 +90,7 @@
 
 // earliestClock is the least that the server's clock may show now, allowing for its drift.
 func (server *server) earliestClock(now identifier.Moment) identifier.ServerTime {
-	passed := now.Sub(server.clockAt) * (1000 - clockDriftPerMille) / 1000
+	passed := now.Sub(server.clockAt) * (1000 - renewer.ClockDriftPerMille) / 1000
 	return server.clock + identifier.ServerTime(passed/time.Millisecond)
 }
 
@@ -108,13 +106,9 @@
 // lapsesAt is when all runs there are provably over if no lease is renewed.
 func (server *server) lapsesAt(now identifier.Moment) identifier.Moment {
 	left := time.Duration(server.leaseEnd-server.earliestClock(now)) * time.Millisecond
-	return max(now.Add(max(left, 0)*1000/(1000-clockDriftPerMille)+lapseMargin), server.oldLeasesEnd)
+	return max(now.Add(renewer.LapseTime(max(left, 0))), server.oldLeasesEnd)
 }
 
-// lapseMargin covers the rounding of clocks to milliseconds and the time that a server takes to end
-// what has lapsed.
-const lapseMargin = 60 * time.Millisecond
-
 // usable reports whether the server may get a start now. A start renews the leases of all that runs
 // there, as a poll does.
 func (server *server) usable(now identifier.Moment) bool {
@@ -185,7 +179,7 @@
 	if !server.confirmed && !allocator.othersFollow {
 		return identifier.Never
 	}
-	return allocator.now.Add(allocator.Settings.Lease*1000/(1000-clockDriftPerMille) + lapseMargin)
+	return allocator.now.Add(renewer.LapseTime(allocator.Settings.Lease))
 }
 
 func pollTimer(server identifier.ServerIncarnation) timerKey {
--- a/pkg/coordinator/calledworld_test.go
+++ b/pkg/coordinator/calledworld_test.go
@@ -20,8 +20,8 @@
 const (
 	callTimeout = 150 * time.Millisecond
 	pollSlack   = 250 * time.Millisecond
-	// maxLease is the longest lease that a backend server accepts; it shortens longer ones.
-	maxLease = time.Second
+	// usualMaxLease is the longest lease that backend servers accept in most worlds.
+	usualMaxLease = time.Second
 	// longWorkFactor multiplies the run time of some tasks, so that their caller resubmits the job
 	// while they still run.
 	longWorkFactor = 10
@@ -34,6 +34,8 @@
 	network *network
 	draw    *rapid.T
 	servers map[identifier.ServerIncarnation]*calledServer
+	// maxLease is the longest lease that a backend server accepts; it shortens longer ones.
+	maxLease time.Duration
 	// failurePercent is how many calls of 100 fail.
 	failurePercent int
 	// harsh is nil if only whole hosts, servers and calls fail.
@@ -103,7 +105,7 @@
 
 func newCalledWorld(network *network, draw *rapid.T, servers int) *calledWorld {
 	created := &calledWorld{
-		network: network, draw: draw, servers: make(map[identifier.ServerIncarnation]*calledServer),
+		network: network, draw: draw, maxLease: usualMaxLease, servers: make(map[identifier.ServerIncarnation]*calledServer),
 		running: make(map[string]identifier.ServerIncarnation), refused: make(map[identifier.JobID]bool),
 		started: make(map[identifier.JobID]bool), resent: make(map[identifier.JobID]bool), waiting: make(map[supervisor.WaiterID]identifier.JobID),
 	}
@@ -370,7 +372,7 @@
 }
 
 func (server *calledServer) extendLease(leaseEnd identifier.ServerTime) {
-	server.leaseEnd = max(server.leaseEnd, min(leaseEnd, server.clock()+identifier.ServerTime(maxLease.Milliseconds())))
+	server.leaseEnd = max(server.leaseEnd, min(leaseEnd, server.clock()+identifier.ServerTime(server.world.maxLease.Milliseconds())))
 	remaining := time.Duration(server.leaseEnd-server.clock()+1) * time.Millisecond
 	server.world.network.at(max(remaining, 0)*1000/time.Duration(1000-server.clockLag)+time.Millisecond, server.endExpiredRuns)
 }
