Count leases from the earliest time of a server's clock

Found by looking where else a run can outlast its lease once servers accept a longer one than the lead asks for.

Cause: the end of a lease was worked out from the last reading of the server's clock and the full time since. A reading is taken only if it is ahead of the slowest clock that is allowed, which that of a server 2 % slow never is. So the first reading stayed, and leases grew by 20 ms each second. A server that accepts no more than the lead asks for cuts that off, which is why it did no harm before.

Change: a lease counts from the earliest time that the server's clock may show, which the time at which it has lapsed was counted from already. The harsh fuzzer also plays servers that accept longer leases than callers wait.

--- a/pkg/allocator/polls.go
+++ b/pkg/allocator/polls.go
@@ -68,9 +68,10 @@
 	lossySlack   = 40 * time.Millisecond
 )
 
-// extendLease returns the latest end that a lease may have now, and records it.
+// extendLease returns the latest end that a lease may have now, and records it. It counts from the
+// earliest time that the server's clock may show: from a later one the run would outlast the lease.
 func (allocator *Allocator) extendLease(server *server) identifier.ServerTime {
-	end := server.estimatedClock(allocator.now) + identifier.ServerTime(allocator.Settings.Lease.Milliseconds())
+	end := server.earliestClock(allocator.now) + identifier.ServerTime(allocator.Settings.Lease.Milliseconds())
 	server.leaseEnd = max(server.leaseEnd, end)
 	return end
 }
--- a/pkg/allocator/servers.go
+++ b/pkg/allocator/servers.go
@@ -83,11 +83,6 @@
 	server.refusesUntil = 0
 }
 
-// estimatedClock is the estimated reading of the server's clock now, rather too early.
-func (server *server) estimatedClock(now identifier.Moment) identifier.ServerTime {
-	return server.clock + identifier.ServerTime(now.Sub(server.clockAt)/time.Millisecond)
-}
-
 // earliestClock is the least that the server's clock may show now, allowing for its drift.
 func (server *server) earliestClock(now identifier.Moment) identifier.ServerTime {
 	passed := now.Sub(server.clockAt) * (1000 - renewer.ClockDriftPerMille) / 1000
--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -64,17 +64,30 @@
 	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{overloads: true}) })
 }
 
+// TestHarshFaultsAndResendsUnderLongLeases also has callers resubmit their jobs, to servers that accept
+// longer leases than callers wait.
+func TestHarshFaultsAndResendsUnderLongLeases(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) { runHarshFaults(draw, harshKinds{resends: true, longLeases: true}) })
+}
+
 func runHarshFaults(draw *rapid.T, kinds harshKinds) {
 	settings := coordinator.DefaultSettings()
 	settings.Dispatcher.Cells = rapid.IntRange(1, 2).Draw(draw, "cells")
 	if kinds.overloads {
 		settings.Throttler.StartTime = 0
 	}
+	if kinds.longLeases {
+		settings.Allocator.Lease = fleetBounds.Lease()
+		settings.Inquirer.Lease = fleetBounds.Lease()
+	}
 	domains := []identifier.FailureDomain{"leuven", "geel"}[:rapid.IntRange(1, 2).Draw(draw, "domains")]
 	hosts := rapid.IntRange(2, 3).Draw(draw, "hosts")
 	network := newNetworkOfKinds(draw, domains, hosts, settings, kinds)
 	servers := rapid.IntRange(3, 5).Draw(draw, "servers") * len(domains)
 	world, harsh := newHarshWorld(network, draw, servers, kinds)
+	if kinds.longLeases {
+		world.maxLease = fleetBounds.MaxLease
+	}
 	evacuations := newEvacuations(world, false)
 	network.advance(2 * time.Second)
 	world.failurePercent = rapid.IntRange(0, 15).Draw(draw, "trouble")
--- a/pkg/coordinator/harshworld_test.go
+++ b/pkg/coordinator/harshworld_test.go
@@ -45,6 +45,8 @@
 	mixedFleet bool
 	// overloads lets hosts fall behind.
 	overloads bool
+	// longLeases lets servers accept longer leases than callers wait before they resubmit.
+	longLeases bool
 }
 
 // pathKey identifies the path between a host and the server at an address.
--- a/pkg/coordinator/lostdomain_test.go
+++ b/pkg/coordinator/lostdomain_test.go
@@ -232,3 +232,16 @@
 		}
 	}
 }
+
+// TestResubmissionWhileServerClocksAreSlow guards against leases that grow longer than callers wait,
+// because a lead takes a slow clock of a backend server for ahead of its readings.
+func TestResubmissionWhileServerClocksAreSlow(t *testing.T) {
+	for _, clockLag := range []int{1, 10, 19, 20} {
+		for _, downtime := range []time.Duration{0, 50 * time.Millisecond, 1100 * time.Millisecond} {
+			loss := domainLoss{bounds: fleetBounds, downtime: downtime, clockLag: clockLag}
+			t.Run(fmt.Sprintf("slow by %d, down %v", clockLag, downtime), loss.play)
+		}
+		handedOff := domainLoss{bounds: fleetBounds, clockLag: clockLag, tasks: 20}
+		t.Run(fmt.Sprintf("slow by %d, tasks handed to others", clockLag), handedOff.play)
+	}
+}
