Count a long lease on a slow clock as long as it lasts

Cause: the inquirer took a lease and 80 ms for the longest time that a run of a lost host goes on. That holds for leases of 1 s; one of 15 s lapses after 15.37 s on a server whose clock is 2 % slow. Found by looking for what else relies on the length of a lease. Not seen as a task that runs twice: callers come back later than any lease lapses.

Change: the inquirer asks renewer.LapseTime, as the allocator does.

Before: the scenario lost-host-long-lease asks the hosts 15.2 s after the loss, and would clear the job. After: it is denied until 15.4 s.

--- a/pkg/inquirer/inquirer.go
+++ b/pkg/inquirer/inquirer.go
@@ -14,6 +14,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
+	"github.com/stoathitch/stoathitch/pkg/renewer"
 	"github.com/stoathitch/stoathitch/pkg/tabulator"
 )
 
@@ -199,10 +200,9 @@
 }
 
 // lapseTime returns the longest time that a run continues without a renewal.
-func (inquirer *Inquirer) lapseTime() time.Duration { return inquirer.Settings.Lease + lapseMargin }
-
-// lapseMargin allows for slow clocks and for the time that a server takes to end a run.
-const lapseMargin = 80 * time.Millisecond
+func (inquirer *Inquirer) lapseTime() time.Duration {
+	return renewer.LapseTime(inquirer.Settings.Lease)
+}
 
 // handleTimeout ends an inquiry after ReplyTimeout. The request is cleared if the hosts without a
 // reply can have no runs, and denied otherwise.
--- a/pkg/inquirer/inquirer_test.go
+++ b/pkg/inquirer/inquirer_test.go
@@ -20,10 +20,11 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tested := &inquirer.Inquirer{Settings: inquirer.DefaultSettings()}
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
-			at, err := time.ParseDuration(scan(t, data, "at"))
-			if err != nil {
-				t.Fatal(err)
+			if data.Cmd == "settings" {
+				tested.Settings.Lease = duration(t, data, "lease")
+				return ""
 			}
+			at := duration(t, data, "at")
 			return describe(tested.Tick(identifier.Moment(at), inputsOf(t, data)))
 		})
 	})
@@ -55,6 +56,14 @@
 	return nil
 }
 
+func duration(t *testing.T, data *datadriven.TestData, key string) time.Duration {
+	value, err := time.ParseDuration(scan(t, data, key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 func scan(t *testing.T, data *datadriven.TestData, key string) string {
 	value := ""
 	data.MaybeScanArgs(t, key, &value)
