Let no poll wait longer than backend servers allow

Cause: the wait of a poll was a quarter of the lease. With a lease of 15 s that is 3.75 s, and backend servers take 2 s at most. Found while looking at other bounds of leases; no refusal was seen.

Change: the wait is bounded by MaxPollWait.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -66,6 +66,9 @@
 	}
 	var inputs []allocator.Input
 	switch data.Cmd {
+	case "settings":
+		scenario.allocator.Settings.Lease, _ = scanDuration(t, data, "lease")
+		return ""
 	case "lead":
 		var epoch uint64
 		data.ScanArgs(t, "epoch", &epoch)
--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -10,6 +10,8 @@
 type Settings struct {
 	// Lease is how long a run may go on without a renewal, at most.
 	Lease time.Duration
+	// MaxPollWait is the longest time for which backend servers let a poll wait for an end.
+	MaxPollWait time.Duration
 	// StopTime is how long a backend server takes to stop a run, at most.
 	StopTime time.Duration
 	// PollRetry is how long after an unanswered call the next one is sent.
@@ -45,11 +47,14 @@
 
 // pollWait is how long a call waits at a backend server for an end. It leaves more than half of the
 // lease for a renewal that is delayed or repeated.
-func (settings *Settings) pollWait() time.Duration { return settings.Lease / pollsPerLease }
+func (settings *Settings) pollWait() time.Duration {
+	return min(settings.Lease/pollsPerLease, settings.MaxPollWait)
+}
 
 const (
-	defaultLease    = time.Second
-	defaultStopTime = 50 * time.Millisecond
+	defaultLease       = time.Second
+	defaultMaxPollWait = 2 * time.Second
+	defaultStopTime    = 50 * time.Millisecond
 	// A heartbeat comes every 1.5 s; eight missed ones are more than a pause.
 	defaultForgetServer = 12 * time.Second
 	// A caller that lost its connection resubmits after 1.3 s, and late callers seconds after that.
@@ -92,6 +97,7 @@
 	health.RampUp = 0
 	return Settings{
 		Lease:          defaultLease,
+		MaxPollWait:    defaultMaxPollWait,
 		StopTime:       defaultStopTime,
 		PollRetry:      defaultRetry,
 		StopRetry:      defaultRetry,
