Place a resend elsewhere beside a run of a home that is lost

Cause: a task ran twice on backend servers that are called, after a loss of all hosts of its failure domain. Looked for on those that open a stream. There the home of a job doesn't depend on the host that receives it, and a lead asks backend servers and digests before it starts anything.

Change: a test of the remaining order of events: the job still runs when its home is lost and is sent again to another failure domain.

--- a/pkg/coordinator/forgottenresend_test.go
+++ b/pkg/coordinator/forgottenresend_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/messenger"
 )
 
@@ -123,3 +124,30 @@
 		t.Error(violation)
 	}
 }
+
+// TestResendElsewhereBesideARunOfALostHome guards against a second start of a job that still runs, by a
+// resend to another failure domain after all hosts of its home were killed at once.
+func TestResendElsewhereBesideARunOfALostHome(t *testing.T) {
+	for _, mayRun := range [][]identifier.FailureDomain{threeDomains[:1], bothDomains} {
+		for _, down := range []time.Duration{downTime, 500 * time.Millisecond, 1100 * time.Millisecond, 3 * time.Second, settled} {
+			for _, wait := range []time.Duration{hop, 300 * time.Millisecond, 1300 * time.Millisecond, noticed} {
+				t.Run(fmt.Sprintf("may run in %v, down %v, resend after %v", mayRun, down, wait), func(t *testing.T) {
+					home := newHome(smallQueueSettings())
+					job := newJob("job", "team", 2, longRun)
+					job.MayRun = mayRun
+					home.submit(home.second, job, time.Minute)
+					home.advance(200 * time.Millisecond)
+					if len(home.serversOf(job)) != len(job.Tasks) {
+						t.Fatal("the job does not run")
+					}
+					for _, host := range []*fakeHost{home.lead, home.second, home.third} {
+						home.crashHost(host)
+						home.at(down, func() { home.startHost(host) })
+					}
+					home.advance(wait)
+					home.resend(t, home.leadOf("roeselare"), job)
+				})
+			}
+		}
+	}
+}
