Place planned shutdowns and late starts beside a loss of a failure domain

Cause: the runs of a failure domain outlast its hosts also where these shut down as planned, and where start calls are still under way as they end.

Change: four cases more of TestResubmissionAfterADomainLostItsHosts.

--- a/pkg/coordinator/lostdomain_test.go
+++ b/pkg/coordinator/lostdomain_test.go
@@ -33,6 +33,10 @@
 	clockLag int
 	// evacuated evacuates the failure domain before its jobs arrive, so that they run in the others.
 	evacuated bool
+	// shutDown has the hosts shut down, with shutdownTime for it, in place of a crash.
+	shutDown bool
+	// lateStarts has the first start calls arrive when the callers have resubmitted their jobs.
+	lateStarts bool
 	// unreachableServers cuts the servers off from the hosts that start again.
 	unreachableServers bool
 }
@@ -40,6 +44,15 @@
 // fleetBounds are bounds under which a lease may be longer than callers wait.
 var fleetBounds = renewer.Bounds{MaxLease: 15 * time.Second, ResubmitDelay: 1300 * time.Millisecond}
 
+const (
+	// workBeforeLoss is how long jobs run before their host is lost.
+	workBeforeLoss = 500 * time.Millisecond
+	// startBeforeLoss is shorter than a host waits for the answer to a start.
+	startBeforeLoss = 100 * time.Millisecond
+	// shutdownTime is how long a host has after a request to shut down.
+	shutdownTime = 300 * time.Millisecond
+)
+
 // lostDomainWorld plays a domainLoss.
 type lostDomainWorld struct {
 	*calledWorld
@@ -47,6 +60,8 @@
 	harsh *harshFaults
 	// completed are the jobs that ended well.
 	completed map[identifier.JobID]bool
+	// lost are the jobs whose first host is lost.
+	lost map[identifier.JobID]bool
 }
 
 func newLostDomainWorld(loss domainLoss) *lostDomainWorld {
@@ -55,7 +70,7 @@
 	settings.Allocator.Lease = loss.bounds.Lease()
 	settings.Inquirer.Lease = loss.bounds.Lease()
 	network := newNetworkWith([]identifier.FailureDomain{"leuven", "geel", "mol"}, 2, settings)
-	world := &lostDomainWorld{calledWorld: newCalledWorld(network, nil, 0), loss: loss, completed: make(map[identifier.JobID]bool)}
+	world := &lostDomainWorld{calledWorld: newCalledWorld(network, nil, 0), loss: loss, completed: make(map[identifier.JobID]bool), lost: make(map[identifier.JobID]bool)}
 	world.maxLease = loss.bounds.MaxLease
 	world.harsh = newHarshFaults(world.calledWorld, harshKinds{})
 	for index := range 18 {
@@ -68,11 +83,31 @@
 	world.jobEnded = func(ended *supervisor.JobEnded) {
 		world.completed[ended.Job] = ended.Outcome == supervisor.OutcomeComplete
 	}
+	if loss.lateStarts {
+		world.disturbStart = world.delayFirstStarts
+	}
 	// Clocks that run slow are behind by far more than a lease then.
 	network.advance(100 * time.Second)
 	return world
 }
 
+// delayFirstStarts makes the start calls of the first submission of a job arrive after the second.
+func (world *lostDomainWorld) delayFirstStarts(start *supervisor.StartRun) startDisturbance {
+	if world.lost[start.Run.Job] {
+		return startDisturbance{}
+	}
+	delay := world.timeBeforeLoss() + world.loss.bounds.ResubmitDelay + 100*time.Millisecond
+	return startDisturbance{unanswered: true, arrives: true, delay: delay}
+}
+
+// timeBeforeLoss is how long after the submission of its job a host is lost.
+func (world *lostDomainWorld) timeBeforeLoss() time.Duration {
+	if world.loss.lateStarts {
+		return startBeforeLoss
+	}
+	return workBeforeLoss
+}
+
 // runTime is how long a task runs: longer than its caller waits, and than a lease.
 func (world *lostDomainWorld) runTime() time.Duration { return 5 * world.loss.bounds.ResubmitDelay / 2 }
 
@@ -88,8 +123,14 @@
 		jobs = append(jobs, id)
 		world.resent[id] = true
 		world.submitLong(host, id)
-		lostAfter := 500*time.Millisecond + time.Duration(index)*world.loss.lossInterval
-		network.at(lostAfter, func() { world.lose(host) })
+		lostAfter := world.timeBeforeLoss() + time.Duration(index)*world.loss.lossInterval
+		if world.loss.shutDown {
+			network.at(lostAfter-shutdownTime, func() { world.harsh.leave(host, shutdownTime) })
+		} else {
+			network.at(lostAfter, func() { world.harsh.crash(host) })
+		}
+		world.startLater(host, lostAfter)
+		network.at(lostAfter, func() { world.lost[id] = true })
 		network.at(lostAfter+world.loss.bounds.ResubmitDelay, func() { world.submitLong(next, id) })
 	}
 	network.advance(5 * world.runTime())
@@ -116,13 +157,13 @@
 	return hosts
 }
 
-func (world *lostDomainWorld) lose(host *fakeHost) {
+// startLater starts a host again that is lost after a time, unless the loss leaves it down.
+func (world *lostDomainWorld) startLater(host *fakeHost, lostAfter time.Duration) {
 	network := world.network
-	network.crashHost(host)
 	if world.loss.downtime == 0 {
 		return
 	}
-	network.at(world.loss.downtime, func() {
+	network.at(lostAfter+world.loss.downtime, func() {
 		if host.coordinator == nil {
 			network.startHost(host)
 			world.cutOffServers(host)
@@ -208,6 +249,10 @@
 		"lead lost first":             {lossInterval: 180 * time.Millisecond, leadFirst: true},
 		"lead lost first, later":      {lossInterval: time.Second, leadFirst: true},
 		"tasks handed to others":      {tasks: 20},
+		"hosts shut down":             {shutDown: true},
+		"hosts shut down and return":  {shutDown: true, downtime: 50 * time.Millisecond},
+		"starts arrive late":          {lateStarts: true},
+		"starts arrive at new hosts":  {lateStarts: true, downtime: 50 * time.Millisecond},
 		"evacuated":                   {evacuated: true},
 		"evacuated, hosts return":     {evacuated: true, downtime: 50 * time.Millisecond},
 	} {
