--- a/pkg/allocator/settings.go
+++ b/pkg/allocator/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/assessor"
+	"github.com/stoathitch/stoathitch/pkg/renewer"
 )
 
 // Settings holds the time limits and intervals of an allocator.
@@ -52,7 +53,6 @@
 }
 
 const (
-	defaultLease       = time.Second
 	defaultMaxPollWait = 2 * time.Second
 	defaultStopTime    = 50 * time.Millisecond
 	// A heartbeat comes every 1.5 s; eight missed ones are more than a pause.
@@ -96,7 +96,7 @@
 	health.RatioLimit = ratioLimit
 	health.RampUp = 0
 	return Settings{
-		Lease:          defaultLease,
+		Lease:          renewer.DefaultLease,
 		MaxPollWait:    defaultMaxPollWait,
 		StopTime:       defaultStopTime,
 		PollRetry:      defaultRetry,
--- a/pkg/inquirer/inquirer.go
+++ b/pkg/inquirer/inquirer.go
@@ -28,7 +28,7 @@
 
 // DefaultSettings returns the daemon's default settings.
 func DefaultSettings() Settings {
-	return Settings{ReplyTimeout: 40 * time.Millisecond, Lease: time.Second}
+	return Settings{ReplyTimeout: 40 * time.Millisecond, Lease: renewer.DefaultLease}
 }
 
 // Inquirer holds the requests that wait for replies. Set the exported fields before the first Tick.
--- a/pkg/renewer/renewer.go
+++ b/pkg/renewer/renewer.go
@@ -13,10 +13,10 @@
 	// LapseMargin covers the rounding of clocks to milliseconds and the time that a server takes to
 	// end a run that has lapsed.
 	LapseMargin = 60 * time.Millisecond
+	// DefaultLease is the lease where it is unknown when callers resubmit.
+	DefaultLease = time.Second
 	// lossDetectionTime is how long a lead may go on renewing the runs of a host that is lost.
 	lossDetectionTime = 200 * time.Millisecond
-	// defaultLease is the lease where the bounds don't say when callers resubmit.
-	defaultLease = time.Second
 	// minLease leaves time for a second renewal if the answer to the first one is lost.
 	minLease = 300 * time.Millisecond
 )
@@ -37,7 +37,7 @@
 // outlasts ResubmitDelay there would go on beside the next run of its task.
 func (bounds Bounds) Lease() time.Duration {
 	if bounds.ResubmitDelay <= 0 {
-		return min(bounds.MaxLease, defaultLease)
+		return min(bounds.MaxLease, DefaultLease)
 	}
 	return min(bounds.MaxLease, max(bounds.longestSafeLease(), minLease))
 }
