--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -67,7 +67,9 @@
 	var inputs []allocator.Input
 	switch data.Cmd {
 	case "settings":
-		scenario.allocator.Settings.Lease, _ = scanDuration(t, data, "lease")
+		if lease, found := scanDuration(t, data, "lease"); found {
+			scenario.allocator.Settings.Lease = lease
+		}
 		return ""
 	case "lead":
 		var epoch uint64
--- a/pkg/allocator/polls.go
+++ b/pkg/allocator/polls.go
@@ -54,7 +54,8 @@
 
 const (
 	// pollSlack is how much longer than the call's wait this host waits for the answer. Wait and
-	// slack together leave more than half of the lease for the next calls.
+	// slack together leave time for another call within the shortest lease, and more than half of the
+	// default one.
 	pollSlack = 150 * time.Millisecond
 	// lossyTime is how long a server counts as one whose answers get lost: a few dozen calls.
 	lossyTime = 5 * time.Second
--- a/pkg/coordinator/harsh_fuzz_test.go
+++ b/pkg/coordinator/harsh_fuzz_test.go
@@ -77,8 +77,8 @@
 		settings.Throttler.StartTime = 0
 	}
 	if kinds.longLeases {
-		settings.Allocator.Lease = fleetBounds.Lease()
-		settings.Inquirer.Lease = fleetBounds.Lease()
+		settings.Allocator.Lease = longLeaseBounds.Lease()
+		settings.Inquirer.Lease = longLeaseBounds.Lease()
 	}
 	domains := []identifier.FailureDomain{"leuven", "geel"}[:rapid.IntRange(1, 2).Draw(draw, "domains")]
 	hosts := rapid.IntRange(2, 3).Draw(draw, "hosts")
@@ -86,7 +86,7 @@
 	servers := rapid.IntRange(3, 5).Draw(draw, "servers") * len(domains)
 	world, harsh := newHarshWorld(network, draw, servers, kinds)
 	if kinds.longLeases {
-		world.maxLease = fleetBounds.MaxLease
+		world.maxLease = longLeaseBounds.MaxLease
 	}
 	evacuations := newEvacuations(world, false)
 	network.advance(2 * time.Second)
--- a/pkg/coordinator/lostdomain_test.go
+++ b/pkg/coordinator/lostdomain_test.go
@@ -41,8 +41,8 @@
 	unreachableServers bool
 }
 
-// fleetBounds are bounds under which a lease may be longer than callers wait.
-var fleetBounds = renewer.Bounds{MaxLease: 15 * time.Second, ResubmitDelay: 1300 * time.Millisecond}
+// longLeaseBounds are bounds under which servers accept a longer lease than callers wait.
+var longLeaseBounds = renewer.Bounds{MaxLease: 15 * time.Second, ResubmitDelay: 1300 * time.Millisecond}
 
 const (
 	// workBeforeLoss is how long jobs run before their host is lost.
@@ -256,7 +256,7 @@
 		"evacuated":                   {evacuated: true},
 		"evacuated, hosts return":     {evacuated: true, downtime: 50 * time.Millisecond},
 	} {
-		loss.bounds = fleetBounds
+		loss.bounds = longLeaseBounds
 		t.Run(name, loss.play)
 	}
 }
@@ -283,10 +283,10 @@
 func TestResubmissionWhileServerClocksAreSlow(t *testing.T) {
 	for _, clockLag := range []int{1, 10, 19, 20} {
 		for _, downtime := range []time.Duration{0, 50 * time.Millisecond, 1100 * time.Millisecond} {
-			loss := domainLoss{bounds: fleetBounds, downtime: downtime, clockLag: clockLag}
+			loss := domainLoss{bounds: longLeaseBounds, downtime: downtime, clockLag: clockLag}
 			t.Run(fmt.Sprintf("slow by %d, down %v", clockLag, downtime), loss.play)
 		}
-		handedOff := domainLoss{bounds: fleetBounds, clockLag: clockLag, tasks: 20}
+		handedOff := domainLoss{bounds: longLeaseBounds, clockLag: clockLag, tasks: 20}
 		t.Run(fmt.Sprintf("slow by %d, tasks handed to others", clockLag), handedOff.play)
 	}
 }
