--- a/pkg/renewer/renewer.go
+++ b/pkg/renewer/renewer.go
@@ -47,8 +47,8 @@
 	return bounds.ResubmitDelay > 0 && bounds.Lease() <= bounds.longestSafeLease()
 }
 
-// longestSafeLease is ResubmitDelay less the time until the last renewal, on a slow clock and in
-// whole milliseconds; it may be negative.
+// longestSafeLease returns the longest lease that has lapsed within ResubmitDelay after a loss, by a
+// slow clock, if it is renewed until lossDetectionTime after that loss. It may be negative.
 func (bounds Bounds) longestSafeLease() time.Duration {
 	longest := bounds.ResubmitDelay - lossDetectionTime - LapseMargin
 	return (longest * (1000 - ClockDriftPerMille) / 1000).Truncate(time.Millisecond)
