Bound the replicated log by bytes and not by count alone

A few hundred configurations of 400 KB are kept in full, on disk and in memory. A keeper whose disk refuses writes collects entries in memory without a bound in bytes, as leader and as follower.

The window in bytes counts from the acknowledged index, so that it doesn't begin anew after each lost message.

--- a/pkg/replicator/leading.go
+++ b/pkg/replicator/leading.go
@@ -31,6 +31,9 @@
 type peer struct {
 	// match is the last index that the peer holds on its disk.
 	match identifier.LogIndex
+	// matchKnown is set once the peer has accepted a message of this term, so that match counts
+	// all that it holds on its disk.
+	matchKnown bool
 	// next is the next index to send.
 	next identifier.LogIndex
 	// windowStart is where next was last reset to; entries before it were not sent since, so
@@ -183,6 +186,7 @@
 		return
 	}
 	peer.match = max(peer.match, reply.Match)
+	peer.matchKnown = peer.matchKnown || !reply.Rejected
 	peer.next = max(peer.next, peer.match+1)
 	if peer.transfer != nil && peer.match >= peer.transfer.index {
 		peer.transfer = nil
--- a/pkg/replicator/log.go
+++ b/pkg/replicator/log.go
@@ -8,6 +8,10 @@
 	base     identifier.LogIndex
 	baseTerm identifier.Term
 	entries  []Entry
+	// baseBytes is the data of all entries up to base, and totals the data up to each entry. Only
+	// differences have a meaning: both begin at zero with each reset.
+	baseBytes identifier.Bytes
+	totals    []identifier.Bytes
 }
 
 func (log *memoryLog) lastIndex() identifier.LogIndex {
@@ -52,6 +56,35 @@
 
 func (log *memoryLog) append(entries ...Entry) {
 	log.entries = append(log.entries, entries...)
+	total := log.bytesUpTo(log.base + identifier.LogIndex(len(log.totals)))
+	for _, entry := range entries {
+		total += identifier.Bytes(len(entry.Data))
+		log.totals = append(log.totals, total)
+	}
+}
+
+// bytesUpTo returns the total at index, which must not lie beyond the log. An index before base
+// counts as base.
+func (log *memoryLog) bytesUpTo(index identifier.LogIndex) identifier.Bytes {
+	if index <= log.base {
+		return log.baseBytes
+	}
+	return log.totals[index-log.base-1]
+}
+
+// bytesAfter returns the data of the entries after index up to last, as far as the log holds them.
+func (log *memoryLog) bytesAfter(index, last identifier.LogIndex) identifier.Bytes {
+	return log.bytesUpTo(min(last, log.lastIndex())) - log.bytesUpTo(min(index, last, log.lastIndex()))
+}
+
+// firstIndexWithin returns the first index, not before index, such that the entries after it up to
+// last hold at most bound.
+func (log *memoryLog) firstIndexWithin(index, last identifier.LogIndex, bound identifier.Bytes) identifier.LogIndex {
+	first := max(index, log.base)
+	for log.bytesAfter(first, last) > bound {
+		first++
+	}
+	return first
 }
 
 // truncateFrom removes the entries from index on. It copies the remaining ones, since slices
@@ -59,6 +92,7 @@
 func (log *memoryLog) truncateFrom(index identifier.LogIndex) {
 	kept := log.entries[:index-log.base-1]
 	log.entries = append([]Entry(nil), kept...)
+	log.totals = log.totals[:len(kept)]
 }
 
 // compactTo drops the entries up to and including index.
@@ -70,6 +104,8 @@
 	if !known {
 		return
 	}
+	log.baseBytes = log.bytesUpTo(index)
+	log.totals = append([]identifier.Bytes(nil), log.totals[index-log.base:]...)
 	log.entries = append([]Entry(nil), log.entries[index-log.base:]...)
 	log.base = index
 	log.baseTerm = term
--- a/pkg/replicator/proposing.go
+++ b/pkg/replicator/proposing.go
@@ -36,6 +36,10 @@
 	if int(replicator.log.lastIndex()-replicator.hard.Commit) >= replicator.Settings.MaxUncommittedEntries {
 		return OutcomeOverloaded, true
 	}
+	settled := min(replicator.hard.Commit, replicator.journal.durableIndex)
+	if replicator.log.bytesAfter(settled, replicator.log.lastIndex()) >= replicator.Settings.MaxUncommittedBytes {
+		return OutcomeOverloaded, true
+	}
 	return OutcomeAccepted, false
 }
 
--- a/pkg/replicator/sending.go
+++ b/pkg/replicator/sending.go
@@ -42,7 +42,23 @@
 		return false
 	}
 	inFlight := int(peer.next - max(peer.match+1, peer.windowStart))
-	return inFlight < replicator.Settings.MaxInFlightEntries
+	return inFlight < replicator.Settings.MaxInFlightEntries && replicator.hasRoomInBytes(peer)
+}
+
+// hasRoomInBytes reports whether the data that the peer got and has not acknowledged leaves room
+// for more. Once its match is known, all behind it counts: a window that began anew after each
+// lost message would let a peer that syncs nothing collect entries without bound.
+func (replicator *Replicator) hasRoomInBytes(peer *peer) bool {
+	acknowledged := peer.windowStart - 1
+	if peer.matchKnown {
+		acknowledged = peer.match
+	}
+	last := peer.next - 1
+	if acknowledged < replicator.log.base && last >= replicator.log.base {
+		// Some of what is in flight was compacted, so its size is not known.
+		return false
+	}
+	return replicator.log.bytesAfter(acknowledged, last) < replicator.Settings.MaxInFlightBytes
 }
 
 // nextBatch returns the entries of the next append, at least one.
--- a/pkg/replicator/settings.go
+++ b/pkg/replicator/settings.go
@@ -30,14 +30,26 @@
 	MaxEntryBytes identifier.Bytes
 	// MaxInFlightEntries limits the entries sent to a keeper and not acknowledged yet.
 	MaxInFlightEntries int
+	// MaxInFlightBytes limits the data of the entries sent to a keeper and not acknowledged yet,
+	// so that a keeper whose disk refuses writes does not collect entries in its memory. Nothing
+	// more is sent once it is reached, so one batch may exceed it.
+	MaxInFlightBytes identifier.Bytes
 	// MaxUncommittedEntries limits the uncommitted entries of a leader; beyond it, the leader
 	// refuses proposals as overloaded.
 	MaxUncommittedEntries int
+	// MaxUncommittedBytes limits the data of a leader's entries that are not committed or not on
+	// its own disk; once it is reached, the leader refuses proposals as overloaded.
+	MaxUncommittedBytes identifier.Bytes
 	// SnapshotEvery is the number of applied entries between two snapshots.
 	SnapshotEvery int
+	// SnapshotEveryBytes is the data of the applied entries after which a snapshot is due even
+	// if they are fewer than SnapshotEvery: the log stays on disk and in memory until then.
+	SnapshotEveryBytes identifier.Bytes
 	// EntriesKeptBehindSnapshot is the number of entries before a snapshot that stay in memory,
 	// so that keepers that lag a little need no snapshot.
 	EntriesKeptBehindSnapshot int
+	// BytesKeptBehindSnapshot limits the data of these entries.
+	BytesKeptBehindSnapshot identifier.Bytes
 	// SnapshotChunkBytes limits the data of one snapshot message.
 	SnapshotChunkBytes identifier.Bytes
 	// MinCopies is the minimum number of voters that must hold an entry before it is committed,
@@ -57,9 +69,13 @@
 		MaxBatchBytes:             256 << 10,
 		MaxEntryBytes:             1 << 20,
 		MaxInFlightEntries:        8192,
+		MaxInFlightBytes:          4 << 20,
 		MaxUncommittedEntries:     32768,
+		MaxUncommittedBytes:       8 << 20,
 		SnapshotEvery:             10000,
+		SnapshotEveryBytes:        8 << 20,
 		EntriesKeptBehindSnapshot: 1000,
+		BytesKeptBehindSnapshot:   4 << 20,
 		SnapshotChunkBytes:        64 << 10,
 	}
 }
@@ -82,13 +98,16 @@
 			return invalidSettings("entry bounds must be positive")
 		}
 	}
-	sizes := []identifier.Bytes{settings.MaxBatchBytes, settings.MaxEntryBytes, settings.SnapshotChunkBytes}
+	sizes := []identifier.Bytes{
+		settings.MaxBatchBytes, settings.MaxEntryBytes, settings.MaxInFlightBytes, settings.MaxUncommittedBytes,
+		settings.SnapshotEveryBytes, settings.SnapshotChunkBytes,
+	}
 	for _, size := range sizes {
 		if size <= 0 {
 			return invalidSettings("byte bounds must be positive")
 		}
 	}
-	if settings.EntriesKeptBehindSnapshot < 0 {
+	if settings.EntriesKeptBehindSnapshot < 0 || settings.BytesKeptBehindSnapshot < 0 {
 		return invalidSettings("entries kept behind a snapshot must not be negative")
 	}
 	return nil
--- a/pkg/replicator/simulation_test.go
+++ b/pkg/replicator/simulation_test.go
@@ -88,6 +88,10 @@
 	entries  []Entry
 	unsynced []Persist
 	syncing  bool
+	// refuses makes all writes wait, in order; none is reported meanwhile.
+	refuses bool
+	// delayed are the snapshots that wait for a disk that refuses writes.
+	delayed []Snapshot
 }
 
 func (disk *disk) write(persist Persist) {
@@ -201,11 +205,15 @@
 func (simulation *simulation) crash(keeper *keeper) {
 	keeper.alive = false
 	keeper.incarnation++
-	survivors := simulation.random.IntN(len(keeper.disk.unsynced) + 1)
+	survivors := 0
+	if !keeper.disk.refuses {
+		survivors = simulation.random.IntN(len(keeper.disk.unsynced) + 1)
+	}
 	for _, persist := range keeper.disk.unsynced[:survivors] {
 		keeper.disk.write(persist)
 	}
 	keeper.disk.unsynced = nil
+	keeper.disk.delayed = nil
 	keeper.disk.syncing = false
 	keeper.queuedInputs = nil
 }
@@ -298,9 +306,7 @@
 		simulation.startSync(keeper)
 	case SaveSnapshot:
 		simulation.scheduleFor(keeper, simulation.now+3*simulation.sync, func() {
-			keep := identifier.LogIndex(simulation.settings.EntriesKeptBehindSnapshot)
-			keeper.disk.saveSnapshot(output.Snapshot, keep)
-			simulation.input(keeper, SnapshotSaved{Index: output.Snapshot.Index})
+			simulation.saveSnapshot(keeper, output.Snapshot)
 		})
 	case Applied:
 		simulation.oracle.checkApplied(keeper, output)
@@ -325,9 +331,32 @@
 	}
 }
 
+func (simulation *simulation) saveSnapshot(keeper *keeper, snapshot Snapshot) {
+	if keeper.disk.refuses {
+		keeper.disk.delayed = append(keeper.disk.delayed, snapshot)
+		return
+	}
+	keep := identifier.LogIndex(simulation.settings.EntriesKeptBehindSnapshot)
+	keeper.disk.saveSnapshot(snapshot, keep)
+	simulation.input(keeper, SnapshotSaved{Index: snapshot.Index})
+}
+
+// acceptWrites ends the refusal of writes by a keeper's disk.
+func (simulation *simulation) acceptWrites(keeper *keeper) {
+	keeper.disk.refuses = false
+	delayed := keeper.disk.delayed
+	keeper.disk.delayed = nil
+	if len(keeper.disk.unsynced) > 0 {
+		simulation.startSync(keeper)
+	}
+	for _, snapshot := range delayed {
+		simulation.saveSnapshot(keeper, snapshot)
+	}
+}
+
 // startSync syncs everything that is written by the time it begins in one go.
 func (simulation *simulation) startSync(keeper *keeper) {
-	if keeper.disk.syncing {
+	if keeper.disk.syncing || keeper.disk.refuses {
 		return
 	}
 	keeper.disk.syncing = true
--- a/pkg/replicator/snapshotting.go
+++ b/pkg/replicator/snapshotting.go
@@ -17,11 +17,17 @@
 	data  []byte
 }
 
-// takeSnapshotIfDue takes a snapshot of the own state machine when enough entries were
-// applied and synced since the last one.
+// snapshotDue reports whether enough entries, or enough data, were applied since the last snapshot.
+func (replicator *Replicator) snapshotDue() bool {
+	dueAt := replicator.snapshot.Index + identifier.LogIndex(replicator.Settings.SnapshotEvery)
+	applied := replicator.log.bytesAfter(replicator.snapshot.Index, replicator.applied)
+	return replicator.applied >= dueAt || applied >= replicator.Settings.SnapshotEveryBytes
+}
+
+// takeSnapshotIfDue takes a snapshot of the own state machine when one is due and all that was
+// applied is synced.
 func (replicator *Replicator) takeSnapshotIfDue() {
-	due := replicator.snapshot.Index + identifier.LogIndex(replicator.Settings.SnapshotEvery)
-	if replicator.saving != 0 || replicator.applied < due || replicator.journal.durableIndex < replicator.applied {
+	if replicator.saving != 0 || !replicator.snapshotDue() || replicator.journal.durableIndex < replicator.applied {
 		return
 	}
 	term, _ := replicator.log.term(replicator.applied)
@@ -42,12 +48,10 @@
 		return
 	}
 	replicator.saving = 0
-	behind := identifier.LogIndex(replicator.Settings.EntriesKeptBehindSnapshot)
-	if index <= behind || replicator.log.base >= index-behind {
-		return
-	}
-	replicator.log.compactTo(index - behind)
-	replicator.memberships.compactTo(index - behind)
+	behind := min(index, identifier.LogIndex(replicator.Settings.EntriesKeptBehindSnapshot))
+	first := replicator.log.firstIndexWithin(index-behind, index, replicator.Settings.BytesKeptBehindSnapshot)
+	replicator.log.compactTo(first)
+	replicator.memberships.compactTo(first)
 }
 
 // startSnapshot starts sending the newest snapshot to a peer that needs entries which were
