--- a/pkg/keeper/machine.go
+++ b/pkg/keeper/machine.go
@@ -14,9 +14,11 @@
 const (
 	fingerprintBound = 4_000_000
 	historyBound     = 1_000
-	// historyBytes bounds the documents of the history. A snapshot takes more than twice as much
-	// memory for a moment, and a keeper may have 284 MB.
-	historyBytes = 16 << 20
+	// historyBytes bounds the documents of the history. The journal holds up to three snapshots, and
+	// taking and writing one allocates about ten times its size; a keeper may have 128 MB of disk and
+	// 280 MB of memory. Keepers may differ for the time of an upgrade: the history is only shown,
+	// and no command's result depends on it.
+	historyBytes = 8 << 20
 	resultBound  = 10_000
 )
 
