Find a queue whatever the case and the port of the Host header

Cause: the header was compared with a route's host byte for byte, so a client that sends desk.example:24161 or Desk.Example got 404.

Change: a host that no route names exactly is looked up in lower case and without its port. Exact names go first, so what was served stays as it was.

--- a/pkg/cataloguer/cataloguer.go
+++ b/pkg/cataloguer/cataloguer.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
@@ -12,8 +13,8 @@
 // Queue holds the settings for one kind of jobs.
 type Queue struct {
 	Name identifier.QueueName
-	// Host and PathPrefix select the queue: Host equals the host of the request, and PathPrefix is
-	// the longest one that its path begins with.
+	// Host and PathPrefix select the queue: Host is the host of the request, and PathPrefix is the
+	// longest one that its path begins with.
 	Host       string
 	PathPrefix string
 	Service    identifier.ServiceName
@@ -38,6 +39,8 @@
 type Catalogue struct {
 	Limits Limits
 	byHost map[string]*hostQueues
+	// byName holds the queues of all spellings of a host by its name in lower case.
+	byName map[string]*hostQueues
 }
 
 // hostQueues holds the queues of one request host by their prefixes.
@@ -51,22 +54,29 @@
 // New returns a catalogue of the given queues and limits. Of queues with the same host and prefix, the
 // first one is used.
 func New(queues []Queue, limits Limits) *Catalogue {
-	created := &Catalogue{Limits: limits, byHost: make(map[string]*hostQueues)}
+	created := &Catalogue{Limits: limits, byHost: make(map[string]*hostQueues), byName: make(map[string]*hostQueues)}
 	for index := range queues {
 		queue := &queues[index]
-		host := created.byHost[queue.Host]
-		if host == nil {
-			host = &hostQueues{byPrefix: make(map[string]*Queue)}
-			created.byHost[queue.Host] = host
-		}
-		host.add(queue)
+		addTo(created.byHost, queue.Host, queue)
+		addTo(created.byName, strings.ToLower(queue.Host), queue)
 	}
-	for _, host := range created.byHost {
-		slices.SortFunc(host.lengths, func(first, second int) int { return cmp.Compare(second, first) })
+	for _, hosts := range []map[string]*hostQueues{created.byHost, created.byName} {
+		for _, host := range hosts {
+			slices.SortFunc(host.lengths, func(first, second int) int { return cmp.Compare(second, first) })
+		}
 	}
 	return created
 }
 
+func addTo(hosts map[string]*hostQueues, name string, queue *Queue) {
+	host := hosts[name]
+	if host == nil {
+		host = &hostQueues{byPrefix: make(map[string]*Queue)}
+		hosts[name] = host
+	}
+	host.add(queue)
+}
+
 func (host *hostQueues) add(queue *Queue) {
 	if host.byPrefix[queue.PathPrefix] != nil {
 		return
@@ -77,19 +87,39 @@
 	}
 }
 
-// Find returns the queue of a request and the rest of the path after the queue's prefix.
+// Find returns the queue of a request and the rest of the path after the queue's prefix. A host that
+// no queue names exactly is compared without case and without its port, as HTTP does.
 func (catalogue *Catalogue) Find(host, path string) (queue *Queue, rest string, found bool) {
-	queues := catalogue.byHost[host]
-	if queues == nil {
-		return nil, "", false
+	if queue := catalogue.byHost[host].find(path); queue != nil {
+		return queue, path[len(queue.PathPrefix):], true
+	}
+	if queue := catalogue.byName[strings.ToLower(withoutPort(host))].find(path); queue != nil {
+		return queue, path[len(queue.PathPrefix):], true
+	}
+	return nil, "", false
+}
+
+// find returns the queue with the longest prefix of a path, or nil.
+func (host *hostQueues) find(path string) *Queue {
+	if host == nil {
+		return nil
 	}
-	for _, length := range queues.lengths {
+	for _, length := range host.lengths {
 		if length > len(path) {
 			continue
 		}
-		if queue := queues.byPrefix[path[:length]]; queue != nil {
-			return queue, path[length:], true
+		if queue := host.byPrefix[path[:length]]; queue != nil {
+			return queue
 		}
 	}
-	return nil, "", false
+	return nil
+}
+
+// withoutPort returns a host without a colon and port at its end.
+func withoutPort(host string) string {
+	name := strings.TrimRight(host, "0123456789")
+	if !strings.HasSuffix(name, ":") || strings.Contains(name[:len(name)-1], ":") && !strings.HasSuffix(name, "]:") {
+		return host
+	}
+	return name[:len(name)-1]
 }
