Write again what a keeper's disk has refused, in order

Later entries left a gap and were refused as invalid until the process started again, and a later persist without entries was reported as durable together with the dropped ones.

Change: the writer keeps what is not written, in order, and tries again each 0.5 s until the disk takes it; nothing later is written before. EFBIG counts as a full disk. The measurer shows how many batches wait and since when the disk refuses.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -225,9 +225,9 @@
 	case *coordinator.StoreCells:
 		daemon.cellStore.save(output.Cells)
 	case *coordinator.Persist:
-		daemon.journalWriter.persist(output.Persist)
+		daemon.journalWriter.queue.add(output.Persist)
 	case *coordinator.SaveSnapshot:
-		daemon.journalWriter.saveSnapshot(output.Snapshot)
+		daemon.journalWriter.queue.addSnapshot(output.Snapshot)
 	case *coordinator.OperatorAnswer, *coordinator.ConfigAnswer, *coordinator.ConfigHistory, *coordinator.StatusAnswer, *coordinator.ExplainAnswer:
 		daemon.operations.Answer(output)
 	}
--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -10,29 +11,38 @@
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
 	"github.com/stoathitch/stoathitch/pkg/journaler"
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/measurer"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
 // journalWriter writes the journal and the snapshots of this host's keeper. One goroutine does all
-// writes, so that they reach the disk in the order in which the replicated log requested them.
+// writes, in the order in which the replicated log requested them. A write that the disk refuses is
+// tried again before anything later, so that a report never covers a write that is missing.
 type journalWriter struct {
 	*provider.Common
-	post     connector.Poster
-	journal  *journaler.Journal
-	requests chan writeRequest
-	stopped  chan struct{}
-}
+	post    connector.Poster
+	journal *journaler.Journal
+	queue   *writeQueue
+	stopped chan struct{}
+	// retryInterval is the wait between two tries.
+	retryInterval time.Duration
 
-// writeRequest is one write; exactly one field is set.
-type writeRequest struct {
-	persist  *replicator.Persist
-	snapshot *replicator.Snapshot
+	// mustOpen reports that the journal broke and has to be opened anew.
+	mustOpen bool
+	// unknown is the write whose outcome the next opening tells; nil if there is none.
+	unknown *unknownWrite
+	// groupWritten reports that the group that was taken is durable although its write failed.
+	groupWritten bool
+	// snapshotRetry is when the keeper's own snapshot is tried again.
+	snapshotRetry   time.Time
+	persistRefusal  refusal
+	snapshotRefusal refusal
 }
 
-// writeQueueSize bounds the writes that wait for the disk. The replicated log bounds its entries in
-// flight well below it.
-const writeQueueSize = 65536
+// writeRetryInterval is the retryInterval of a daemon. Opening a journal anew reads all of it, up to
+// 0.2 s of processor time for 100,000 entries.
+const writeRetryInterval = 500 * time.Millisecond
 
 // openJournal recovers the journal of a keeper and posts it to the coordinator as its first
 // input.
@@ -51,11 +61,12 @@
 	}
 	daemon.Log.Info("journal recovered", "entries", len(recovered.Entries), "cut-bytes", recovered.TruncatedBytes)
 	daemon.journalWriter = &journalWriter{
-		Common:   daemon.Common,
-		post:     daemon.runner.Post,
-		journal:  journal,
-		requests: make(chan writeRequest, writeQueueSize),
-		stopped:  make(chan struct{}),
+		Common:        daemon.Common,
+		post:          daemon.runner.Post,
+		journal:       journal,
+		queue:         newWriteQueue(),
+		stopped:       make(chan struct{}),
+		retryInterval: writeRetryInterval,
 	}
 	daemon.runner.Post(ctx, &coordinator.Restored{Restored: restored})
 	go daemon.journalWriter.run(ctx)
@@ -72,99 +83,177 @@
 	}
 }
 
-func (journalWriter *journalWriter) persist(persist replicator.Persist) {
-	journalWriter.requests <- writeRequest{persist: &persist}
-}
-
-func (journalWriter *journalWriter) saveSnapshot(snapshot replicator.Snapshot) {
-	journalWriter.requests <- writeRequest{snapshot: &snapshot}
-}
-
-// run writes until ctx is done. After a failed write nothing more is reported as durable: the keeper
-// goes on without a vote, and the host goes on serving.
+// run writes until ctx is done, or until the journal contradicts the replicated log: then nothing more
+// is reported as durable, the keeper goes on without a vote, and the host goes on serving.
 func (journalWriter *journalWriter) run(ctx context.Context) {
 	defer close(journalWriter.stopped)
 	for {
-		select {
-		case <-ctx.Done():
+		err := journalWriter.writeWaiting(ctx)
+		if err != nil && !isRetryable(err) {
+			journalWriter.queue.close()
+			journalWriter.Log.Error("journal contradicts the replicated log, nothing more is written", "err", err)
+			return
+		}
+		if !journalWriter.pause(ctx, err != nil) {
 			return
-		case work := <-journalWriter.requests:
-			journalWriter.process(ctx, journalWriter.drainQueue(work))
 		}
 	}
 }
 
-// drainQueue returns the first request and those already queued, so that they share one sync.
-func (journalWriter *journalWriter) drainQueue(first writeRequest) []writeRequest {
-	gathered := []writeRequest{first}
-	for {
-		select {
-		case next := <-journalWriter.requests:
-			gathered = append(gathered, next)
-		default:
-			return gathered
-		}
+// pause waits for the next write or the next try, and reports whether there is one.
+func (journalWriter *journalWriter) pause(ctx context.Context, refused bool) bool {
+	wake := journalWriter.queue.wake
+	if refused {
+		wake = nil
 	}
+	var retry <-chan time.Time
+	if refused || journalWriter.queue.ownSnapshot() != nil {
+		timer := time.NewTimer(journalWriter.retryInterval)
+		defer timer.Stop()
+		retry = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	case <-retry:
+	}
+	return true
 }
 
-func (journalWriter *journalWriter) process(ctx context.Context, gathered []writeRequest) {
-	var group []*replicator.Persist
-	for _, work := range gathered {
-		if work.persist != nil && work.persist.Snapshot == nil {
-			group = append(group, work.persist)
-			continue
+// writeWaiting writes until nothing waits or the disk refuses a persist. A refused snapshot of the
+// keeper's own doesn't hold up persists: on a full disk these may still fit.
+func (journalWriter *journalWriter) writeWaiting(ctx context.Context) error {
+	for ctx.Err() == nil {
+		group := journalWriter.queue.take()
+		if len(group) > 0 {
+			err := journalWriter.writeGroup(ctx, group)
+			journalWriter.notePersist(err)
+			if err != nil {
+				return err
+			}
+		}
+		if err := journalWriter.writeOwnSnapshot(ctx); err != nil {
+			return err
+		}
+		if len(group) == 0 {
+			return nil
 		}
-		journalWriter.append(ctx, group)
-		group = nil
-		journalWriter.writeSnapshot(ctx, work)
 	}
-	journalWriter.append(ctx, group)
+	return nil
 }
 
-// append writes a group of persists with one sync and reports the last one that is durable
-// together with all before it.
-func (journalWriter *journalWriter) append(ctx context.Context, group []*replicator.Persist) {
-	if len(group) == 0 {
-		return
+// writeGroup writes a group of persists with one sync, or one persist with its snapshot, and reports
+// the last one that is durable together with all before it.
+func (journalWriter *journalWriter) writeGroup(ctx context.Context, group []replicator.Persist) error {
+	if err := journalWriter.ensureOpen(); err != nil {
+		return err
+	}
+	if snapshot := group[0].Snapshot; snapshot != nil {
+		if err := journalWriter.saveSnapshot(snapshot); err != nil {
+			return err
+		}
+	}
+	durable, err := len(group), error(nil)
+	if !journalWriter.groupWritten {
+		durable, err = journalWriter.append(group)
 	}
+	journalWriter.groupWritten = false
+	if durable > 0 {
+		journalWriter.queue.remove(durable)
+		journalWriter.post(ctx, &coordinator.Persisted{Sequence: group[durable-1].Sequence})
+	}
+	return err
+}
+
+// append returns how many persists of the group are durable.
+func (journalWriter *journalWriter) append(group []replicator.Persist) (int, error) {
 	batches := make([]journaler.Batch, 0, len(group))
-	for _, persist := range group {
-		batches = append(batches, batchOf(persist))
+	for index := range group {
+		batches = append(batches, batchOf(&group[index]))
 	}
-	var durable replicator.PersistSequence
+	before := standingOf(journalWriter.journal)
 	for index, err := range journalWriter.journal.AppendGroup(batches) {
 		if err != nil {
-			journalWriter.Log.Error("journal not written", "err", err)
-			break
+			journalWriter.noteOutcome(err, &unknownWrite{before: before, after: before.afterBatches(batches), isGroup: true})
+			return index, err
 		}
-		durable = group[index].Sequence
-	}
-	if durable > 0 {
-		journalWriter.post(ctx, &coordinator.Persisted{Sequence: durable})
 	}
+	return len(group), nil
 }
 
-// writeSnapshot writes a snapshot: the keeper's own, or the leader's, which replaces the whole log.
-func (journalWriter *journalWriter) writeSnapshot(ctx context.Context, work writeRequest) {
-	snapshot := work.snapshot
-	if snapshot == nil {
-		snapshot = work.persist.Snapshot
+// writeOwnSnapshot writes the keeper's own snapshot if one waits and its next try is due.
+func (journalWriter *journalWriter) writeOwnSnapshot(ctx context.Context) error {
+	snapshot := journalWriter.queue.ownSnapshot()
+	if snapshot == nil || time.Now().Before(journalWriter.snapshotRetry) {
+		return nil
+	}
+	err := journalWriter.ensureOpen()
+	if err == nil && journalWriter.journal.SnapshotPosition().Index < snapshot.Index {
+		err = journalWriter.saveSnapshot(snapshot)
+	}
+	journalWriter.noteSnapshot(err)
+	if err != nil {
+		journalWriter.snapshotRetry = time.Now().Add(journalWriter.retryInterval)
+		if isRetryable(err) {
+			return nil
+		}
+		return err
 	}
+	journalWriter.queue.removeSnapshot(snapshot)
+	journalWriter.post(ctx, &coordinator.SnapshotSaved{Index: snapshot.Index})
+	return nil
+}
+
+// saveSnapshot writes a snapshot unless the journal already has it.
+func (journalWriter *journalWriter) saveSnapshot(snapshot *replicator.Snapshot) error {
 	converted, err := journalSnapshot(snapshot)
-	if err == nil {
-		err = journalWriter.journal.SaveSnapshot(converted)
+	if err != nil {
+		return err
+	}
+	if journalWriter.journal.SnapshotPosition() == converted.Position() {
+		return nil
+	}
+	before := standingOf(journalWriter.journal)
+	err = journalWriter.journal.SaveSnapshot(converted)
+	if err != nil {
+		after := standing{last: converted.Position(), hardState: before.hardState}
+		journalWriter.noteOutcome(err, &unknownWrite{before: before, after: after})
 	}
+	return err
+}
+
+// notePersist logs the first refusal of a persist and the end of the refusals.
+func (journalWriter *journalWriter) notePersist(err error) {
 	if err != nil {
-		journalWriter.Log.Error("snapshot not written", "err", err)
+		if journalWriter.persistRefusal.refused() {
+			journalWriter.Log.Error("journal not written", "err", err, "waiting", journalWriter.queue.length())
+		}
 		return
 	}
-	if work.snapshot != nil {
-		journalWriter.post(ctx, &coordinator.SnapshotSaved{Index: snapshot.Index})
+	if tries, began := journalWriter.persistRefusal.accepted(); tries > 0 {
+		journalWriter.Log.Info("journal written again", "tries", tries, "lasted", time.Since(began), "waiting", journalWriter.queue.length())
+	}
+}
+
+// noteSnapshot does the same for the keeper's own snapshot.
+func (journalWriter *journalWriter) noteSnapshot(err error) {
+	if err != nil {
+		if journalWriter.snapshotRefusal.refused() {
+			journalWriter.Log.Error("snapshot not written", "err", err)
+		}
 		return
 	}
-	rest := *work.persist
-	rest.Snapshot = nil
-	journalWriter.append(ctx, []*replicator.Persist{&rest})
+	if tries, began := journalWriter.snapshotRefusal.accepted(); tries > 0 {
+		journalWriter.Log.Info("snapshot written again", "tries", tries, "lasted", time.Since(began))
+	}
+}
+
+// fillGauges sets the counts of what waits for the disk.
+func (journalWriter *journalWriter) fillGauges(gauges *measurer.Gauges) {
+	gauges.JournalWaiting = journalWriter.queue.length()
+	gauges.JournalRefusedSince = journalWriter.persistRefusal.since()
+	gauges.SnapshotRefusedSince = journalWriter.snapshotRefusal.since()
 }
 
 func batchOf(persist *replicator.Persist) journaler.Batch {
--- a/pkg/assembler/measuring.go
+++ b/pkg/assembler/measuring.go
@@ -29,6 +29,9 @@
 // are 0 if the request ends first.
 func (daemon *Daemon) gauges(request *http.Request) measurer.Gauges {
 	gauges := measurer.Gauges{Waiting: daemon.receiver.WaitingRequests(), WaitingBytes: daemon.receiver.WaitingBytes()}
+	if daemon.journalWriter != nil {
+		daemon.journalWriter.fillGauges(&gauges)
+	}
 	output := daemon.operations.await(request.Context(), func(waiter uint64) coordinator.Input {
 		return &coordinator.StatusWanted{Waiter: waiter}
 	})
--- a/pkg/journaler/append.go
+++ b/pkg/journaler/append.go
@@ -10,7 +10,8 @@
 }
 
 // AppendGroup makes several batches durable, in order, with one write and one sync. It returns
-// one error or nil per batch. An invalid batch is skipped, and the others are written without it.
+// one error or nil per batch. A batch that follows an invalid one is refused as invalid too, so that
+// what is durable is always a prefix of the group.
 func (journal *Journal) AppendGroup(batches []Batch) []error {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
@@ -30,7 +31,7 @@
 }
 
 // applyBatches validates each batch against the state that the previous batches result in, and
-// returns the records of the valid ones and the state after them.
+// returns the records of those before the first invalid one and the state after them.
 func (journal *Journal) applyBatches(batches []Batch, results []error) ([]record, logState) {
 	var records []record
 	state := journal.state
@@ -38,8 +39,8 @@
 		candidate := state.clone()
 		admitted, err := candidate.applyBatch(batch)
 		if err != nil {
-			results[index] = &Error{Operation: "append", Kind: Invalid, Err: err}
-			continue
+			fillErrors(results[index:], &Error{Operation: "append", Kind: Invalid, Err: err})
+			break
 		}
 		records = append(records, admitted...)
 		state = candidate
--- a/pkg/journaler/errors.go
+++ b/pkg/journaler/errors.go
@@ -95,6 +95,7 @@
 	return &Error{Operation: "recover", Kind: CorruptRecord, File: file, Offset: offset, Err: eris.New(reason)}
 }
 
+// isDiskFull reports whether a file may not grow now: no space, a quota or a limit on its size.
 func isDiskFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
--- a/pkg/journaler/journaler.go
+++ b/pkg/journaler/journaler.go
@@ -111,6 +111,13 @@
 	return journal.state.lastPosition(), journal.state.hardState
 }
 
+// SnapshotPosition returns the position of the newest durable snapshot; zero if there is none.
+func (journal *Journal) SnapshotPosition() Position {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return journal.state.snapshot
+}
+
 // Broken returns the failure since which the journal refuses all writes, or nil. Only closing and
 // reopening the journal, which reads the disk again, ends that state.
 func (journal *Journal) Broken() error {
@@ -141,6 +148,7 @@
 	journal.segments = nil
 	journal.broken = nil
 	journal.resetPending = false
+	journal.durableEnd = 0
 	journal.state = logState{}
 	if err != nil {
 		return storageError("close", journal.Folder, WriteFailed, err)
--- a/pkg/measurer/measurer.go
+++ b/pkg/measurer/measurer.go
@@ -53,6 +53,12 @@
 	// ServerSpeeds are the mean speeds of the backend servers in the cells that this host leads, by
 	// service, first label and thousandths of a core, while they differ.
 	ServerSpeeds map[string]identifier.Speed `json:"server-speeds,omitempty"`
+	// JournalWaiting counts the batches of a keeper's log that its disk has not taken yet.
+	JournalWaiting int `json:"journal-waiting"`
+	// JournalRefusedSince and SnapshotRefusedSince are when the disk began to refuse a keeper's log or
+	// its own snapshot; zero if it doesn't.
+	JournalRefusedSince  time.Time `json:"journal-refused-since,omitzero"`
+	SnapshotRefusedSince time.Time `json:"snapshot-refused-since,omitzero"`
 }
 
 // Measurer holds the variables of one host. They are not expvar's global ones,
