Place a loss of one disk and of power in each millisecond of a change

Cause: only one order of these events was tested.

Change: for each keeper, in steps of 1 ms from the sending of a change, its disk is lost while the others lose power.

--- a/pkg/coordinator/keeperlosses_test.go
+++ b/pkg/coordinator/keeperlosses_test.go
@@ -134,3 +134,24 @@
 		}
 	}
 }
+
+// Symptom: as above.
+// Sequence: a change is sent, and within milliseconds, before or after its acknowledgement, one keeper
+// loses its disk while the others lose power.
+func TestDiskAndPowerAreLostDuringAChange(t *testing.T) {
+	for victim := range 3 {
+		for after := time.Duration(0); after < 30*time.Millisecond; after += time.Millisecond {
+			t.Run(fmt.Sprintf("keeper %d after %v", victim, after), func(t *testing.T) {
+				network := newKeeperNetwork(t)
+				acknowledged := network.proposeAcknowledged(network.hosts[0], 1, 0)
+				waiter := network.propose(network.hosts[1], 2)
+				network.advance(after)
+				if network.acknowledged(waiter) {
+					acknowledged = 2
+				}
+				network.losePower(network.hosts[victim])
+				network.expectRecovery(t, acknowledged)
+			})
+		}
+	}
+}
