--- a/pkg/replicator/fuzz_test.go
+++ b/pkg/replicator/fuzz_test.go
@@ -207,6 +207,7 @@
 		if !keeper.alive {
 			workload.start(keeper)
 		}
+		workload.acceptWrites(keeper)
 	}
 	workload.runFor(10 * time.Second)
 	leader := workload.leader()
@@ -303,6 +304,12 @@
 			sync := rapid.SampledFrom([]int{4, 4, 4, 40, 600}).Draw(t, "sync")
 			workload.sync = time.Duration(sync) * time.Millisecond
 		},
+		"refuse writes": func(t *rapid.T) { leaderOrAny(t).disk.refuses = true },
+		"accept writes": func(*rapid.T) {
+			for _, keeper := range workload.keepers {
+				workload.acceptWrites(keeper)
+			}
+		},
 		"transfer":    func(t *rapid.T) { workload.input(leaderOrAny(t), TransferRequested{}) },
 		"unreachable": func(t *rapid.T) { workload.input(leaderOrAny(t), PeerUnreachable{Host: anyKeeper(t).host}) },
 		"reachable":   func(t *rapid.T) { workload.input(leaderOrAny(t), PeerReachable{Host: anyKeeper(t).host}) },
