Hand the leadership over when only the leader's own disk lags

Cause: since the leader bounds what waits for its own disk, it refuses all changes while that disk refuses writes, although the two others could commit them.

Change: a leader transfers the leadership once so much waits for its own disk that it refuses proposals, while a quorum commits without it.

Conclusion: one disk that refuses writes no longer stops changes for longer than a handover.

--- a/pkg/replicator/bounds_test.go
+++ b/pkg/replicator/bounds_test.go
@@ -68,7 +68,8 @@
 
 // TestRefusingDiskHoldsFewEntries guards against a keeper that runs out of memory: its disk refuses
 // all writes for a while, messages are lost, and the leader sends it each new entry although it
-// acknowledges none. Once the disk accepts writes, the keeper must catch up.
+// acknowledges none. Changes must go on meanwhile, under another leader if it is the leader's disk. Once
+// the disk accepts writes, the keeper must catch up.
 func TestRefusingDiskHoldsFewEntries(t *testing.T) {
 	for _, name := range []string{"leader", "follower"} {
 		t.Run(name, func(t *testing.T) {
@@ -82,9 +83,13 @@
 			}
 			refusing.disk.refuses = true
 			simulation.lossShare = 20
-			if held, _ := simulation.proposeLarge(t, 400); held > heldBytesBound {
+			held, accepted := simulation.proposeLarge(t, 400)
+			if held > heldBytesBound {
 				t.Errorf("a keeper held %d bytes, want at most %d", held, heldBytesBound)
 			}
+			if accepted < 350 {
+				t.Errorf("%d of 400 entries were accepted while one of three disks refuses writes", accepted)
+			}
 			simulation.lossShare = 0
 			simulation.acceptWrites(refusing)
 			simulation.runFor(5 * time.Second)
--- a/pkg/replicator/leading.go
+++ b/pkg/replicator/leading.go
@@ -138,14 +138,25 @@
 	return replicator.now.Before(replicator.quorumStamp().Add(replicator.Settings.leaseDuration()))
 }
 
-// expireLeadership steps down if no quorum responds, abandons a transfer that takes too long
-// and schedules heartbeats.
+// ownDiskLags reports whether the own disk alone holds the leader back: a quorum commits without
+// it, and so much data waits for it that proposals are refused.
+func (replicator *Replicator) ownDiskLags() bool {
+	durable := replicator.journal.durableIndex
+	waiting := replicator.log.bytesAfter(durable, replicator.log.lastIndex())
+	return replicator.hard.Commit > durable && waiting >= replicator.Settings.MaxUncommittedBytes
+}
+
+// expireLeadership steps down if no quorum responds, abandons a transfer that takes too long, starts
+// one if the own disk lags, and schedules heartbeats.
 func (replicator *Replicator) expireLeadership() {
 	if replicator.stepDownDeadline().Due(replicator.now) {
 		replicator.becomeFollower(replicator.hard.Term, "")
 		return
 	}
 	replicator.expireTransfer()
+	if replicator.ownDiskLags() {
+		replicator.requestTransfer()
+	}
 	if replicator.leadership.heartbeatDue.Due(replicator.now) {
 		replicator.leadership.roundRequested = true
 	}
