--- a/pkg/replicator/bounds_test.go
+++ b/pkg/replicator/bounds_test.go
@@ -16,9 +16,6 @@
 
 func (keeper *keeper) heldBytes() identifier.Bytes { return dataBytes(keeper.replicator.log.entries) }
 
-// diskBytes returns the data on the keeper's disk.
-func (keeper *keeper) diskBytes() identifier.Bytes { return dataBytes(keeper.disk.entries) }
-
 func dataBytes(entries []Entry) identifier.Bytes {
 	total := identifier.Bytes(0)
 	for _, entry := range entries {
