Ask sources that do not answer last, also for newer configurations

Cause: a host requests a version from the first host that announces it and turns to the next after 500 ms, and each newer version started both anew. While changes came faster than that, and the first to announce was always a host whose documents don't arrive, nothing came into force at all.

Change: a host notes since when each source has owed an answer. A source that owes it for the timeout is asked last, and another one that announces the version is asked at once.

Ruled out: with the leader's connection silent for gossip too, the host hears other keepers first and followed in time before the change.

--- a/pkg/configurer/follower.go
+++ b/pkg/configurer/follower.go
@@ -36,7 +36,11 @@
 }
 
 // VersionFetched delivers a version with its document, from another host or the local keeper.
-type VersionFetched struct{ Version Version }
+type VersionFetched struct {
+	// From is the other host, or empty.
+	From    identifier.HostID
+	Version Version
+}
 
 // VersionRequested is another host's request for the version in force here.
 type VersionRequested struct{ From identifier.HostID }
@@ -76,8 +80,12 @@
 	sources []identifier.HostID
 	// attempts is the number of fetches of the newest version so far.
 	attempts int
-	timers   *tabulator.Timers[struct{}]
-	outputs  []Output
+	// source is the host that got the last request.
+	source identifier.HostID
+	// unanswered holds, for each host that has not answered since, when it was first asked.
+	unanswered map[identifier.HostID]identifier.Moment
+	timers     *tabulator.Timers[struct{}]
+	outputs    []Output
 }
 
 // Version returns the number of the version in force here, or 0 before the first.
@@ -98,6 +106,7 @@
 	follower.now = now
 	if follower.timers == nil {
 		follower.timers = tabulator.NewTimers[struct{}]()
+		follower.unanswered = make(map[identifier.HostID]identifier.Moment)
 	}
 	for _, input := range inputs {
 		follower.apply(input)
@@ -123,6 +132,7 @@
 	case *VersionAnnounced:
 		follower.handleVersionAnnounced(input)
 	case *VersionFetched:
+		delete(follower.unanswered, input.From)
 		follower.adopt(input.Version)
 	case *VersionRequested:
 		if follower.inForce.Version > 0 {
@@ -144,20 +154,41 @@
 	if !slices.Contains(follower.sources, input.Host) {
 		follower.sources = append(follower.sources, input.Host)
 	}
-	if follower.attempts == 0 {
+	if follower.attempts == 0 || follower.silent(follower.source) && !follower.silent(input.Host) {
 		follower.fetch()
 	}
 }
 
+// silent reports whether a host has left a request unanswered for longer than the timeout.
+func (follower *Follower) silent(host identifier.HostID) bool {
+	asked, waiting := follower.unanswered[host]
+	return waiting && follower.now.Sub(asked) >= follower.Settings.FetchTimeout
+}
+
+// nextSource returns the source whose turn it is. Silent ones come last: each new version starts the
+// turns anew, so that they could otherwise be asked first for ever.
+func (follower *Follower) nextSource() identifier.HostID {
+	for turn := range follower.sources {
+		host := follower.sources[(follower.attempts+turn)%len(follower.sources)]
+		if !follower.silent(host) {
+			return host
+		}
+	}
+	return follower.sources[follower.attempts%len(follower.sources)]
+}
+
 // fetch requests the newest version from the next host that has it. The host that got the
 // previous request may have died before it answered.
 func (follower *Follower) fetch() {
 	if follower.newest <= follower.inForce.Version || len(follower.sources) == 0 {
 		return
 	}
-	source := follower.sources[follower.attempts%len(follower.sources)]
+	follower.source = follower.nextSource()
 	follower.attempts++
-	follower.outputs = append(follower.outputs, &Fetch{From: source})
+	if _, waiting := follower.unanswered[follower.source]; !waiting {
+		follower.unanswered[follower.source] = follower.now
+	}
+	follower.outputs = append(follower.outputs, &Fetch{From: follower.source})
 	follower.timers.Set(struct{}{}, follower.now.Add(follower.Settings.FetchTimeout))
 }
 
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -55,6 +55,8 @@
 	ended *supervisor.JobEnded
 	// drops reports whether a message between hosts is lost; nil loses none.
 	drops func(message coordinator.PeerMessage) bool
+	// dropsBetween does so by the two hosts; nil loses none.
+	dropsBetween func(from, to *fakeHost, message coordinator.PeerMessage) bool
 }
 
 // connection counts its breaks as generations, so that messages of an older one are dropped.
@@ -366,6 +368,11 @@
 		if network.drops != nil {
 			batch.Messages = slices.DeleteFunc(slices.Clone(batch.Messages), network.drops)
 		}
+		if network.dropsBetween != nil {
+			batch.Messages = slices.DeleteFunc(slices.Clone(batch.Messages), func(message coordinator.PeerMessage) bool {
+				return network.dropsBetween(host, peer, message)
+			})
+		}
 		if network.intents != nil {
 			batch = encodedAndDecoded(batch)
 		}
--- a/pkg/coordinator/routing.go
+++ b/pkg/coordinator/routing.go
@@ -198,7 +198,7 @@
 	case message.ConfigWanted:
 		coordinator.notifyFollower(&configurer.VersionRequested{From: from})
 	case message.Config != nil:
-		coordinator.notifyFollower(&configurer.VersionFetched{Version: *message.Config})
+		coordinator.notifyFollower(&configurer.VersionFetched{From: from, Version: *message.Config})
 	}
 }
 
