Write again what the disk refused of the stored configuration, founders and cells

Cause: a failed write of in-force.cbor, founders.json or cells.cbor was logged and forgotten, so a restart found the older file or none until the next change. A failed sync of the configuration was not followed by a new write, though the kernel may take the pages for clean.

One line when it begins, one when it works again.

--- a/pkg/assembler/cellstore.go
+++ b/pkg/assembler/cellstore.go
@@ -24,7 +24,8 @@
 // background, so that no tick waits for it, and keeps only the newest state.
 type cellStore struct {
 	*provider.Common
-	newest chan []messenger.StoredCell
+	newest  chan []messenger.StoredCell
+	refusal refusal
 }
 
 func newCellStore(common *provider.Common) *cellStore {
@@ -50,16 +51,18 @@
 
 // run writes queued states until ctx is done.
 func (cellStore *cellStore) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case cells := <-cellStore.newest:
-			if err := cellStore.write(cells); err != nil {
-				cellStore.Log.Error("cells not remembered", "err", err)
-			}
-			sleep(ctx, cellsInterval)
+	writeNewest(ctx, cellStore.newest, cellsInterval, cellStore.write, cellStore.note)
+}
+
+func (cellStore *cellStore) note(err error) {
+	if err != nil {
+		if cellStore.refusal.refused() {
+			cellStore.Log.Error("cells not remembered", "err", err)
 		}
+		return
+	}
+	if tries, began := cellStore.refusal.accepted(); tries > 0 {
+		cellStore.Log.Info("cells remembered again", "tries", tries, "lasted", time.Since(began))
 	}
 }
 
--- a/pkg/assembler/configstore.go
+++ b/pkg/assembler/configstore.go
@@ -13,7 +13,6 @@
 
 	"github.com/stoathitch/stoathitch/pkg/configurer"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
-	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
@@ -26,18 +25,23 @@
 // teams would run under withdrawn quotas.
 type configStore struct {
 	*provider.Common
-	// unsynced holds a token while the file has not been synced yet.
+	// unsynced holds a token while the file has not been written or synced yet.
 	unsynced chan struct{}
+	// retryInterval is the wait until a refused write is tried again.
+	retryInterval time.Duration
 	// saveTimeout is how long a tick waits for the file to be replaced.
 	saveTimeout time.Duration
 
 	mutex sync.Mutex
-	// written is the last version that this process wrote to the file.
-	written identifier.ConfigVersion
+	// newest is the newest version to be stored, and unwritten reports that the file doesn't hold it, or
+	// that its sync failed: a second sync could succeed without writing anything.
+	newest    configurer.Version
+	unwritten bool
+	refusal   refusal
 }
 
 func newConfigStore(common *provider.Common) *configStore {
-	return &configStore{Common: common, unsynced: make(chan struct{}, 1), saveTimeout: defaultSaveTimeout}
+	return &configStore{Common: common, unsynced: make(chan struct{}, 1), saveTimeout: defaultSaveTimeout, retryInterval: fileRetryInterval}
 }
 
 func (configStore *configStore) path() string {
@@ -69,36 +73,75 @@
 	}
 }
 
-// write replaces the file unless a newer version has been written in the meantime.
+// write replaces the file unless a newer version was saved in the meantime. If the disk refuses, run
+// tries again.
 func (configStore *configStore) write(version configurer.Version) {
 	configStore.mutex.Lock()
 	defer configStore.mutex.Unlock()
-	if version.Version < configStore.written {
+	if version.Version < configStore.newest.Version {
 		return
 	}
-	if err := writeChecked(configStore.path(), &version); err != nil {
-		configStore.Log.Error("configuration not remembered", "version", version.Version, "err", err)
-		return
-	}
-	configStore.written = version.Version
+	configStore.newest = version
+	configStore.unwritten = true
+	configStore.replaceFile()
 	select {
 	case configStore.unsynced <- struct{}{}:
 	default:
 	}
 }
 
-// run syncs written files until ctx is done.
+// replaceFile writes the newest version if the file doesn't hold it, and reports whether it does now.
+// The mutex must be held.
+func (configStore *configStore) replaceFile() bool {
+	if !configStore.unwritten {
+		return true
+	}
+	if err := writeChecked(configStore.path(), &configStore.newest); err != nil {
+		if configStore.refusal.refused() {
+			configStore.Log.Error("configuration not remembered", "version", configStore.newest.Version, "err", err)
+		}
+		return false
+	}
+	configStore.unwritten = false
+	return true
+}
+
+// run syncs written files, and writes again what the disk refused, until ctx is done.
 func (configStore *configStore) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-configStore.unsynced:
-			if err := configStore.sync(); err != nil {
-				configStore.Log.Error("remembered configuration not synced", "err", err)
-			}
 		}
+		for ctx.Err() == nil && !configStore.makeDurable() {
+			sleep(ctx, configStore.retryInterval)
+		}
+	}
+}
+
+// makeDurable writes and syncs the newest version and reports whether that succeeded.
+func (configStore *configStore) makeDurable() bool {
+	configStore.mutex.Lock()
+	replaced := configStore.replaceFile()
+	configStore.mutex.Unlock()
+	if !replaced {
+		return false
+	}
+	err := configStore.sync()
+	if err != nil {
+		configStore.mutex.Lock()
+		configStore.unwritten = true
+		configStore.mutex.Unlock()
+		if configStore.refusal.refused() {
+			configStore.Log.Error("remembered configuration not synced", "err", err)
+		}
+		return false
+	}
+	if tries, began := configStore.refusal.accepted(); tries > 0 {
+		configStore.Log.Info("configuration remembered again", "tries", tries, "lasted", time.Since(began))
 	}
+	return true
 }
 
 func (configStore *configStore) sync() error {
--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -60,6 +60,7 @@
 	documents     *documentReader
 	configStore   *configStore
 	cellStore     *cellStore
+	founderStore  *founderStore
 	security      *security
 	// layout is the last reported layout; only deliver uses it.
 	layout coordinator.LayoutChanged
@@ -96,6 +97,7 @@
 	runners.Go(func() { daemon.configStore.run(running) })
 	daemon.cellStore.restore(running, daemon)
 	runners.Go(func() { daemon.cellStore.run(running) })
+	runners.Go(func() { daemon.founderStore.run(running) })
 	servers := daemon.serve(listeners)
 	if daemon.Extension != nil {
 		if err := daemon.Extension.Open(daemon); err != nil {
@@ -155,6 +157,7 @@
 	daemon.receiver.Prepare()
 	daemon.configStore = newConfigStore(daemon.Common)
 	daemon.cellStore = newCellStore(daemon.Common)
+	daemon.founderStore = newFounderStore(daemon.Common)
 	daemon.operations = newOperations(daemon.Common, daemon.runner.Post)
 }
 
@@ -209,7 +212,7 @@
 		daemon.Log.Info("keeper leader changed", "leader", output.Leader, "term", output.Term)
 	case *coordinator.KeeperJoined:
 		daemon.Log.Info("keeper joined", "members", len(output.Members))
-		go daemon.saveFounders(output.Members)
+		daemon.founderStore.save(output.Members)
 	case *coordinator.KeeperHalted:
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.DigestsFull:
--- a/pkg/assembler/founding.go
+++ b/pkg/assembler/founding.go
@@ -1,17 +1,20 @@
 package assembler
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/google/renameio/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/loader"
+	"github.com/stoathitch/stoathitch/pkg/provider"
 )
 
 //go:generate enumer -type=Founding -trimprefix=Founding -transform=kebab -text
@@ -75,12 +78,45 @@
 	return founders{hosts: known}, nil
 }
 
-// saveFounders stores that this keeper has become a member. Until that is durable, a restart makes
-// the keeper join again, which is harmless.
-func (daemon *Daemon) saveFounders(hosts []identifier.HostID) {
-	path := filepath.Join(daemon.Settings.DataFolder, foundersFile)
-	if err := writeFounders(path, hosts); err != nil {
-		daemon.Log.Error("founders not remembered, the keeper joins again after a restart", "err", err)
+// founderStore stores the members that a keeper joined. Until that is durable, a restart makes the
+// keeper join again, which is harmless.
+type founderStore struct {
+	*provider.Common
+	newest        chan []identifier.HostID
+	retryInterval time.Duration
+	refusal       refusal
+}
+
+func newFounderStore(common *provider.Common) *founderStore {
+	return &founderStore{Common: common, newest: make(chan []identifier.HostID, 1), retryInterval: fileRetryInterval}
+}
+
+// save queues members for writing and replaces those that are still queued. Only the runner's
+// goroutine may call it.
+func (founderStore *founderStore) save(hosts []identifier.HostID) {
+	select {
+	case <-founderStore.newest:
+	default:
+	}
+	founderStore.newest <- hosts
+}
+
+// run writes queued members until ctx is done.
+func (founderStore *founderStore) run(ctx context.Context) {
+	path := filepath.Join(founderStore.Settings.DataFolder, foundersFile)
+	write := func(hosts []identifier.HostID) error { return writeFounders(path, hosts) }
+	writeNewest(ctx, founderStore.newest, founderStore.retryInterval, write, founderStore.note)
+}
+
+func (founderStore *founderStore) note(err error) {
+	if err != nil {
+		if founderStore.refusal.refused() {
+			founderStore.Log.Error("founders not remembered, the keeper joins again after a restart", "err", err)
+		}
+		return
+	}
+	if tries, began := founderStore.refusal.accepted(); tries > 0 {
+		founderStore.Log.Info("founders remembered again", "tries", tries, "lasted", time.Since(began))
 	}
 }
 
--- a/pkg/assembler/journalwriter_test.go
+++ b/pkg/assembler/journalwriter_test.go
@@ -269,6 +269,24 @@
 	}
 }
 
+// Guards against a report that covers a refused persist: the disk refuses one with entries and takes the
+// next one, which has only a hard state and would fit without them.
+func TestReportCoversNoRefusedPersist(t *testing.T) {
+	test := startWriter(t)
+	test.persist(replicator.Persist{HardState: hard(1, 0), Entries: entriesOf(1, 1, 2)})
+	test.waitDurable(t)
+	errno := syscall.ENOSPC
+	test.disk.writeError.Store(&errno)
+	test.persist(replicator.Persist{HardState: hard(1, 1), Entries: entriesOf(1, 3, 4)})
+	test.waitRefused(t, 1)
+	test.disk.writeError.Store(nil)
+	test.persist(replicator.Persist{HardState: hard(2, 1)})
+	test.waitDurable(t)
+	if recovered := test.recovered(t); len(recovered.Entries) != 4 || recovered.HardState.Term != 2 {
+		t.Fatalf("on the disk are %+v and %d entries", recovered.HardState, len(recovered.Entries))
+	}
+}
+
 // Guards against a keeper that compacts its log never again after one refused snapshot, and against a
 // snapshot that finds no room and holds up votes: the disk takes small writes all the while.
 func TestRefusedSnapshotIsWrittenAgain(t *testing.T) {
