Acknowledge configurations of up to 4 MiB, or refuse them at once

Cause: the leader refuses an entry above MaxEntryBytes (1 MiB) with the same answer as a leader that accepts nothing for now. The operator's host repeats it for 6 s and then answers 503, so the operator sends a valid document for ever.

Change: a document that does not fit into an entry is stored compressed by zstd (klauspost/compress, which was an indirect dependency); smaller ones are stored as before.

The memory of keepers with many such documents was not measured.

--- a/pkg/assembler/bodies.go
+++ b/pkg/assembler/bodies.go
@@ -16,8 +16,10 @@
 }
 
 func bodyOf(version configurer.Version) ConfigBody {
-	body := ConfigBody{Version: version, Document: version.Document}
-	if len(body.Document) == 0 {
+	// A document that can't be decompressed is shown as if there were none.
+	content, err := version.Content()
+	body := ConfigBody{Version: version, Document: content}
+	if err != nil || len(content) == 0 {
 		body.Document = json.RawMessage("{}")
 	}
 	return body
--- a/pkg/configurer/enums_enumer.go
+++ b/pkg/configurer/enums_enumer.go
@@ -100,11 +100,11 @@
 	return err
 }
 
-const _ErrorKindName = "snapshotlayout"
+const _ErrorKindName = "snapshotlayouttoo-largepacked"
 
-var _ErrorKindIndex = [...]uint8{0, 8, 14}
+var _ErrorKindIndex = [...]uint8{0, 8, 14, 23, 29}
 
-const _ErrorKindLowerName = "snapshotlayout"
+const _ErrorKindLowerName = "snapshotlayouttoo-largepacked"
 
 func (i ErrorKind) String() string {
 	if i < 0 || i >= ErrorKind(len(_ErrorKindIndex)-1) {
@@ -119,23 +119,31 @@
 	var x [1]struct{}
 	_ = x[ErrorSnapshot-(0)]
 	_ = x[ErrorLayout-(1)]
+	_ = x[ErrorTooLarge-(2)]
+	_ = x[ErrorPacked-(3)]
 }
 
-var _ErrorKindValues = []ErrorKind{ErrorSnapshot, ErrorLayout}
+var _ErrorKindValues = []ErrorKind{ErrorSnapshot, ErrorLayout, ErrorTooLarge, ErrorPacked}
 
 var _ErrorKindNameToValueMap = map[string]ErrorKind{
-	_ErrorKindName[0:8]:  ErrorSnapshot,
-	_ErrorKindName[8:14]: ErrorLayout,
+	_ErrorKindName[0:8]:   ErrorSnapshot,
+	_ErrorKindName[8:14]:  ErrorLayout,
+	_ErrorKindName[14:23]: ErrorTooLarge,
+	_ErrorKindName[23:29]: ErrorPacked,
 }
 
 var _ErrorKindLowerNameToValueMap = map[string]ErrorKind{
-	_ErrorKindLowerName[0:8]:  ErrorSnapshot,
-	_ErrorKindLowerName[8:14]: ErrorLayout,
+	_ErrorKindLowerName[0:8]:   ErrorSnapshot,
+	_ErrorKindLowerName[8:14]:  ErrorLayout,
+	_ErrorKindLowerName[14:23]: ErrorTooLarge,
+	_ErrorKindLowerName[23:29]: ErrorPacked,
 }
 
 var _ErrorKindNames = []string{
 	_ErrorKindName[0:8],
 	_ErrorKindName[8:14],
+	_ErrorKindName[14:23],
+	_ErrorKindName[23:29],
 }
 
 // ErrorKindString retrieves an enum value from the enum constants string name.
--- a/pkg/configurer/snapshot.go
+++ b/pkg/configurer/snapshot.go
@@ -17,6 +17,10 @@
 	ErrorSnapshot ErrorKind = iota
 	// ErrorLayout means that a layout was refused.
 	ErrorLayout
+	// ErrorTooLarge means that a document can't be stored.
+	ErrorTooLarge
+	// ErrorPacked means that a stored document can't be decompressed.
+	ErrorPacked
 )
 
 // Error is the error type of this package.
