Name the receivers of standing after their type

Cause: the linter refused two receiver names of one type.

Change: both are called like the type.

The tests of the writer pass.

--- a/pkg/assembler/journalreopening.go
+++ b/pkg/assembler/journalreopening.go
@@ -27,27 +27,27 @@
 
 // afterBatches returns the standing once the batches are written. The term is zero if a truncation is
 // not followed by an entry.
-func (from standing) afterBatches(batches []journaler.Batch) standing {
+func (standing standing) afterBatches(batches []journaler.Batch) standing {
 	for _, batch := range batches {
 		if batch.TruncateFrom != 0 {
-			from.last = journaler.Position{Index: batch.TruncateFrom - 1}
+			standing.last = journaler.Position{Index: batch.TruncateFrom - 1}
 		}
 		if count := len(batch.Entries); count > 0 {
-			from.last = journaler.Position{Index: batch.Entries[count-1].Index, Term: batch.Entries[count-1].Term}
+			standing.last = journaler.Position{Index: batch.Entries[count-1].Index, Term: batch.Entries[count-1].Term}
 		}
 		if batch.HardState != nil {
-			from.hardState = *batch.HardState
+			standing.hardState = *batch.HardState
 		}
 	}
-	return from
+	return standing
 }
 
 // matches reports whether a journal that was opened anew stands here.
-func (wanted standing) matches(found standing) bool {
-	if wanted.last.Term == 0 {
+func (standing standing) matches(found standing) bool {
+	if standing.last.Term == 0 {
 		found.last.Term = 0
 	}
-	return wanted == found
+	return standing == found
 }
 
 // isRetryable reports whether a later try of the same write may succeed. Other errors mean that the
