--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -130,7 +130,7 @@
 			err := journalWriter.writeGroup(ctx, group)
 			journalWriter.notePersist(err)
 			if err != nil {
-				return err
+				return journalWriter.makeRoom(ctx, err)
 			}
 		}
 		if err := journalWriter.writeOwnSnapshot(ctx); err != nil {
@@ -143,6 +143,18 @@
 	return nil
 }
 
+// makeRoom writes the keeper's own snapshot after the disk refused a persist for want of room, as the
+// journal drops what the snapshot covers. It returns the refusal, or an error that no later try mends.
+func (journalWriter *journalWriter) makeRoom(ctx context.Context, refused error) error {
+	if kind, _ := journaler.KindOf(refused); kind != journaler.DiskFull {
+		return refused
+	}
+	if err := journalWriter.writeOwnSnapshot(ctx); err != nil {
+		return err
+	}
+	return refused
+}
+
 // writeGroup writes a group of persists with one sync, or one persist with its snapshot, and reports
 // the last one that is durable together with all before it.
 func (journalWriter *journalWriter) writeGroup(ctx context.Context, group []replicator.Persist) error {
