--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -9,6 +9,7 @@
 
 	"github.com/stoathitch/stoathitch/pkg/connector"
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/journaler"
 	"github.com/stoathitch/stoathitch/pkg/loader"
 	"github.com/stoathitch/stoathitch/pkg/measurer"
@@ -165,6 +166,7 @@
 		if err := journalWriter.saveSnapshot(snapshot); err != nil {
 			return err
 		}
+		group[0].TruncateFrom = journalWriter.firstBehind(snapshot)
 	}
 	durable, err := len(group), error(nil)
 	if !journalWriter.groupWritten {
@@ -178,6 +180,16 @@
 	return err
 }
 
+// firstBehind returns the first entry that the journal holds behind a leader's snapshot, or zero. The
+// snapshot stands for the whole log, but the journal keeps what follows it if a truncation that was
+// refused has been dropped for the snapshot.
+func (journalWriter *journalWriter) firstBehind(snapshot *replicator.Snapshot) identifier.LogIndex {
+	if last, _ := journalWriter.journal.Position(); last.Index > snapshot.Index {
+		return snapshot.Index + 1
+	}
+	return 0
+}
+
 // append returns how many persists of the group are durable.
 func (journalWriter *journalWriter) append(group []replicator.Persist) (int, error) {
 	batches := make([]journaler.Batch, 0, len(group))
