Fetch an older newer version while the newest is out of reach

What callers saw (in a test): a host stays on an old configuration while the only host that announced the newest one can't be reached, though others announce one that is newer than its own. Cause: the follower kept the sources of the newest version only. Change: while all sources of the newest version are silent, a host that has announced another newer one is asked. Conclusion: a silent host holds up no version that another one has.

--- a/pkg/configurer/follower.go
+++ b/pkg/configurer/follower.go
@@ -78,6 +78,9 @@
 	newest identifier.ConfigVersion
 	// sources are the hosts that have announced the newest version.
 	sources []identifier.HostID
+	// announced holds the last version that each host has announced while it was newer than the one in
+	// force here.
+	announced *tabulator.Table[identifier.HostID, identifier.ConfigVersion]
 	// attempts is the number of fetches of the newest version so far.
 	attempts int
 	// source is the host that got the last request.
@@ -106,6 +109,7 @@
 	follower.now = now
 	if follower.timers == nil {
 		follower.timers = tabulator.NewTimers[struct{}]()
+		follower.announced = tabulator.New[identifier.HostID, identifier.ConfigVersion]()
 		follower.unanswered = make(map[identifier.HostID]identifier.Moment)
 	}
 	for _, input := range inputs {
@@ -143,7 +147,14 @@
 
 // handleVersionAnnounced records which host has a newer version and fetches it at once.
 func (follower *Follower) handleVersionAnnounced(input *VersionAnnounced) {
-	if input.Version <= follower.inForce.Version || input.Version < follower.newest {
+	if input.Version <= follower.inForce.Version {
+		return
+	}
+	follower.announced.Put(input.Host, &input.Version)
+	if input.Version < follower.newest {
+		if follower.silent(follower.source) && !follower.silent(input.Host) {
+			follower.fetch()
+		}
 		return
 	}
 	if input.Version > follower.newest {
@@ -166,7 +177,8 @@
 }
 
 // nextSource returns the source whose turn it is. Silent ones come last: each new version starts the
-// turns anew, so that they could otherwise be asked first for ever.
+// turns anew, so that they could otherwise be asked first for ever. While all are silent, a host that
+// has announced another version, newer than the one in force, comes before them.
 func (follower *Follower) nextSource() identifier.HostID {
 	for turn := range follower.sources {
 		host := follower.sources[(follower.attempts+turn)%len(follower.sources)]
@@ -174,6 +186,11 @@
 			return host
 		}
 	}
+	for _, host := range follower.announced.Keys() {
+		if *follower.announced.Get(host) > follower.inForce.Version && !follower.silent(host) {
+			return host
+		}
+	}
 	return follower.sources[follower.attempts%len(follower.sources)]
 }
 
