--- a/pkg/replicator/settings.go
+++ b/pkg/replicator/settings.go
@@ -76,7 +76,7 @@
 		SnapshotEveryBytes:        8 << 20,
 		EntriesKeptBehindSnapshot: 1000,
 		BytesKeptBehindSnapshot:   4 << 20,
-		SnapshotChunkBytes:        64 << 10,
+		SnapshotChunkBytes:        256 << 10,
 	}
 }
 
