Keep a keeper's admission with its disk

What callers saw (in a test): no configuration can be read or changed after all processes were killed and one disk was lost. Cause: another keeper had joined earlier and its disk had refused founders.json; it joined anew after the restart though it held the whole log, under an incarnation of its new process. So two of three keepers abstained, and nobody could be elected who would have added them. Change: the incarnation under which a keeper joins is stored in joining.json before the log accepts anything. Conclusion: an admission is known for as long as the disk that it admitted.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -134,6 +134,7 @@
 		deciding.QuotasOf = daemon.documents.quotas
 	}
 	deciding.Settings.JoinKeepers = founders.join
+	deciding.Settings.JoiningAs = founders.joiningAs
 	deciding.Founders = founders.hosts
 	if daemon.Tune != nil {
 		daemon.Tune(&deciding.Settings)
--- a/pkg/assembler/founding.go
+++ b/pkg/assembler/founding.go
@@ -45,6 +45,8 @@
 	hosts []identifier.HostID
 	// join reports whether this keeper has to be added by the others.
 	join bool
+	// joiningAs is the incarnation under which it waits for that.
+	joiningAs identifier.Incarnation
 }
 
 // founders returns the first members of the log.
@@ -65,7 +67,7 @@
 		return founders{hosts: known}, nil
 	}
 	if daemon.Founding == FoundingOver {
-		return founders{join: true}, nil
+		return daemon.joining()
 	}
 	for _, host := range daemon.Settings.Hosts {
 		if host.HasRole(loader.RoleKeeper) {
@@ -78,6 +80,28 @@
 	return founders{hosts: known}, nil
 }
 
+// joiningFile is the name of the file of the incarnation under which this keeper joins.
+const joiningFile = "joining.json"
+
+// joining returns the incarnation under which this keeper joins. It is stored before the log accepts
+// anything: a process that starts again on the same disk finds its admission in the log, while one on
+// another disk is added anew.
+func (daemon *Daemon) joining() (founders, error) {
+	path := filepath.Join(daemon.Settings.DataFolder, joiningFile)
+	var incarnation identifier.Incarnation
+	known, err := readStored(path, &incarnation)
+	if err != nil {
+		return founders{}, &Error{Operation: "read " + path, Kind: ErrorJournal, Err: err}
+	}
+	if !known {
+		incarnation = identifier.Incarnation(time.Now().UnixNano())
+		if err := writeStored(path, incarnation); err != nil {
+			return founders{}, &Error{Operation: "write " + path, Kind: ErrorJournal, Err: err}
+		}
+	}
+	return founders{join: true, joiningAs: incarnation}, nil
+}
+
 // founderStore stores the members that a keeper joined. Until that is durable, a restart makes the
 // keeper join again, which is harmless.
 type founderStore struct {
@@ -121,23 +145,32 @@
 }
 
 func readFounders(path string) ([]identifier.HostID, error) {
+	var hosts []identifier.HostID
+	_, err := readStored(path, &hosts)
+	return hosts, err
+}
+
+// readStored reads a value that writeStored wrote, and reports whether there is one.
+func readStored(path string, value any) (known bool, err error) {
 	content, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
+		return false, nil
 	}
 	if err != nil {
-		return nil, eris.Wrap(err, "read")
+		return false, eris.Wrap(err, "read")
 	}
-	var hosts []identifier.HostID
-	if err := json.Unmarshal(content, &hosts); err != nil {
-		return nil, eris.Wrap(err, "decode")
+	if err := json.Unmarshal(content, value); err != nil {
+		return false, eris.Wrap(err, "decode")
 	}
-	return hosts, nil
+	return true, nil
 }
 
-// writeFounders replaces the file atomically and durably, before the log accepts anything.
-func writeFounders(path string, hosts []identifier.HostID) error {
-	content, err := json.Marshal(hosts)
+// writeFounders stores the first members, before the log accepts anything.
+func writeFounders(path string, hosts []identifier.HostID) error { return writeStored(path, hosts) }
+
+// writeStored replaces a file of the data folder atomically and durably.
+func writeStored(path string, value any) error {
+	content, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode")
 	}
--- a/pkg/coordinator/fakedisk_test.go
+++ b/pkg/coordinator/fakedisk_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stoathitch/stoathitch/pkg/coordinator"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
@@ -16,6 +17,8 @@
 type fakeDisk struct {
 	hardState replicator.HardState
 	entries   []replicator.Entry
+	// joiningAs is the incarnation under which the keeper joined with this disk first.
+	joiningAs identifier.Incarnation
 }
 
 // persist writes to the host's disk after syncTime, unless its process has ended by then.
--- a/pkg/coordinator/keepermembership.go
+++ b/pkg/coordinator/keepermembership.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -48,12 +49,17 @@
 	}
 	created.dueAt = coordinator.now
 	if coordinator.Settings.JoinKeepers {
-		incarnation := strconv.FormatUint(uint64(coordinator.Self.Incarnation), recordNumberBase)
+		incarnation := strconv.FormatUint(uint64(coordinator.joiningAs()), recordNumberBase)
 		coordinator.publish(joiningRecordKey, incarnation)
 	}
 	return created
 }
 
+// joiningAs returns the incarnation under which this host's keeper waits to be added.
+func (coordinator *Coordinator) joiningAs() identifier.Incarnation {
+	return cmp.Or(coordinator.Settings.JoiningAs, coordinator.Self.Incarnation)
+}
+
 // recordJoining records that a keeper waits to be added, or, with an empty incarnation, no longer
 // does.
 func (keeperMembership *keeperMembership) recordJoining(host identifier.HostID, incarnation string) {
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -19,7 +19,7 @@
 		return nil
 	}
 	created := &keeper.Keeper{
-		Self: coordinator.Self.Host, Incarnation: coordinator.Self.Incarnation, Seed: coordinator.Seed,
+		Self: coordinator.Self.Host, Incarnation: coordinator.joiningAs(), Seed: coordinator.Seed,
 		Settings: coordinator.Settings.Keeper,
 	}
 	if coordinator.Settings.JoinKeepers {
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"slices"
@@ -265,6 +266,8 @@
 		Settings: network.settings,
 	}
 	host.coordinator.Settings.JoinKeepers = host.joinsKeepers
+	host.disk.joiningAs = cmp.Or(host.disk.joiningAs, host.coordinator.Self.Incarnation)
+	host.coordinator.Settings.JoiningAs = host.disk.joiningAs
 	seeds := network.seeds
 	if seeds == nil {
 		seeds = network.hosts
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -11,6 +11,7 @@
 	"github.com/stoathitch/stoathitch/pkg/elector"
 	"github.com/stoathitch/stoathitch/pkg/forwarder"
 	"github.com/stoathitch/stoathitch/pkg/gossiper"
+	"github.com/stoathitch/stoathitch/pkg/identifier"
 	"github.com/stoathitch/stoathitch/pkg/inquirer"
 	"github.com/stoathitch/stoathitch/pkg/keeper"
 	"github.com/stoathitch/stoathitch/pkg/starter"
@@ -46,6 +47,10 @@
 	// log with the keepers that the settings name. Otherwise a keeper that lost its disk would vote
 	// as if it had never accepted anything.
 	JoinKeepers bool
+	// JoiningAs is the incarnation under which a keeper with JoinKeepers waits to be added. It stays the
+	// same for as long as the disk does, so that a process that starts again knows its admission.
+	// Zero means the process's own incarnation.
+	JoiningAs identifier.Incarnation
 	// CellCopies is how many keepers store the backend servers of each cell.
 	CellCopies int
 	// AgreedLayout makes the hosts learn the number of cells of each failure domain from the keepers;
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -40,7 +40,7 @@
 	InitialMembers []replicator.Member
 	// Joining reports that this keeper's disk holds nothing of what it may have acknowledged before.
 	Joining bool
-	// Incarnation identifies this process among those that ran under Self.
+	// Incarnation identifies this disk among those that keepers under Self have had.
 	Incarnation identifier.Incarnation
 
 	now        identifier.Moment
--- a/pkg/replicator/inputs.go
+++ b/pkg/replicator/inputs.go
@@ -69,7 +69,7 @@
 	Handle Handle
 	Kind   ChangeKind
 	Host   identifier.HostID
-	// Incarnation is the joining process that ChangeAddLearner adds, or zero.
+	// Incarnation is that of the joining disk that ChangeAddLearner adds, or zero.
 	Incarnation identifier.Incarnation
 }
 
--- a/pkg/replicator/joining.go
+++ b/pkg/replicator/joining.go
@@ -2,14 +2,14 @@
 
 import "github.com/stoathitch/stoathitch/pkg/identifier"
 
-// joining keeps a keeper from voting until the other keepers have added this very process.
+// joining keeps a keeper from voting until the other keepers have added it with this very disk.
 //
 // A keeper that lost its disk is still a voter to the others but has forgotten what it
 // acknowledged. If it voted, it could elect a leader that lacks an accepted entry, and
 // callers would see the configuration revert. The others remove it, add it as a learner and
 // promote it once it has caught up. It votes only after it has seen itself as a voter that was
 // added under its own incarnation. A keeper that loses its disk twice replays the admission of
-// its former process from the log, and entries that this process acknowledged may follow it.
+// its former disk from the log, and entries that were acknowledged from that one may follow it.
 //
 // A leader of an earlier software version names no incarnation. The keeper abstains then until
 // a leader of this version has added it again.
@@ -21,7 +21,7 @@
 	abstains bool
 }
 
-// updateJoining ends the abstention once members list this process as a voter. Only a learner is
+// updateJoining ends the abstention once members list this keeper as a voter with this disk. Only a learner is
 // ever added and promoted, so the leader has seen it caught up.
 func (replicator *Replicator) updateJoining(members []Member) {
 	if !replicator.joining.abstains {
--- a/pkg/replicator/records.go
+++ b/pkg/replicator/records.go
@@ -45,7 +45,7 @@
 type Member struct {
 	Host identifier.HostID `cbor:"1,keyasint,omitempty"`
 	Role MemberRole        `cbor:"2,keyasint,omitempty"`
-	// Incarnation is the process that joined as this member; zero for a founder, and in entries of
+	// Incarnation is that of the disk with which this member joined; zero for a founder, and in entries of
 	// earlier software versions.
 	Incarnation identifier.Incarnation `cbor:"3,keyasint,omitempty"`
 }
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -36,7 +36,7 @@
 	// Joining is set if this keeper's disk holds nothing that it acknowledged before: it is new,
 	// or has lost its disk. See joining.go.
 	Joining bool
-	// Incarnation identifies this process among all that ran under Self. A joining keeper must
+	// Incarnation identifies this disk among all that keepers under Self have had. A joining keeper must
 	// have one.
 	Incarnation  identifier.Incarnation
 	StateMachine StateMachine
