--- a/pkg/assembler/journalreopening.go
+++ b/pkg/assembler/journalreopening.go
@@ -6,8 +6,8 @@
 	"github.com/stoathitch/stoathitch/pkg/journaler"
 )
 
-// standing is how far a journal has come.
-type standing struct {
+// progress is how far a journal has come.
+type progress struct {
 	last      journaler.Position
 	hardState journaler.HardState
 }
@@ -15,39 +15,39 @@
 // unknownWrite is a failed write that may be on the disk. A group is one frame, so it is there as a
 // whole or not at all.
 type unknownWrite struct {
-	before, after standing
+	before, after progress
 	// isGroup reports that it is a group of persists and not a snapshot.
 	isGroup bool
 }
 
-func standingOf(journal *journaler.Journal) standing {
+func progressOf(journal *journaler.Journal) progress {
 	last, hardState := journal.Position()
-	return standing{last: last, hardState: hardState}
+	return progress{last: last, hardState: hardState}
 }
 
-// afterBatches returns the standing once the batches are written. The term is zero if a truncation is
+// afterBatches returns the progress once the batches are written. The term is zero if a truncation is
 // not followed by an entry.
-func (standing standing) afterBatches(batches []journaler.Batch) standing {
+func (progress progress) afterBatches(batches []journaler.Batch) progress {
 	for _, batch := range batches {
 		if batch.TruncateFrom != 0 {
-			standing.last = journaler.Position{Index: batch.TruncateFrom - 1}
+			progress.last = journaler.Position{Index: batch.TruncateFrom - 1}
 		}
 		if count := len(batch.Entries); count > 0 {
-			standing.last = journaler.Position{Index: batch.Entries[count-1].Index, Term: batch.Entries[count-1].Term}
+			progress.last = journaler.Position{Index: batch.Entries[count-1].Index, Term: batch.Entries[count-1].Term}
 		}
 		if batch.HardState != nil {
-			standing.hardState = *batch.HardState
+			progress.hardState = *batch.HardState
 		}
 	}
-	return standing
+	return progress
 }
 
-// matches reports whether a journal that was opened anew stands here.
-func (standing standing) matches(found standing) bool {
-	if standing.last.Term == 0 {
+// matches reports whether a journal that was opened anew has come here.
+func (progress progress) matches(found progress) bool {
+	if progress.last.Term == 0 {
 		found.last.Term = 0
 	}
-	return standing == found
+	return progress == found
 }
 
 // isRetryable reports whether a later try of the same write may succeed. Other errors mean that the
@@ -85,13 +85,13 @@
 	if _, err := journalWriter.journal.Open(); err != nil {
 		return err
 	}
-	found, unknown := standingOf(journalWriter.journal), journalWriter.unknown
+	found, unknown := progressOf(journalWriter.journal), journalWriter.unknown
 	switch {
 	case unknown.after.matches(found):
 		journalWriter.groupWritten = unknown.isGroup
 	case !unknown.before.matches(found):
 		return &Error{Operation: "open the journal anew", Kind: ErrorJournal, Err: eris.Errorf(
-			"it stands at %+v, and stood at %+v before the failed write, which leads to %+v", found, unknown.before, unknown.after)}
+			"it has come to %+v, and had come to %+v before the failed write, which leads to %+v", found, unknown.before, unknown.after)}
 	}
 	journalWriter.mustOpen = false
 	journalWriter.unknown = nil
--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -196,7 +196,7 @@
 	for index := range group {
 		batches = append(batches, batchOf(&group[index]))
 	}
-	before := standingOf(journalWriter.journal)
+	before := progressOf(journalWriter.journal)
 	for index, err := range journalWriter.journal.AppendGroup(batches) {
 		if err != nil {
 			journalWriter.noteOutcome(err, &unknownWrite{before: before, after: before.afterBatches(batches), isGroup: true})
@@ -238,10 +238,10 @@
 	if journalWriter.journal.SnapshotPosition() == converted.Position() {
 		return nil
 	}
-	before := standingOf(journalWriter.journal)
+	before := progressOf(journalWriter.journal)
 	err = journalWriter.journal.SaveSnapshot(converted)
 	if err != nil {
-		after := standing{last: converted.Position(), hardState: before.hardState}
+		after := progress{last: converted.Position(), hardState: before.hardState}
 		journalWriter.noteOutcome(err, &unknownWrite{before: before, after: after})
 	}
 	return err
