Let the random tests of a writer fail syncs on its own goroutine, from a seed

Their checks, bounds and seeds are unchanged. Change: the writer's goroutine hands the failing syncs to the fake disk; failures of the folder are drawn from the test's seed. Conclusion: a fault of the tests, not of the writer.

--- a/pkg/assembler/journalfolder_test.go
+++ b/pkg/assembler/journalfolder_test.go
@@ -2,17 +2,30 @@
 
 import (
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 )
 
-// folderFailures is the share, in percent, of the calls that change or read the folder of a
-// refusingDisk and fail; they are not only writes and syncs of files.
-var folderFailures atomic.Int64
+// folderFailures fails a share, in percent, of the calls that change or read the folder of a
+// refusingDisk, not only writes and syncs of files.
+var folderFailures struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	share  int64
+}
+
+// failFolder makes calls fail from now on, drawn from a seed.
+func failFolder(seed uint64, share int64) {
+	folderFailures.mutex.Lock()
+	defer folderFailures.mutex.Unlock()
+	folderFailures.random, folderFailures.share = rand.New(rand.NewPCG(seed, 11)), share
+}
 
 func folderFailure() error {
-	if rand.Int64N(100) < folderFailures.Load() {
+	folderFailures.mutex.Lock()
+	defer folderFailures.mutex.Unlock()
+	if folderFailures.random != nil && folderFailures.random.Int64N(100) < folderFailures.share {
 		return syscall.EIO
 	}
 	return nil
--- a/pkg/assembler/journalwriter_fuzz_test.go
+++ b/pkg/assembler/journalwriter_fuzz_test.go
@@ -36,7 +36,7 @@
 func playWriter(t *testing.T, seed uint64, steps int, folderShare int64) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	test := startWriter(t)
-	folderFailures.Store(folderShare)
+	failFolder(seed, folderShare)
 	var log []identifier.Term // by index, from 1
 	base, commit, term := identifier.LogIndex(0), identifier.LogIndex(0), identifier.Term(1)
 	type state struct {
@@ -62,7 +62,7 @@
 			errno := errnos[random.IntN(3)]
 			test.disk.snapshotError.Store(&errno)
 		case 2:
-			test.disk.Disk.FailSyncs = random.IntN(3)
+			test.disk.lostSyncs.Store(random.Int64N(3))
 		case 3, 4, 5:
 			test.disk.writeError.Store(nil)
 			test.disk.snapshotError.Store(nil)
@@ -121,7 +121,7 @@
 	}
 	heal := random.IntN(2) == 0
 	if heal {
-		folderFailures.Store(0)
+		failFolder(seed, 0)
 		test.disk.writeError.Store(nil)
 		test.disk.snapshotError.Store(nil)
 		deadline := time.Now().Add(10 * time.Second)
@@ -149,7 +149,7 @@
 	}
 	test.cancel()
 	<-test.writer.stopped
-	folderFailures.Store(0)
+	failFolder(seed, 0)
 	if len(test.early) > 0 {
 		t.Errorf("early %v", test.early)
 	}
--- a/pkg/assembler/journalwriter_test.go
+++ b/pkg/assembler/journalwriter_test.go
@@ -25,6 +25,9 @@
 	*fakedisk.Disk
 	writeError, syncError, snapshotError atomic.Pointer[syscall.Errno]
 	refused                              atomic.Int64
+	// lostSyncs is the number of next syncs that fail in the disk below, which treats the pages as
+	// clean then. The writer's goroutine hands it on, as the disk is not safe for concurrent use.
+	lostSyncs atomic.Int64
 }
 
 type refusingFile struct {
@@ -78,6 +81,9 @@
 	if err := file.disk.failure(&file.disk.syncError); err != nil {
 		return err
 	}
+	if lost := file.disk.lostSyncs.Swap(0); lost > 0 {
+		file.disk.Disk.FailSyncs = int(lost)
+	}
 	return file.File.Sync()
 }
 
