Log changes of the keepers' members and why they are refused

Cause: with real processes, a log of keepers lost its quorum while keepers were replaced (soak of a site, 2,100 routes in each change). Nothing in the logs told which keepers were members, nor why a change was not made.

Change: 'keeper members changed' lists the members with their roles on each keeper; 'keeper change refused' names the change and the reason, once for each reason in a row.

Tests of pkg/keeper, pkg/coordinator and pkg/narrator pass.

Conclusion: hypotheses on replacements can be told apart from logs.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -214,6 +214,10 @@
 	case *coordinator.KeeperJoined:
 		daemon.Log.Info("keeper joined", "members", len(output.Members))
 		daemon.founderStore.save(output.Members)
+	case *coordinator.KeeperMembersChanged:
+		daemon.Log.Info("keeper members changed", "members", describeMembers(output.Members))
+	case *coordinator.KeeperChangeRefused:
+		daemon.Log.Warn("keeper change refused", "change", output.Change, "keeper", output.Host, "reason", output.Reason)
 	case *coordinator.KeeperHalted:
 		daemon.Log.Error("keeper halted", "reason", output.Reason)
 	case *coordinator.DigestsFull:
--- a/pkg/coordinator/keepermembership.go
+++ b/pkg/coordinator/keepermembership.go
@@ -36,6 +36,10 @@
 	// notLivingSince holds since when a member has not been living.
 	notLivingSince map[identifier.HostID]identifier.Moment
 	changes        replicator.Handle
+	// proposed is the newest change without its handle, and refusal the last outcome of it that was
+	// reported.
+	proposed replicator.MembershipChangeProposed
+	refusal  replicator.OutcomeKind
 }
 
 func newKeeperMembership(coordinator *Coordinator) *keeperMembership {
@@ -89,11 +93,24 @@
 	if !wanted {
 		return
 	}
+	proposed := replicator.MembershipChangeProposed{Kind: kind, Host: host, Incarnation: keeperMembership.joining[host]}
+	if proposed != keeperMembership.proposed {
+		keeperMembership.proposed, keeperMembership.refusal = proposed, replicator.OutcomeAccepted
+	}
 	keeperMembership.changes++
-	coordinator.notifyKeeper(&keeper.LogInput{Input: replicator.MembershipChangeProposed{
-		Handle: changeHandles + keeperMembership.changes, Kind: kind, Host: host,
-		Incarnation: keeperMembership.joining[host],
-	}})
+	proposed.Handle = changeHandles + keeperMembership.changes
+	coordinator.notifyKeeper(&keeper.LogInput{Input: proposed})
+}
+
+// handleDecided reports why the newest change was refused, once for each reason in a row.
+func (keeperMembership *keeperMembership) handleDecided(decided *keeper.ChangeDecided) {
+	isNewest := decided.Handle == changeHandles+keeperMembership.changes
+	if !isNewest || decided.Outcome == replicator.OutcomeAccepted || decided.Outcome == keeperMembership.refusal {
+		return
+	}
+	keeperMembership.refusal = decided.Outcome
+	proposed := keeperMembership.proposed
+	keeperMembership.coordinator.outputs.add(&KeeperChangeRefused{Change: proposed.Kind, Host: proposed.Host, Reason: decided.Outcome})
 }
 
 // recordMissing updates notLivingSince for the members.
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -95,6 +95,10 @@
 			joined.Members = append(joined.Members, member.Host)
 		}
 		coordinator.outputs.add(joined)
+	case *keeper.MembersChanged:
+		coordinator.outputs.add(&KeeperMembersChanged{Members: output.Members})
+	case *keeper.ChangeDecided:
+		coordinator.keeperMembership.handleDecided(output)
 	case *keeper.Halted:
 		coordinator.outputs.add(&KeeperHalted{Reason: output.Reason})
 	}
--- a/pkg/coordinator/messages.go
+++ b/pkg/coordinator/messages.go
@@ -166,6 +166,17 @@
 	Members []identifier.HostID
 }
 
+// KeeperMembersChanged reports, for the log, the members of the keepers' log.
+type KeeperMembersChanged struct{ Members []replicator.Member }
+
+// KeeperChangeRefused reports, for the log, that the leading keeper could not make a change of the
+// members. It is proposed again until it is made or no longer needed.
+type KeeperChangeRefused struct {
+	Change replicator.ChangeKind
+	Host   identifier.HostID
+	Reason replicator.OutcomeKind
+}
+
 // KeeperHalted reports that the keeper of this host can't continue.
 type KeeperHalted struct{ Reason string }
 
@@ -257,33 +268,35 @@
 // LeadKnown reports who leads a cell of a failure domain. An empty host means that nobody does.
 type LeadKnown struct{ Notice messenger.LeadNotice }
 
-func (*CallPoll) isCoordinatorOutput()            {}
-func (*CallStop) isCoordinatorOutput()            {}
-func (*CallStart) isCoordinatorOutput()           {}
-func (*JobEnded) isCoordinatorOutput()            {}
-func (*Decided) isCoordinatorOutput()             {}
-func (*LeadKnown) isCoordinatorOutput()           {}
-func (*ToPeer) isCoordinatorOutput()              {}
-func (*ToServer) isCoordinatorOutput()            {}
-func (*ToCaller) isCoordinatorOutput()            {}
-func (*Drained) isCoordinatorOutput()             {}
-func (*LeadChanged) isCoordinatorOutput()         {}
-func (*LeadMovePlanned) isCoordinatorOutput()     {}
-func (*MemberChanged) isCoordinatorOutput()       {}
-func (*Persist) isCoordinatorOutput()             {}
-func (*SaveSnapshot) isCoordinatorOutput()        {}
-func (*KeeperLeaderChanged) isCoordinatorOutput() {}
-func (*KeeperJoined) isCoordinatorOutput()        {}
-func (*KeeperHalted) isCoordinatorOutput()        {}
-func (*ConfigInForce) isCoordinatorOutput()       {}
-func (*StoreCells) isCoordinatorOutput()          {}
-func (*LayoutChanged) isCoordinatorOutput()       {}
-func (*LayoutProposed) isCoordinatorOutput()      {}
-func (*ConfigHistory) isCoordinatorOutput()       {}
-func (*ConfigAnswer) isCoordinatorOutput()        {}
-func (*OperatorAnswer) isCoordinatorOutput()      {}
-func (*ExplainAnswer) isCoordinatorOutput()       {}
-func (*StatusAnswer) isCoordinatorOutput()        {}
+func (*CallPoll) isCoordinatorOutput()             {}
+func (*CallStop) isCoordinatorOutput()             {}
+func (*CallStart) isCoordinatorOutput()            {}
+func (*JobEnded) isCoordinatorOutput()             {}
+func (*Decided) isCoordinatorOutput()              {}
+func (*LeadKnown) isCoordinatorOutput()            {}
+func (*ToPeer) isCoordinatorOutput()               {}
+func (*ToServer) isCoordinatorOutput()             {}
+func (*ToCaller) isCoordinatorOutput()             {}
+func (*Drained) isCoordinatorOutput()              {}
+func (*LeadChanged) isCoordinatorOutput()          {}
+func (*LeadMovePlanned) isCoordinatorOutput()      {}
+func (*MemberChanged) isCoordinatorOutput()        {}
+func (*Persist) isCoordinatorOutput()              {}
+func (*SaveSnapshot) isCoordinatorOutput()         {}
+func (*KeeperLeaderChanged) isCoordinatorOutput()  {}
+func (*KeeperJoined) isCoordinatorOutput()         {}
+func (*KeeperMembersChanged) isCoordinatorOutput() {}
+func (*KeeperChangeRefused) isCoordinatorOutput()  {}
+func (*KeeperHalted) isCoordinatorOutput()         {}
+func (*ConfigInForce) isCoordinatorOutput()        {}
+func (*StoreCells) isCoordinatorOutput()           {}
+func (*LayoutChanged) isCoordinatorOutput()        {}
+func (*LayoutProposed) isCoordinatorOutput()       {}
+func (*ConfigHistory) isCoordinatorOutput()        {}
+func (*ConfigAnswer) isCoordinatorOutput()         {}
+func (*OperatorAnswer) isCoordinatorOutput()       {}
+func (*ExplainAnswer) isCoordinatorOutput()        {}
+func (*StatusAnswer) isCoordinatorOutput()         {}
 
 // PeerBatch is what one host sends to another in one tick.
 type PeerBatch struct {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -201,6 +201,8 @@
 		keeper.recordApplied(output.Index)
 	case replicator.LeaderChanged:
 		keeper.handleLeaderChanged(output)
+	case replicator.MembershipChanged:
+		keeper.outputs = append(keeper.outputs, &MembersChanged{Members: output.Members})
 	case replicator.Joined:
 		keeper.outputs = append(keeper.outputs, &Joined{})
 	case replicator.Halted:
@@ -212,6 +214,7 @@
 func (keeper *Keeper) answerOutcome(outcome replicator.ProposalOutcome) {
 	request := keeper.pending.Get(outcome.Handle)
 	if request == nil {
+		keeper.outputs = append(keeper.outputs, &ChangeDecided{Handle: outcome.Handle, Outcome: outcome.Kind})
 		return
 	}
 	keeper.pending.Remove(outcome.Handle)
--- a/pkg/keeper/messages.go
+++ b/pkg/keeper/messages.go
@@ -68,6 +68,15 @@
 // Joined reports that a joining keeper takes part in elections from now on.
 type Joined struct{}
 
+// MembersChanged reports the members of the log that are now in effect here.
+type MembersChanged struct{ Members []replicator.Member }
+
+// ChangeDecided reports the outcome of a membership change that the host has proposed.
+type ChangeDecided struct {
+	Handle  replicator.Handle
+	Outcome replicator.OutcomeKind
+}
+
 // Halted reports that this keeper has stopped and needs an operator to continue.
 type Halted struct{ Reason string }
 
@@ -80,4 +89,6 @@
 func (*LeaderChanged) isKeeperOutput()   {}
 func (*History) isKeeperOutput()         {}
 func (*Joined) isKeeperOutput()          {}
+func (*MembersChanged) isKeeperOutput()  {}
+func (*ChangeDecided) isKeeperOutput()   {}
 func (*Halted) isKeeperOutput()          {}
