Promote a learner that is less than an election timeout behind

What callers saw: none of their changes was acknowledged any more, and no configuration could be read, after keepers had been replaced while changes of 2,100 routes kept coming (soak of a site, real processes).

Cause: a learner was promoted only if it held all committed entries at the very moment of the proposal. One whose disk is slower than the others' is always an entry behind while entries keep coming, so it never became a voter.

Evidence: TestLearnerIsPromotedWhileEntriesAreAccepted before: 'after 4s the learner holds 39 of 40 committed entries and is no voter'. In the kept logs of a soak, 'keeper change refused change=promote reason=not-caught-up'.

Change: the leader measures how far a peer lags in time, in rounds as in section 4.2.1 of Ongaro's thesis; a learner whose last round took less than the election timeout is promoted. The condition only decides when the change is proposed; the change itself needs a quorum of the new members as before.

--- a/pkg/replicator/leading.go
+++ b/pkg/replicator/leading.go
@@ -46,6 +46,7 @@
 	resetAt identifier.Moment
 	// transfer is the snapshot in transfer to the peer, or nil.
 	transfer *outgoingSnapshot
+	catchUp  catchUpRound
 }
 
 func newVotes() *tabulator.Table[identifier.HostID, VoteReply] {
@@ -54,7 +55,10 @@
 
 func (replicator *Replicator) newPeer() *peer {
 	next := replicator.log.lastIndex() + 1
-	return &peer{next: next, windowStart: next, stamp: neverResponded, resetAt: neverResponded}
+	return &peer{
+		next: next, windowStart: next, stamp: neverResponded, resetAt: neverResponded,
+		catchUp: catchUpRound{target: next - 1, began: replicator.now, keptUpAt: neverResponded},
+	}
 }
 
 // becomeLeader starts the leadership with an entry of the new term: the leader knows which
@@ -198,6 +202,7 @@
 	}
 	peer.match = max(peer.match, reply.Match)
 	peer.matchKnown = peer.matchKnown || !reply.Rejected
+	peer.catchUp.advance(peer.match, replicator.hard.Commit, replicator.now, replicator.Settings.ElectionTimeout)
 	peer.next = max(peer.next, peer.match+1)
 	if peer.transfer != nil && peer.match >= peer.transfer.index {
 		peer.transfer = nil
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -156,15 +156,6 @@
 	replicator.pending.Put(index, &pendingProposal{handle: proposal.Handle})
 }
 
-// learnerCaughtUp reports whether a learner that responded recently holds all committed
-// entries on its disk. A learner promoted earlier would count for quorums before it holds
-// what was accepted, so that the loss of one more keeper would block the log until it has
-// caught up.
-func (replicator *Replicator) learnerCaughtUp(host identifier.HostID) bool {
-	peer := replicator.peers.Get(host)
-	return peer != nil && peer.match >= replicator.hard.Commit && replicator.respondedRecently(peer)
-}
-
 func (replicator *Replicator) respondedRecently(peer *peer) bool {
 	return replicator.now.Before(peer.stamp.Add(replicator.Settings.ElectionTimeout))
 }
--- /dev/null
+++ b/pkg/replicator/promoting_test.go
@@ -0,0 +1,56 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a learner that never becomes a voter while entries are accepted, since it is a sync behind
+// what is committed at each moment: once two voters are replaced in turn, the log has no quorum left.
+func TestLearnerIsPromotedWhileEntriesAreAccepted(t *testing.T) {
+	const (
+		changeInterval = 100 * time.Millisecond
+		limit          = 4 * time.Second
+	)
+	simulation := newSimulation(5, 3, DefaultSettings())
+	simulation.sync = 30 * time.Millisecond
+	simulation.runFor(3 * time.Second)
+	leader := simulation.leader()
+	learner := simulation.addKeeper("k3", nil)
+	learner.disk.sync = 150 * time.Millisecond
+	simulation.input(leader, MembershipChangeProposed{Handle: 1, Kind: ChangeAddLearner, Host: learner.host})
+	for handle := Handle(2); handle < Handle(limit/changeInterval); handle++ {
+		simulation.input(leader,
+			Proposed{Handle: handle + 1<<32, Data: largeEntry()},
+			MembershipChangeProposed{Handle: handle, Kind: ChangePromote, Host: learner.host})
+		simulation.runFor(changeInterval)
+		if isVoter(leader.replicator.Members(), learner.host) {
+			return
+		}
+	}
+	t.Errorf("after %v the learner holds %d of %d committed entries and is no voter; violations %v", limit,
+		leader.replicator.peers.Get(learner.host).match, leader.replicator.hard.Commit, simulation.oracle.violations)
+}
+
+// Guards against a learner that is promoted while it is far behind: until it has caught up, the loss of one
+// more voter would block the log.
+func TestLearnerFarBehindIsNotPromoted(t *testing.T) {
+	simulation := newSimulation(6, 3, DefaultSettings())
+	simulation.runFor(3 * time.Second)
+	leader := simulation.leader()
+	learner := simulation.addKeeper("k3", nil)
+	simulation.input(leader, MembershipChangeProposed{Handle: 1, Kind: ChangeAddLearner, Host: learner.host})
+	simulation.runFor(time.Second)
+	learner.disk.refuses = true
+	for handle := Handle(2); handle < 100; handle++ {
+		simulation.input(leader, Proposed{Handle: handle + 1<<32, Data: largeEntry()})
+		simulation.runFor(50 * time.Millisecond)
+		if handle < 2+Handle(2*simulation.settings.ElectionTimeout/(50*time.Millisecond)) {
+			continue
+		}
+		simulation.input(leader, MembershipChangeProposed{Handle: handle, Kind: ChangePromote, Host: learner.host})
+		if isVoter(leader.replicator.Members(), learner.host) {
+			t.Fatal("a learner whose disk refuses writes is promoted")
+		}
+	}
+}
