Append a change of the configuration once, however often it is resent

What callers saw: with real processes beside load, two changes of 2,100 routes were acknowledged in 20 s, with all keepers running; replaced keepers could not be admitted, and in the end no configuration could be read.

Cause: a host resends a waiting request each 500 ms to the next keeper, and an operator turns to another host after a second; the leader appended each copy, an entry of 0.4 MB. Once a commit takes over 500 ms, copies slow down the next one: the state keeps itself up.

Change: the leader recognises a change that waits in its log by its request id and lets the resend wait for the same outcome; it replies 'pending', upon which the sender waits 2 s or for another leader. A change that a keeper has applied is answered from its state. Former versions ignore the new reply.

--- a/pkg/configurer/register.go
+++ b/pkg/configurer/register.go
@@ -103,11 +103,20 @@
 	return register.decideOnce(change.Request, func() Result { return register.decide(change) })
 }
 
+// ResultOf returns the recorded result of a request, and whether there is one.
+func (register *Register) ResultOf(request identifier.RequestID) (Result, bool) {
+	register.prepare()
+	known := register.results.Get(request)
+	if known == nil {
+		return Result{}, false
+	}
+	return *known, true
+}
+
 // decideOnce returns the recorded result of a request, or decides on it and records the result.
 func (register *Register) decideOnce(request identifier.RequestID, decide func() Result) Result {
-	register.prepare()
-	if known := register.results.Get(request); known != nil {
-		return *known
+	if known, found := register.ResultOf(request); found {
+		return known
 	}
 	result := decide()
 	register.recordResult(result)
--- a/pkg/coordinator/fakedisk_test.go
+++ b/pkg/coordinator/fakedisk_test.go
@@ -9,8 +9,8 @@
 	"github.com/stoathitch/stoathitch/pkg/replicator"
 )
 
-// syncTime is how long a sync of a keeper's disk takes.
-const syncTime = 4 * time.Millisecond
+// usualSyncTime is how long a sync of a keeper's disk takes.
+const usualSyncTime = 4 * time.Millisecond
 
 // fakeDisk holds what a keeper has synced; writes in progress when the process ends are lost. The
 // log never grows long enough for snapshots.
@@ -21,10 +21,10 @@
 	joiningAs identifier.Incarnation
 }
 
-// persist writes to the host's disk after syncTime, unless its process has ended by then.
+// persist writes to the host's disk after a sync, unless its process has ended by then.
 func (network *network) persist(host *fakeHost, output *coordinator.Persist) {
 	generation := host.generation
-	network.at(syncTime, func() {
+	network.at(network.syncTime, func() {
 		if host.generation != generation {
 			return
 		}
--- a/pkg/coordinator/network_test.go
+++ b/pkg/coordinator/network_test.go
@@ -32,6 +32,8 @@
 	connections map[string]*connection
 	oracle      *oracle
 	trace       bool
+	// syncTime is how long a sync of a keeper's disk takes.
+	syncTime time.Duration
 	// settings apply to the hosts that start from now on.
 	settings coordinator.Settings
 	// intents is nil if no intents are run.
@@ -163,7 +165,7 @@
 
 // startNetworkOf makes a network whose hosts state the capacity that capacityOf returns; nil states none.
 func startNetworkOf(domains []identifier.FailureDomain, hostsEach, serversEach int, slots identifier.Slots, settings coordinator.Settings, capacityOf func() identifier.HostCapacity) *network {
-	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle()}
+	created := &network{leads: make(map[identifier.FailureDomain]*fakeHost), connections: make(map[string]*connection), oracle: newOracle(), syncTime: usualSyncTime}
 	created.operators = make(map[uint64]*coordinator.OperatorAnswer)
 	created.settings = settings
 	for _, domain := range domains {
--- a/pkg/coordinator/operatorrequests.go
+++ b/pkg/coordinator/operatorrequests.go
@@ -10,8 +10,10 @@
 
 // Timing of operators' requests to the keepers.
 const (
-	operatorRequestResend  = 500 * time.Millisecond
-	operatorRequestTimeout = 6 * time.Second
+	operatorRequestResend = 500 * time.Millisecond
+	// operatorRequestPendingResend is the wait for the reply to a request that the leader has in its log.
+	operatorRequestPendingResend = 2 * time.Second
+	operatorRequestTimeout       = 6 * time.Second
 	// maxOperatorRequests limits the operators' requests that wait at once.
 	maxOperatorRequests = 4096
 )
@@ -86,14 +88,22 @@
 	})
 }
 
-// handleReply answers the operator. A reply that isn't final is ignored: the request goes to the
-// next keeper when its timer is due.
+// handleReply answers the operator. A reply that isn't final leaves the request to its timer, when it
+// goes to the next keeper.
 func (operatorRequests *operatorRequests) handleReply(reply *keeper.Reply) {
 	operatorRequest := operatorRequests.waiting.Get(reply.Nonce)
-	if operatorRequest == nil || reply.Kind != keeper.ReplyApplied {
+	if operatorRequest == nil {
 		return
 	}
-	operatorRequests.end(reply.Nonce, &OperatorAnswer{Waiter: operatorRequest.waiter, Result: reply.Result, Applied: true})
+	now := operatorRequests.coordinator.now
+	switch reply.Kind {
+	case keeper.ReplyApplied:
+		operatorRequests.end(reply.Nonce, &OperatorAnswer{Waiter: operatorRequest.waiter, Result: reply.Result, Applied: true})
+	case keeper.ReplyPending:
+		operatorRequests.timers.Set(reply.Nonce, now.Add(operatorRequestPendingResend))
+	case keeper.ReplyUnknown:
+		operatorRequests.timers.Set(reply.Nonce, now.Add(operatorRequestResend))
+	}
 }
 
 func (operatorRequests *operatorRequests) end(nonce keeper.Nonce, answer *OperatorAnswer) {
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -81,6 +81,9 @@
 	ReplyNotLed
 	// ReplyRefused means that the leader accepts no commands now; nothing was done.
 	ReplyRefused
+	// ReplyPending means that the leader has the command in its log; another reply follows unless the
+	// leader is lost.
+	ReplyPending
 )
 
 func encodeCommand(command *Command) ([]byte, error) { return cbor.Marshal(command) }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -46,7 +46,10 @@
 	now        identifier.Moment
 	machine    *machine
 	replicator *replicator.Replicator
-	pending    *tabulator.Table[replicator.Handle, Request]
+	// pending are the requests that wait for the log; their commands are left out.
+	pending *tabulator.Table[replicator.Handle, pendingRequest]
+	// proposed holds the handle of each configuration change that waits for the log.
+	proposed   map[identifier.RequestID]replicator.Handle
 	nextHandle replicator.Handle
 	leader     identifier.HostID
 	term       identifier.Term
@@ -126,7 +129,8 @@
 		return
 	}
 	keeper.machine = newMachine()
-	keeper.pending = tabulator.New[replicator.Handle, Request]()
+	keeper.pending = tabulator.New[replicator.Handle, pendingRequest]()
+	keeper.proposed = make(map[identifier.RequestID]replicator.Handle)
 	keeper.timers = tabulator.NewTimers[struct{}]()
 	keeper.replicator = &replicator.Replicator{
 		Self:           keeper.Self,
@@ -156,6 +160,11 @@
 
 // handleRequest proposes a command or starts a read, or forwards the request to the leader.
 func (keeper *Keeper) handleRequest(log []replicator.Input, request Request) []replicator.Input {
+	change := request.Command.changeID()
+	if result, decided := keeper.machine.configuration.ResultOf(change); decided && change != "" {
+		keeper.reply(&request, Reply{Kind: ReplyApplied, Result: Result{Change: &result}})
+		return log
+	}
 	if !keeper.IsLeader() && keeper.leader != "" && !request.Forwarded {
 		request.Forwarded = true
 		keeper.outputs = append(keeper.outputs, &Forward{To: keeper.leader, Request: request})
@@ -164,14 +173,21 @@
 	if request.reads() {
 		return keeper.handleRead(log, request)
 	}
+	if handle, isProposed := keeper.proposed[change]; isProposed {
+		keeper.pending.Get(handle).add(request)
+		keeper.reply(&request, Reply{Kind: ReplyPending})
+		return log
+	}
 	data, err := encodeCommand(&request.Command)
 	if err != nil {
 		keeper.reply(&request, Reply{Kind: ReplyRefused})
 		return log
 	}
-	keeper.nextHandle++
-	handle := keeper.nextHandle
-	keeper.pending.Put(handle, &request)
+	handle := keeper.await(request)
+	if change != "" {
+		keeper.proposed[change] = handle
+		keeper.reply(&request, Reply{Kind: ReplyPending})
+	}
 	return append(log, replicator.Proposed{Handle: handle, Data: data})
 }
 
@@ -211,27 +227,35 @@
 	}
 }
 
+// answerOutcome replies to all who requested what was proposed under a handle.
 func (keeper *Keeper) answerOutcome(outcome replicator.ProposalOutcome) {
-	request := keeper.pending.Get(outcome.Handle)
-	if request == nil {
+	pending := keeper.pending.Get(outcome.Handle)
+	if pending == nil {
 		keeper.outputs = append(keeper.outputs, &ChangeDecided{Handle: outcome.Handle, Outcome: outcome.Kind})
 		return
 	}
 	keeper.pending.Remove(outcome.Handle)
+	delete(keeper.proposed, pending.change)
+	reply := replyTo(outcome)
+	for index := range pending.requests {
+		keeper.reply(&pending.requests[index], reply)
+	}
+}
+
+func replyTo(outcome replicator.ProposalOutcome) Reply {
 	switch outcome.Kind {
 	case replicator.OutcomeAccepted:
 		result, err := decodeResult(outcome.Result)
 		if err != nil {
-			keeper.reply(request, Reply{Kind: ReplyRefused})
-			return
+			return Reply{Kind: ReplyRefused}
 		}
-		keeper.reply(request, Reply{Kind: ReplyApplied, Result: result})
+		return Reply{Kind: ReplyApplied, Result: result}
 	case replicator.OutcomeUnknown:
-		keeper.reply(request, Reply{Kind: ReplyUnknown})
+		return Reply{Kind: ReplyUnknown}
 	case replicator.OutcomeNotLeader:
-		keeper.reply(request, Reply{Kind: ReplyNotLed})
+		return Reply{Kind: ReplyNotLed}
 	default:
-		keeper.reply(request, Reply{Kind: ReplyRefused})
+		return Reply{Kind: ReplyRefused}
 	}
 }
 
--- a/pkg/keeper/reading.go
+++ b/pkg/keeper/reading.go
@@ -22,9 +22,7 @@
 // leader that was replaced without noticing would return intents as they were before the
 // last confirmation.
 func (keeper *Keeper) handleRead(log []replicator.Input, request Request) []replicator.Input {
-	keeper.nextHandle++
-	keeper.pending.Put(keeper.nextHandle, &request)
-	return append(log, replicator.ReadRequested{Handle: keeper.nextHandle})
+	return append(log, replicator.ReadRequested{Handle: keeper.await(request)})
 }
 
 // ReadStale reads from the state that this keeper has applied, which may be outdated.
@@ -36,11 +34,12 @@
 }
 
 func (keeper *Keeper) answerRead(handle replicator.Handle) {
-	request := keeper.pending.Get(handle)
-	if request == nil {
+	pending := keeper.pending.Get(handle)
+	if pending == nil {
 		return
 	}
 	keeper.pending.Remove(handle)
+	request := &pending.requests[0]
 	if request.ReadConfig {
 		newest := keeper.newestVersion()
 		keeper.reply(request, Reply{Kind: ReplyApplied, Result: Result{Config: &newest}})
@@ -51,9 +50,9 @@
 }
 
 func (keeper *Keeper) refuseRead(handle replicator.Handle) {
-	if request := keeper.pending.Get(handle); request != nil {
+	if pending := keeper.pending.Get(handle); pending != nil {
 		keeper.pending.Remove(handle)
-		keeper.reply(request, Reply{Kind: ReplyNotLed})
+		keeper.reply(&pending.requests[0], Reply{Kind: ReplyNotLed})
 	}
 }
 
--- a/pkg/keeper/replykind_enumer.go
+++ b/pkg/keeper/replykind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReplyKindName = "appliedunknownnot-ledrefused"
+const _ReplyKindName = "appliedunknownnot-ledrefusedpending"
 
-var _ReplyKindIndex = [...]uint8{0, 7, 14, 21, 28}
+var _ReplyKindIndex = [...]uint8{0, 7, 14, 21, 28, 35}
 
-const _ReplyKindLowerName = "appliedunknownnot-ledrefused"
+const _ReplyKindLowerName = "appliedunknownnot-ledrefusedpending"
 
 func (i ReplyKind) String() string {
 	if i < 0 || i >= ReplyKind(len(_ReplyKindIndex)-1) {
@@ -28,15 +28,17 @@
 	_ = x[ReplyUnknown-(1)]
 	_ = x[ReplyNotLed-(2)]
 	_ = x[ReplyRefused-(3)]
+	_ = x[ReplyPending-(4)]
 }
 
-var _ReplyKindValues = []ReplyKind{ReplyApplied, ReplyUnknown, ReplyNotLed, ReplyRefused}
+var _ReplyKindValues = []ReplyKind{ReplyApplied, ReplyUnknown, ReplyNotLed, ReplyRefused, ReplyPending}
 
 var _ReplyKindNameToValueMap = map[string]ReplyKind{
 	_ReplyKindName[0:7]:   ReplyApplied,
 	_ReplyKindName[7:14]:  ReplyUnknown,
 	_ReplyKindName[14:21]: ReplyNotLed,
 	_ReplyKindName[21:28]: ReplyRefused,
+	_ReplyKindName[28:35]: ReplyPending,
 }
 
 var _ReplyKindLowerNameToValueMap = map[string]ReplyKind{
@@ -44,6 +46,7 @@
 	_ReplyKindLowerName[7:14]:  ReplyUnknown,
 	_ReplyKindLowerName[14:21]: ReplyNotLed,
 	_ReplyKindLowerName[21:28]: ReplyRefused,
+	_ReplyKindLowerName[28:35]: ReplyPending,
 }
 
 var _ReplyKindNames = []string{
@@ -51,6 +54,7 @@
 	_ReplyKindName[7:14],
 	_ReplyKindName[14:21],
 	_ReplyKindName[21:28],
+	_ReplyKindName[28:35],
 }
 
 // ReplyKindString retrieves an enum value from the enum constants string name.
