Wait at the start for a disk that refuses writes

Evidence: TestKeepersStartOnDisksThatRefuseWrites (real processes, RLIMIT_FSIZE of 0 from before the start) before: 'core-leuven-0 ended while its disk refused writes', the same for the other two, 'no keeper answers a read'.

--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -74,23 +74,23 @@
 	if err := daemon.loadSecurity(); err != nil {
 		return err
 	}
-	founders, err := daemon.founders()
-	if err != nil {
+	founders, err := whenDiskAccepts(ctx, daemon, daemon.founders)
+	if err != nil || ctx.Err() != nil {
 		return err
 	}
 	daemon.assemble(founders)
-	listeners, err := daemon.listen()
-	if err != nil {
-		return err
-	}
 	running, stop := context.WithCancel(context.Background())
 	defer daemon.closeJournal()
 	// The runner must end before the journal closes, because it may still queue writes.
 	var runners sync.WaitGroup
 	defer runners.Wait()
 	defer stop()
-	if err := daemon.openJournal(running); err != nil {
-		listeners.close()
+	if err := daemon.openJournal(ctx, running); err != nil || ctx.Err() != nil {
+		return err
+	}
+	// Nobody connects in vain while the journal is not open.
+	listeners, err := daemon.listen()
+	if err != nil {
 		return err
 	}
 	daemon.configStore.restore(running, daemon)
--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -45,17 +45,20 @@
 // 0.2 s of processor time for 100,000 entries.
 const writeRetryInterval = 500 * time.Millisecond
 
-// openJournal recovers the journal of a keeper and posts it to the coordinator as its first
-// input.
-func (daemon *Daemon) openJournal(ctx context.Context) error {
+// openJournal recovers the journal of a keeper and posts it to the coordinator as its first input. The
+// writer runs until running is done. The journal isn't open if ctx is done first.
+func (daemon *Daemon) openJournal(ctx, running context.Context) error {
 	if !daemon.Settings.HasRole(loader.RoleKeeper) {
 		return nil
 	}
 	journal := &journaler.Journal{Folder: daemon.Settings.DataFolder}
-	recovered, err := journal.Open()
+	recovered, err := whenDiskAccepts(ctx, daemon, journal.Open)
 	if err != nil {
 		return &Error{Operation: "open the journal in " + daemon.Settings.DataFolder, Kind: ErrorJournal, Err: err}
 	}
+	if ctx.Err() != nil {
+		return journal.Close()
+	}
 	restored, err := restoredOf(&recovered)
 	if err != nil {
 		return &Error{Operation: "read the journal in " + daemon.Settings.DataFolder, Kind: ErrorJournal, Err: err}
@@ -69,8 +72,8 @@
 		stopped:       make(chan struct{}),
 		retryInterval: writeRetryInterval,
 	}
-	daemon.runner.Post(ctx, &coordinator.Restored{Restored: restored})
-	go daemon.journalWriter.run(ctx)
+	daemon.runner.Post(running, &coordinator.Restored{Restored: restored})
+	go daemon.journalWriter.run(running)
 	return nil
 }
 
--- a/pkg/journaler/errors.go
+++ b/pkg/journaler/errors.go
@@ -85,7 +85,7 @@
 // storageError wraps a file system error. A failed write for lack of space gets the kind
 // disk-full.
 func storageError(operation, file string, kind ErrorKind, err error) *Error {
-	if kind == WriteFailed && isDiskFull(err) {
+	if kind == WriteFailed && IsDiskFull(err) {
 		kind = DiskFull
 	}
 	return &Error{Operation: operation, Kind: kind, File: file, Err: eris.Wrap(err, "file system")}
@@ -95,7 +95,8 @@
 	return &Error{Operation: "recover", Kind: CorruptRecord, File: file, Offset: offset, Err: eris.New(reason)}
 }
 
-// isDiskFull reports whether a file may not grow now: no space, a quota or a limit on its size.
-func isDiskFull(err error) bool {
+// IsDiskFull reports whether an error of the file system means that a file may not grow now: no space, a
+// quota or a limit on its size.
+func IsDiskFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
