Give a campaign the time that votes take to reach the disks

What callers saw: no configuration could be changed or read after the leading keeper had been lost, although a quorum of the keepers ran (real processes, disks that sync slowly).

Cause: a candidate gave up after 250 to 500 ms, while its own vote and those of the others wait for syncs one after the other; votes that arrived later counted for nothing. Replies to pre-votes waited for the disk too, and two keepers that had granted each other a pre-vote both campaigned.

--- a/pkg/replicator/electing.go
+++ b/pkg/replicator/electing.go
@@ -41,8 +41,15 @@
 	replicator.electionDeadline = replicator.now.Add(timeout + replicator.randomUpTo(timeout/2))
 }
 
+// campaignSyncs is the number of syncs that an election waits for one after the other, on the disks of
+// the candidate and of a voter, each behind a sync under way.
+const campaignSyncs = 4
+
+// resetCampaignDeadline gives a campaign the time that the votes take to reach the disks: a candidate
+// that gives up earlier makes the votes on their way worthless. The random part keeps two candidates
+// apart by as much.
 func (replicator *Replicator) resetCampaignDeadline() {
-	timeout := replicator.Settings.ElectionTimeout / campaignTimeoutDivisor
+	timeout := replicator.Settings.ElectionTimeout/campaignTimeoutDivisor + campaignSyncs*replicator.syncTime()
 	replicator.electionDeadline = replicator.now.Add(timeout + replicator.randomUpTo(timeout))
 }
 
@@ -55,6 +62,7 @@
 // its return it cannot depose the leader with a higher term.
 func (replicator *Replicator) startPreVote() {
 	replicator.setLeader("")
+	replicator.yielded = false
 	replicator.resetCampaignDeadline()
 	if !replicator.mayVote() {
 		replicator.role = RoleFollower
@@ -120,6 +128,9 @@
 	}
 	if request.PreVote {
 		granted := request.CampaignTerm > replicator.hard.Term && replicator.logIsCurrent(request)
+		if granted {
+			replicator.yield()
+		}
 		replicator.replyVote(from, request, granted)
 		return
 	}
@@ -132,6 +143,16 @@
 	replicator.replyVote(from, request, granted)
 }
 
+// yield puts the own campaign off after a pre-vote for another candidate, whose request for votes leaves
+// only after a sync. It does so once: a candidate that can't win must not hold up the others.
+func (replicator *Replicator) yield() {
+	if replicator.role != RoleFollower || replicator.yielded {
+		return
+	}
+	replicator.yielded = true
+	replicator.resetCampaignDeadline()
+}
+
 // logIsCurrent reports whether the candidate's log is at least as up to date as this one, so
 // that it lacks no committed entry.
 func (replicator *Replicator) logIsCurrent(request *VoteRequest) bool {
@@ -142,8 +163,13 @@
 }
 
 func (replicator *Replicator) replyVote(to identifier.HostID, request *VoteRequest, granted bool) {
-	reply := VoteReply{CampaignTerm: request.CampaignTerm, PreVote: request.PreVote, Granted: granted}
-	replicator.sendAfterSync(to, Message{VoteReply: &reply})
+	message := Message{VoteReply: &VoteReply{CampaignTerm: request.CampaignTerm, PreVote: request.PreVote, Granted: granted}}
+	if request.PreVote {
+		// It promises nothing.
+		replicator.sendNow(to, message)
+		return
+	}
+	replicator.sendAfterSync(to, message)
 }
 
 func (replicator *Replicator) receiveVoteReply(from identifier.HostID, reply VoteReply) {
--- a/pkg/replicator/following.go
+++ b/pkg/replicator/following.go
@@ -8,6 +8,7 @@
 		replicator.becomeFollower(replicator.hard.Term, from)
 	}
 	replicator.lastLeaderContactAt = replicator.now
+	replicator.yielded = false
 	replicator.ackStamp = max(replicator.ackStamp, stamp)
 	replicator.resetElectionDeadline()
 }
--- a/pkg/replicator/persisting.go
+++ b/pkg/replicator/persisting.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "github.com/stoathitch/stoathitch/pkg/identifier"
+import (
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
 
 // journal tracks which changes were handed out to be synced and which of them are synced.
 type journal struct {
@@ -14,13 +18,16 @@
 	dirtyFrom   identifier.LogIndex
 	snapshot    *Snapshot
 	outstanding []outstandingPersist
-	waiting     []waitingMessage
+	// lastSync is how long the last synced persist took, from its request on.
+	lastSync time.Duration
+	waiting  []waitingMessage
 }
 
 // outstandingPersist makes the log durable up to lastIndex.
 type outstandingPersist struct {
 	sequence  PersistSequence
 	lastIndex identifier.LogIndex
+	issuedAt  identifier.Moment
 }
 
 // waitingMessage may be sent once sequence is durable; zero stands for the persist of this
@@ -67,7 +74,7 @@
 		persist.TruncateFrom = journal.dirtyFrom
 	}
 	last := replicator.log.lastIndex()
-	journal.outstanding = append(journal.outstanding, outstandingPersist{journal.sequence, last})
+	journal.outstanding = append(journal.outstanding, outstandingPersist{journal.sequence, last, replicator.now})
 	journal.issuedHard = replicator.hard
 	journal.issuedLastIndex = last
 	journal.dirtyFrom = 0
@@ -85,6 +92,7 @@
 	done := 0
 	for done < len(journal.outstanding) && journal.outstanding[done].sequence <= sequence {
 		journal.durableIndex = max(journal.durableIndex, journal.outstanding[done].lastIndex)
+		journal.lastSync = replicator.now.Sub(journal.outstanding[done].issuedAt)
 		done++
 	}
 	journal.outstanding = journal.outstanding[done:]
@@ -93,6 +101,17 @@
 	}
 }
 
+// syncTime estimates how long a sync takes now, from the last one and the one that is under way. The
+// bound keeps a disk that refuses writes from silencing its keeper for good.
+func (replicator *Replicator) syncTime() time.Duration {
+	journal := &replicator.journal
+	took := journal.lastSync
+	if len(journal.outstanding) > 0 {
+		took = max(took, replicator.now.Sub(journal.outstanding[0].issuedAt))
+	}
+	return min(took, replicator.Settings.ElectionTimeout)
+}
+
 // sendNow sends a message that promises nothing beyond what is already durable on this
 // keeper.
 func (replicator *Replicator) sendNow(to identifier.HostID, message Message) {
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -62,6 +62,8 @@
 	// withholds its vote for ElectionTimeout from then on.
 	lastLeaderContactAt identifier.Moment
 	electionDeadline    identifier.Moment
+	// yielded is set once this keeper has put its campaign off for another candidate.
+	yielded bool
 	// verified is the last index known to equal the current leader's log.
 	verified identifier.LogIndex
 	// ackStamp is the newest stamp received from the current leader.
