Change the members of the log also while commands are refused as overloaded

Cause: the bound on waiting data refused changes of the members too, which are small and may give the waiting entries the voter that they need.

Evidence: TestMembersChangeWhileTheLeaderIsOverloaded before: 'the last entry: overloaded, the change of the members: overloaded'.

Change: only commands are refused as overloaded.

--- a/pkg/replicator/promoting_test.go
+++ b/pkg/replicator/promoting_test.go
@@ -54,3 +54,25 @@
 		}
 	}
 }
+
+// Guards against a lost voter that can't be replaced while changes wait for a slow disk: a change of the
+// members, which is small, was refused as they were.
+func TestMembersChangeWhileTheLeaderIsOverloaded(t *testing.T) {
+	simulation := newSimulation(8, 3, DefaultSettings())
+	simulation.runFor(3 * time.Second)
+	leader := simulation.leader()
+	learner := simulation.addKeeper("k3", nil)
+	simulation.input(leader, MembershipChangeProposed{Handle: 1, Kind: ChangeAddLearner, Host: learner.host})
+	simulation.runFor(time.Second)
+	simulation.sync = time.Second
+	outcomes := make(map[Handle]OutcomeKind)
+	simulation.onOutcome = func(_ *keeper, outcome ProposalOutcome) { outcomes[outcome.Handle] = outcome.Kind }
+	for handle := Handle(100); handle < 140; handle++ {
+		simulation.input(leader, Proposed{Handle: handle, Data: largeEntry()})
+	}
+	simulation.input(leader, MembershipChangeProposed{Handle: 2, Kind: ChangePromote, Host: learner.host})
+	simulation.runFor(5 * time.Second)
+	if outcomes[139] != OutcomeOverloaded || outcomes[2] != OutcomeAccepted {
+		t.Errorf("the last entry: %v, the change of the members: %v", outcomes[139], outcomes[2])
+	}
+}
--- a/pkg/replicator/proposing.go
+++ b/pkg/replicator/proposing.go
@@ -11,6 +11,10 @@
 		replicator.refuseProposal(proposal.Handle, refusal)
 		return
 	}
+	if replicator.isOverloaded() {
+		replicator.refuseProposal(proposal.Handle, OutcomeOverloaded)
+		return
+	}
 	if identifier.Bytes(len(proposal.Data)) > replicator.Settings.MaxEntryBytes {
 		replicator.refuseProposal(proposal.Handle, OutcomeTooLarge)
 		return
@@ -33,14 +37,17 @@
 	if lastQuorumContact.Add(replicator.Settings.leaseDuration()).Due(replicator.now) {
 		return OutcomeNoQuorum, true
 	}
+	return OutcomeAccepted, false
+}
+
+// isOverloaded reports whether too much waits for commands to be appended. Changes of the members are
+// small and may be what the waiting entries need.
+func (replicator *Replicator) isOverloaded() bool {
 	if int(replicator.log.lastIndex()-replicator.hard.Commit) >= replicator.Settings.MaxUncommittedEntries {
-		return OutcomeOverloaded, true
+		return true
 	}
 	settled := min(replicator.hard.Commit, replicator.journal.durableIndex)
-	if replicator.log.bytesAfter(settled, replicator.log.lastIndex()) >= replicator.Settings.MaxUncommittedBytes {
-		return OutcomeOverloaded, true
-	}
-	return OutcomeAccepted, false
+	return replicator.log.bytesAfter(settled, replicator.log.lastIndex()) >= replicator.Settings.MaxUncommittedBytes
 }
 
 func (replicator *Replicator) refuseProposal(handle Handle, kind OutcomeKind) {
