Replace a keeper that shuts down before it ends

What callers saw: after planned replacements of all keepers, each well apart, no configuration could be changed or read ('[core-geel-1 core-leuven-1 core-mol-1] answer no configuration 12s after the last fault').

Cause: a keeper that got its termination signal ended within milliseconds, also as the leader. Its successor, which ran already, was added only once the former one had been gone for 3 s; the loss of one more keeper in that time left two of three voters that never return.

TestRestartedKeepersLeaveAtOnce/4_spare_keepers before: 'geel-host-0 reads nothing after its restart'.

Change: one spare keeper is a learner all the time; a voter that has announced its shutdown is replaced at once; a leaving keeper stays a voter until another one leads and its successor counts, bounded by the time of its shutdown.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -304,7 +304,7 @@
 		coordinator.handovers.restart()
 		return
 	}
-	if coordinator.handovers.announce() {
+	if coordinator.handovers.announce() && coordinator.keeperMembership.mayLeave() {
 		coordinator.outputs.add(&Drained{})
 	}
 }
--- a/pkg/coordinator/keepermembership.go
+++ b/pkg/coordinator/keepermembership.go
@@ -87,6 +87,11 @@
 		clear(keeperMembership.notLivingSince)
 		return
 	}
+	if coordinator.draining {
+		// The first transfer may have been abandoned.
+		coordinator.notifyKeeper(&keeper.LogInput{Input: replicator.TransferRequested{}})
+		return
+	}
 	members := coordinator.keeper.Members()
 	keeperMembership.recordMissing(members)
 	kind, host, wanted := keeperMembership.nextChange(members)
@@ -139,6 +144,12 @@
 	return missed && since.Add(replaceAfter).Due(keeperMembership.coordinator.now)
 }
 
+// leaves reports whether a host has announced its shutdown. It takes part until its process ends.
+func (keeperMembership *keeperMembership) leaves(host identifier.HostID) bool {
+	state, known := keeperMembership.coordinator.gossiper.State(host)
+	return known && state.Status == gossiper.StatusLeft
+}
+
 // nextChange returns the change of the membership that is needed most.
 func (keeperMembership *keeperMembership) nextChange(members []replicator.Member) (replicator.ChangeKind, identifier.HostID, bool) {
 	self := keeperMembership.coordinator.Self.Host
@@ -156,7 +167,7 @@
 		switch {
 		case member.Role == replicator.MemberVoter:
 			voters++
-			if gone {
+			if gone || keeperMembership.leaves(host) {
 				goneVoter = host
 			}
 		case gone:
@@ -172,7 +183,10 @@
 		return replicator.ChangePromote, readyLearner, true
 	case goneVoter != "" && voters > wanted:
 		return replicator.ChangeRemove, goneVoter, true
-	case voters+learners < wanted || goneVoter != "" && learners == 0:
+	case learners == 0:
+		// A learner beside enough voters takes the place of one that is lost without delay.
+		return keeperMembership.chooseNewMember(members)
+	case voters+learners < wanted:
 		return keeperMembership.chooseNewMember(members)
 	}
 	return 0, "", false
--- /dev/null
+++ b/pkg/coordinator/replacing_test.go
@@ -0,0 +1,112 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stoathitch/stoathitch/pkg/identifier"
+)
+
+const (
+	// settleTime is how long after its start a new keeper counts as lost at most, and one that is back.
+	settleTime = 4 * time.Second
+	// shutdownLimit is how long a keeper has for its shutdown.
+	shutdownLimit = 5 * time.Second
+)
+
+// change proposes the next revision each interval for a time, in turn by each running host.
+func (network *network) changeFor(length time.Duration, revision *identifier.ConfigRevision, interval time.Duration) {
+	for end := network.now.Add(length); network.now.Before(end); {
+		*revision++
+		for turn := range network.hosts {
+			if host := network.hosts[(int(*revision)+turn)%len(network.hosts)]; host.coordinator != nil {
+				network.propose(host, *revision)
+				break
+			}
+		}
+		network.advance(interval)
+	}
+}
+
+// replaceKeeper starts an empty keeper in the failure domain of another one, which leaves a second later.
+func (network *network) replaceKeeper(former *fakeHost, revision *identifier.ConfigRevision, interval time.Duration) *fakeHost {
+	created := &fakeHost{id: former.id + "-next", domain: former.domain, keeper: true, joinsKeepers: true}
+	network.hosts = append(network.hosts, created)
+	network.startHost(created)
+	network.changeFor(time.Second, revision, interval)
+	generation := former.generation
+	network.leave(former)
+	network.at(shutdownLimit, func() {
+		if former.generation == generation {
+			network.crashHost(former)
+		}
+	})
+	return created
+}
+
+// Symptom: no configuration can be changed or read any more.
+// Sequence: each keeper is replaced as planned while changes go on and disks sync slowly; when the new
+// one has had its time, another keeper is lost for some seconds and returns.
+// Cause: the new keeper became a voter only after the former one had been gone for seconds, so that the
+// next loss left no quorum.
+func TestKeepersAreReplacedInTurnWhileOthersAreLost(t *testing.T) {
+	const away = 3500 * time.Millisecond
+	for _, syncTime := range []time.Duration{usualSyncTime, 50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(fmt.Sprintf("syncs of %v", syncTime), func(t *testing.T) {
+			network := newKeeperNetwork(t)
+			network.syncTime = syncTime
+			revision := identifier.ConfigRevision(0)
+			const interval = 165 * time.Millisecond
+			keepers := slices.Clone(network.hosts)
+			for index := range keepers {
+				created := network.replaceKeeper(keepers[index], &revision, interval)
+				keepers[index] = created
+				network.changeFor(settleTime, &revision, interval)
+				lost := keepers[(index+1)%3]
+				network.crashHost(lost)
+				network.changeFor(away, &revision, interval)
+				network.startHost(lost)
+				network.changeFor(settleTime, &revision, interval)
+				for _, keeper := range keepers {
+					if read, known := network.read(keeper); !known || read == 0 {
+						t.Fatalf("after replacement %d %s reads revision %d, known %v", index+1, keeper.id, read, known)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Symptom: a shutdown of a keeper takes all of its time.
+// Sequence: keepers are restarted as planned, one after the other, with or without a spare one.
+// Cause: a leaving keeper waited for a successor that was not needed or not there.
+func TestRestartedKeepersLeaveAtOnce(t *testing.T) {
+	for _, spares := range []int{0, 1, 4} {
+		t.Run(fmt.Sprintf("%d spare keepers", spares), func(t *testing.T) {
+			network := newKeeperNetwork(t)
+			for index := range spares {
+				spare := &fakeHost{id: identifier.HostID(fmt.Sprintf("geel-host-%d", 5+index)), domain: "geel", keeper: true, joinsKeepers: true}
+				network.hosts = append(network.hosts, spare)
+				network.startHost(spare)
+			}
+			network.advance(settleTime)
+			for _, host := range network.hosts {
+				generation, began := host.generation, network.now
+				network.leave(host)
+				for host.generation == generation && network.now.Sub(began) < shutdownLimit {
+					network.advance(10 * time.Millisecond)
+				}
+				if took := network.now.Sub(began); took > 2*time.Second {
+					t.Errorf("%s took %v to leave", host.id, took)
+				}
+				network.startHost(host)
+				network.advance(settleTime)
+				if _, known := network.read(host); !known {
+					t.Fatalf("%s reads nothing after its restart", host.id)
+				}
+			}
+		})
+	}
+}
