--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -69,7 +69,8 @@
 }
 
 // Run serves until ctx is done, then shuts down gracefully: it reports unready, refuses new
-// work and answers accepted jobs. When abort is done, it ends at once.
+// work and answers accepted jobs. When abort is done, it ends at once. It does the same, and returns
+// an error, once the journal contradicts the keepers' log: only a start reads both anew.
 func (daemon *Daemon) Run(ctx, abort context.Context) error {
 	if err := daemon.loadSecurity(); err != nil {
 		return err
@@ -80,12 +81,14 @@
 	}
 	daemon.assemble(founders)
 	running, stop := context.WithCancel(context.Background())
+	serving, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 	defer daemon.closeJournal()
 	// The runner must end before the journal closes, because it may still queue writes.
 	var runners sync.WaitGroup
 	defer runners.Wait()
 	defer stop()
-	if err := daemon.openJournal(ctx, running); err != nil || ctx.Err() != nil {
+	if err := daemon.openJournal(ctx, running, fail); err != nil || ctx.Err() != nil {
 		return err
 	}
 	// Nobody connects in vain while the journal is not open.
@@ -113,9 +116,12 @@
 	}
 	daemon.Log.Info("started", "callers", listeners.callers.Addr(),
 		"backend-servers", listeners.backendServersAddress(), "peers", listeners.peers.Addr())
-	<-ctx.Done()
+	<-serving.Done()
 	daemon.drain(running, abort)
 	servers.stop()
+	if ctx.Err() == nil {
+		return context.Cause(serving)
+	}
 	return nil
 }
 
--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -26,6 +26,8 @@
 	journal *journaler.Journal
 	queue   *writeQueue
 	stopped chan struct{}
+	// fail ends the process once the journal contradicts the replicated log.
+	fail context.CancelCauseFunc
 	// retryInterval is the wait between two tries.
 	retryInterval time.Duration
 
@@ -47,7 +49,7 @@
 
 // openJournal recovers the journal of a keeper and posts it to the coordinator as its first input. The
 // writer runs until running is done. The journal isn't open if ctx is done first.
-func (daemon *Daemon) openJournal(ctx, running context.Context) error {
+func (daemon *Daemon) openJournal(ctx, running context.Context, fail context.CancelCauseFunc) error {
 	if !daemon.Settings.HasRole(loader.RoleKeeper) {
 		return nil
 	}
@@ -71,6 +73,7 @@
 		queue:         newWriteQueue(),
 		stopped:       make(chan struct{}),
 		retryInterval: writeRetryInterval,
+		fail:          fail,
 	}
 	daemon.runner.Post(running, &coordinator.Restored{Restored: restored})
 	go daemon.journalWriter.run(running)
@@ -88,7 +91,7 @@
 }
 
 // run writes until ctx is done, or until the journal contradicts the replicated log: then nothing more
-// is reported as durable, the keeper goes on without a vote, and the host goes on serving.
+// is reported as durable, and the process shuts down.
 func (journalWriter *journalWriter) run(ctx context.Context) {
 	defer close(journalWriter.stopped)
 	for {
@@ -96,6 +99,7 @@
 		if err != nil && !isRetryable(err) {
 			journalWriter.queue.close()
 			journalWriter.Log.Error("journal contradicts the replicated log, nothing more is written", "err", err)
+			journalWriter.fail(&Error{Operation: "write the journal", Kind: ErrorJournal, Err: err})
 			return
 		}
 		if !journalWriter.pause(ctx, err != nil) {
--- a/pkg/assembler/journalwriter_test.go
+++ b/pkg/assembler/journalwriter_test.go
@@ -97,6 +97,8 @@
 	saved   []identifier.LogIndex
 	// early lists reports of persists that were not on the disk.
 	early []replicator.PersistSequence
+	// failed is the error with which the process ends; read it once the writer has stopped.
+	failed error
 	// sent holds the persists by sequence.
 	sent []replicator.Persist
 }
@@ -114,6 +116,7 @@
 	test.writer = &journalWriter{
 		Common: provider.New(&settings, io.Discard), post: test.post, journal: journal,
 		queue: newWriteQueue(), stopped: make(chan struct{}), retryInterval: testRetryInterval,
+		fail: func(cause error) { test.failed = cause },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	test.cancel = cancel
@@ -356,6 +359,9 @@
 	test.persist(replicator.Persist{HardState: hard(1, 0), Entries: entriesOf(1, 3)})
 	test.persist(replicator.Persist{HardState: hard(2, 0)})
 	<-test.writer.stopped
+	if test.failed == nil {
+		t.Error("the process goes on without a keeper that can write")
+	}
 	test.persist(replicator.Persist{HardState: hard(3, 0)})
 	if len(test.durable) != 1 || test.writer.queue.length() != 0 {
 		t.Fatalf("durable %v, %d wait", test.durable, test.writer.queue.length())
