Tell the sender of a change that it is pending only once it is in the log

What callers saw: nothing so far; found by reading. A change that the leader refused, as while it hands over, was announced as pending first, so that its sender waited 2 s instead of 0.5 s before it tried again.

Cause: the keeper replied before the log had decided.

Evidence: TestRefusedChangeIsNotPending before: 'replies [pending not-led], want one that nobody leads'.

Change: the reply leaves at the end of the tick, if the change still waits.

--- a/pkg/coordinator/replacing_test.go
+++ b/pkg/coordinator/replacing_test.go
@@ -16,7 +16,7 @@
 	shutdownLimit = 5 * time.Second
 )
 
-// change proposes the next revision each interval for a time, in turn by each running host.
+// changeFor proposes the next revision each interval for a time, in turn by each running host.
 func (network *network) changeFor(length time.Duration, revision *identifier.ConfigRevision, interval time.Duration) {
 	for end := network.now.Add(length); network.now.Before(end); {
 		*revision++
@@ -46,11 +46,8 @@
 	return created
 }
 
-// Symptom: no configuration can be changed or read any more.
-// Sequence: each keeper is replaced as planned while changes go on and disks sync slowly; when the new
-// one has had its time, another keeper is lost for some seconds and returns.
-// Cause: the new keeper became a voter only after the former one had been gone for seconds, so that the
-// next loss left no quorum.
+// Guards against keepers without a quorum after planned replacements: a new one became a voter seconds
+// after the former one had gone, and the loss of another one in between left too few.
 func TestKeepersAreReplacedInTurnWhileOthersAreLost(t *testing.T) {
 	const away = 3500 * time.Millisecond
 	for _, syncTime := range []time.Duration{usualSyncTime, 50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond} {
@@ -79,9 +76,8 @@
 	}
 }
 
-// Symptom: a shutdown of a keeper takes all of its time.
-// Sequence: keepers are restarted as planned, one after the other, with or without a spare one.
-// Cause: a leaving keeper waited for a successor that was not needed or not there.
+// Guards against a keeper that takes all the time of its shutdown to wait for a successor that it doesn't
+// need, and against one that reads nothing after its restart.
 func TestRestartedKeepersLeaveAtOnce(t *testing.T) {
 	for _, spares := range []int{0, 1, 4} {
 		t.Run(fmt.Sprintf("%d spare keepers", spares), func(t *testing.T) {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -49,7 +49,9 @@
 	// pending are the requests that wait for the log; their commands are left out.
 	pending *tabulator.Table[replicator.Handle, pendingRequest]
 	// proposed holds the handle of each configuration change that waits for the log.
-	proposed   map[identifier.RequestID]replicator.Handle
+	proposed map[identifier.RequestID]replicator.Handle
+	// received are the configuration changes that were received in this tick.
+	received   []receivedChange
 	nextHandle replicator.Handle
 	leader     identifier.HostID
 	term       identifier.Term
@@ -81,6 +83,7 @@
 	for _, output := range keeper.replicator.Tick(now, log) {
 		keeper.handleOutput(output)
 	}
+	keeper.replyPending()
 	keeper.announceVersion()
 	outputs := keeper.outputs
 	keeper.outputs = nil
@@ -175,7 +178,7 @@
 	}
 	if handle, isProposed := keeper.proposed[change]; isProposed {
 		keeper.pending.Get(handle).add(request)
-		keeper.reply(&request, Reply{Kind: ReplyPending})
+		keeper.received = append(keeper.received, receivedChange{handle: handle, request: request.withoutCommand()})
 		return log
 	}
 	data, err := encodeCommand(&request.Command)
@@ -186,7 +189,7 @@
 	handle := keeper.await(request)
 	if change != "" {
 		keeper.proposed[change] = handle
-		keeper.reply(&request, Reply{Kind: ReplyPending})
+		keeper.received = append(keeper.received, receivedChange{handle: handle, request: request.withoutCommand()})
 	}
 	return append(log, replicator.Proposed{Handle: handle, Data: data})
 }
--- a/pkg/keeper/pending.go
+++ b/pkg/keeper/pending.go
@@ -37,6 +37,23 @@
 	return keeper.nextHandle
 }
 
+// receivedChange is a request for a configuration change and what it waits for.
+type receivedChange struct {
+	handle  replicator.Handle
+	request Request
+}
+
+// replyPending tells who sent a change in this tick that it is in the log, unless it was refused or
+// applied at once.
+func (keeper *Keeper) replyPending() {
+	for _, received := range keeper.received {
+		if keeper.pending.Get(received.handle) != nil {
+			keeper.reply(&received.request, Reply{Kind: ReplyPending})
+		}
+	}
+	keeper.received = nil
+}
+
 // changeID returns the id by which a resent change of the configuration is recognised; empty for other
 // commands.
 func (command *Command) changeID() identifier.RequestID {
--- a/pkg/keeper/resending_test.go
+++ b/pkg/keeper/resending_test.go
@@ -85,3 +85,16 @@
 		t.Errorf("replies %v, %d still proposed", count, len(keeper.proposed))
 	}
 }
+
+// Guards against a sender that waits long for the reply to a change that was refused.
+func TestRefusedChangeIsNotPending(t *testing.T) {
+	keeper := &Keeper{Self: "lone", Settings: DefaultSettings(), InitialMembers: []replicator.Member{{Host: "lone"}, {Host: "other"}}}
+	keeper.Tick(0, []Input{&LogInput{Input: replicator.Restored{}}})
+	change := Command{Change: &configurer.Change{Request: "first", Revision: 1}}
+	request := &RequestReceived{Request: Request{Origin: "lone", Command: change, Forwarded: true}}
+	for range 2 {
+		if replies := keeper.persist(keeper.Tick(0, []Input{request})); len(replies) != 1 || replies[0] != ReplyNotLed {
+			t.Errorf("replies %v, want one that nobody leads", replies)
+		}
+	}
+}
