--- a/pkg/assembler/daemon.go
+++ b/pkg/assembler/daemon.go
@@ -75,7 +75,7 @@
 	if err := daemon.loadSecurity(); err != nil {
 		return err
 	}
-	founders, err := whenDiskAccepts(ctx, daemon, daemon.founders)
+	founders, err := retryWhileDiskRefuses(ctx, daemon, daemon.founders)
 	if err != nil || ctx.Err() != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 	if err := daemon.openJournal(ctx, running, fail); err != nil || ctx.Err() != nil {
 		return err
 	}
-	// Nobody connects in vain while the journal is not open.
+	// Connections are refused until the journal is open.
 	listeners, err := daemon.listen()
 	if err != nil {
 		return err
--- a/pkg/assembler/journalwriter.go
+++ b/pkg/assembler/journalwriter.go
@@ -43,8 +43,8 @@
 	snapshotRefusal refusal
 }
 
-// writeRetryInterval is the retryInterval of a daemon. Opening a journal anew reads all of it, up to
-// 0.2 s of processor time for 100,000 entries.
+// writeRetryInterval is the retryInterval of a daemon. Each try may open the journal anew, which reads all
+// of it.
 const writeRetryInterval = 500 * time.Millisecond
 
 // openJournal recovers the journal of a keeper and posts it to the coordinator as its first input. The
@@ -54,7 +54,7 @@
 		return nil
 	}
 	journal := &journaler.Journal{Folder: daemon.Settings.DataFolder}
-	recovered, err := whenDiskAccepts(ctx, daemon, journal.Open)
+	recovered, err := retryWhileDiskRefuses(ctx, daemon, journal.Open)
 	if err != nil {
 		return &Error{Operation: "open the journal in " + daemon.Settings.DataFolder, Kind: ErrorJournal, Err: err}
 	}
--- a/pkg/assembler/diskwaiting.go
+++ b/pkg/assembler/startretrying.go
@@ -9,9 +9,9 @@
 	"github.com/stoathitch/stoathitch/pkg/journaler"
 )
 
-// whenDiskAccepts carries out a step of the start, again and again while the disk refuses it, and
-// returns its result. It returns early, with the zero result, once ctx is done.
-func whenDiskAccepts[Result any](ctx context.Context, daemon *Daemon, step func() (Result, error)) (Result, error) {
+// retryWhileDiskRefuses carries out a step of the start until the disk no longer refuses it, and returns
+// its result. Once ctx is done it returns early, with the zero result and no error.
+func retryWhileDiskRefuses[Result any](ctx context.Context, daemon *Daemon, step func() (Result, error)) (Result, error) {
 	var refusal refusal
 	for {
 		result, err := step()
--- a/pkg/coordinator/keepermembership.go
+++ b/pkg/coordinator/keepermembership.go
@@ -108,7 +108,7 @@
 }
 
 // handleDecided reports why the newest change was refused, once for each reason in a row.
-func (keeperMembership *keeperMembership) handleDecided(decided *keeper.ChangeDecided) {
+func (keeperMembership *keeperMembership) handleDecided(decided *keeper.MembershipDecided) {
 	isNewest := decided.Handle == changeHandles+keeperMembership.changes
 	if !isNewest || decided.Outcome == replicator.OutcomeAccepted || decided.Outcome == keeperMembership.refusal {
 		return
@@ -144,8 +144,8 @@
 	return missed && since.Add(replaceAfter).Due(keeperMembership.coordinator.now)
 }
 
-// leaves reports whether a host has announced its shutdown. It takes part until its process ends.
-func (keeperMembership *keeperMembership) leaves(host identifier.HostID) bool {
+// isLeaving reports whether a host has announced its shutdown. It takes part until its process ends.
+func (keeperMembership *keeperMembership) isLeaving(host identifier.HostID) bool {
 	state, known := keeperMembership.coordinator.gossiper.State(host)
 	return known && state.Status == gossiper.StatusLeft
 }
@@ -154,7 +154,7 @@
 func (keeperMembership *keeperMembership) nextChange(members []replicator.Member) (replicator.ChangeKind, identifier.HostID, bool) {
 	self := keeperMembership.coordinator.Self.Host
 	voters, learners := 0, 0
-	var goneVoter, readyLearner identifier.HostID
+	var voterToReplace, readyLearner identifier.HostID
 	for _, member := range members {
 		host := member.Host
 		joiningAs, joins := keeperMembership.joining[host]
@@ -167,8 +167,8 @@
 		switch {
 		case member.Role == replicator.MemberVoter:
 			voters++
-			if gone || keeperMembership.leaves(host) {
-				goneVoter = host
+			if gone || keeperMembership.isLeaving(host) {
+				voterToReplace = host
 			}
 		case gone:
 			return replicator.ChangeRemove, host, true
@@ -179,10 +179,10 @@
 	}
 	wanted := keeperMembership.coordinator.Settings.Voters
 	switch {
-	case readyLearner != "" && (voters < wanted || goneVoter != ""):
+	case readyLearner != "" && (voters < wanted || voterToReplace != ""):
 		return replicator.ChangePromote, readyLearner, true
-	case goneVoter != "" && voters > wanted:
-		return replicator.ChangeRemove, goneVoter, true
+	case voterToReplace != "" && voters > wanted:
+		return replicator.ChangeRemove, voterToReplace, true
 	case learners == 0:
 		// A learner beside enough voters takes the place of one that is lost without delay.
 		return keeperMembership.chooseNewMember(members)
@@ -193,7 +193,7 @@
 }
 
 // chooseNewMember returns the addition of a living keeper that is no member. It takes one from the
-// failure domain with the fewest members, so that the loss of a failure domain leaves a quorum.
+// failure domain with the fewest members, so that the loss of a failure domain isLeaving a quorum.
 func (keeperMembership *keeperMembership) chooseNewMember(members []replicator.Member) (replicator.ChangeKind, identifier.HostID, bool) {
 	counts := make(map[identifier.FailureDomain]int)
 	for _, member := range members {
--- a/pkg/coordinator/keeping.go
+++ b/pkg/coordinator/keeping.go
@@ -97,7 +97,7 @@
 		coordinator.outputs.add(joined)
 	case *keeper.MembersChanged:
 		coordinator.outputs.add(&KeeperMembersChanged{Members: output.Members})
-	case *keeper.ChangeDecided:
+	case *keeper.MembershipDecided:
 		coordinator.keeperMembership.handleDecided(output)
 	case *keeper.Halted:
 		coordinator.outputs.add(&KeeperHalted{Reason: output.Reason})
--- a/pkg/coordinator/replacing_test.go
+++ b/pkg/coordinator/replacing_test.go
@@ -16,26 +16,48 @@
 	shutdownLimit = 5 * time.Second
 )
 
-// changeFor proposes the next revision each interval for a time, in turn by each running host.
-func (network *network) changeFor(length time.Duration, revision *identifier.ConfigRevision, interval time.Duration) {
+// changes proposes one revision after the other.
+type changes struct {
+	network *network
+	newest  identifier.ConfigRevision
+	waiters map[identifier.ConfigRevision]uint64
+}
+
+// changeInterval is the time between two changes.
+const changeInterval = 165 * time.Millisecond
+
+// runFor proposes the next revision at each changeInterval, in turn by each running host.
+func (changes *changes) runFor(length time.Duration) {
+	network := changes.network
 	for end := network.now.Add(length); network.now.Before(end); {
-		*revision++
+		changes.newest++
 		for turn := range network.hosts {
-			if host := network.hosts[(int(*revision)+turn)%len(network.hosts)]; host.coordinator != nil {
-				network.propose(host, *revision)
+			if host := network.hosts[(int(changes.newest)+turn)%len(network.hosts)]; host.coordinator != nil {
+				changes.waiters[changes.newest] = network.propose(host, changes.newest)
 				break
 			}
 		}
-		network.advance(interval)
+		network.advance(changeInterval)
+	}
+}
+
+// acknowledged returns the highest revision that was acknowledged.
+func (changes *changes) acknowledged() identifier.ConfigRevision {
+	for revision := changes.newest; revision > 0; revision-- {
+		if changes.network.acknowledged(changes.waiters[revision]) {
+			return revision
+		}
 	}
+	return 0
 }
 
 // replaceKeeper starts an empty keeper in the failure domain of another one, which leaves a second later.
-func (network *network) replaceKeeper(former *fakeHost, revision *identifier.ConfigRevision, interval time.Duration) *fakeHost {
+func (changes *changes) replaceKeeper(former *fakeHost) *fakeHost {
+	network := changes.network
 	created := &fakeHost{id: former.id + "-next", domain: former.domain, keeper: true, joinsKeepers: true}
 	network.hosts = append(network.hosts, created)
 	network.startHost(created)
-	network.changeFor(time.Second, revision, interval)
+	changes.runFor(time.Second)
 	generation := former.generation
 	network.leave(former)
 	network.at(shutdownLimit, func() {
@@ -54,21 +76,24 @@
 		t.Run(fmt.Sprintf("syncs of %v", syncTime), func(t *testing.T) {
 			network := newKeeperNetwork(t)
 			network.syncTime = syncTime
-			revision := identifier.ConfigRevision(0)
-			const interval = 165 * time.Millisecond
+			changes := &changes{network: network, waiters: make(map[identifier.ConfigRevision]uint64)}
 			keepers := slices.Clone(network.hosts)
 			for index := range keepers {
-				created := network.replaceKeeper(keepers[index], &revision, interval)
+				created := changes.replaceKeeper(keepers[index])
 				keepers[index] = created
-				network.changeFor(settleTime, &revision, interval)
+				changes.runFor(settleTime)
 				lost := keepers[(index+1)%3]
 				network.crashHost(lost)
-				network.changeFor(away, &revision, interval)
+				changes.runFor(away)
 				network.startHost(lost)
-				network.changeFor(settleTime, &revision, interval)
+				changes.runFor(settleTime)
+				acknowledged := changes.acknowledged()
+				if int(changes.newest-acknowledged) > int(settleTime/changeInterval) {
+					t.Fatalf("after replacement %d revision %d of %d is the last acknowledged one", index+1, acknowledged, changes.newest)
+				}
 				for _, keeper := range keepers {
-					if read, known := network.read(keeper); !known || read == 0 {
-						t.Fatalf("after replacement %d %s reads revision %d, known %v", index+1, keeper.id, read, known)
+					if read, known := network.read(keeper); !known || read < acknowledged {
+						t.Fatalf("after replacement %d %s reads revision %d, known %v; acknowledged was %d", index+1, keeper.id, read, known, acknowledged)
 					}
 				}
 			}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -234,7 +234,7 @@
 func (keeper *Keeper) answerOutcome(outcome replicator.ProposalOutcome) {
 	pending := keeper.pending.Get(outcome.Handle)
 	if pending == nil {
-		keeper.outputs = append(keeper.outputs, &ChangeDecided{Handle: outcome.Handle, Outcome: outcome.Kind})
+		keeper.outputs = append(keeper.outputs, &MembershipDecided{Handle: outcome.Handle, Outcome: outcome.Kind})
 		return
 	}
 	keeper.pending.Remove(outcome.Handle)
--- a/pkg/keeper/messages.go
+++ b/pkg/keeper/messages.go
@@ -71,8 +71,8 @@
 // MembersChanged reports the members of the log that are now in effect here.
 type MembersChanged struct{ Members []replicator.Member }
 
-// ChangeDecided reports the outcome of a membership change that the host has proposed.
-type ChangeDecided struct {
+// MembershipDecided reports the outcome of a membership change that this host has proposed.
+type MembershipDecided struct {
 	Handle  replicator.Handle
 	Outcome replicator.OutcomeKind
 }
@@ -80,15 +80,15 @@
 // Halted reports that this keeper has stopped and needs an operator to continue.
 type Halted struct{ Reason string }
 
-func (*Send) isKeeperOutput()            {}
-func (*Forward) isKeeperOutput()         {}
-func (*Answer) isKeeperOutput()          {}
-func (*Persist) isKeeperOutput()         {}
-func (*SaveSnapshot) isKeeperOutput()    {}
-func (*VersionAccepted) isKeeperOutput() {}
-func (*LeaderChanged) isKeeperOutput()   {}
-func (*History) isKeeperOutput()         {}
-func (*Joined) isKeeperOutput()          {}
-func (*MembersChanged) isKeeperOutput()  {}
-func (*ChangeDecided) isKeeperOutput()   {}
-func (*Halted) isKeeperOutput()          {}
+func (*Send) isKeeperOutput()              {}
+func (*Forward) isKeeperOutput()           {}
+func (*Answer) isKeeperOutput()            {}
+func (*Persist) isKeeperOutput()           {}
+func (*SaveSnapshot) isKeeperOutput()      {}
+func (*VersionAccepted) isKeeperOutput()   {}
+func (*LeaderChanged) isKeeperOutput()     {}
+func (*History) isKeeperOutput()           {}
+func (*Joined) isKeeperOutput()            {}
+func (*MembersChanged) isKeeperOutput()    {}
+func (*MembershipDecided) isKeeperOutput() {}
+func (*Halted) isKeeperOutput()            {}
--- a/pkg/replicator/electing.go
+++ b/pkg/replicator/electing.go
@@ -45,9 +45,8 @@
 // the candidate and of a voter, each behind a sync under way.
 const campaignSyncs = 4
 
-// resetCampaignDeadline gives a campaign the time that the votes take to reach the disks: a candidate
-// that gives up earlier makes the votes on their way worthless. The random part keeps two candidates
-// apart by as much.
+// resetCampaignDeadline gives a campaign the time that the votes take to reach the disks: votes that
+// arrive after the candidate has given up don't count. The random part keeps two candidates apart.
 func (replicator *Replicator) resetCampaignDeadline() {
 	timeout := replicator.Settings.ElectionTimeout/campaignTimeoutDivisor + campaignSyncs*replicator.syncTime()
 	replicator.electionDeadline = replicator.now.Add(timeout + replicator.randomUpTo(timeout))
@@ -165,7 +164,7 @@
 func (replicator *Replicator) replyVote(to identifier.HostID, request *VoteRequest, granted bool) {
 	message := Message{VoteReply: &VoteReply{CampaignTerm: request.CampaignTerm, PreVote: request.PreVote, Granted: granted}}
 	if request.PreVote {
-		// It promises nothing.
+		// A pre-vote promises nothing that has to be on the disk.
 		replicator.sendNow(to, message)
 		return
 	}
