--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -174,3 +174,19 @@
 	}
 	return response.StatusCode, nil
 }
+
+// AtWork returns the runs of a job that are at work.
+func (record *Record) AtWork(job string) []string {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+	var found []string
+	for task, runs := range record.running {
+		if id, _, _ := strings.Cut(task, "."); id != job {
+			continue
+		}
+		for _, known := range runs {
+			found = append(found, fmt.Sprintf("run %d of %s on %s", known.run, task, known.executor))
+		}
+	}
+	return found
+}
