--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -37,12 +37,11 @@
 	Edges      int
 	Executors  int
 
-	folder    string
-	net       int
-	machines  []*Machine
-	ctx       context.Context
-	cancel    context.CancelFunc
-	executors sync.WaitGroup
+	folder   string
+	net      int
+	machines []*Machine
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // Machine is one machine of the system with its process.
