--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -83,6 +84,7 @@
 			deployment.add(zone, fmt.Sprintf("edge-%s-%d", zone, index+1), fmt.Sprintf("127.%d.%d.%d", deployment.net, number+1, 10+index), true)
 		}
 	}
+	go deployment.stopEarly()
 	for _, machine := range deployment.machines {
 		if err := machine.start(true); err != nil {
 			return err
@@ -111,13 +113,31 @@
 	return nil
 }
 
+// caseTime is how long a case may take at most.
+const caseTime = 110 * time.Second
+
+// stopEarly ends the program with all processes that it started after caseTime, or when it is told to end.
+func (deployment *Deployment) stopEarly() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-deployment.ctx.Done():
+		return
+	case <-ended:
+	case <-time.After(caseTime):
+	}
+	deployment.Stop()
+	os.Exit(2)
+}
+
 // Stop kills every process that was started, and removes the folder unless a case asks to keep it.
 func (deployment *Deployment) Stop() {
 	for _, machine := range deployment.machines {
-		machine.Signal(syscall.SIGKILL)
-		if machine.exited != nil {
-			<-machine.exited
+		if machine.exited == nil {
+			continue
 		}
+		machine.Signal(syscall.SIGKILL)
+		<-machine.exited
 	}
 	if deployment.cancel != nil {
 		deployment.cancel()
