--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 go build -o target/review/case4 ./review/4/case
 go build -o target/review/case6 ./review/6/case
+go build -o target/review/case5 ./review/5/case
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -214,7 +214,7 @@
 	if err := os.WriteFile(path, []byte(machine.settings(bootstrap)), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
-	output, err := os.Create(filepath.Join(machine.deployment.folder, machine.Name+".log"))
+	output, err := os.OpenFile(filepath.Join(machine.deployment.folder, machine.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("create a log: %w", err)
 	}
@@ -282,14 +282,90 @@
 	return text.String()
 }
 
-// configuration is a complete configuration of one queue, written as in PROTOCOL.md.
+// CoreIn returns the core machine of a zone.
+func (deployment *Deployment) CoreIn(zone string) *Machine {
+	for _, machine := range deployment.machines {
+		if !machine.Edge && machine.Zone == zone {
+			return machine
+		}
+	}
+	return nil
+}
+
+// ReplaceCore takes the core machine of a zone away for good, and starts an empty one at another address
+// after a pause. The settings files of all machines then name the present seeds, as SIGHUP tells them.
+func (deployment *Deployment) ReplaceCore(zone string, pause time.Duration) error {
+	old := deployment.CoreIn(zone)
+	old.Signal(syscall.SIGKILL)
+	<-old.exited
+	time.Sleep(pause)
+	host := strings.Split(old.IP, ".")
+	old.Name += "-next"
+	old.IP = strings.Join(host[:3], ".") + ".101"
+	if err := old.start(false); err != nil {
+		return err
+	}
+	for _, machine := range deployment.machines {
+		path := filepath.Join(deployment.folder, machine.Name+".toml")
+		if err := os.WriteFile(path, []byte(machine.settings(false)), 0o600); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		if machine != old {
+			machine.Signal(syscall.SIGHUP)
+		}
+	}
+	return nil
+}
+
+// OutageOfCore kills the processes of all core machines at once and starts them again after a time.
+func (deployment *Deployment) OutageOfCore(length time.Duration) error {
+	for _, zone := range Zones {
+		deployment.CoreIn(zone).Signal(syscall.SIGKILL)
+	}
+	for _, zone := range Zones {
+		<-deployment.CoreIn(zone).exited
+	}
+	time.Sleep(length)
+	for _, zone := range Zones {
+		if err := deployment.CoreIn(zone).start(false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ServesRoute asks an edge machine for the queue of a version's own route, and returns the status.
+func (machine *Machine) ServesRoute(version int) int {
+	ctx, cancel := context.WithTimeout(machine.deployment.ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Front()+routePrefix(version), nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = Host
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// routePrefix is the prefix of the route that a version adds to that of all versions.
+func routePrefix(version int) string { return fmt.Sprintf("/route%d/", version) }
+
+// configuration is a complete configuration, written as in PROTOCOL.md: one queue, and one that only this
+// version has.
 func configuration(version int) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-3hwrr6x", "host": Host, "pathPrefix": Prefix, "type": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 60,
+	route := func(name, prefix string) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "pathPrefix": prefix, "type": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 60,
 			"priority": 0, "service": Service, "maxAttempts": 3, "stretch": 1.6,
-		}},
+		}
+	}
+	return map[string]any{
+		"version":  version,
+		"routes":   []map[string]any{route("r-3hwrr6x", Prefix), route(fmt.Sprintf("r-%d", version), routePrefix(version))},
 		"services": []map[string]any{{"name": Service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": true, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
